--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The only two commands a new user needs are `make demo` and `make test`.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+
+.PHONY: demo test format lint types unit features measure clean
+
+$(VENV)/.installed: requirements/run.txt requirements/dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements/dev.txt
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m tools.demo
+
+test: lint types unit features
+
+format: $(VENV)/.installed
+	$(BIN)/ruff check --fix --quiet .
+	$(BIN)/ruff format .
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: $(VENV)/.installed
+	$(BIN)/mypy
+
+unit: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+features: $(VENV)/.installed
+	$(BIN)/behave --no-capture --format progress features
+
+measure: $(VENV)/.installed
+	$(BIN)/python -m tools.measure
+
+clean:
+	rm -rf $(VENV) out .mypy_cache .ruff_cache .pytest_cache
--- /dev/null
+++ b/src/kingcupwheel/__version__.py
@@ -0,0 +1,6 @@
+"""The version of this release."""
+
+from __future__ import annotations
+
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/kingcupwheel/agent/__init__.py
@@ -0,0 +1,3 @@
+"""The agent daemon: the only way to its backend server."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/agent/adapters/__init__.py
@@ -0,0 +1,3 @@
+"""How an agent talks to its backend server."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/console/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One module for each command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/entry/__init__.py
@@ -0,0 +1,3 @@
+"""The entry daemon: from a caller's request to its answer."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/link/hub.py
@@ -0,0 +1,266 @@
+"""One thread that owns every socket between this process and the others.
+
+zmq sockets are not safe to share, so request threads hand messages over through a
+queue and the hub's thread sends them. Handlers run on the hub's thread and never block.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+from collections import deque
+from threading import Event
+from threading import Thread
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import zmq
+
+from kingcupwheel.link.exceptions import CannotListenError
+from kingcupwheel.link.links import Incoming
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.link.links import Traffic
+from kingcupwheel.messages.codec import MsgpackCodec
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+
+logger = logging.getLogger("kingcupwheel.link")
+
+# Messages taken from one socket before the others get their turn: a flood on one link
+# must not hold up the heartbeats of the rest.
+_BATCH = 64
+# Messages waiting for one peer. Past it a DEALER refuses and a ROUTER drops; both are
+# mended by resuming at an offset, so the bound only has to keep memory in check.
+_HIGH_WATER = 4096
+# How long a closing hub lets the last frames of answers leave.
+_LINGER_MS = 1000
+
+
+class _Send(NamedTuple):
+    link: Link
+    message: Message
+
+
+class _Replace(NamedTuple):
+    address: str
+
+
+class _Drop(NamedTuple):
+    address: str
+
+
+_Command = _Send | _Replace | _Drop
+
+
+class Hub:
+    """Sends and receives messages; ``send`` and the like are safe from any thread.
+
+    ``on_message`` and ``on_tick`` are called on the hub's thread; ``on_tick`` gets the
+    monotonic time about every ``tick_s`` seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        on_message: Callable[[Link, Message], None],
+        on_tick: Callable[[float], None],
+        tick_s: float = 0.25,
+    ) -> None:
+        self._on_message = on_message
+        self._on_tick = on_tick
+        self._tick_s = tick_s
+        self._context = zmq.Context()
+        self._router = self._bind(listen)
+        self._dealers_by_address: dict[str, zmq.Socket[bytes]] = {}
+        self._generation_by_address: dict[str, int] = {}
+        self._codec = MsgpackCodec()
+        self._commands: deque[_Command] = deque()
+        self._wake_in, self._wake_out = socket.socketpair()
+        self._wake_in.setblocking(False)
+        self._wake_out.setblocking(False)
+        self._poller = zmq.Poller()
+        self._poller.register(self._router, zmq.POLLIN)
+        self._poller.register(self._wake_out, zmq.POLLIN)
+        self._stopping = Event()
+        self._thread = Thread(target=self._run, name="hub", daemon=True)
+        self._counts = [0, 0, 0, 0]
+
+    @property
+    def traffic(self) -> Traffic:
+        """What has passed so far."""
+        return Traffic(*self._counts)
+
+    @property
+    def port(self) -> int:
+        """The port of the listening socket."""
+        endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+        return int(endpoint.rsplit(":", 1)[1])
+
+    def start(self) -> None:
+        """Start the hub's thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Send what is queued, close every socket and end the thread."""
+        self._stopping.set()
+        self._wake()
+        self._thread.join()
+
+    def send(self, link: Link, message: Message) -> None:
+        """Queue ``message``; opening the link if it is an outgoing one not yet open.
+
+        A message for an older generation of a link goes out on the newest one.
+        """
+        self._commands.append(_Send(link, message))
+        self._wake()
+
+    def replace(self, address: str) -> None:
+        """Close the outgoing link to ``address`` and open a new connection."""
+        self._commands.append(_Replace(address))
+        self._wake()
+
+    def drop(self, address: str) -> None:
+        """Close the outgoing link to ``address``."""
+        self._commands.append(_Drop(address))
+        self._wake()
+
+    def _bind(self, listen: str) -> zmq.Socket[bytes]:
+        router = self._context.socket(zmq.ROUTER)
+        router.setsockopt(zmq.LINGER, _LINGER_MS)
+        router.setsockopt(zmq.SNDHWM, _HIGH_WATER)
+        router.setsockopt(zmq.RCVHWM, _HIGH_WATER)
+        try:
+            router.bind(f"tcp://{listen}")
+        except zmq.ZMQError as error:
+            router.close()
+            raise CannotListenError(listen, str(error)) from error
+        return router
+
+    def _wake(self) -> None:
+        # A full buffer means that a wake-up is pending already.
+        with contextlib.suppress(BlockingIOError, OSError):
+            self._wake_in.send(b"\0")
+
+    def _run(self) -> None:
+        next_tick = monotonic()
+        while not self._stopping.is_set():
+            next_tick = self._tick(next_tick)
+            self._carry_out()
+            timeout_ms = max(0, int((next_tick - monotonic()) * 1000))
+            self._receive(dict(self._poller.poll(timeout_ms)))
+        self._carry_out()
+        self._close()
+
+    def _tick(self, next_tick: float) -> float:
+        now = monotonic()
+        if now < next_tick:
+            return next_tick
+        try:
+            self._on_tick(now)
+        except Exception:
+            logger.exception("Tick failed.")
+        return now + self._tick_s
+
+    def _carry_out(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self._wake_out.recv(4096)
+        while self._commands:
+            match self._commands.popleft():
+                case _Send(link, message):
+                    self._send(link, message)
+                case _Replace(address):
+                    self._close_dealer(address)
+                    self._dealer(address)
+                case _Drop(address):
+                    self._close_dealer(address)
+
+    def _send(self, link: Link, message: Message) -> None:
+        frame = self._codec.encode(message)
+        self._counts[1] += 1
+        self._counts[3] += len(frame)
+        try:
+            match link:
+                case Outgoing(address, _):
+                    self._dealer(address).send(frame, zmq.NOBLOCK)
+                case Incoming(identity):
+                    self._router.send_multipart((identity, frame), zmq.NOBLOCK)
+        except zmq.ZMQError:
+            logger.debug("Message to %s dropped.", link)
+
+    def _dealer(self, address: str) -> zmq.Socket[bytes]:
+        dealer = self._dealers_by_address.get(address)
+        if dealer is not None:
+            return dealer
+        dealer = self._context.socket(zmq.DEALER)
+        dealer.setsockopt(zmq.LINGER, 0)
+        dealer.setsockopt(zmq.SNDHWM, _HIGH_WATER)
+        dealer.setsockopt(zmq.RCVHWM, _HIGH_WATER)
+        dealer.setsockopt(zmq.RECONNECT_IVL, 100)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
+        dealer.connect(f"tcp://{address}")
+        self._dealers_by_address[address] = dealer
+        generation = self._generation_by_address.get(address, 0) + 1
+        self._generation_by_address[address] = generation
+        self._poller.register(dealer, zmq.POLLIN)
+        return dealer
+
+    def _close_dealer(self, address: str) -> None:
+        dealer = self._dealers_by_address.pop(address, None)
+        if dealer is not None:
+            self._poller.unregister(dealer)
+            dealer.close()
+
+    def _receive(self, ready: dict[object, int]) -> None:
+        if self._router in ready:
+            self._receive_router()
+        for address, dealer in list(self._dealers_by_address.items()):
+            if dealer in ready:
+                link = Outgoing(address, self._generation_by_address[address])
+                self._receive_dealer(link, dealer)
+
+    def _receive_router(self) -> None:
+        for _ in range(_BATCH):
+            try:
+                identity, *frames = self._router.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            if len(frames) == 1:
+                self._deliver(Incoming(identity), frames[0])
+
+    def _receive_dealer(self, link: Outgoing, dealer: zmq.Socket[bytes]) -> None:
+        for _ in range(_BATCH):
+            if dealer.closed:
+                return
+            try:
+                frame = dealer.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._deliver(link, frame)
+
+    def _deliver(self, link: Link, frame: bytes) -> None:
+        self._counts[0] += 1
+        self._counts[2] += len(frame)
+        result = self._codec.decode(frame)
+        if result.is_error():
+            logger.warning("Bad message from %s: %s.", link, result.error.detail)
+            return
+        try:
+            self._on_message(link, result.ok)
+        except Exception:
+            logger.exception("Handler failed.")
+
+    def _close(self) -> None:
+        for address in list(self._dealers_by_address):
+            self._close_dealer(address)
+        self._router.close()
+        self._wake_in.close()
+        self._wake_out.close()
+        self._context.term()
--- /dev/null
+++ b/src/kingcupwheel/manifest/__init__.py
@@ -0,0 +1,3 @@
+"""The manifest: what operators submit and every process follows."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Typed messages between the system's own processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/messages/codec.py
@@ -0,0 +1,88 @@
+"""The msgpack codec of all messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.messages.exceptions import BadMessage
+from kingcupwheel.messages.expertmaps import MapOrder
+from kingcupwheel.messages.expertmaps import MapReply
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.membership import ManifestObject
+from kingcupwheel.messages.membership import ManifestWanted
+from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.messages.runs import Accepted
+from kingcupwheel.messages.runs import Ack
+from kingcupwheel.messages.runs import Cancel
+from kingcupwheel.messages.runs import Data
+from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.messages.runs import End
+from kingcupwheel.messages.runs import Entomb
+from kingcupwheel.messages.runs import Entombed
+from kingcupwheel.messages.runs import Head
+from kingcupwheel.messages.runs import NotRun
+from kingcupwheel.messages.runs import Resume
+from kingcupwheel.messages.runs import Running
+from kingcupwheel.messages.runs import Unseen
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.plugins.kernel import codecs
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.messages.base import Message
+
+
+AnyMessage = (
+    Dispatch
+    | Resume
+    | Ack
+    | Cancel
+    | Entomb
+    | Entombed
+    | Accepted
+    | NotRun
+    | Head
+    | Data
+    | End
+    | Running
+    | Unseen
+    | Hello
+    | Beat
+    | PeerBeat
+    | ManifestWanted
+    | ManifestObject
+    | TraceWanted
+    | TraceFound
+    | MapOrder
+    | MapReply
+)
+
+
+@codecs.register("msgpack")
+class MsgpackCodec:
+    """Encodes messages; an instance belongs to one thread."""
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(
+            AnyMessage
+        )
+
+    def encode(self, message: Message) -> bytes:
+        """Return ``message`` as one frame."""
+        return self._encoder.encode(message)
+
+    def decode(self, frame: bytes) -> Result[Message, BadMessage]:
+        """Return the message in ``frame``, or why it is none."""
+        try:
+            return Ok(self._decoder.decode(frame))
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return Error(BadMessage(str(error)))
--- /dev/null
+++ b/src/kingcupwheel/messages/membership.py
@@ -0,0 +1,82 @@
+"""Heartbeats, leaving, and what rides on them."""
+
+from __future__ import annotations
+
+from kingcupwheel.messages.base import Message
+
+
+class Hello(Message, frozen=True):
+    """Entry to agent or peer, about every second on a used link."""
+
+    name: str
+    data_centre: str
+    manifest_version: int
+    manifest_digest: str
+    leaving: bool
+
+
+class Load(Message, frozen=True):
+    """Load of one backend server as its agent sees it.
+
+    ``running`` and ``queued`` count attempts, ``capacity`` is the concurrency limit,
+    ``work`` is the predicted work outstanding in tokens, ``rate`` the tokens per second
+    of late, ``age_s`` the age of the server's own report in seconds.
+    """
+
+    running: int
+    queued: int
+    capacity: int
+    work: float
+    rate: float
+    age_s: float
+
+
+class Beat(Message, frozen=True):
+    """Agent to entry, about every second and at once when leaving starts.
+
+    ``token`` rolls with the agent's own clock; a dispatch that names an old one is
+    refused, which bounds how long tombstones live. ``crashed`` are fingerprints that
+    were running when the server died, with the count of deaths seen by this agent.
+    """
+
+    name: str
+    group: str
+    data_centre: str
+    incarnation: str
+    token: int
+    load: Load
+    leaving: bool
+    server_up: bool
+    manifest_version: int
+    crashed: tuple[tuple[str, int], ...]
+
+
+class PeerBeat(Message, frozen=True):
+    """Entry to peer entry, about every second: what the peer may need to know.
+
+    ``crashed`` as in ``Beat``, summed over the agents heard of.
+    """
+
+    name: str
+    data_centre: str
+    manifest_version: int
+    manifest_digest: str
+    leaving: bool
+    crashed: tuple[tuple[str, int], ...]
+
+
+class ManifestWanted(Message, frozen=True):
+    """To a peer: send this object of the manifest (the index or a shard)."""
+
+    key: str
+
+
+class ManifestObject(Message, frozen=True):
+    """Answers ``ManifestWanted``; ``value`` is None if unknown.
+
+    ``version`` is the index's.
+    """
+
+    key: str
+    version: int
+    value: bytes | None
--- /dev/null
+++ b/src/kingcupwheel/messages/traces.py
@@ -0,0 +1,20 @@
+"""Questions about what became of a request, between processes and the command line."""
+
+from __future__ import annotations
+
+from kingcupwheel.messages.base import Message
+
+
+class TraceWanted(Message, frozen=True):
+    """To an entry or agent: send the events you hold of this request."""
+
+    request_id: str
+
+
+class TraceFound(Message, frozen=True):
+    """Answers ``TraceWanted``; ``events`` is an encoded list of trace events."""
+
+    request_id: str
+    process: str
+    events: bytes
+    complete: bool
--- /dev/null
+++ b/src/kingcupwheel/metrics/__init__.py
@@ -0,0 +1,3 @@
+"""Counters and timings sent to statsd."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/platform/http.py
@@ -0,0 +1,3 @@
+"""The platform's object API over HTTP."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/plugins/kernel.py
@@ -0,0 +1,37 @@
+"""The registries of the kernel, one for each kind of plug-in.
+
+The modules in ``builtin`` are imported once by ``load_builtin``; each registers
+what it offers. A library user registers further ones the same way.
+"""
+
+from __future__ import annotations
+
+from importlib import import_module
+from typing import TYPE_CHECKING
+from typing import Any
+
+from kingcupwheel.plugins.registry import Registry
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.agent.adapters.base import ServerAdapter
+    from kingcupwheel.platform.client import PlatformClient
+
+
+platform_clients: Registry[Callable[..., PlatformClient]] = Registry("platform client")
+server_adapters: Registry[Callable[..., ServerAdapter]] = Registry("server adapter")
+placement_policies: Registry[Callable[..., Any]] = Registry("placement policy")
+codecs: Registry[Any] = Registry("codec")
+
+BUILTIN_MODULES = (
+    "kingcupwheel.platform.http",
+    "kingcupwheel.messages.codec",
+)
+
+
+def load_builtin() -> None:
+    """Import every built-in plug-in module, which registers it."""
+    for module in BUILTIN_MODULES:
+        import_module(module)
--- /dev/null
+++ b/src/kingcupwheel/settings/schema.py
@@ -0,0 +1,129 @@
+"""The settings of a process, with units and defaults.
+
+Fields that end in ``_s`` are seconds, ``_ms`` milliseconds, ``_bytes`` bytes.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from kingcupwheel.utils.structs import Record
+
+
+class Role(StrEnum):
+    """What a process does."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class LogLevel(StrEnum):
+    """The least severe log line that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class PlatformSettings(Record, frozen=True):
+    """How to reach the platform's service.
+
+    ``client`` names a platform client plug-in; ``timeout_s`` bounds one call.
+    """
+
+    url: str
+    client: str = "http"
+    timeout_s: float = 2.0
+    connections: int = 8
+
+
+class StatsdSettings(Record, frozen=True):
+    """Where metrics go (UDP); nothing is sent when ``host`` is empty."""
+
+    host: str = ""
+    port: int = 8125
+    prefix: str = "kingcupwheel"
+
+
+class EntryLimits(Record, frozen=True):
+    """Bounds of an entry; each refuses clearly when it is reached."""
+
+    body_bytes: int = 4_000_000
+    header_bytes: int = 16_384
+    connections: int = 400
+    threads: int = 160
+    queue: int = 512
+    subset: int = 24
+    traces: int = 20_000
+
+
+class AgentLimits(Record, frozen=True):
+    """Bounds of an agent.
+
+    ``answers_bytes`` bounds the buffered answers not yet acknowledged; over it the
+    server's stream is read more slowly, nothing is dropped.
+    """
+
+    concurrency: int = 16
+    queue: int = 32
+    answers_bytes: int = 64_000_000
+    traces: int = 20_000
+
+
+class Timings(Record, frozen=True):
+    """Times that bound how long a failure goes unnoticed.
+
+    ``heartbeat_s`` is the period on used links; a link silent for ``silence_s`` is
+    replaced; an agent silent for ``gone_s`` gets no new work and its attempts are
+    given up ``give_up_s`` after their last sign of life. ``token_s`` is how old a
+    dispatch's clock token may be. ``instances_s`` is how often the platform's list is
+    read, ``watch_s`` how long one watch waits. ``leave_s`` is how long a leaving entry
+    still accepts connections from callers that have not yet heard.
+    """
+
+    heartbeat_s: float = 1.0
+    silence_s: float = 3.0
+    gone_s: float = 5.0
+    give_up_s: float = 20.0
+    token_s: float = 5.0
+    instances_s: float = 2.0
+    watch_s: float = 20.0
+    leave_s: float = 2.0
+    trace_batch_s: float = 10.0
+
+
+class ServerSettings(Record, frozen=True):
+    """The backend server beside an agent; ``adapter`` names a plug-in."""
+
+    url: str
+    adapter: str = "engine"
+    connect_s: float = 1.0
+    silence_s: float = 10.0
+    rank: int = 0
+
+
+class Settings(Record, frozen=True):
+    """One process's settings file.
+
+    ``listen`` is ``IP:port`` of the socket for the system's own processes; ``http`` is
+    where callers connect (entries only); ``http_public`` is what callers are told when
+    it differs. ``server`` and ``group`` are for agents only.
+    """
+
+    name: str
+    role: Role
+    data_centre: str
+    listen: str
+    platform: PlatformSettings
+    region: str = ""
+    http: str = ""
+    http_public: str = ""
+    operator_http: str = ""
+    group: str = ""
+    server: ServerSettings | None = None
+    statsd: StatsdSettings = StatsdSettings()
+    log_level: LogLevel = LogLevel.INFO
+    entry: EntryLimits = EntryLimits()
+    agent: AgentLimits = AgentLimits()
+    timings: Timings = Timings()
--- /dev/null
+++ b/src/kingcupwheel/trace/__init__.py
@@ -0,0 +1,3 @@
+"""What became of each request, and why."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/trace/events.py
@@ -0,0 +1,188 @@
+"""The events that make up the story of a request.
+
+Times are Unix seconds of the process that records. Each event is one typed record;
+``trace.story`` turns them into sentences.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+
+class Event(msgspec.Struct, frozen=True, tag=True, tag_field="event"):
+    """Base of all events."""
+
+
+class Received(Event, frozen=True):
+    """The entry read the request."""
+
+    method: str
+    path: str
+    body_bytes: int
+    organisation: str
+    route: str
+    group: str
+    manifest_version: int
+    repeatable: bool
+    idempotency: str = ""
+
+
+class Joined(Event, frozen=True):
+    """A resend was joined to an earlier request with the same idempotency key."""
+
+    earlier: str
+
+
+class Claimed(Event, frozen=True):
+    """A claim was made, found or moved on the platform; ``detail`` says which."""
+
+    claim_id: str
+    fence: int
+    detail: str
+
+
+class Admitted(Event, frozen=True):
+    """Within the allowance; ``work`` is predicted work in tokens."""
+
+    work: float
+    detail: str = ""
+
+
+class Refused(Event, frozen=True):
+    """Given up before it ran; ``limit`` names the bound that was reached."""
+
+    limit: str
+    detail: str
+    retry_after_s: float = 0.0
+
+
+class Queued(Event, frozen=True):
+    """Waits for a place; ``ahead`` requests are before it."""
+
+    ahead: int
+
+
+class Alternative(msgspec.Struct, frozen=True):
+    """A server that was weighed: its name and its load between 0 and 1."""
+
+    server: str
+    load: float
+
+
+class Placed(Event, frozen=True):
+    """Given to ``server``; ``why`` is a short reason."""
+
+    server: str
+    attempt: int
+    waited_s: float
+    why: str
+    alternatives: tuple[Alternative, ...] = ()
+
+
+class Dispatched(Event, frozen=True):
+    """Sent to the agent of ``server``."""
+
+    server: str
+    attempt: int
+
+
+class Started(Event, frozen=True):
+    """The agent handed it to its server."""
+
+    server: str
+    attempt: int
+
+
+class FirstByte(Event, frozen=True):
+    """The first byte of the answer's body passed the recording process."""
+
+    server: str
+    attempt: int
+
+
+class Resumed(Event, frozen=True):
+    """Taken up again from ``offset`` over a new link; ``why`` is a short reason."""
+
+    server: str
+    attempt: int
+    offset: int
+    why: str
+
+
+class Retried(Event, frozen=True):
+    """The attempt ended without a run, or may be repeated; another follows."""
+
+    attempt: int
+    why: str
+
+
+class ServerDied(Event, frozen=True):
+    """The backend server died while the request ran on it."""
+
+    server: str
+    fingerprint: str
+    deaths: int
+
+
+class ManifestChanged(Event, frozen=True):
+    """A new manifest came into force while the request was under way."""
+
+    version: int
+
+
+class CallerLeft(Event, frozen=True):
+    """The caller closed its connection; the work was cancelled."""
+
+    offset: int
+
+
+class Finished(Event, frozen=True):
+    """The final outcome as told to the caller."""
+
+    outcome: str
+    status: int
+    length: int
+    reason: str
+
+
+class Noted(Event, frozen=True):
+    """Anything else worth telling, as one sentence."""
+
+    sentence: str
+
+
+AnyEvent = (
+    Received
+    | Joined
+    | Claimed
+    | Admitted
+    | Refused
+    | Queued
+    | Placed
+    | Dispatched
+    | Started
+    | FirstByte
+    | Resumed
+    | Retried
+    | ServerDied
+    | ManifestChanged
+    | CallerLeft
+    | Finished
+    | Noted
+)
+
+
+class TraceEvent(msgspec.Struct, frozen=True):
+    """One event with its request, time and the process that recorded it."""
+
+    request_id: str
+    at: float
+    process: str
+    event: AnyEvent
+
+
+EVENTS_DECODER: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(
+    tuple[TraceEvent, ...]
+)
--- /dev/null
+++ b/src/kingcupwheel/utils/__init__.py
@@ -0,0 +1,3 @@
+"""Small helpers without a layer of their own."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupwheel/utils/request_ids.py
@@ -0,0 +1,40 @@
+"""Request ids name their entry and time, so a request is found without an index."""
+
+from __future__ import annotations
+
+import secrets
+from typing import NamedTuple
+
+
+_SEPARATOR = "."
+_SERIAL_BYTES = 5
+
+
+class RequestId(NamedTuple):
+    """The parts of a request id.
+
+    ``entry`` is the entry's name, ``started_ms`` its arrival in Unix milliseconds.
+    """
+
+    entry: str
+    started_ms: int
+    serial: str
+
+    def __str__(self) -> str:
+        return _SEPARATOR.join((self.entry, f"{self.started_ms:x}", self.serial))
+
+
+def new_request_id(entry: str, *, now: float) -> RequestId:
+    """Return a fresh id for a request that reached ``entry`` at ``now`` (Unix s)."""
+    return RequestId(entry, int(now * 1000), secrets.token_hex(_SERIAL_BYTES))
+
+
+def parse_request_id(text: str) -> RequestId | None:
+    """Return the parts of ``text``, or None if it is no request id."""
+    parts = text.rsplit(_SEPARATOR, 2)
+    if len(parts) != 3 or not all(parts):
+        return None
+    try:
+        return RequestId(parts[0], int(parts[1], 16), parts[2])
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/kingcupwheel/utils/structs.py
@@ -0,0 +1,9 @@
+"""The base of records that are decoded from YAML, JSON or msgpack."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Record(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An immutable record that refuses unknown fields when decoded."""
--- /dev/null
+++ b/tests/link/test_hub.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+import queue
+from typing import TYPE_CHECKING
+
+import pytest
+
+from kingcupwheel.link.exceptions import CannotListenError
+from kingcupwheel.link.hub import Hub
+from kingcupwheel.link.links import Link
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.base import Message
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import TraceWanted
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+Received = queue.Queue[tuple[Link, Message]]
+WAIT_S = 10
+
+
+def start_hub() -> tuple[Hub, Received]:
+    received: Received = queue.Queue()
+    hub = Hub(
+        listen="127.0.0.1:0",
+        on_message=lambda link, message: received.put((link, message)),
+        on_tick=lambda _: None,
+    )
+    hub.start()
+    return hub, received
+
+
+@pytest.fixture
+def pair() -> Iterator[tuple[tuple[Hub, Received], tuple[Hub, Received]]]:
+    first, second = start_hub(), start_hub()
+    yield first, second
+    first[0].stop()
+    second[0].stop()
+
+
+def test_a_question_is_answered_on_the_link_it_came_by(
+    pair: tuple[tuple[Hub, Received], tuple[Hub, Received]],
+) -> None:
+    (asker, answers), (answerer, questions) = pair
+    address = f"127.0.0.1:{answerer.port}"
+
+    asker.send(Outgoing(address, 0), TraceWanted("request"))
+    link, question = questions.get(timeout=WAIT_S)
+    answerer.send(link, TraceFound("request", "answerer", b"", True))
+
+    assert question == TraceWanted("request")
+    assert answers.get(timeout=WAIT_S)[1] == TraceFound(
+        "request", "answerer", b"", True
+    )
+
+
+def test_a_replaced_link_carries_messages_under_a_new_generation(
+    pair: tuple[tuple[Hub, Received], tuple[Hub, Received]],
+) -> None:
+    (asker, answers), (answerer, questions) = pair
+    address = f"127.0.0.1:{answerer.port}"
+    asker.send(Outgoing(address, 0), TraceWanted("first"))
+    first_link = questions.get(timeout=WAIT_S)[0]
+
+    asker.replace(address)
+    asker.send(Outgoing(address, 0), TraceWanted("second"))
+    second_link, _ = questions.get(timeout=WAIT_S)
+    answerer.send(second_link, TraceFound("second", "answerer", b"", True))
+
+    assert second_link != first_link
+    assert answers.get(timeout=WAIT_S)[0] == Outgoing(address, 2)
+
+
+def test_an_address_in_use_is_refused_with_its_name() -> None:
+    hub, _ = start_hub()
+    try:
+        with pytest.raises(CannotListenError, match=str(hub.port)):
+            Hub(
+                listen=f"127.0.0.1:{hub.port}",
+                on_message=lambda *_: None,
+                on_tick=lambda _: None,
+            )
+    finally:
+        hub.stop()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,3 @@
+"""Tools for developers; none is needed to run the system."""
+
+from __future__ import annotations
