--- a/src/kingcupwheel/agent/adapters/base.py
+++ b/src/kingcupwheel/agent/adapters/base.py
@@ -12,13 +12,18 @@
 
     from expression import Result
 
+    from kingcupwheel.agent.adapters.cancellation import Cancellation
     from kingcupwheel.messages.runs import Dispatch
 
 
 class ServerDown(NamedTuple):
-    """No connection could be made: the server never saw the call."""
+    """No connection could be made: the server never saw the call.
+
+    ``refused`` tells that its host answered and nothing listens there.
+    """
 
     detail: str
+    refused: bool
 
 
 class ServerLost(NamedTuple):
@@ -53,7 +58,10 @@
 
 
 class ServerState(NamedTuple):
-    """The server's own report: its life, load and tokens per second."""
+    """The server's own report: its life, load and tokens per second.
+
+    ``life`` changes when the server process restarts; empty if the server tells none.
+    """
 
     up: bool
     life: str
@@ -64,8 +72,13 @@
 class ServerAdapter(Protocol):
     """A plug-in for one kind of backend server; safe from any thread."""
 
-    def start(self, dispatch: Dispatch) -> Result[ServerAnswer, AdapterError]:
-        """Send the request; return once the answer's head is there."""
+    def start(
+        self, dispatch: Dispatch, cancellation: Cancellation
+    ) -> Result[ServerAnswer, AdapterError]:
+        """Send the request once; return when the answer's head is there.
+
+        Setting ``cancellation`` ends the wait, here and in ``chunks``, with an error.
+        """
 
     def state(self) -> ServerState:
         """Ask the server for its state."""
--- /dev/null
+++ b/src/kingcupwheel/agent/adapters/calls.py
@@ -0,0 +1,224 @@
+"""One HTTP call to a backend server on a connection of its own.
+
+A connection is never used twice: a server that closes an idle one just as a request
+goes out would leave it unknown whether the request ran, and only a failure to connect
+proves that it did not.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from http.client import HTTPException
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import ReadTimeoutError
+from urllib3.util import parse_url
+
+from kingcupwheel.agent.adapters.base import ServerDown
+from kingcupwheel.agent.adapters.base import ServerLost
+
+
+if TYPE_CHECKING:
+    from urllib3.response import HTTPResponse
+
+    from kingcupwheel.agent.adapters.cancellation import Cancellation
+    from kingcupwheel.messages.runs import Dispatch
+    from kingcupwheel.settings.schema import ServerSettings
+
+REQUEST_ID_HEADER = "X-Request-Id"
+_READ_BYTES = 65_536
+_DEFAULT_PORT = 80
+_KEEPALIVE_PROBES = 3
+_CALL_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+_NO_BODY_STATUSES = frozenset({204, 304})
+# Headers that belong to one connection or to the call between agent and server.
+_REQUEST_HEADERS_DROPPED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+    }
+)
+_ANSWER_HEADERS_DROPPED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "proxy-authenticate",
+        "server",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-engine-life",
+        "x-request-id",
+    }
+)
+
+
+class Silent(NamedTuple):
+    """Nothing came for the time that was allowed; the call may still run."""
+
+
+class Request(NamedTuple):
+    """What is sent to the server."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes | None
+
+
+def request_of(dispatch: Dispatch) -> Request:
+    """Return the request to send for the dispatch, named by its attempt."""
+    headers = {
+        name: value
+        for name, value in dispatch.headers
+        if name.lower() not in _REQUEST_HEADERS_DROPPED
+    }
+    headers[REQUEST_ID_HEADER] = run_id(dispatch)
+    headers["Connection"] = "close"
+    return Request(dispatch.method, dispatch.path, headers, dispatch.body)
+
+
+def run_id(dispatch: Dispatch) -> str:
+    """Return the name the server knows the attempt by."""
+    return f"{dispatch.request_id}-{dispatch.attempt}"
+
+
+def get(path: str) -> Request:
+    """Return a request without a body."""
+    return Request("GET", path, {"Connection": "close"}, None)
+
+
+class Call:
+    """A connected call; ``send`` first, then ``read`` to the end, then ``close``."""
+
+    def __init__(self, connection: HTTPConnection, cancellation: Cancellation) -> None:
+        self._connection = connection
+        self._cancellation = cancellation
+        self._response: HTTPResponse | None = None
+
+    @property
+    def response(self) -> HTTPResponse:
+        """The answer; valid once ``send`` returned ``Ok``."""
+        assert self._response is not None
+        return self._response
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """The answer's headers that a caller may see."""
+        return tuple(
+            (name, value)
+            for name, value in self.response.headers.items()
+            if name.lower() not in _ANSWER_HEADERS_DROPPED
+        )
+
+    def header(self, name: str) -> str:
+        """Return one header of the answer, or an empty string."""
+        return str(self.response.headers.get(name, ""))
+
+    def send(
+        self, request: Request, *, silence_s: float | None
+    ) -> Result[None, ServerLost | Silent]:
+        """Send the request and wait for the answer's head."""
+        self._connection.timeout = silence_s
+        try:
+            self._connection.request(
+                request.method,
+                request.path,
+                body=request.body,
+                headers=request.headers,
+                preload_content=False,
+                decode_content=False,
+            )
+            self._response = self._connection.getresponse()
+        except TimeoutError:
+            return Error(Silent())
+        except _CALL_ERRORS as error:
+            return Error(_lost(error))
+        return Ok(None)
+
+    def read(self) -> Result[bytes, ServerLost | Silent]:
+        """Return the next bytes of the body as they come; empty at its whole end."""
+        try:
+            data = self.response.read1(_READ_BYTES, decode_content=False)
+        except ReadTimeoutError:
+            return Error(Silent())
+        except _CALL_ERRORS as error:
+            return Error(_lost(error))
+        if not data and self._end_is_uncertain():
+            # Such an answer ends when the connection does, so that one cut short by a
+            # dying server looks whole. It is passed on but never called whole.
+            return Error(ServerLost("answer without a length", died=False))
+        return Ok(data or b"")
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._cancellation.watch(None)
+        with contextlib.suppress(HTTPError, OSError):
+            self._connection.close()
+        if self._response is not None:
+            with contextlib.suppress(HTTPError, OSError):
+                self._response.close()
+
+    def _end_is_uncertain(self) -> bool:
+        response = self.response
+        if response.status in _NO_BODY_STATUSES or response.chunked:
+            return False
+        return "content-length" not in response.headers
+
+
+def connect(
+    server: ServerSettings, cancellation: Cancellation
+) -> Result[Call, ServerDown]:
+    """Open a connection with TCP keepalive, which notices a host that is gone."""
+    url = parse_url(server.url)
+    connection = HTTPConnection(
+        url.host or "",
+        url.port or _DEFAULT_PORT,
+        timeout=server.connect_s,
+        socket_options=_socket_options(server.silence_s),
+    )
+    try:
+        connection.connect()
+    except (HTTPError, OSError) as error:
+        refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return Error(ServerDown(_reason(error), refused))
+    cancellation.watch(connection.sock)
+    return Ok(Call(connection, cancellation))
+
+
+def _socket_options(silence_s: float) -> list[tuple[int, int, int | bytes]]:
+    idle_s = max(1, int(silence_s / 2))
+    between_s = max(1, int(silence_s / 2 / _KEEPALIVE_PROBES))
+    return [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, between_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    ]
+
+
+def _lost(error: Exception) -> ServerLost:
+    return ServerLost(_reason(error), died=False)
+
+
+def _reason(error: Exception) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/kingcupwheel/agent/adapters/service.py
@@ -0,0 +1,109 @@
+"""The adapter for plain services: one call, no resuming."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.agent.adapters.base import AdapterError
+from kingcupwheel.agent.adapters.base import ServerAnswer
+from kingcupwheel.agent.adapters.base import ServerLost
+from kingcupwheel.agent.adapters.base import ServerState
+from kingcupwheel.agent.adapters.calls import REQUEST_ID_HEADER
+from kingcupwheel.agent.adapters.calls import Call
+from kingcupwheel.agent.adapters.calls import Silent
+from kingcupwheel.agent.adapters.calls import connect
+from kingcupwheel.agent.adapters.calls import request_of
+from kingcupwheel.agent.adapters.calls import run_id
+from kingcupwheel.agent.adapters.cancellation import Cancellation
+from kingcupwheel.plugins.kernel import server_adapters
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from kingcupwheel.messages.runs import Dispatch
+    from kingcupwheel.settings.schema import ServerSettings
+
+# A plain service can't be asked whether it still runs a request, so a slow answer and a
+# connection gone silent for good look alike. After this many times the server's
+# ``silence_s`` without a byte the outcome is called unknown; without a bound the place
+# on the server would be lost for good.
+_SILENCES = 6
+
+
+class ServiceAnswer:
+    """An answer of a plain service."""
+
+    def __init__(self, call: Call, adapter: ServiceAdapter) -> None:
+        self._call = call
+        self._adapter = adapter
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self._call.response.status
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """The headers that a caller may see."""
+        return self._call.headers
+
+    def chunks(self) -> Iterator[Result[bytes, AdapterError]]:
+        """Yield the body; an ``Error`` is the last item of an answer cut short."""
+        while True:
+            result = self._call.read()
+            if result.is_error():
+                yield Error(self._adapter.lost(result.error))
+                return
+            if not result.ok:
+                return
+            yield Ok(result.ok)
+
+    def close(self) -> None:
+        """Release the connection."""
+        self._call.close()
+
+
+@server_adapters.register("service")
+class ServiceAdapter:
+    """Passes a request on once and its answer back."""
+
+    def __init__(self, server: ServerSettings) -> None:
+        self._server = server
+
+    def start(
+        self, dispatch: Dispatch, cancellation: Cancellation
+    ) -> Result[ServerAnswer, AdapterError]:
+        """Send the request once; return when the answer's head is there."""
+        connected = connect(self._server, cancellation)
+        if connected.is_error():
+            return Error(connected.error)
+        call = connected.ok
+        sent = call.send(
+            request_of(dispatch), silence_s=self._server.silence_s * _SILENCES
+        )
+        if sent.is_error():
+            call.close()
+            return Error(self.lost(sent.error))
+        if call.header(REQUEST_ID_HEADER) not in ("", run_id(dispatch)):
+            call.close()
+            return Error(ServerLost("answer of another request", died=False))
+        return Ok(ServiceAnswer(call, self))
+
+    def state(self) -> ServerState:
+        """Return whether the service accepts connections; it tells nothing more."""
+        connected = connect(self._server, Cancellation())
+        if connected.is_error():
+            return ServerState(up=False, life="", running=0, rate=0.0)
+        connected.ok.close()
+        return ServerState(up=True, life="", running=0, rate=0.0)
+
+    def lost(self, error: ServerLost | Silent) -> ServerLost:
+        """Return why an answer was lost, and whether the service died with it."""
+        if isinstance(error, Silent):
+            return ServerLost("server silent", died=False)
+        return error._replace(died=not self.state().up)
--- /dev/null
+++ b/src/kingcupwheel/agent/answers.py
@@ -0,0 +1,187 @@
+"""One buffered answer and the entries it is sent to.
+
+Offsets count bytes of the body from its start. There are no sockets, clocks or locks
+here; ``AnswerStore`` adds them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.messages.runs import Data
+from kingcupwheel.messages.runs import End
+from kingcupwheel.messages.runs import Head
+from kingcupwheel.messages.runs import Outcome
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.agent.attempts import AttemptKey
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+
+# One frame's share of the body: small enough that a heartbeat behind it is not late.
+_FRAME_BYTES = 65_536
+NOT_HELD = "the answer's bytes are no longer held"
+
+
+class AnswerHead(NamedTuple):
+    """Status and headers of the server's answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
+class AnswerEnd(NamedTuple):
+    """How the answer ended; ``length`` is the whole body's in bytes."""
+
+    length: int
+    outcome: Outcome
+    detail: str
+
+    def message(self, name: AttemptKey, detail: str) -> End:
+        """Return the message that tells it."""
+        return End(name.request_id, name.attempt, self.length, self.outcome, detail)
+
+
+class Ended(NamedTuple):
+    """What is remembered of an answer whose bytes were freed."""
+
+    head: AnswerHead | None
+    end: AnswerEnd
+
+    def messages(self, name: AttemptKey, offset: int) -> list[Message]:
+        """Tell how it ended, without bytes.
+
+        An entry that has fewer than ``length`` bytes knows by it that it lacks some, so
+        a freed answer never looks whole.
+        """
+        end = self.end
+        detail = end.detail if offset == end.length else NOT_HELD
+        messages: list[Message] = []
+        if self.head is not None:
+            messages.append(Head(*name, *self.head))
+        return [*messages, end.message(name, detail)]
+
+
+@dataclass(slots=True)
+class Subscriber:
+    """An entry that is sent the answer as the attempt ``name``.
+
+    Bytes before ``acked`` have reached the caller; ``credit`` bytes may be sent beyond.
+    """
+
+    name: AttemptKey
+    link: Link
+    sent: int
+    acked: int
+    credit: int
+    head_sent: bool = False
+    end_sent: bool = False
+
+    @property
+    def place(self) -> tuple[AttemptKey, Link]:
+        """What tells this subscriber from every other."""
+        return self.name, self.link
+
+
+class Answer:
+    """The answer of one attempt, from the first byte not yet freed.
+
+    ``keep`` is True for attempts that may not be repeated: their answer stays, also
+    when acknowledged, for a caller that sends the request again.
+    """
+
+    def __init__(self, key: AttemptKey, *, keep: bool) -> None:
+        self.key = key
+        self.keep = keep
+        self.head: AnswerHead | None = None
+        self.end: AnswerEnd | None = None
+        self.ended_at = 0.0
+        self.subscribers: dict[tuple[AttemptKey, Link], Subscriber] = {}
+        self._base = 0
+        self._body = bytearray()
+
+    @property
+    def held(self) -> int:
+        """The number of bytes in memory."""
+        return len(self._body)
+
+    @property
+    def length(self) -> int:
+        """The number of bytes that came so far."""
+        return self._base + len(self._body)
+
+    @property
+    def acked(self) -> int:
+        """Bytes before this offset are needed by no subscriber."""
+        acked = [subscriber.acked for subscriber in self.subscribers.values()]
+        return min(acked, default=self.length)
+
+    @property
+    def unacked(self) -> int:
+        """The number of bytes that some subscriber still needs."""
+        return self.length - max(self._base, self.acked)
+
+    @property
+    def delivered(self) -> bool:
+        """Whether it has ended and every subscriber has all of it."""
+        return self.end is not None and all(
+            subscriber.end_sent and subscriber.acked >= self.end.length
+            for subscriber in self.subscribers.values()
+        )
+
+    def append(self, data: bytes) -> None:
+        """Add bytes of the body."""
+        self._body += data
+
+    def finish(self, outcome: Outcome, detail: str, *, now: float) -> None:
+        """Record that nothing more comes."""
+        self.end = AnswerEnd(self.length, outcome, detail)
+        self.ended_at = now
+
+    def free(self) -> int:
+        """Forget the bytes that no subscriber needs; return how many."""
+        freed = max(0, min(self.acked, self.length) - self._base)
+        del self._body[:freed]
+        self._base += freed
+        return freed
+
+    def ended(self) -> Ended | None:
+        """Return what is to be remembered once the bytes are freed."""
+        return None if self.end is None else Ended(self.head, self.end)
+
+    def due(self, subscriber: Subscriber) -> list[Message]:
+        """Return the messages that may go to the subscriber now, and count them."""
+        if subscriber.end_sent:
+            return []
+        if subscriber.sent < self._base:
+            return self._lost_start(subscriber)
+        messages: list[Message] = []
+        if self.head is not None and not subscriber.head_sent:
+            subscriber.head_sent = True
+            messages.append(Head(*subscriber.name, *self.head))
+        messages += self._due_data(subscriber)
+        if self.end is not None and subscriber.sent >= self.end.length:
+            subscriber.end_sent = True
+            messages.append(self.end.message(subscriber.name, self.end.detail))
+        return messages
+
+    def _due_data(self, subscriber: Subscriber) -> list[Message]:
+        messages: list[Message] = []
+        until = min(self.length, subscriber.acked + subscriber.credit)
+        while subscriber.sent < until:
+            start = subscriber.sent
+            stop = min(until, start + _FRAME_BYTES)
+            data = bytes(self._body[start - self._base : stop - self._base])
+            messages.append(Data(*subscriber.name, start, data))
+            subscriber.sent = stop
+        return messages
+
+    def _lost_start(self, subscriber: Subscriber) -> list[Message]:
+        # The bytes asked for were acknowledged once and freed. The length tells the
+        # entry that it lacks some; waiting would not bring them back.
+        subscriber.end_sent = True
+        outcome = Outcome.UNKNOWN if self.end is None else self.end.outcome
+        return [End(*subscriber.name, self.length, outcome, NOT_HELD)]
--- /dev/null
+++ b/src/kingcupwheel/agent/attempts.py
@@ -0,0 +1,90 @@
+"""Names of attempts and what the table of runs decides about them."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.messages.runs import Dispatch
+    from kingcupwheel.messages.runs import Refusal
+
+
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_TARGET = re.compile(r"/[!-~]*")
+_FIELD_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+
+
+class AttemptKey(NamedTuple):
+    """Names one attempt to run a request."""
+
+    request_id: str
+    attempt: int
+
+
+class Start(NamedTuple):
+    """Run it now."""
+
+    dispatch: Dispatch
+
+    @property
+    def key(self) -> AttemptKey:
+        """The attempt to run."""
+        return key_of(self.dispatch)
+
+
+class Wait(NamedTuple):
+    """Accepted; it waits for a place, ``ahead`` others are before it."""
+
+    ahead: int
+
+
+class Join(NamedTuple):
+    """Nothing runs: the attempt ``key`` was accepted before and has its answer."""
+
+    key: AttemptKey
+
+
+class Refuse(NamedTuple):
+    """It never started and never will."""
+
+    key: AttemptKey
+    reason: Refusal
+
+
+Decision = Start | Wait | Join | Refuse
+
+
+class Stop(NamedTuple):
+    """The attempt runs; its work is to be stopped."""
+
+    key: AttemptKey
+
+
+class Ignore(NamedTuple):
+    """There is nothing left to stop."""
+
+
+CancelDecision = Stop | Refuse | Ignore
+
+
+def key_of(dispatch: Dispatch) -> AttemptKey:
+    """Return the name of the attempt that ``dispatch`` asks for."""
+    return AttemptKey(dispatch.request_id, dispatch.attempt)
+
+
+def is_sendable(dispatch: Dispatch) -> bool:
+    """Return whether the request's method, path and headers are valid HTTP.
+
+    Found out before anything is sent, so that the refusal can say ``not-run``.
+    """
+    return bool(
+        _TOKEN.fullmatch(dispatch.method)
+        and _TARGET.fullmatch(dispatch.path)
+        and all(
+            _TOKEN.fullmatch(name) and _FIELD_VALUE.fullmatch(value)
+            for name, value in dispatch.headers
+        )
+    )
--- /dev/null
+++ b/src/kingcupwheel/agent/claimed.py
@@ -0,0 +1,80 @@
+"""What one life of the agent knows of the claims it was sent dispatches for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.agent.expiring import ExpiringMap
+from kingcupwheel.messages.runs import Refusal
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.agent.attempts import AttemptKey
+    from kingcupwheel.messages.runs import ClaimRef
+
+# The platform drops a claim after its retention (a day unless the manifest says
+# otherwise). An agent remembers for longer than a claim object can name it, so nothing
+# asks for a claim that was forgotten.
+_MEMORY_S = 48 * 3600.0
+
+
+class ClaimState(NamedTuple):
+    """The highest fence seen, who set it, and the one attempt that was accepted."""
+
+    fence: int
+    entombed: bool
+    accepted: AttemptKey | None
+
+
+_UNSEEN = ClaimState(0, False, None)
+
+
+class Claims:
+    """Fences and accepted attempts by claim.
+
+    A claim has one accepted attempt at most; it is taken back only by ``release``, when
+    that attempt surely never reached the server.
+    """
+
+    def __init__(self) -> None:
+        self._by_id: ExpiringMap[str, ClaimState] = ExpiringMap(life_s=_MEMORY_S)
+
+    def accepted(self, claim_id: str) -> AttemptKey | None:
+        """Return the attempt that was accepted for the claim, or None."""
+        return self._state(claim_id).accepted
+
+    def see(self, ref: ClaimRef, *, now: float) -> Refusal | None:
+        """Raise the claim's fence, or say why a dispatch with this one is refused."""
+        state = self._state(ref.claim_id)
+        if ref.fence < state.fence:
+            return Refusal.ENTOMBED if state.entombed else Refusal.LOW_FENCE
+        if ref.fence > state.fence:
+            state = ClaimState(ref.fence, False, state.accepted)
+        self._by_id.put(ref.claim_id, state, now=now)
+        return None
+
+    def accept(self, claim_id: str, key: AttemptKey, *, now: float) -> None:
+        """Record the attempt that may run for the claim."""
+        state = self._state(claim_id)._replace(accepted=key)
+        self._by_id.put(claim_id, state, now=now)
+
+    def release(self, claim_id: str, *, now: float) -> None:
+        """Record that the accepted attempt never reached the server."""
+        state = self._state(claim_id)._replace(accepted=None)
+        self._by_id.put(claim_id, state, now=now)
+
+    def entomb(self, claim_id: str, fence: int, *, now: float) -> AttemptKey | None:
+        """Refuse lower fences from now on; return the attempt accepted before."""
+        state = self._state(claim_id)
+        if fence >= state.fence:
+            state = ClaimState(fence, True, state.accepted)
+        self._by_id.put(claim_id, state, now=now)
+        return state.accepted
+
+    def expire(self, *, now: float) -> None:
+        """Forget what is too old."""
+        self._by_id.expire(now=now)
+
+    def _state(self, claim_id: str) -> ClaimState:
+        return self._by_id.get(claim_id) or _UNSEEN
--- /dev/null
+++ b/src/kingcupwheel/agent/daemon.py
@@ -0,0 +1,198 @@
+"""The agent: the only way to its backend server."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from threading import Event
+from threading import Lock
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from kingcupwheel.agent.crashes import CrashTable
+from kingcupwheel.agent.exceptions import NoServerError
+from kingcupwheel.agent.exceptions import NotAnAgentError
+from kingcupwheel.agent.handler import AttemptHandler
+from kingcupwheel.agent.heartbeat import Heartbeat
+from kingcupwheel.agent.heartbeat import ServerProbe
+from kingcupwheel.agent.peers import Peers
+from kingcupwheel.agent.runner import Runner
+from kingcupwheel.agent.runs import Runs
+from kingcupwheel.agent.store import AnswerStore
+from kingcupwheel.link.hub import Hub
+from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.messages.runs import Running
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.plugins.kernel import server_adapters
+from kingcupwheel.settings.schema import Role
+from kingcupwheel.trace.recorder import Recorder
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.settings.schema import Settings
+
+logger = logging.getLogger("kingcupwheel.agent")
+
+_INCARNATION_BYTES = 8
+# After the last frame of the last answer a leaving agent waits this long for its
+# acknowledgement, so that an entry which just replaced its link can still resume.
+_LINGER_S = 5.0
+# A leaving agent stays at least so many heartbeats: a dispatch sent before the entry
+# heard of the leaving still gets its ``not-run`` instead of silence.
+_LEAVING_BEATS = 3.0
+
+
+class AgentDaemon:
+    """One agent; ``start`` it, ``leave`` for a planned stop, ``stop`` at once."""
+
+    def __init__(self, settings: Settings) -> None:
+        if settings.role is not Role.AGENT:
+            raise NotAnAgentError(settings.role.value)
+        if settings.server is None:
+            raise NoServerError
+        timings = settings.timings
+        self._settings = settings
+        self._recorder = Recorder(settings.name, limit=settings.agent.traces)
+        self._peers = Peers(hello_s=timings.gone_s, gone_s=timings.give_up_s)
+        self._hub = Hub(
+            listen=settings.listen, on_message=self._on_message, on_tick=self._on_tick
+        )
+        self._store = AnswerStore(
+            limit_bytes=settings.agent.answers_bytes, send=self._hub.send
+        )
+        adapter = server_adapters.get(settings.server.adapter)(settings.server)
+        self._runner = Runner(
+            name=settings.name,
+            runs=Runs(
+                incarnation=secrets.token_hex(_INCARNATION_BYTES),
+                capacity=settings.agent.concurrency,
+                queue=settings.agent.queue,
+                token_s=timings.token_s,
+            ),
+            store=self._store,
+            adapter=adapter,
+            crashes=CrashTable(),
+            recorder=self._recorder,
+        )
+        self._handler = AttemptHandler(
+            name=settings.name,
+            runner=self._runner,
+            store=self._store,
+            peers=self._peers,
+            recorder=self._recorder,
+            send=self._hub.send,
+        )
+        self._probe = ServerProbe(adapter, self._runner, period_s=timings.heartbeat_s)
+        self._heartbeat = Heartbeat(settings, self._runner, self._probe)
+        self._next_beat = 0.0
+        self._leaving_at: float | None = None
+        self._idle_since: float | None = None
+        self._leave_wanted = Event()
+        self._drained = Event()
+        self._stop_once = Lock()
+
+    @property
+    def port(self) -> int:
+        """The port of the socket for entries."""
+        return self._hub.port
+
+    @property
+    def incarnation(self) -> str:
+        """The name of this life."""
+        return self._runner.runs.incarnation
+
+    def start(self) -> None:
+        """Start serving."""
+        self._probe.start()
+        self._hub.start()
+        logger.info("Serving on port %d.", self.port)
+
+    def set_concurrency(self, concurrency: int) -> None:
+        """Bound what runs at once by the settings and by the group's limit."""
+        limit = min(concurrency, self._settings.agent.concurrency)
+        with self._runner.lock:
+            self._runner.runs.set_capacity(limit)
+        self._runner.advance()
+
+    def leave(self) -> None:
+        """Begin a planned stop: no new work, what runs goes on; may be repeated."""
+        self._leave_wanted.set()
+
+    def wait_drained(self, timeout_s: float) -> bool:
+        """Wait until a planned stop is complete; return whether it is."""
+        return self._drained.wait(timeout_s)
+
+    def stop(self) -> None:
+        """Close the sockets; attempts still running are cut off."""
+        self._probe.stop()
+        self._hub.stop()
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        now = monotonic()
+        self._peers.heard(link, now=now)
+        match message:
+            case Hello():
+                self._hello(link, message, now)
+            case TraceWanted(request_id):
+                self._tell_trace(link, request_id)
+            case Dispatch():
+                self._heartbeat.saw_manifest(message.manifest_version)
+                self._handler.handle(link, message)
+            case _:
+                self._handler.handle(link, message)
+
+    def _hello(self, link: Link, hello: Hello, now: float) -> None:
+        known = link in self._peers.listening(now=now)
+        self._peers.hello(link, hello.name, now=now)
+        self._heartbeat.saw_manifest(hello.manifest_version)
+        if not known:
+            self._hub.send(link, self._heartbeat.beat(now=now))
+
+    def _tell_trace(self, link: Link, request_id: str) -> None:
+        events = msgspec.msgpack.encode(self._recorder.events(request_id))
+        found = TraceFound(request_id, self._settings.name, events, complete=True)
+        self._hub.send(link, found)
+
+    def _on_tick(self, now: float) -> None:
+        if self._leave_wanted.is_set() and self._leaving_at is None:
+            self._begin_leaving(now)
+        if now >= self._next_beat:
+            self._next_beat = now + self._settings.timings.heartbeat_s
+            self._beat(now)
+            self._store.expire(now=now)
+            self._handler.links_gone(self._peers.drop_silent(now=now))
+        self._runner.advance()
+        if self._leaving_at is not None and self._is_drained(now, self._leaving_at):
+            self._drained.set()
+
+    def _beat(self, now: float) -> None:
+        beat = self._heartbeat.beat(now=now)
+        for link in self._peers.listening(now=now):
+            self._hub.send(link, beat)
+        for link, names in self._store.alive().items():
+            self._hub.send(link, Running(tuple(names)))
+
+    def _begin_leaving(self, now: float) -> None:
+        self._leaving_at = now
+        with self._runner.lock:
+            refusals = self._runner.runs.leave(now=now)
+        self._runner.refuse(refusals)
+        self._next_beat = now
+        logger.info("Leaving, %d attempts running.", len(self._runner.runs.running))
+
+    def _is_drained(self, now: float, leaving_at: float) -> bool:
+        if self._runner.runs.running or self._store.alive():
+            self._idle_since = None
+            return False
+        if self._idle_since is None:
+            self._idle_since = now
+        stay_s = _LEAVING_BEATS * self._settings.timings.heartbeat_s
+        if now - leaving_at < stay_s:
+            return False
+        return not self._store.undelivered or now - self._idle_since > _LINGER_S
--- /dev/null
+++ b/src/kingcupwheel/agent/exceptions.py
@@ -0,0 +1,23 @@
+"""Errors of the agent."""
+
+from __future__ import annotations
+
+from kingcupwheel.exceptions import KingcupwheelError
+
+
+class AgentError(KingcupwheelError):
+    """Base class of the agent's errors."""
+
+
+class NoServerError(AgentError):
+    """The settings name no backend server."""
+
+    def __init__(self) -> None:
+        super().__init__("server: an agent needs the backend server's url")
+
+
+class NotAnAgentError(AgentError):
+    """The settings are for another kind of process."""
+
+    def __init__(self, role: str) -> None:
+        super().__init__(f"role: these are the settings of an {role}, not of an agent")
--- /dev/null
+++ b/src/kingcupwheel/agent/handler.py
@@ -0,0 +1,169 @@
+"""What the agent does about each message on attempts; runs on the hub's thread."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.agent.answers import Subscriber
+from kingcupwheel.agent.attempts import AttemptKey
+from kingcupwheel.agent.attempts import Ignore
+from kingcupwheel.agent.attempts import Join
+from kingcupwheel.agent.attempts import Refuse
+from kingcupwheel.agent.attempts import Start
+from kingcupwheel.agent.attempts import Stop
+from kingcupwheel.agent.attempts import Wait
+from kingcupwheel.agent.attempts import key_of
+from kingcupwheel.messages.runs import Accepted
+from kingcupwheel.messages.runs import Ack
+from kingcupwheel.messages.runs import Cancel
+from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.messages.runs import Entomb
+from kingcupwheel.messages.runs import NotRun
+from kingcupwheel.messages.runs import Resume
+from kingcupwheel.messages.runs import Unseen
+from kingcupwheel.trace.events import Noted
+from kingcupwheel.trace.events import Queued
+from kingcupwheel.trace.events import Resumed
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from kingcupwheel.agent.peers import Peers
+    from kingcupwheel.agent.runner import Runner
+    from kingcupwheel.agent.store import AnswerStore
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.trace.recorder import Recorder
+
+
+class AttemptHandler:
+    """Answers messages about attempts."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        runner: Runner,
+        store: AnswerStore,
+        peers: Peers,
+        recorder: Recorder,
+        send: Callable[[Link, Message], None],
+    ) -> None:
+        self._name = name
+        self._runner = runner
+        self._store = store
+        self._peers = peers
+        self._recorder = recorder
+        self._send = send
+
+    def handle(self, link: Link, message: Message) -> None:
+        """Do what the message asks; others than those on attempts are ignored."""
+        match message:
+            case Dispatch():
+                self._dispatch(link, message)
+            case Resume():
+                self._resume(link, message)
+            case Ack():
+                name = AttemptKey(message.request_id, message.attempt)
+                self._store.acknowledge(name, link, message.offset)
+            case Cancel():
+                self._cancel(link, message)
+            case Entomb():
+                with self._runner.lock:
+                    answer = self._runner.runs.entomb(message, now=monotonic())
+                self._send(link, answer)
+            case _:
+                pass
+
+    def links_gone(self, links: Iterable[Link]) -> None:
+        """Stop the attempts whose entries have all gone silent."""
+        for key in self._store.links_gone(links):
+            self._recorder.record(key.request_id, Noted("The entry went silent."))
+            self._stop(key)
+
+    def _dispatch(self, link: Link, dispatch: Dispatch) -> None:
+        name = key_of(dispatch)
+        with self._runner.lock:
+            decision = self._runner.runs.dispatch(dispatch, now=monotonic())
+            match decision:
+                case Start():
+                    self._accept(link, dispatch, running=True)
+                    self._runner.start(dispatch)
+                case Wait(ahead):
+                    self._recorder.record(name.request_id, Queued(ahead))
+                    self._accept(link, dispatch, running=False)
+                case Join(key):
+                    self._join(link, dispatch, key)
+                case Refuse(_, reason):
+                    note = Noted(f"Not run: {reason.value}.")
+                    self._recorder.record(name.request_id, note)
+                    self._send(link, NotRun(*name, reason))
+
+    def _accept(self, link: Link, dispatch: Dispatch, *, running: bool) -> None:
+        name = key_of(dispatch)
+        self._store.open(name, keep=dispatch.claim is not None)
+        self._send(link, Accepted(*name, running))
+        self._subscribe(link, name, name, offset=0, credit=dispatch.credit)
+
+    def _join(self, link: Link, dispatch: Dispatch, key: AttemptKey) -> None:
+        name = key_of(dispatch)
+        self._recorder.record(
+            name.request_id, Noted(f"Joined to attempt {key.attempt} of {key[0]}.")
+        )
+        self._send(link, Accepted(*name, True))
+        self._subscribe(link, name, key, offset=0, credit=dispatch.credit)
+
+    def _resume(self, link: Link, message: Resume) -> None:
+        name = AttemptKey(message.request_id, message.attempt)
+        key = self._known_key(name, message.claim_id)
+        if self._subscribe(
+            link, name, key, offset=message.offset, credit=message.credit
+        ):
+            event = Resumed(self._name, name.attempt, message.offset, "new link")
+            self._recorder.record(name.request_id, event)
+            return
+        with self._runner.lock:
+            reason = self._runner.runs.refused(name)
+            incarnation = self._runner.runs.incarnation
+        if reason is not None:
+            self._send(link, NotRun(*name, reason))
+        else:
+            self._send(link, Unseen(*name, incarnation))
+
+    def _known_key(self, name: AttemptKey, claim_id: str | None) -> AttemptKey:
+        if claim_id is None or self._store.knows(name):
+            return name
+        with self._runner.lock:
+            return self._runner.runs.accepted_for(claim_id) or name
+
+    def _subscribe(
+        self, link: Link, name: AttemptKey, key: AttemptKey, *, offset: int, credit: int
+    ) -> bool:
+        subscriber = Subscriber(name, link, offset, offset, credit)
+        replaced = self._peers.older_links(link)
+        return self._store.subscribe(key, subscriber, replaced=replaced)
+
+    def _cancel(self, link: Link, message: Cancel) -> None:
+        name = AttemptKey(message.request_id, message.attempt)
+        key = self._store.key_at(name, link) or name
+        if self._store.unsubscribe(name, link):
+            return
+        reason = self._stop(key)
+        if reason is not None:
+            self._send(link, reason)
+
+    def _stop(self, key: AttemptKey) -> NotRun | None:
+        with self._runner.lock:
+            decision = self._runner.runs.cancel(key, now=monotonic())
+        match decision:
+            case Stop():
+                self._runner.stop(key)
+            case Refuse(_, reason):
+                self._store.refuse(key, reason)
+                return NotRun(*key, reason)
+            case Ignore():
+                pass
+        return None
--- /dev/null
+++ b/src/kingcupwheel/agent/heartbeat.py
@@ -0,0 +1,118 @@
+"""Heartbeats: what the agent and its server are doing, about every second."""
+
+from __future__ import annotations
+
+from threading import Event
+from threading import Thread
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.agent.adapters.base import ServerState
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.membership import Load
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.agent.adapters.base import ServerAdapter
+    from kingcupwheel.agent.runner import Runner
+    from kingcupwheel.settings.schema import Settings
+
+_NOT_ASKED = ServerState(up=False, life="", running=0, rate=0.0)
+
+
+class ServerProbe:
+    """Asks the server for its state on a thread of its own, because it may be slow."""
+
+    def __init__(
+        self, adapter: ServerAdapter, runner: Runner, *, period_s: float
+    ) -> None:
+        self._adapter = adapter
+        self._runner = runner
+        self._period_s = period_s
+        self._state = _NOT_ASKED
+        self._asked_at = monotonic()
+        self._life = ""
+        self._generation = 0
+        self._stopping = Event()
+        self._thread = Thread(target=self._run, name="probe", daemon=True)
+
+    @property
+    def state(self) -> ServerState:
+        """The latest answer."""
+        return self._state
+
+    @property
+    def age_s(self) -> float:
+        """How old the latest answer is."""
+        return monotonic() - self._asked_at
+
+    def start(self) -> None:
+        """Start asking."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ask no more; does not wait for a question under way."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            generation = self._runner.generation
+            state = self._adapter.state()
+            self._notice(state, generation)
+            self._state = state
+            self._asked_at = monotonic()
+            self._stopping.wait(self._period_s)
+
+    def _notice(self, state: ServerState, generation: int) -> None:
+        if not state.life:
+            return
+        if self._life and state.life != self._life:
+            # The run threads report the same death; the generation counts it once.
+            self._runner.server_died(self._generation)
+            generation = self._runner.generation
+        self._life = state.life
+        self._generation = generation
+
+
+class Heartbeat:
+    """Makes the ``Beat`` of this moment."""
+
+    def __init__(self, settings: Settings, runner: Runner, probe: ServerProbe) -> None:
+        self._settings = settings
+        self._runner = runner
+        self._probe = probe
+        self._manifest_version = 0
+
+    def saw_manifest(self, version: int) -> None:
+        """Note a manifest version that an entry named."""
+        self._manifest_version = max(self._manifest_version, version)
+
+    def beat(self, *, now: float) -> Beat:
+        """Return the message for every entry that listens."""
+        settings = self._settings
+        with self._runner.lock:
+            runs = self._runner.runs
+            return Beat(
+                name=settings.name,
+                group=settings.group,
+                data_centre=settings.data_centre,
+                incarnation=runs.incarnation,
+                token=runs.token(now=now),
+                load=self._load(),
+                leaving=runs.leaving,
+                server_up=self._probe.state.up,
+                manifest_version=self._manifest_version,
+                crashed=self._runner.crashes.counts(now=now),
+            )
+
+    def _load(self) -> Load:
+        runs = self._runner.runs
+        running, queued = runs.running, runs.queued
+        return Load(
+            running=len(running),
+            queued=len(queued),
+            capacity=runs.capacity,
+            work=sum(dispatch.work for dispatch in (*running, *queued)),
+            rate=self._probe.state.rate,
+            age_s=self._probe.age_s,
+        )
--- /dev/null
+++ b/src/kingcupwheel/agent/peers.py
@@ -0,0 +1,71 @@
+"""The entries that this agent hears from, by link."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.links import Link
+
+
+class _Peer(NamedTuple):
+    name: str
+    heard_at: float
+    hello_at: float | None
+
+
+class Peers:
+    """Links, the entries' names and when each was heard last.
+
+    An entry that replaces a link says its name on the new one. ``hello_s`` is how long
+    a Hello asks for heartbeats; a link silent for ``gone_s`` is given up.
+    """
+
+    def __init__(self, *, hello_s: float, gone_s: float) -> None:
+        self._hello_s = hello_s
+        self._gone_s = gone_s
+        self._by_link: dict[Link, _Peer] = {}
+
+    def heard(self, link: Link, *, now: float) -> None:
+        """Record a message on the link."""
+        peer = self._by_link.get(link)
+        if peer is None:
+            self._by_link[link] = _Peer("", now, None)
+        else:
+            self._by_link[link] = peer._replace(heard_at=now)
+
+    def hello(self, link: Link, name: str, *, now: float) -> None:
+        """Record a Hello on the link."""
+        self._by_link[link] = _Peer(name, now, now)
+
+    def listening(self, *, now: float) -> list[Link]:
+        """Return the links that heartbeats go to."""
+        return [
+            link
+            for link, peer in self._by_link.items()
+            if peer.hello_at is not None and now - peer.hello_at <= self._hello_s
+        ]
+
+    def older_links(self, link: Link) -> list[Link]:
+        """Return the other links of the entry that said its name on ``link``."""
+        peer = self._by_link.get(link)
+        if peer is None or not peer.name:
+            return []
+        return [
+            other
+            for other, its_peer in self._by_link.items()
+            if other != link and its_peer.name == peer.name
+        ]
+
+    def drop_silent(self, *, now: float) -> list[Link]:
+        """Forget and return the links that were silent for too long."""
+        silent = [
+            link
+            for link, peer in self._by_link.items()
+            if now - peer.heard_at > self._gone_s
+        ]
+        for link in silent:
+            del self._by_link[link]
+        return silent
--- /dev/null
+++ b/src/kingcupwheel/agent/runner.py
@@ -0,0 +1,199 @@
+"""Runs attempts: one thread for each, answers through the store, deaths counted."""
+
+from __future__ import annotations
+
+import logging
+from threading import RLock
+from threading import Thread
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.agent.adapters.base import ServerDown
+from kingcupwheel.agent.adapters.base import ServerLost
+from kingcupwheel.agent.adapters.cancellation import Cancellation
+from kingcupwheel.agent.answers import AnswerHead
+from kingcupwheel.agent.attempts import Refuse
+from kingcupwheel.agent.attempts import Start
+from kingcupwheel.agent.attempts import key_of
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import FirstByte
+from kingcupwheel.trace.events import Noted
+from kingcupwheel.trace.events import ServerDied
+from kingcupwheel.trace.events import Started
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from kingcupwheel.agent.adapters.base import AdapterError
+    from kingcupwheel.agent.adapters.base import ServerAdapter
+    from kingcupwheel.agent.adapters.base import ServerAnswer
+    from kingcupwheel.agent.attempts import AttemptKey
+    from kingcupwheel.agent.crashes import CrashTable
+    from kingcupwheel.agent.runs import Runs
+    from kingcupwheel.agent.store import AnswerStore
+    from kingcupwheel.messages.runs import Dispatch
+    from kingcupwheel.trace.recorder import Recorder
+
+logger = logging.getLogger("kingcupwheel.agent")
+
+
+class Runner:
+    """Carries out what ``runs`` decides; no method blocks, all are thread-safe.
+
+    ``lock`` guards ``runs`` and ``crashes``; hold it while using them.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        runs: Runs,
+        store: AnswerStore,
+        adapter: ServerAdapter,
+        crashes: CrashTable,
+        recorder: Recorder,
+    ) -> None:
+        self.lock = RLock()
+        self.runs = runs
+        self.crashes = crashes
+        self._name = name
+        self._store = store
+        self._adapter = adapter
+        self._recorder = recorder
+        self._cancellations_by_key: dict[AttemptKey, Cancellation] = {}
+        # Counts deaths of the server; a run belongs to the life it started in.
+        self._generation = 0
+
+    @property
+    def generation(self) -> int:
+        """The server's life, counted from 0."""
+        return self._generation
+
+    def start(self, dispatch: Dispatch) -> None:
+        """Run the attempt on a thread of its own."""
+        key = key_of(dispatch)
+        cancellation = Cancellation()
+        with self.lock:
+            self._cancellations_by_key[key] = cancellation
+            generation = self._generation
+        Thread(
+            target=self._run,
+            args=(dispatch, cancellation, generation),
+            name=f"run {key.request_id}",
+            daemon=True,
+        ).start()
+
+    def stop(self, key: AttemptKey) -> None:
+        """Stop the attempt's work on the server."""
+        with self.lock:
+            cancellation = self._cancellations_by_key.get(key)
+        if cancellation is not None:
+            cancellation.set()
+
+    def refuse(self, refusals: Iterable[Refuse]) -> None:
+        """Tell the entries that accepted attempts never ran."""
+        for key, reason in refusals:
+            self._store.refuse(key, reason)
+            self._recorder.record(key.request_id, Noted(f"Not run: {reason.value}."))
+
+    def advance(self) -> None:
+        """Start what has a place now; refuse what waited for too long."""
+        with self.lock:
+            for step in self.runs.advance(now=monotonic()):
+                match step:
+                    case Start(dispatch):
+                        self.start(dispatch)
+                    case Refuse():
+                        self.refuse([step])
+
+    def server_died(self, generation: int) -> None:
+        """Count one death of the server against all that ran in that life."""
+        with self.lock:
+            if generation != self._generation:
+                return
+            self._generation += 1
+            running = self.runs.running
+            fingerprints = [dispatch.fingerprint for dispatch in running]
+            self.crashes.died(fingerprints, now=monotonic())
+            for dispatch in running:
+                deaths = self.crashes.count(dispatch.fingerprint)
+                event = ServerDied(self._name, dispatch.fingerprint, deaths)
+                self._recorder.record(dispatch.request_id, event)
+        logger.warning("Server died, %d attempts were running.", len(running))
+
+    def _run(
+        self, dispatch: Dispatch, cancellation: Cancellation, generation: int
+    ) -> None:
+        key = key_of(dispatch)
+        event = Started(self._name, dispatch.attempt)
+        self._recorder.record(key.request_id, event)
+        try:
+            started = self._adapter.start(dispatch, cancellation)
+            if started.is_ok():
+                self._read(key, started.ok, cancellation, generation)
+            else:
+                self._failed(key, started.error, 0, cancellation, generation)
+        except Exception:
+            logger.exception("Run failed. %s", key.request_id)
+            self._finish(key, Outcome.UNKNOWN, 0, "internal error")
+        finally:
+            with self.lock:
+                self._cancellations_by_key.pop(key, None)
+            self.advance()
+
+    def _read(
+        self,
+        key: AttemptKey,
+        answer: ServerAnswer,
+        cancellation: Cancellation,
+        generation: int,
+    ) -> None:
+        try:
+            self._store.head(key, AnswerHead(answer.status, answer.headers))
+            first = True
+            for chunk in answer.chunks():
+                if chunk.is_error() or cancellation.is_set():
+                    error = chunk.error if chunk.is_error() else ServerLost("", False)
+                    self._failed(key, error, answer.status, cancellation, generation)
+                    return
+                if first:
+                    event = FirstByte(self._name, key.attempt)
+                    self._recorder.record(key.request_id, event)
+                    first = False
+                self._store.append(key, chunk.ok, cancellation)
+            self._finish(key, Outcome.RAN, answer.status, "")
+        finally:
+            answer.close()
+
+    def _failed(
+        self,
+        key: AttemptKey,
+        error: AdapterError,
+        status: int,
+        cancellation: Cancellation,
+        generation: int,
+    ) -> None:
+        if isinstance(error, ServerDown):
+            with self.lock:
+                refusals = self.runs.unreachable(key, now=monotonic())
+            self.refuse(refusals)
+            return
+        if cancellation.is_set():
+            self._finish(key, Outcome.UNKNOWN, status, "cancelled")
+            return
+        if error.died:
+            self.server_died(generation)
+        logger.warning("Answer cut short: %s. %s", error.detail, key.request_id)
+        self._finish(key, Outcome.UNKNOWN, status, error.detail)
+
+    def _finish(
+        self, key: AttemptKey, outcome: Outcome, status: int, detail: str
+    ) -> None:
+        now = monotonic()
+        length = self._store.finish(key, outcome, detail, now=now)
+        with self.lock:
+            self.runs.finish(key, now=now)
+        event = Finished(outcome.value, status, length, detail)
+        self._recorder.record(key.request_id, event)
--- /dev/null
+++ b/src/kingcupwheel/agent/runs.py
@@ -0,0 +1,270 @@
+"""The table of attempts: decides what runs, waits, joins or is refused.
+
+It has no sockets and reads no clock; ``now`` is the agent's monotonic time in seconds.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kingcupwheel.agent.attempts import AttemptKey
+from kingcupwheel.agent.attempts import Ignore
+from kingcupwheel.agent.attempts import Join
+from kingcupwheel.agent.attempts import Refuse
+from kingcupwheel.agent.attempts import Start
+from kingcupwheel.agent.attempts import Stop
+from kingcupwheel.agent.attempts import Wait
+from kingcupwheel.agent.attempts import is_sendable
+from kingcupwheel.agent.attempts import key_of
+from kingcupwheel.agent.claimed import Claims
+from kingcupwheel.agent.expiring import ExpiringMap
+from kingcupwheel.agent.waiting import WaitingQueue
+from kingcupwheel.messages.runs import Entombed
+from kingcupwheel.messages.runs import Refusal
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.agent.attempts import CancelDecision
+    from kingcupwheel.agent.attempts import Decision
+    from kingcupwheel.messages.runs import Dispatch
+    from kingcupwheel.messages.runs import Entomb
+
+# A copy of a dispatch carries the token of the first one and is refused as stale
+# ``token_s`` after that token, so what is remembered twice as long outlives every copy.
+_MEMORY_PER_TOKEN_LIFE = 2.0
+_NO_ATTEMPT = AttemptKey("", 0)
+
+
+class Runs:
+    """All attempts of one life of the agent.
+
+    ``incarnation`` names this life; ``capacity`` bounds what runs and ``queue`` what
+    waits. Made for bursts above the server's concurrency: the queue keeps the server
+    busy between two dispatches and is short, because what waits here can no longer be
+    placed on a server that is free; beyond it a refusal lets the entry place anew.
+    """
+
+    def __init__(
+        self, *, incarnation: str, capacity: int, queue: int, token_s: float
+    ) -> None:
+        self._incarnation = incarnation
+        self._capacity = capacity
+        self._token_s = token_s
+        self._queue = WaitingQueue(limit=queue)
+        self._running: dict[AttemptKey, Dispatch] = {}
+        # Further attempts that were joined to a running or waiting one.
+        self._joined_by_key: dict[AttemptKey, set[AttemptKey]] = {}
+        memory_s = _MEMORY_PER_TOKEN_LIFE * token_s
+        self._ended: ExpiringMap[AttemptKey, bool] = ExpiringMap(life_s=memory_s)
+        self._tombstones: ExpiringMap[AttemptKey, Refusal] = ExpiringMap(
+            life_s=memory_s
+        )
+        self._claims = Claims()
+        self._leaving = False
+
+    @property
+    def incarnation(self) -> str:
+        """The name of this life."""
+        return self._incarnation
+
+    @property
+    def capacity(self) -> int:
+        """How many attempts may run at once."""
+        return self._capacity
+
+    @property
+    def leaving(self) -> bool:
+        """Whether new work is refused for good."""
+        return self._leaving
+
+    @property
+    def running(self) -> tuple[Dispatch, ...]:
+        """What runs now."""
+        return tuple(self._running.values())
+
+    @property
+    def queued(self) -> tuple[Dispatch, ...]:
+        """What waits, in order."""
+        return self._queue.dispatches
+
+    def token(self, *, now: float) -> int:
+        """Return the token for heartbeats: the agent's own clock in milliseconds."""
+        return int(now * 1000)
+
+    def set_capacity(self, capacity: int) -> None:
+        """Change how many attempts may run at once; running ones go on."""
+        self._capacity = capacity
+
+    def accepted_for(self, claim_id: str) -> AttemptKey | None:
+        """Return the attempt that was accepted for the claim, or None."""
+        return self._claims.accepted(claim_id)
+
+    def refused(self, key: AttemptKey) -> Refusal | None:
+        """Return why the attempt was refused, or None if it was not."""
+        return self._tombstones.get(key)
+
+    def dispatch(self, dispatch: Dispatch, *, now: float) -> Decision:
+        """Decide about one dispatch; a refusal holds for all its copies."""
+        self._forget(now)
+        key = key_of(dispatch)
+        earlier = self._earlier(dispatch)
+        if earlier is not None:
+            return Join(earlier)
+        reason = self._refusal(dispatch, now)
+        if reason is not None:
+            return self._refuse(key, reason, now)
+        return self._accept(dispatch, now)
+
+    def entomb(self, entomb: Entomb, *, now: float) -> Entombed:
+        """Refuse lower fences of the claim from now on, or tell what already ran."""
+        ours = entomb.incarnation == self._incarnation
+        ran = None
+        if ours:
+            ran = self._claims.entomb(entomb.claim_id, entomb.fence, now=now)
+        key = ran or _NO_ATTEMPT
+        return Entombed(
+            claim_id=entomb.claim_id,
+            fence=entomb.fence,
+            incarnation=self._incarnation,
+            accepted=ours,
+            ran=ran is not None,
+            request_id=key.request_id,
+            attempt=key.attempt,
+        )
+
+    def cancel(self, key: AttemptKey, *, now: float) -> CancelDecision:
+        """Decide about a caller that left.
+
+        An attempt never seen is refused for ever, because its dispatch may still be on
+        its way over an older link. One that may not be repeated runs on: cut short, it
+        could be neither completed nor repeated when the caller sends it again.
+        """
+        running = self._running.get(key)
+        if running is not None:
+            return Stop(key) if running.claim is None else Ignore()
+        waiting = self._queue.remove(key)
+        if waiting is not None:
+            self._never_ran(waiting, Refusal.CANCELLED, now)
+            return Refuse(key, Refusal.CANCELLED)
+        if self._ended.get(key) or self._tombstones.get(key):
+            return Ignore()
+        return self._refuse(key, Refusal.CANCELLED, now)
+
+    def finish(self, key: AttemptKey, *, now: float) -> None:
+        """Record that the attempt reached the server and ended there."""
+        if self._running.pop(key, None) is not None:
+            self._joined_by_key.pop(key, None)
+            self._ended.put(key, True, now=now)
+
+    def unreachable(self, key: AttemptKey, *, now: float) -> list[Refuse]:
+        """Record that no connection to the server could be made for the attempt."""
+        dispatch = self._running.pop(key, None)
+        if dispatch is None:
+            return []
+        return self._never_ran(dispatch, Refusal.SERVER_UNREACHABLE, now)
+
+    def leave(self, *, now: float) -> list[Refuse]:
+        """Take no new work from now on; what only waits is refused."""
+        self._leaving = True
+        refusals = []
+        for dispatch in self._queue.clear():
+            refusals += self._never_ran(dispatch, Refusal.LEAVING, now)
+        return refusals
+
+    def advance(self, *, now: float) -> list[Start | Refuse]:
+        """Start what has a place now, and refuse what waited past its deadline."""
+        steps: list[Start | Refuse] = []
+        for late in self._queue.expire(now=now):
+            steps += self._never_ran(late, Refusal.EXPIRED, now)
+        while len(self._running) < self._capacity:
+            dispatch = self._queue.pop()
+            if dispatch is None:
+                break
+            self._running[key_of(dispatch)] = dispatch
+            steps.append(Start(dispatch))
+        return steps
+
+    def _earlier(self, dispatch: Dispatch) -> AttemptKey | None:
+        """Return the attempt that this one is, or is joined to.
+
+        A claim's second dispatch joins the first whatever its fence: the run it asks
+        for exists, and its answer is the true one.
+        """
+        key = key_of(dispatch)
+        if self._is_open(key) or self._ended.get(key):
+            return key
+        if self._tombstones.get(key) or dispatch.claim is None:
+            return None
+        if dispatch.incarnation != self._incarnation:
+            return None
+        earlier = self._claims.accepted(dispatch.claim.claim_id)
+        if earlier is not None and self._is_open(earlier):
+            self._joined_by_key.setdefault(earlier, set()).add(key)
+        return earlier
+
+    def _is_open(self, key: AttemptKey) -> bool:
+        return key in self._running or key in self._queue
+
+    def _refusal(self, dispatch: Dispatch, now: float) -> Refusal | None:
+        reason = self._tombstones.get(key_of(dispatch))
+        reason = reason or self._refusal_of_sender(dispatch, now)
+        if reason is None and dispatch.claim is not None:
+            reason = self._claims.see(dispatch.claim, now=now)
+        return reason or self._refusal_under_load(dispatch)
+
+    def _refusal_of_sender(self, dispatch: Dispatch, now: float) -> Refusal | None:
+        if dispatch.incarnation != self._incarnation:
+            return Refusal.WRONG_INCARNATION
+        # A copy that was held up (a link thought dead, this process paused) names an
+        # old token. Without this check it would run long after the entry gave it up,
+        # and tombstones would have to be kept for ever.
+        age_ms = self.token(now=now) - dispatch.token
+        if age_ms < 0 or age_ms > self._token_s * 1000:
+            return Refusal.STALE_TOKEN
+        return None
+
+    def _refusal_under_load(self, dispatch: Dispatch) -> Refusal | None:
+        if self._leaving:
+            return Refusal.LEAVING
+        if not is_sendable(dispatch):
+            return Refusal.BAD_REQUEST
+        if dispatch.deadline_s is not None and dispatch.deadline_s <= 0:
+            return Refusal.EXPIRED
+        # Made for a request that may crash its server: beside another suspect neither
+        # could be cleared by the death, so a suspect is the only one of its kind here.
+        if dispatch.suspect and self._has_suspect():
+            return Refusal.SUSPECT_BUSY
+        if len(self._running) >= self._capacity and self._queue.full:
+            return Refusal.FULL
+        return None
+
+    def _has_suspect(self) -> bool:
+        return any(other.suspect for other in (*self.running, *self.queued))
+
+    def _accept(self, dispatch: Dispatch, now: float) -> Decision:
+        key = key_of(dispatch)
+        if dispatch.claim is not None:
+            self._claims.accept(dispatch.claim.claim_id, key, now=now)
+        if len(self._running) < self._capacity:
+            self._running[key] = dispatch
+            return Start(dispatch)
+        return Wait(self._queue.push(dispatch, now=now))
+
+    def _refuse(self, key: AttemptKey, reason: Refusal, now: float) -> Refuse:
+        self._tombstones.put(key, reason, now=now)
+        return Refuse(key, reason)
+
+    def _never_ran(
+        self, dispatch: Dispatch, reason: Refusal, now: float
+    ) -> list[Refuse]:
+        """Refuse an accepted attempt and all that were joined to it."""
+        if dispatch.claim is not None:
+            self._claims.release(dispatch.claim.claim_id, now=now)
+        key = key_of(dispatch)
+        joined = self._joined_by_key.pop(key, set())
+        return [self._refuse(each, reason, now) for each in (key, *sorted(joined))]
+
+    def _forget(self, now: float) -> None:
+        self._ended.expire(now=now)
+        self._tombstones.expire(now=now)
+        self._claims.expire(now=now)
--- /dev/null
+++ b/src/kingcupwheel/agent/store.py
@@ -0,0 +1,264 @@
+"""All buffered answers of an agent, within one memory limit."""
+
+from __future__ import annotations
+
+from threading import Condition
+from typing import TYPE_CHECKING
+
+from kingcupwheel.agent.answers import Answer
+from kingcupwheel.agent.answers import AnswerHead
+from kingcupwheel.agent.answers import Subscriber
+from kingcupwheel.agent.expiring import ExpiringMap
+from kingcupwheel.messages.runs import NotRun
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from kingcupwheel.agent.adapters.cancellation import Cancellation
+    from kingcupwheel.agent.answers import Ended
+    from kingcupwheel.agent.attempts import AttemptKey
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.messages.runs import Outcome
+    from kingcupwheel.messages.runs import Refusal
+
+# How long it is remembered how an answer ended after its bytes were freed: longer than
+# an entry takes to replace a link and ask again.
+_ENDED_S = 120.0
+# The same for attempts that may not be repeated: as long as their claim can be found.
+_ENDED_CLAIM_S = 48 * 3600.0
+# How long the bytes of such an answer are kept for a caller that sends it again.
+_KEPT_S = 3600.0
+# One answer that nobody reads may hold this share of the memory; without it a single
+# stuck caller would slow every other stream of this server.
+_SHARE_OF_ONE = 0.25
+# A waiting reader looks again after this long even if nothing was freed.
+_LOOK_AGAIN_S = 1.0
+
+
+class AnswerStore:
+    """Buffers answers until they are acknowledged; safe from any thread.
+
+    ``send`` is called with the lock held, so that the frames of an answer leave in
+    order; it must not block. ``limit_bytes`` bounds the bytes in memory: past it
+    ``append`` waits, which slows the server's stream, and nothing is dropped that an
+    entry may still ask for.
+    """
+
+    def __init__(
+        self, *, limit_bytes: int, send: Callable[[Link, Message], None]
+    ) -> None:
+        self._limit = limit_bytes
+        self._send = send
+        self._changed = Condition()
+        self._by_key: dict[AttemptKey, Answer] = {}
+        self._by_place: dict[tuple[AttemptKey, Link], Answer] = {}
+        self._held = 0
+        self._ended: ExpiringMap[AttemptKey, Ended] = ExpiringMap(life_s=_ENDED_S)
+        self._ended_claims: ExpiringMap[AttemptKey, Ended] = ExpiringMap(
+            life_s=_ENDED_CLAIM_S
+        )
+
+    @property
+    def held(self) -> int:
+        """The number of bytes in memory."""
+        return self._held
+
+    @property
+    def undelivered(self) -> int:
+        """How many answers have not ended, or not yet reached every entry."""
+        with self._changed:
+            return sum(not answer.delivered for answer in self._by_key.values())
+
+    def open(self, key: AttemptKey, *, keep: bool) -> None:
+        """Begin the answer of an accepted attempt."""
+        with self._changed:
+            self._by_key[key] = Answer(key, keep=keep)
+
+    def subscribe(
+        self, key: AttemptKey, subscriber: Subscriber, *, replaced: Iterable[Link]
+    ) -> bool:
+        """Send the answer of ``key`` to an entry from now on.
+
+        ``replaced`` are older links of the same entry. Return False if the attempt is
+        not known.
+        """
+        with self._changed:
+            for link in replaced:
+                self._remove((subscriber.name, link))
+            answer = self._by_key.get(key)
+            if answer is None:
+                return self._tell_ended(key, subscriber)
+            answer.subscribers[subscriber.place] = subscriber
+            self._by_place[subscriber.place] = answer
+            self._flush(answer)
+            return True
+
+    def knows(self, key: AttemptKey) -> bool:
+        """Return whether the attempt's answer, or how it ended, is held."""
+        with self._changed:
+            held = key in self._by_key
+            return held or self._find_ended(key) is not None
+
+    def key_at(self, name: AttemptKey, link: Link) -> AttemptKey | None:
+        """Return the attempt whose answer goes to ``link`` as ``name``, or None."""
+        with self._changed:
+            answer = self._by_place.get((name, link))
+            return None if answer is None else answer.key
+
+    def unsubscribe(self, name: AttemptKey, link: Link) -> int:
+        """Stop sending; return how many entries still get the same answer."""
+        with self._changed:
+            answer = self._remove((name, link))
+            return 0 if answer is None else len(answer.subscribers)
+
+    def links_gone(self, links: Iterable[Link]) -> list[AttemptKey]:
+        """Drop subscribers of dead links; return the attempts left without any."""
+        gone = set(links)
+        orphans = []
+        with self._changed:
+            for place in [place for place in self._by_place if place[1] in gone]:
+                answer = self._remove(place)
+                if answer is not None and not answer.subscribers:
+                    orphans.append(answer.key)
+        return orphans
+
+    def head(self, key: AttemptKey, head: AnswerHead) -> None:
+        """Add status and headers."""
+        with self._changed:
+            answer = self._by_key.get(key)
+            if answer is not None:
+                answer.head = head
+                self._flush(answer)
+
+    def append(self, key: AttemptKey, data: bytes, cancelled: Cancellation) -> None:
+        """Add bytes; waits while there is no room, unless cancelled."""
+        with self._changed:
+            answer = self._by_key.get(key)
+            if answer is None:
+                return
+            while not self._has_room(answer, len(data)) and not cancelled.is_set():
+                self._changed.wait(_LOOK_AGAIN_S)
+            answer.append(data)
+            self._held += len(data)
+            self._flush(answer)
+
+    def finish(
+        self, key: AttemptKey, outcome: Outcome, detail: str, *, now: float
+    ) -> int:
+        """Record the end; return the body's length in bytes.
+
+        Ordinary answers are freed once delivered.
+        """
+        with self._changed:
+            answer = self._by_key.get(key)
+            if answer is None:
+                return 0
+            answer.finish(outcome, detail, now=now)
+            length = answer.length
+            self._flush(answer)
+            return length
+
+    def refuse(self, key: AttemptKey, reason: Refusal) -> None:
+        """Tell every subscriber that the attempt never ran, and forget it."""
+        with self._changed:
+            answer = self._by_key.pop(key, None)
+            if answer is None:
+                return
+            for subscriber in list(answer.subscribers.values()):
+                self._by_place.pop(subscriber.place, None)
+                self._send(subscriber.link, NotRun(*subscriber.name, reason))
+
+    def acknowledge(self, name: AttemptKey, link: Link, offset: int) -> None:
+        """Free what has reached the caller and send on within the credit."""
+        with self._changed:
+            answer = self._by_place.get((name, link))
+            if answer is None:
+                return
+            subscriber = answer.subscribers[(name, link)]
+            subscriber.acked = max(subscriber.acked, min(offset, answer.length))
+            self._flush(answer)
+
+    def alive(self) -> dict[Link, list[AttemptKey]]:
+        """Return the attempts that are still under way, by the link they go to."""
+        by_link: dict[Link, list[AttemptKey]] = {}
+        with self._changed:
+            for (name, link), answer in self._by_place.items():
+                if not answer.subscribers[(name, link)].end_sent:
+                    by_link.setdefault(link, []).append(name)
+        return by_link
+
+    def expire(self, *, now: float) -> None:
+        """Forget kept answers, and how answers ended, when their time is over."""
+        with self._changed:
+            for answer in list(self._by_key.values()):
+                if answer.delivered and now - answer.ended_at > _KEPT_S:
+                    self._close(answer)
+            self._ended.expire(now=now)
+            self._ended_claims.expire(now=now)
+
+    def _tell_ended(self, key: AttemptKey, subscriber: Subscriber) -> bool:
+        ended = self._find_ended(key)
+        if ended is None:
+            return False
+        for message in ended.messages(subscriber.name, subscriber.sent):
+            self._send(subscriber.link, message)
+        return True
+
+    def _find_ended(self, key: AttemptKey) -> Ended | None:
+        return self._ended.get(key) or self._ended_claims.get(key)
+
+    def _flush(self, answer: Answer) -> None:
+        for subscriber in answer.subscribers.values():
+            for message in answer.due(subscriber):
+                self._send(subscriber.link, message)
+        if answer.keep:
+            return
+        self._freed(answer.free())
+        if answer.delivered:
+            self._close(answer)
+
+    def _remove(self, place: tuple[AttemptKey, Link]) -> Answer | None:
+        answer = self._by_place.pop(place, None)
+        if answer is not None:
+            answer.subscribers.pop(place, None)
+            self._flush(answer)
+        return answer
+
+    def _close(self, answer: Answer) -> None:
+        ended = answer.ended()
+        if ended is None:
+            return
+        del self._by_key[answer.key]
+        for place in answer.subscribers:
+            self._by_place.pop(place, None)
+        remembered = self._ended_claims if answer.keep else self._ended
+        remembered.put(answer.key, ended, now=answer.ended_at)
+        self._freed(answer.held)
+
+    def _freed(self, count: int) -> None:
+        if count:
+            self._held -= count
+            self._changed.notify_all()
+
+    def _has_room(self, answer: Answer, size: int) -> bool:
+        if self._held + size > self._limit:
+            self._reclaim(size)
+        if answer.unacked >= self._limit * _SHARE_OF_ONE:
+            return False
+        return self._held == 0 or self._held + size <= self._limit
+
+    def _reclaim(self, size: int) -> None:
+        """Give up kept answers that everyone has, the oldest first."""
+        kept = [answer for answer in self._by_key.values() if answer.keep]
+        finished = [answer for answer in kept if answer.delivered]
+        for answer in sorted(finished, key=lambda answer: answer.ended_at):
+            if self._held + size <= self._limit:
+                return
+            self._close(answer)
+        for answer in kept:
+            if self._held + size <= self._limit:
+                return
+            self._freed(answer.free())
--- /dev/null
+++ b/src/kingcupwheel/agent/waiting.py
@@ -0,0 +1,85 @@
+"""The bounded queue of accepted attempts that wait for a place on the server."""
+
+from __future__ import annotations
+
+from bisect import insort
+from itertools import count
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.agent.attempts import key_of
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.agent.attempts import AttemptKey
+    from kingcupwheel.messages.runs import Dispatch
+
+
+class _Waiting(NamedTuple):
+    """Sorts by priority (highest first), then by arrival."""
+
+    rank: int
+    arrival: int
+    expires_at: float | None
+    dispatch: Dispatch
+
+
+class WaitingQueue:
+    """Orders by priority, then arrival; bounded by ``limit``.
+
+    Low priorities may wait until their deadline here. That is bounded: the queue is a
+    few places long, and the fair queue between organisations is the entry's.
+    """
+
+    def __init__(self, *, limit: int) -> None:
+        self._limit = limit
+        self._waiting: list[_Waiting] = []
+        self._arrivals = count()
+
+    def __contains__(self, key: object) -> bool:
+        return any(key_of(entry.dispatch) == key for entry in self._waiting)
+
+    @property
+    def full(self) -> bool:
+        """Whether no further attempt may wait."""
+        return len(self._waiting) >= self._limit
+
+    @property
+    def dispatches(self) -> tuple[Dispatch, ...]:
+        """What waits, first to run first."""
+        return tuple(entry.dispatch for entry in self._waiting)
+
+    def push(self, dispatch: Dispatch, *, now: float) -> int:
+        """Add the dispatch; return how many are before it."""
+        deadline_s = dispatch.deadline_s
+        expires_at = None if deadline_s is None else now + deadline_s
+        entry = _Waiting(-dispatch.priority, next(self._arrivals), expires_at, dispatch)
+        insort(self._waiting, entry)
+        return self._waiting.index(entry)
+
+    def pop(self) -> Dispatch | None:
+        """Remove and return what is to run next."""
+        return self._waiting.pop(0).dispatch if self._waiting else None
+
+    def remove(self, key: AttemptKey) -> Dispatch | None:
+        """Remove and return the attempt's dispatch, or None."""
+        for position, entry in enumerate(self._waiting):
+            if key_of(entry.dispatch) == key:
+                return self._waiting.pop(position).dispatch
+        return None
+
+    def expire(self, *, now: float) -> list[Dispatch]:
+        """Remove and return what waited past its deadline."""
+        expired = [entry for entry in self._waiting if _is_late(entry, now)]
+        self._waiting = [entry for entry in self._waiting if not _is_late(entry, now)]
+        return [entry.dispatch for entry in expired]
+
+    def clear(self) -> list[Dispatch]:
+        """Remove and return everything."""
+        dispatches = [entry.dispatch for entry in self._waiting]
+        self._waiting.clear()
+        return dispatches
+
+
+def _is_late(entry: _Waiting, now: float) -> bool:
+    return entry.expires_at is not None and now >= entry.expires_at
--- a/src/kingcupwheel/plugins/kernel.py
+++ b/src/kingcupwheel/plugins/kernel.py
@@ -28,6 +28,8 @@
 BUILTIN_MODULES = (
     "kingcupwheel.platform.http",
     "kingcupwheel.messages.codec",
+    "kingcupwheel.agent.adapters.engine",
+    "kingcupwheel.agent.adapters.service",
 )
 
 
--- /dev/null
+++ b/tests/agent/builders.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from kingcupwheel.messages.runs import ClaimRef
+from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.settings.schema import AgentLimits
+from kingcupwheel.settings.schema import PlatformSettings
+from kingcupwheel.settings.schema import Role
+from kingcupwheel.settings.schema import ServerSettings
+from kingcupwheel.settings.schema import Settings
+from kingcupwheel.settings.schema import Timings
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.messages.membership import Beat
+
+CREDIT = 1_000_000
+# Short, so that tests need not wait for long; each keeps its place in the order.
+TIMINGS = Timings(heartbeat_s=0.2, silence_s=1.0, gone_s=2.0, give_up_s=30.0)
+SERVER_SILENCE_S = 0.6
+
+
+def completion(prompt: str, *, tokens: int = 8, stream: bool = True) -> bytes:
+    request = {"prompt": prompt, "max_tokens": tokens, "stream": stream}
+    return json.dumps(request).encode()
+
+
+def dispatch(
+    request_id: str = "entry.1.a",
+    *,
+    attempt: int = 1,
+    incarnation: str = "life",
+    token: int = 0,
+    body: bytes = b"",
+    claim: ClaimRef | None = None,
+    **changes: Any,
+) -> Dispatch:
+    message = Dispatch(
+        request_id=request_id,
+        attempt=attempt,
+        incarnation=incarnation,
+        token=token,
+        claim=claim,
+        organisation="retazo",
+        fingerprint=f"print of {request_id}",
+        priority=5,
+        streamed=True,
+        method="POST",
+        path="/v1/completions",
+        headers=(("Content-Type", "application/json"),),
+        body=body or completion(request_id),
+        work=100.0,
+        deadline_s=None,
+        credit=CREDIT,
+        manifest_version=1,
+        repeatable=claim is None,
+        suspect=False,
+    )
+    return msgspec.structs.replace(message, **changes)
+
+
+def dispatch_to(beat: Beat, request_id: str, **changes: Any) -> Dispatch:
+    return dispatch(
+        request_id, incarnation=beat.incarnation, token=beat.token, **changes
+    )
+
+
+def agent_settings(
+    url: str, *, adapter: str = "engine", limits: AgentLimits | None = None
+) -> Settings:
+    return Settings(
+        name="agent-1",
+        role=Role.AGENT,
+        data_centre="heredia",
+        listen="127.0.0.1:0",
+        platform=PlatformSettings(url="http://127.0.0.1:9"),
+        group="bundles",
+        server=ServerSettings(url=url, adapter=adapter, silence_s=SERVER_SILENCE_S),
+        agent=limits or AgentLimits(),
+        timings=TIMINGS,
+    )
--- /dev/null
+++ b/tests/agent/conftest.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+from contextlib import ExitStack
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from kingcupwheel.agent.daemon import AgentDaemon
+from kingcupwheel.plugins.kernel import load_builtin
+from tests.agent.builders import agent_settings
+from tests.agent.entry import Entry
+from tests.standins.engine import Engine
+from tests.standins.engine import Faults
+from tests.standins.relay import Relay
+from tests.standins.service import Service
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class Bench:
+    """Starts parts on free ports of one machine and stops them after the test."""
+
+    def __init__(self, stack: ExitStack) -> None:
+        self._stack = stack
+
+    def engine(self, **faults: Any) -> Engine:
+        engine = Engine(faults=Faults(**faults), die=lambda _: None)
+        engine.start()
+        self._stack.callback(engine.stop)
+        return engine
+
+    def service(self, **options: Any) -> Service:
+        service = Service(**options)
+        service.start()
+        self._stack.callback(service.stop)
+        return service
+
+    def relay(self, target: str) -> Relay:
+        relay = Relay(target)
+        relay.start()
+        self._stack.callback(relay.stop)
+        return relay
+
+    def agent(self, url: str, **options: Any) -> AgentDaemon:
+        agent = AgentDaemon(agent_settings(url, **options))
+        agent.start()
+        self._stack.callback(agent.stop)
+        return agent
+
+    def entry(self, agent: AgentDaemon | Relay, **options: Any) -> Entry:
+        if isinstance(agent, Relay):
+            address = agent.address
+        else:
+            address = f"127.0.0.1:{agent.port}"
+        entry = Entry(address, **options)
+        self._stack.callback(entry.stop)
+        return entry
+
+
+@pytest.fixture
+def bench() -> Iterator[Bench]:
+    load_builtin()
+    with ExitStack() as stack:
+        yield Bench(stack)
--- /dev/null
+++ b/tests/agent/entry.py
@@ -0,0 +1,127 @@
+"""A small entry: sends messages to one agent and gathers what comes back."""
+
+from __future__ import annotations
+
+import time
+from threading import Condition
+from threading import Event
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from kingcupwheel.link.hub import Hub
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.runs import Ack
+from kingcupwheel.messages.runs import Data
+from kingcupwheel.messages.runs import End
+from kingcupwheel.messages.runs import NotRun
+from kingcupwheel.messages.runs import Resume
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+
+WAIT_S = 15.0
+M = TypeVar("M", bound="Message")
+
+
+class Entry:
+    """``acknowledging`` acks each frame at once; pause it to hold back credit."""
+
+    def __init__(self, address: str, *, name: str = "entry-1") -> None:
+        self.address = address
+        self.received: list[Message] = []
+        self.acknowledging = Event()
+        self.acknowledging.set()
+        self._name = name
+        self._changed = Condition()
+        self._bodies: dict[tuple[str, int], bytearray] = {}
+        self._hub = Hub(
+            listen="127.0.0.1:0", on_message=self._receive, on_tick=self._tick
+        )
+        self._hub.start()
+
+    def stop(self) -> None:
+        self._hub.stop()
+
+    def send(self, message: Message) -> None:
+        self._hub.send(Outgoing(self.address, 0), message)
+
+    def replace_link(self) -> None:
+        self._hub.replace(self.address)
+        self._tick(0.0)
+
+    def wait_for(self, kind: type[M], fits: Callable[[M], bool] = lambda _: True) -> M:
+        def find() -> M | None:
+            for message in reversed(self.received):
+                if isinstance(message, kind) and fits(message):
+                    return message
+            return None
+
+        with self._changed:
+            found = self._changed.wait_for(find, timeout=WAIT_S)
+        assert found is not None, f"no {kind.__name__} in {self.received[-5:]}"
+        return found
+
+    def beat(self) -> Beat:
+        """Return a heartbeat that is yet to come."""
+        with self._changed:
+            self.received = [m for m in self.received if not isinstance(m, Beat)]
+        return self.wait_for(Beat)
+
+    def body(self, request_id: str, attempt: int = 1) -> bytes:
+        with self._changed:
+            return bytes(self._bodies.get((request_id, attempt), b""))
+
+    def wait_for_bytes(self, request_id: str, count: int) -> None:
+        with self._changed:
+            assert self._changed.wait_for(
+                lambda: len(self._bodies.get((request_id, 1), b"")) >= count,
+                timeout=WAIT_S,
+            )
+
+    def end(self, request_id: str, attempt: int = 1) -> End:
+        return self.wait_for(
+            End, lambda end: (end.request_id, end.attempt) == (request_id, attempt)
+        )
+
+    def not_run(self, request_id: str) -> NotRun:
+        return self.wait_for(NotRun, lambda told: told.request_id == request_id)
+
+    def resume(self, request_id: str, *, credit: int, attempt: int = 1) -> None:
+        offset = len(self.body(request_id, attempt))
+        self.send(Resume(request_id, attempt, offset, credit, None))
+
+    def _receive(self, _: Link, message: Message) -> None:
+        with self._changed:
+            self.received.append(message)
+            if isinstance(message, Data):
+                self._take(message)
+            if isinstance(message, End) and self.acknowledging.is_set():
+                self._acknowledge(message)
+            self._changed.notify_all()
+
+    def _take(self, data: Data) -> None:
+        body = self._bodies.setdefault((data.request_id, data.attempt), bytearray())
+        if data.offset == len(body):
+            body += data.data
+        if self.acknowledging.is_set():
+            self._acknowledge(data)
+
+    def _acknowledge(self, message: Data | End) -> None:
+        name = (message.request_id, message.attempt)
+        self.send(Ack(*name, len(self._bodies.get(name, b""))))
+
+    def _tick(self, _: float) -> None:
+        self.send(Hello(self._name, "heredia", 1, "", False))
+
+
+def wait_until(fits: Callable[[], bool], what: str) -> None:
+    give_up_at = time.monotonic() + WAIT_S
+    while not fits():
+        assert time.monotonic() < give_up_at, f"not in time: {what}"
+        time.sleep(0.01)
--- /dev/null
+++ b/tests/agent/test_daemon.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.trace.events import EVENTS_DECODER
+from tests.agent.builders import completion
+from tests.agent.builders import dispatch_to
+from tests.standins.service import service_answer
+from tests.standins.tokens import plain_answer
+from tests.standins.tokens import streamed_answer
+
+
+if TYPE_CHECKING:
+    from tests.agent.conftest import Bench
+
+
+def test_a_streamed_completion_comes_whole_and_is_explained(bench: Bench) -> None:
+    engine = bench.engine()
+    entry = bench.entry(bench.agent(engine.url))
+
+    entry.send(dispatch_to(entry.beat(), "a", body=completion("hello", tokens=40)))
+    end = entry.end("a")
+
+    assert entry.body("a") == streamed_answer("hello", 40)
+    assert (end.outcome, end.length) == (Outcome.RAN, len(entry.body("a")))
+    assert engine.counters.report()["by_request_id"] == {"a": 1}
+    entry.send(TraceWanted("a"))
+    events = EVENTS_DECODER.decode(entry.wait_for(TraceFound).events)
+    names = [type(event.event).__name__ for event in events]
+    assert names == ["Started", "FirstByte", "Finished"]
+
+
+def test_an_unstreamed_completion_and_a_plain_service(bench: Bench) -> None:
+    model = bench.entry(bench.agent(bench.engine().url))
+    portal = bench.entry(bench.agent(bench.service().url, adapter="service"))
+    body = completion("tag", tokens=9, stream=False)
+
+    model.send(dispatch_to(model.beat(), "a", body=body))
+    portal.send(dispatch_to(portal.beat(), "b", path="/reserve", body=b"part 7"))
+
+    assert model.end("a").outcome is Outcome.RAN
+    assert model.body("a") == plain_answer("tag", 9)
+    assert portal.end("b").outcome is Outcome.RAN
+    assert portal.body("b") == service_answer("/reserve", b"part 7")
+
+
+def test_many_streams_at_once_stay_apart(bench: Bench) -> None:
+    entry = bench.entry(bench.agent(bench.engine(step_ms=2.0).url))
+    beat = entry.beat()
+    names = [f"request-{number}" for number in range(40)]
+
+    for name in names:
+        entry.send(dispatch_to(beat, name, body=completion(name, tokens=30)))
+    ends = {name: entry.end(name).outcome for name in names}
+
+    assert set(ends.values()) == {Outcome.RAN}
+    digests = {name: hashlib.sha256(entry.body(name)).digest() for name in names}
+    assert digests == {
+        name: hashlib.sha256(streamed_answer(name, 30)).digest() for name in names
+    }
+
+
+def test_a_heartbeat_tells_load_and_life(bench: Bench) -> None:
+    engine = bench.engine(stalled=True)
+    agent = bench.agent(engine.url)
+    entry = bench.entry(agent)
+
+    entry.send(dispatch_to(entry.beat(), "a"))
+    beat = entry.wait_for(Beat, lambda beat: beat.load.running == 1)
+
+    assert beat.incarnation == agent.incarnation
+    assert beat.server_up
+    assert beat.load.work == 100.0
+    assert msgspec.structs.asdict(beat)["group"] == "bundles"
--- /dev/null
+++ b/tests/standins/tokens.py
@@ -0,0 +1,32 @@
+"""The text that the engine stand-in answers, so that tests can tell it beforehand."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+
+
+DONE_EVENT = b"data: [DONE]\n\n"
+_TOKEN_DIGITS = 6
+
+
+def token(prompt: str, index: int) -> str:
+    digest = hashlib.sha256(f"{index} {prompt}".encode()).hexdigest()
+    return f"{digest[:_TOKEN_DIGITS]} "
+
+
+def event(prompt: str, index: int) -> bytes:
+    choice = {"index": 0, "text": token(prompt, index)}
+    return b"data: " + json.dumps({"choices": [choice]}).encode() + b"\n\n"
+
+
+def streamed_answer(prompt: str, max_tokens: int) -> bytes:
+    events = b"".join(event(prompt, index) for index in range(max_tokens))
+    return events + DONE_EVENT
+
+
+def plain_answer(prompt: str, max_tokens: int) -> bytes:
+    text = "".join(token(prompt, index) for index in range(max_tokens))
+    choice = {"index": 0, "text": text}
+    usage = {"completion_tokens": max_tokens}
+    return json.dumps({"choices": [choice], "usage": usage}).encode()
--- /dev/null
+++ b/tests/standins/web.py
@@ -0,0 +1,94 @@
+"""What the HTTP stand-ins share: a threaded server, JSON and chunked answers."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from threading import Event
+from threading import Thread
+from typing import Any
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_: Any) -> None:
+        pass
+
+    def read_body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def reply(
+        self, status: int, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.end_headers()
+        self.wfile.write(body)
+
+    def reply_json(self, value: object, status: int = 200) -> None:
+        body = json.dumps(value).encode()
+        self.reply(status, body, {"Content-Type": "application/json"})
+
+    def begin_chunks(self, headers: dict[str, str]) -> None:
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.end_headers()
+
+    def chunk(self, data: bytes) -> None:
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, *_: Any) -> None:
+        """A caller that left is no error of a stand-in."""
+
+
+class StandIn:
+    """A stand-in that listens from construction on and serves once started.
+
+    ``stopping`` frees handlers that were told to say nothing.
+    """
+
+    def __init__(self, handler: type[Handler], host: str, port: int) -> None:
+        bound = type("BoundHandler", (handler,), {"stand_in": self})
+        self._server = _Server((host, port), bound)
+        self.stopping = Event()
+        self._thread = Thread(target=self._server.serve_forever, daemon=True)
+
+    @property
+    def address(self) -> str:
+        host, port = self._server.server_address[:2]
+        return f"{host!s}:{port}"
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.address}"
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self.stopping.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+
+def serve(stand_in: StandIn) -> None:
+    """Run as a process: print the address, then serve until SIGTERM."""
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    stand_in.start()
+    print(stand_in.address, flush=True)
+    while not stand_in.stopping.wait(1.0):
+        pass
