--- a/src/kingcupwheel/agent/attempts.py
+++ b/src/kingcupwheel/agent/attempts.py
@@ -54,7 +54,13 @@
     reason: Refusal
 
 
-Decision = Start | Wait | Join | Refuse
+class Forgotten(NamedTuple):
+    """So old that it may have run and been forgotten; only ``unknown`` is honest."""
+
+    key: AttemptKey
+
+
+Decision = Start | Wait | Join | Refuse | Forgotten
 
 
 class Stop(NamedTuple):
--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -40,6 +40,9 @@
 logger = logging.getLogger("kingcupwheel.agent")
 
 _INCARNATION_BYTES = 8
+# How an answer ended is known for longer than that its attempt ran: a late copy of the
+# dispatch is joined to it.
+_ENDED_PER_MEMORY = 1.5
 # After the last frame of the last answer a leaving agent waits this long for its
 # acknowledgement, so that an entry which just replaced its link can still resume.
 _LINGER_S = 5.0
@@ -63,18 +66,21 @@
         self._hub = Hub(
             listen=settings.listen, on_message=self._on_message, on_tick=self._on_tick
         )
+        runs = Runs(
+            incarnation=secrets.token_hex(_INCARNATION_BYTES),
+            capacity=settings.agent.concurrency,
+            queue=settings.agent.queue,
+            token_s=timings.token_s,
+        )
         self._store = AnswerStore(
-            limit_bytes=settings.agent.answers_bytes, send=self._hub.send
+            limit_bytes=settings.agent.answers_bytes,
+            ended_s=_ENDED_PER_MEMORY * runs.memory_s,
+            send=self._hub.send,
         )
         adapter = server_adapters.get(settings.server.adapter)(settings.server)
         self._runner = Runner(
             name=settings.name,
-            runs=Runs(
-                incarnation=secrets.token_hex(_INCARNATION_BYTES),
-                capacity=settings.agent.concurrency,
-                queue=settings.agent.queue,
-                token_s=timings.token_s,
-            ),
+            runs=runs,
             store=self._store,
             adapter=adapter,
             crashes=CrashTable(),
--- a/src/kingcupwheel/agent/handler.py
+++ b/src/kingcupwheel/agent/handler.py
@@ -7,6 +7,7 @@
 
 from kingcupwheel.agent.answers import Subscriber
 from kingcupwheel.agent.attempts import AttemptKey
+from kingcupwheel.agent.attempts import Forgotten
 from kingcupwheel.agent.attempts import Ignore
 from kingcupwheel.agent.attempts import Join
 from kingcupwheel.agent.attempts import Refuse
@@ -18,8 +19,10 @@
 from kingcupwheel.messages.runs import Ack
 from kingcupwheel.messages.runs import Cancel
 from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.messages.runs import End
 from kingcupwheel.messages.runs import Entomb
 from kingcupwheel.messages.runs import NotRun
+from kingcupwheel.messages.runs import Outcome
 from kingcupwheel.messages.runs import Resume
 from kingcupwheel.messages.runs import Unseen
 from kingcupwheel.trace.events import Noted
@@ -97,6 +100,8 @@
                     self._accept(link, dispatch, running=False)
                 case Join(key):
                     self._join(link, dispatch, key)
+                case Forgotten():
+                    self._send(link, _unknown(name))
                 case Refuse(_, reason):
                     note = Noted(f"Not run: {reason.value}.")
                     self._recorder.record(name.request_id, note)
@@ -114,7 +119,8 @@
             name.request_id, Noted(f"Joined to attempt {key.attempt} of {key[0]}.")
         )
         self._send(link, Accepted(*name, True))
-        self._subscribe(link, name, key, offset=0, credit=dispatch.credit)
+        if not self._subscribe(link, name, key, offset=0, credit=dispatch.credit):
+            self._send(link, _unknown(name))
 
     def _resume(self, link: Link, message: Resume) -> None:
         name = AttemptKey(message.request_id, message.attempt)
@@ -167,3 +173,8 @@
             case Ignore():
                 pass
         return None
+
+
+def _unknown(name: AttemptKey) -> End:
+    detail = "older than this agent's memory"
+    return End(name.request_id, name.attempt, 0, Outcome.UNKNOWN, detail)
--- a/src/kingcupwheel/agent/runs.py
+++ b/src/kingcupwheel/agent/runs.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from kingcupwheel.agent.attempts import AttemptKey
+from kingcupwheel.agent.attempts import Forgotten
 from kingcupwheel.agent.attempts import Ignore
 from kingcupwheel.agent.attempts import Join
 from kingcupwheel.agent.attempts import Refuse
@@ -30,8 +31,11 @@
     from kingcupwheel.messages.runs import Entomb
 
 # A copy of a dispatch carries the token of the first one and is refused as stale
-# ``token_s`` after that token, so what is remembered twice as long outlives every copy.
+# ``token_s`` after that token, so a refusal kept twice as long outlives every copy.
 _MEMORY_PER_TOKEN_LIFE = 2.0
+# What ran is remembered for longer. A stale copy of it must not be told ``not-run``; a
+# dispatch whose token is older than this memory may be one, and is told ``unknown``.
+_MEMORY_S = 120.0
 _NO_ATTEMPT = AttemptKey("", 0)
 
 
@@ -54,11 +58,14 @@
         self._running: dict[AttemptKey, Dispatch] = {}
         # Further attempts that were joined to a running or waiting one.
         self._joined_by_key: dict[AttemptKey, set[AttemptKey]] = {}
-        memory_s = _MEMORY_PER_TOKEN_LIFE * token_s
-        self._ended: ExpiringMap[AttemptKey, bool] = ExpiringMap(life_s=memory_s)
+        refused_s = _MEMORY_PER_TOKEN_LIFE * token_s
+        self._memory_s = max(_MEMORY_S, refused_s)
+        self._ended: ExpiringMap[AttemptKey, bool] = ExpiringMap(life_s=self._memory_s)
         self._tombstones: ExpiringMap[AttemptKey, Refusal] = ExpiringMap(
-            life_s=memory_s
+            life_s=refused_s
         )
+        # Cancelled before their dispatch came, if it comes at all.
+        self._cancelled: ExpiringMap[AttemptKey, bool] = ExpiringMap(life_s=refused_s)
         self._claims = Claims()
         self._leaving = False
 
@@ -72,6 +79,11 @@
         """How many attempts may run at once."""
         return self._capacity
 
+    @property
+    def memory_s(self) -> float:
+        """How long it is remembered what ran, in seconds after its end."""
+        return self._memory_s
+
     @property
     def leaving(self) -> bool:
         """Whether new work is refused for good."""
@@ -110,6 +122,8 @@
         earlier = self._earlier(dispatch)
         if earlier is not None:
             return Join(earlier)
+        if self._may_be_forgotten(dispatch, now):
+            return Forgotten(key)
         reason = self._refusal(dispatch, now)
         if reason is not None:
             return self._refuse(key, reason, now)
@@ -135,8 +149,9 @@
     def cancel(self, key: AttemptKey, *, now: float) -> CancelDecision:
         """Decide about a caller that left.
 
-        An attempt never seen is refused for ever, because its dispatch may still be on
-        its way over an older link. One that may not be repeated runs on: cut short, it
+        An attempt not known is refused when its dispatch comes, which may still be on
+        its way over an older link; it may also have run in an earlier life, so nothing
+        is said about it now. One that may not be repeated runs on: cut short, it
         could be neither completed nor repeated when the caller sends it again.
         """
         running = self._running.get(key)
@@ -146,9 +161,9 @@
         if waiting is not None:
             self._never_ran(waiting, Refusal.CANCELLED, now)
             return Refuse(key, Refusal.CANCELLED)
-        if self._ended.get(key) or self._tombstones.get(key):
-            return Ignore()
-        return self._refuse(key, Refusal.CANCELLED, now)
+        if not self._ended.get(key):
+            self._cancelled.put(key, True, now=now)
+        return Ignore()
 
     def finish(self, key: AttemptKey, *, now: float) -> None:
         """Record that the attempt reached the server and ended there."""
@@ -202,12 +217,21 @@
             self._joined_by_key.setdefault(earlier, set()).add(key)
         return earlier
 
+    def _may_be_forgotten(self, dispatch: Dispatch, now: float) -> bool:
+        if dispatch.incarnation != self._incarnation:
+            return False
+        age_ms = self.token(now=now) - dispatch.token
+        return age_ms > self._memory_s * 1000
+
     def _is_open(self, key: AttemptKey) -> bool:
         return key in self._running or key in self._queue
 
     def _refusal(self, dispatch: Dispatch, now: float) -> Refusal | None:
-        reason = self._tombstones.get(key_of(dispatch))
+        key = key_of(dispatch)
+        reason = self._tombstones.get(key)
         reason = reason or self._refusal_of_sender(dispatch, now)
+        if reason is None and self._cancelled.get(key):
+            reason = Refusal.CANCELLED
         if reason is None and dispatch.claim is not None:
             reason = self._claims.see(dispatch.claim, now=now)
         return reason or self._refusal_under_load(dispatch)
@@ -267,4 +291,5 @@
     def _forget(self, now: float) -> None:
         self._ended.expire(now=now)
         self._tombstones.expire(now=now)
+        self._cancelled.expire(now=now)
         self._claims.expire(now=now)
--- a/src/kingcupwheel/agent/store.py
+++ b/src/kingcupwheel/agent/store.py
@@ -24,10 +24,8 @@
     from kingcupwheel.messages.runs import Outcome
     from kingcupwheel.messages.runs import Refusal
 
-# How long it is remembered how an answer ended after its bytes were freed: longer than
-# an entry takes to replace a link and ask again.
-_ENDED_S = 120.0
-# The same for attempts that may not be repeated: as long as their claim can be found.
+# How long it is remembered how the answer of an attempt that may not be repeated ended,
+# after its bytes were freed: as long as its claim can be found.
 _ENDED_CLAIM_S = 48 * 3600.0
 # How long the bytes of such an answer are kept for a caller that sends it again.
 _KEPT_S = 3600.0
@@ -44,11 +42,16 @@
     ``send`` is called with the lock held, so that the frames of an answer leave in
     order; it must not block. ``limit_bytes`` bounds the bytes in memory: past it
     ``append`` waits, which slows the server's stream, and nothing is dropped that an
-    entry may still ask for.
+    entry may still ask for. For ``ended_s`` after its bytes were freed it is remembered
+    how an answer ended.
     """
 
     def __init__(
-        self, *, limit_bytes: int, send: Callable[[Link, Message], None]
+        self,
+        *,
+        limit_bytes: int,
+        ended_s: float,
+        send: Callable[[Link, Message], None],
     ) -> None:
         self._limit = limit_bytes
         self._send = send
@@ -56,7 +59,7 @@
         self._by_key: dict[AttemptKey, Answer] = {}
         self._by_place: dict[tuple[AttemptKey, Link], Answer] = {}
         self._held = 0
-        self._ended: ExpiringMap[AttemptKey, Ended] = ExpiringMap(life_s=_ENDED_S)
+        self._ended: ExpiringMap[AttemptKey, Ended] = ExpiringMap(life_s=ended_s)
         self._ended_claims: ExpiringMap[AttemptKey, Ended] = ExpiringMap(
             life_s=_ENDED_CLAIM_S
         )
--- /dev/null
+++ b/tests/agent/test_runs_properties.py
@@ -0,0 +1,205 @@
+"""The table of runs under any order, copying, delay and loss of messages.
+
+The caller of a request that may not be repeated sees one run at most, and a ``not-run``
+that stays true. Messages are kept in a bag and delivered from it at any time, any
+number of times or never, while clocks advance, runs end and the agent restarts, because
+links that went silent deliver late what was sent long before.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from kingcupwheel.agent.attempts import AttemptKey
+from kingcupwheel.agent.attempts import Refuse
+from kingcupwheel.agent.attempts import Start
+from kingcupwheel.agent.attempts import Stop
+from kingcupwheel.agent.attempts import key_of
+from kingcupwheel.agent.runs import Runs
+from kingcupwheel.messages.runs import ClaimRef
+from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.messages.runs import Entomb
+from kingcupwheel.messages.runs import Refusal
+from tests.agent.builders import dispatch
+
+
+TOKEN_S = 5.0
+CAPACITY = 2
+QUEUE = 2
+CLAIMS = st.sampled_from(["c1", None])
+FENCES = st.integers(min_value=1, max_value=4)
+
+
+class RunsMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.life = 0
+        self.bag: list[Dispatch] = []
+        self.beats: list[tuple[str, int]] = []
+        # The server's own view: what ran, by life, and what runs now.
+        self.ran: set[tuple[int, AttemptKey]] = set()
+        self.runs_by_claim: Counter[tuple[int, str]] = Counter()
+        self.running: dict[AttemptKey, Dispatch] = {}
+        self.refused: set[AttemptKey] = set()
+        self.promised: dict[str, int] = {}
+        self.left = False
+        self.begin_life()
+
+    def begin_life(self) -> None:
+        self.life += 1
+        self.table = Runs(
+            incarnation=f"life {self.life}",
+            capacity=CAPACITY,
+            queue=QUEUE,
+            token_s=TOKEN_S,
+        )
+        self.running.clear()
+        self.promised.clear()
+        self.left = False
+        self.beat()
+
+    @rule()
+    def beat(self) -> None:
+        token = self.table.token(now=self.now)
+        self.beats.append((f"life {self.life}", token))
+
+    @rule(
+        data=st.data(),
+        claim_id=CLAIMS,
+        fence=FENCES,
+        deadline_s=st.sampled_from([None, 0.0, 2.0]),
+        suspect=st.booleans(),
+        arrives=st.booleans(),
+    )
+    def send(
+        self,
+        data: st.DataObject,
+        claim_id: str | None,
+        fence: int,
+        deadline_s: float | None,
+        suspect: bool,
+        arrives: bool,
+    ) -> None:
+        if arrives:
+            self.beat()
+        incarnation, token = data.draw(st.sampled_from(self.beats[:-4:-1]))
+        claim = None if claim_id is None else ClaimRef(claim_id, fence)
+        self.bag.append(
+            dispatch(
+                f"r{len(self.bag)}",
+                incarnation=incarnation,
+                token=token,
+                claim=claim,
+                deadline_s=deadline_s,
+                suspect=suspect,
+            )
+        )
+        if arrives:
+            self.carry_out(self.table.dispatch(self.bag[-1], now=self.now))
+
+    @precondition(lambda self: self.bag)
+    @rule(data=st.data())
+    def deliver(self, data: st.DataObject) -> None:
+        message = data.draw(st.sampled_from(self.bag[:-5:-1]))
+        self.carry_out(self.table.dispatch(message, now=self.now))
+
+    @rule(seconds=st.sampled_from([3.0, 6.0, 6.0, 8.0, 130.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        for step in self.table.advance(now=self.now):
+            self.carry_out(step)
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), reached=st.booleans())
+    def end_run(self, data: st.DataObject, reached: bool) -> None:
+        key = data.draw(st.sampled_from(sorted(self.running)))
+        message = self.running.pop(key)
+        if reached:
+            self.table.finish(key, now=self.now)
+            return
+        self.ran.discard((self.life, key))
+        if message.claim is not None:
+            self.runs_by_claim[self.life, message.claim.claim_id] -= 1
+        for refuse in self.table.unreachable(key, now=self.now):
+            self.carry_out(refuse)
+
+    @precondition(lambda self: self.bag)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        key = key_of(data.draw(st.sampled_from(self.bag[:-5:-1])))
+        decision = self.table.cancel(key, now=self.now)
+        if isinstance(decision, Refuse):
+            self.carry_out(decision)
+        if isinstance(decision, Stop):
+            assert key in self.running
+
+    @rule(claim_id=st.just("c1"), fence=FENCES)
+    def entomb(self, claim_id: str, fence: int) -> None:
+        told = self.table.entomb(
+            Entomb(claim_id, fence, f"life {self.life}"), now=self.now
+        )
+        assert told.accepted
+        if told.ran:
+            return
+        assert not self.runs_by_claim[self.life, claim_id]
+        self.promised[claim_id] = max(fence, self.promised.get(claim_id, 0))
+
+    @rule(rarely=st.integers(0, 5))
+    def restart(self, rarely: int) -> None:
+        if rarely == 1:
+            self.begin_life()
+
+    @precondition(lambda self: not self.left)
+    @rule(rarely=st.integers(0, 5))
+    def leave(self, rarely: int) -> None:
+        if rarely != 1:
+            return
+        self.left = True
+        for refuse in self.table.leave(now=self.now):
+            self.carry_out(refuse)
+
+    @invariant()
+    def bounds_hold(self) -> None:
+        assert len(self.table.running) <= CAPACITY
+        assert len(self.table.queued) <= QUEUE
+        here = (*self.table.running, *self.table.queued)
+        assert sum(message.suspect for message in here) <= 1
+        assert not (self.left and self.table.queued)
+
+    def carry_out(self, decision: object) -> None:
+        match decision:
+            case Start(message):
+                self.start_run(message)
+            case Refuse(key, reason):
+                lives = range(1, self.life + 1)
+                if reason is Refusal.WRONG_INCARNATION:
+                    lives = range(self.life, self.life + 1)
+                assert not any((life, key) in self.ran for life in lives)
+                self.refused.add(key)
+
+    def start_run(self, message: Dispatch) -> None:
+        key = key_of(message)
+        assert key not in self.refused, "a NotRun was not true"
+        assert (self.life, key) not in self.ran, "an attempt ran twice"
+        assert not self.left, "new work while leaving"
+        self.ran.add((self.life, key))
+        self.running[key] = message
+        if message.claim is not None:
+            claim_id, fence = message.claim.claim_id, message.claim.fence
+            self.runs_by_claim[self.life, claim_id] += 1
+            assert self.runs_by_claim[self.life, claim_id] == 1
+            assert fence >= self.promised.get(claim_id, 0), (
+                "ran below an entombed fence"
+            )
+
+
+RunsMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=50)
+TestRuns = RunsMachine.TestCase
