--- a/src/kingcupwheel/agent/answers.py
+++ b/src/kingcupwheel/agent/answers.py
@@ -85,6 +85,11 @@
         """What tells this subscriber from every other."""
         return self.name, self.link
 
+    def go_on_from(self, earlier: Subscriber) -> None:
+        """Take over what has reached the caller by an earlier link."""
+        self.acked = max(self.acked, earlier.acked)
+        self.sent = self.acked
+
 
 class Answer:
     """The answer of one attempt, from the first byte not yet freed.
--- a/src/kingcupwheel/agent/handler.py
+++ b/src/kingcupwheel/agent/handler.py
@@ -111,7 +111,7 @@
         name = key_of(dispatch)
         self._store.open(name, keep=dispatch.claim is not None)
         self._send(link, Accepted(*name, running))
-        self._subscribe(link, name, name, offset=0, credit=dispatch.credit)
+        self._store.subscribe(name, Subscriber(name, link, 0, 0, dispatch.credit))
 
     def _join(self, link: Link, dispatch: Dispatch, key: AttemptKey) -> None:
         name = key_of(dispatch)
@@ -119,15 +119,19 @@
             name.request_id, Noted(f"Joined to attempt {key.attempt} of {key[0]}.")
         )
         self._send(link, Accepted(*name, True))
-        if not self._subscribe(link, name, key, offset=0, credit=dispatch.credit):
+        subscriber = Subscriber(name, link, 0, 0, dispatch.credit)
+        replaced = self._peers.older_links(link)
+        if not self._store.subscribe(key, subscriber, replaced=replaced, go_on=True):
             self._send(link, _unknown(name))
 
     def _resume(self, link: Link, message: Resume) -> None:
         name = AttemptKey(message.request_id, message.attempt)
         key = self._known_key(name, message.claim_id)
-        if self._subscribe(
-            link, name, key, offset=message.offset, credit=message.credit
-        ):
+        subscriber = Subscriber(
+            name, link, message.offset, message.offset, message.credit
+        )
+        replaced = self._peers.older_links(link)
+        if self._store.subscribe(key, subscriber, replaced=replaced):
             event = Resumed(self._name, name.attempt, message.offset, "new link")
             self._recorder.record(name.request_id, event)
             return
@@ -145,13 +149,6 @@
         with self._runner.lock:
             return self._runner.runs.accepted_for(claim_id) or name
 
-    def _subscribe(
-        self, link: Link, name: AttemptKey, key: AttemptKey, *, offset: int, credit: int
-    ) -> bool:
-        subscriber = Subscriber(name, link, offset, offset, credit)
-        replaced = self._peers.older_links(link)
-        return self._store.subscribe(key, subscriber, replaced=replaced)
-
     def _cancel(self, link: Link, message: Cancel) -> None:
         name = AttemptKey(message.request_id, message.attempt)
         key = self._store.key_at(name, link) or name
--- a/src/kingcupwheel/agent/store.py
+++ b/src/kingcupwheel/agent/store.py
@@ -81,19 +81,31 @@
             self._by_key[key] = Answer(key, keep=keep)
 
     def subscribe(
-        self, key: AttemptKey, subscriber: Subscriber, *, replaced: Iterable[Link]
+        self,
+        key: AttemptKey,
+        subscriber: Subscriber,
+        *,
+        replaced: Iterable[Link] = (),
+        go_on: bool = False,
     ) -> bool:
         """Send the answer of ``key`` to an entry from now on.
 
-        ``replaced`` are older links of the same entry. Return False if the attempt is
-        not known.
+        ``replaced`` are older links of the same entry. With ``go_on`` it is sent from
+        where the entry had acknowledged it on one of them. Return False if the attempt
+        is not known.
         """
         with self._changed:
-            for link in replaced:
-                self._remove((subscriber.name, link))
             answer = self._by_key.get(key)
             if answer is None:
                 return self._tell_ended(key, subscriber)
+            # The new subscriber comes before anything is freed: in between nobody
+            # would need the bytes that the old link swallowed.
+            for link in (subscriber.link, *replaced):
+                place = (subscriber.name, link)
+                earlier = answer.subscribers.pop(place, None)
+                self._by_place.pop(place, None)
+                if go_on and earlier is not None:
+                    subscriber.go_on_from(earlier)
             answer.subscribers[subscriber.place] = subscriber
             self._by_place[subscriber.place] = answer
             self._flush(answer)
--- /dev/null
+++ b/tests/agent/test_failures.py
@@ -0,0 +1,335 @@
+"""Failures between an entry, the agent and its server, on the real daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.runs import Ack
+from kingcupwheel.messages.runs import Cancel
+from kingcupwheel.messages.runs import ClaimRef
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.messages.runs import Refusal
+from kingcupwheel.messages.runs import Resume
+from kingcupwheel.messages.runs import Running
+from kingcupwheel.messages.runs import Unseen
+from kingcupwheel.settings.schema import AgentLimits
+from tests.agent.builders import completion
+from tests.agent.builders import dispatch_to
+from tests.agent.entry import wait_until
+from tests.standins.relay import Mode
+from tests.standins.tokens import streamed_answer
+
+
+if TYPE_CHECKING:
+    from tests.agent.conftest import Bench
+
+
+def test_a_dispatch_that_comes_twice_runs_once(bench: Bench) -> None:
+    """The caller sees one whole answer.
+
+    The entry's dispatch arrives, and a copy of it over the link that replaced the first
+    while it still runs, and once more after the end. The agent knows the attempt: it
+    sends on what was not yet acknowledged, and later tells how it ended.
+    """
+    engine = bench.engine()
+    entry = bench.entry(bench.agent(engine.url))
+    message = dispatch_to(entry.beat(), "a", body=completion("a", tokens=60))
+
+    entry.send(message)
+    entry.wait_for_bytes("a", 200)
+    entry.replace_link()
+    entry.send(message)
+    assert entry.end("a").outcome is Outcome.RAN
+    entry.received.clear()
+    entry.send(message)
+
+    assert entry.end("a").length == len(entry.body("a"))
+    assert entry.body("a") == streamed_answer("a", 60)
+    assert engine.counters.report()["by_request_id"] == {"a": 1}
+
+
+def test_a_refused_dispatch_stays_refused_when_its_copy_comes_late(
+    bench: Bench,
+) -> None:
+    """The caller is told not-run, and nothing ever runs.
+
+    The server is full, so the dispatch is refused. Then the server is free, and a copy
+    that was held up on a link thought dead arrives within the token's life.
+    """
+    engine = bench.engine()
+    limits = AgentLimits(concurrency=1, queue=0)
+    entry = bench.entry(bench.agent(engine.url, limits=limits))
+    beat = entry.beat()
+    refused = dispatch_to(beat, "refused")
+    entry.send(dispatch_to(beat, "long", body=completion("long", tokens=40)))
+    entry.send(refused)
+    assert entry.not_run("refused").reason is Refusal.FULL
+    entry.end("long")
+
+    entry.received.clear()
+    entry.send(refused)
+
+    assert entry.not_run("refused").reason is Refusal.FULL
+    assert engine.counters.report()["by_request_id"] == {"long": 1}
+
+
+def test_a_restarted_agent_refuses_what_was_meant_for_its_earlier_life(
+    bench: Bench,
+) -> None:
+    """The caller of a request that may not be repeated sees no second run.
+
+    The agent ran it, died and came back knowing nothing. A late dispatch names the
+    earlier life and is refused; a resume learns that this life never saw it.
+    """
+    service = bench.service()
+    old = bench.entry(bench.agent(service.url, adapter="service"))
+    message = dispatch_to(old.beat(), "a", claim=ClaimRef("claim", 1))
+    old.send(message)
+    old.end("a")
+    agent = bench.agent(service.url, adapter="service")
+    new = bench.entry(agent)
+
+    new.send(message)
+    assert new.not_run("a").reason is Refusal.WRONG_INCARNATION
+    new.send(Resume("b", 1, 0, 1000, "claim"))
+
+    assert new.wait_for(Unseen).incarnation == agent.incarnation
+    assert service.counters.report()["by_request_id"] == {"a": 1}
+
+
+def test_a_link_that_goes_silent_is_replaced_in_the_middle_of_a_stream(
+    bench: Bench,
+) -> None:
+    """The caller sees the whole answer, byte for byte.
+
+    The connection between entry and agent goes silent for good in the middle; the
+    entry opens a new one and resumes at its offset; nothing runs a second time.
+    """
+    engine = bench.engine()
+    agent = bench.agent(engine.url)
+    relay = bench.relay(f"127.0.0.1:{agent.port}")
+    entry = bench.entry(relay)
+    entry.send(dispatch_to(entry.beat(), "a", body=completion("a", tokens=80)))
+    entry.wait_for_bytes("a", 300)
+
+    relay.set_mode(Mode.FREEZE_OPEN)
+    run = engine.find("a-1")
+    assert run is not None
+    wait_until(lambda: run.tokens >= 40, "tokens that the silent link swallows")
+    entry.replace_link()
+    entry.resume("a", credit=1_000_000)
+
+    assert entry.end("a").outcome is Outcome.RAN
+    assert entry.body("a") == streamed_answer("a", 80)
+    assert engine.counters.report()["by_request_id"] == {"a": 1}
+
+
+def test_a_connection_to_the_engine_that_goes_silent_is_noticed(bench: Bench) -> None:
+    """The caller sees the whole answer, though later.
+
+    The connection from agent to engine goes silent for good, twice, while new ones
+    work. The agent asks the engine on a new one, which still runs the request, and
+    resumes at the byte reached.
+    """
+    engine = bench.engine(step_ms=20.0)
+    relay = bench.relay(engine.address)
+    entry = bench.entry(bench.agent(relay.url))
+    entry.send(dispatch_to(entry.beat(), "a", body=completion("a", tokens=120)))
+
+    for count in (200, 3000):
+        entry.wait_for_bytes("a", count)
+        relay.set_mode(Mode.FREEZE_OPEN)
+
+    assert entry.end("a").outcome is Outcome.RAN
+    assert entry.body("a") == streamed_answer("a", 120)
+    assert engine.counters.report()["by_request_id"] == {"a": 1}
+
+
+def test_a_slow_engine_is_waited_for(bench: Bench) -> None:
+    """The caller waits and sees the whole answer.
+
+    The engine needs longer for its first byte, and stalls longer in the middle, than a
+    silent connection is given. It still names the request as running each time.
+    """
+    engine = bench.engine(late_ms=2000.0)
+    entry = bench.entry(bench.agent(engine.url))
+    entry.send(dispatch_to(entry.beat(), "a", body=completion("a", tokens=400)))
+    entry.wait_for_bytes("a", 200)
+
+    engine.set_faults(stalled=True)
+    entry.received.clear()
+    for _ in range(8):
+        entry.wait_for(Running)
+        entry.received.clear()
+    engine.set_faults(stalled=False)
+
+    assert entry.end("a").outcome is Outcome.RAN
+    assert entry.body("a") == streamed_answer("a", 400)
+
+
+def test_a_crossed_answer_is_never_passed_on(bench: Bench) -> None:
+    """The caller is told unknown and sees no byte of another's answer.
+
+    The engine answers under the id of another request.
+    """
+    engine = bench.engine(crossed=True)
+    entry = bench.entry(bench.agent(engine.url))
+
+    entry.send(dispatch_to(entry.beat(), "a"))
+    end = entry.end("a")
+
+    assert (end.outcome, end.length) == (Outcome.UNKNOWN, 0)
+    assert end.detail == "answer of another request"
+    assert entry.body("a") == b""
+
+
+def test_a_server_out_of_reach_is_the_only_reason_to_say_unreachable(
+    bench: Bench,
+) -> None:
+    """The caller is told not-run, truly: no connection could be made.
+
+    With the server behind a relay that cuts each connection after accepting it, the
+    request may have gone out, so the caller is told unknown.
+    """
+    engine = bench.engine()
+    relay = bench.relay(engine.address)
+    relay.set_mode(Mode.CUT)
+    cut = bench.entry(bench.agent(relay.url))
+    cut.send(dispatch_to(cut.beat(), "cut"))
+    assert cut.end("cut").outcome is Outcome.UNKNOWN
+    relay.stop()
+
+    cut.send(dispatch_to(cut.beat(), "down"))
+
+    assert cut.not_run("down").reason is Refusal.SERVER_UNREACHABLE
+    assert not engine.counters.report()["by_request_id"]
+
+
+def test_entries_with_little_credit_slow_the_stream_and_lose_nothing(
+    bench: Bench,
+) -> None:
+    """The callers see whole answers, however slowly they read.
+
+    Two entries grant little credit and acknowledge nothing for a while. The agent sends
+    no more than the credit, buffers up to its limit, then reads the engine more slowly;
+    a third caller's stream goes on.
+    """
+    limits = AgentLimits(answers_bytes=40_000)
+    entry = bench.entry(bench.agent(bench.engine(step_ms=1.0).url, limits=limits))
+    other = bench.entry(entry, name="entry-2")
+    entry.acknowledging.clear()
+    body = completion("slow", tokens=1000)
+    for name in ("slow-1", "slow-2"):
+        entry.send(dispatch_to(entry.beat(), name, body=body, credit=500))
+    entry.wait_for_bytes("slow-1", 500)
+    entry.wait_for_bytes("slow-2", 500)
+
+    other.send(dispatch_to(other.beat(), "quick", body=completion("q", tokens=600)))
+    assert other.end("quick").outcome is Outcome.RAN
+    assert other.body("quick") == streamed_answer("q", 600)
+    assert len(entry.body("slow-1")) == len(entry.body("slow-2")) == 500
+    entry.acknowledging.set()
+    for name in ("slow-1", "slow-2"):
+        entry.send(Ack(name, 1, 500))
+
+    for name in ("slow-1", "slow-2"):
+        assert entry.end(name).outcome is Outcome.RAN
+        assert entry.body(name) == streamed_answer("slow", 1000)
+
+
+def test_an_answer_that_was_freed_is_never_taken_for_whole(bench: Bench) -> None:
+    """The caller that asks again is told that the bytes are gone.
+
+    The whole answer was acknowledged and freed. A resume from the start gets its true
+    outcome and length, and no bytes.
+    """
+    entry = bench.entry(bench.agent(bench.engine().url))
+    entry.send(dispatch_to(entry.beat(), "a"))
+    length = entry.end("a").length
+
+    late = bench.entry(entry, name="entry-2")
+    late.send(Resume("a", 1, 10, 1000, None))
+    end = late.end("a")
+
+    assert (end.outcome, end.length) == (Outcome.RAN, length)
+    assert end.detail == "the answer's bytes are no longer held"
+    assert late.body("a") == b""
+
+
+def test_a_claimed_answer_is_found_again_by_its_claim(bench: Bench) -> None:
+    """The caller that sends its request again, at another entry, gets the same answer.
+
+    The first caller left in the middle. What may not be repeated runs on, and its
+    answer is kept for whoever asks by the claim.
+    """
+    service = bench.service(delay_ms=400.0)
+    agent = bench.agent(service.url, adapter="service")
+    first, second = bench.entry(agent), bench.entry(agent, name="entry-2")
+    claim = ClaimRef("claim", 1)
+    first.send(dispatch_to(first.beat(), "a", claim=claim, path="/pickups"))
+    wait_until(
+        lambda: bool(service.counters.report()["by_request_id"]), "the call to start"
+    )
+
+    first.send(Cancel("a", 1))
+    second.send(Resume("b", 1, 0, 1000, "claim"))
+    again = second.end("b")
+    later = bench.entry(agent, name="entry-3")
+    later.send(dispatch_to(later.beat(), "c", claim=ClaimRef("claim", 2)))
+
+    assert again.outcome is Outcome.RAN
+    assert later.end("c").outcome is Outcome.RAN
+    assert later.body("c") == second.body("b") != b""
+    assert service.counters.report()["by_request_id"] == {"a": 1}
+
+
+def test_a_caller_that_left_frees_the_place_on_the_engine(bench: Bench) -> None:
+    """The next caller gets the place at once.
+
+    The engine says nothing for long, and the caller leaves meanwhile. The agent wakes
+    the thread that waits for the engine and cancels the work there.
+    """
+    engine = bench.engine(stalled=True)
+    limits = AgentLimits(concurrency=1, queue=0)
+    entry = bench.entry(bench.agent(engine.url, limits=limits))
+    entry.send(dispatch_to(entry.beat(), "left"))
+    wait_until(lambda: bool(engine.state()["running"]), "the engine to run it")
+
+    entry.send(Cancel("left", 1))
+    wait_until(lambda: not engine.state()["running"], "the engine to stop it")
+    entry.wait_for(Beat, lambda beat: beat.load.running == 0)
+    engine.set_faults(stalled=False)
+    entry.send(dispatch_to(entry.beat(), "next"))
+
+    assert entry.end("next").outcome is Outcome.RAN
+
+
+def test_a_leaving_agent_finishes_what_runs_and_takes_nothing_new(
+    bench: Bench,
+) -> None:
+    """The caller whose request runs sees it whole; new work is told not-run.
+
+    The agent is told to leave twice while one attempt runs and one waits. It says so at
+    once, refuses what only waits, finishes and delivers the running one, and is done.
+    """
+    engine = bench.engine()
+    limits = AgentLimits(concurrency=1)
+    agent = bench.agent(engine.url, limits=limits)
+    entry = bench.entry(agent)
+    beat = entry.beat()
+    entry.send(dispatch_to(beat, "runs", body=completion("runs", tokens=200)))
+    entry.send(dispatch_to(beat, "waits"))
+    entry.wait_for_bytes("runs", 1)
+
+    agent.leave()
+    leaving = entry.wait_for(Beat, lambda beat: beat.leaving)
+    agent.leave()
+    entry.send(dispatch_to(leaving, "new"))
+
+    assert entry.not_run("waits").reason is Refusal.LEAVING
+    assert entry.not_run("new").reason is Refusal.LEAVING
+    assert entry.end("runs").outcome is Outcome.RAN
+    assert entry.body("runs") == streamed_answer("runs", 200)
+    assert agent.wait_drained(10.0)
+    assert engine.counters.report()["by_request_id"] == {"runs": 1}
