--- a/src/kingcupwheel/console/commands/agent.py
+++ b/src/kingcupwheel/console/commands/agent.py
@@ -17,10 +17,26 @@
 from kingcupwheel.utils.logs import configure_logs
 
 
-_STOP_SIGNALS = {signal.SIGTERM, signal.SIGINT}
 _LOOK_AGAIN_S = 0.25
 
 
+class _StopSignals:
+    """Notes that a planned stop was asked for; a second signal changes nothing.
+
+    The handler only sets a flag: it may interrupt any step of the main thread, where
+    taking a lock could wait for ever. ``signal.sigtimedwait`` won't do, because after a
+    pause of the process (SIGSTOP, SIGCONT) it returns without a signal.
+    """
+
+    def __init__(self) -> None:
+        self.wanted = False
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._note)
+
+    def _note(self, *_: object) -> None:
+        self.wanted = True
+
+
 @click.command("agent")
 @click.option(
     "--settings",
@@ -42,11 +58,9 @@
     except (msgspec.MsgspecError, KingcupwheelError) as error:
         click.echo(f"{path}: {error}", err=True)
         sys.exit(ExitCode.INVALID)
-    # Blocked before any thread starts, so that signals wait for sigtimedwait below and
-    # a second one interrupts nothing.
-    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+    stop_signals = _StopSignals()
     daemon.start()
-    while not daemon.wait_drained(0.0):
-        if signal.sigtimedwait(_STOP_SIGNALS, _LOOK_AGAIN_S) is not None:
+    while not daemon.wait_drained(_LOOK_AGAIN_S):
+        if stop_signals.wanted:
             daemon.leave()
     daemon.stop()
--- /dev/null
+++ b/tests/agent/test_processes.py
@@ -0,0 +1,149 @@
+"""Failures that need a process to be killed, paused or told to stop."""
+
+from __future__ import annotations
+
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.messages.runs import Refusal
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.trace.events import EVENTS_DECODER
+from kingcupwheel.trace.events import ServerDied
+from tests.agent.builders import TIMINGS
+from tests.agent.builders import agent_settings
+from tests.agent.builders import completion
+from tests.agent.builders import dispatch_to
+from tests.agent.processes import AgentProcess
+from tests.agent.processes import StandInProcess
+from tests.standins.tokens import streamed_answer
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from tests.agent.conftest import Bench
+
+
+def test_a_server_killed_in_the_middle_is_told_as_unknown_and_counted_once(
+    bench: Bench,
+) -> None:
+    """The callers are told unknown at once, with less than the whole answer.
+
+    The engine is killed while two requests run. Both fingerprints ride on the
+    heartbeat with one death each; a new engine on the same port serves on, and its new
+    life is not taken for a second death.
+    """
+    engine = bench.process(StandInProcess("engine", "--step-ms", "20"))
+    entry = bench.entry(bench.agent(engine.url))
+    beat = entry.wait_for(Beat, lambda beat: beat.server_up)
+    for name in ("a", "b"):
+        entry.send(dispatch_to(beat, name, body=completion(name, tokens=1000)))
+        entry.wait_for_bytes(name, 200)
+
+    engine.kill()
+    for name in ("a", "b"):
+        assert entry.end(name).outcome is Outcome.UNKNOWN
+        assert streamed_answer(name, 1000).startswith(entry.body(name))
+    port = engine.address.rsplit(":", 1)[1]
+    bench.process(StandInProcess("engine", "--port", port))
+    entry.wait_for(Beat, lambda beat: not beat.server_up)
+    up = entry.wait_for(Beat, lambda beat: beat.server_up and bool(beat.crashed))
+    entry.send(dispatch_to(up, "c"))
+
+    assert entry.end("c").outcome is Outcome.RAN
+    expected = {("print of a", 1), ("print of b", 1)}
+    assert set(entry.beat().crashed) == expected
+
+
+def test_a_request_that_crashes_its_server_is_reported_with_those_beside_it(
+    bench: Bench,
+) -> None:
+    """The callers of both requests are told unknown, and the trace says why.
+
+    A marked request kills the engine while an innocent one runs there. The agent can't
+    tell them apart and reports both; a second death names only the guilty one again.
+    """
+    options = ("--step-ms", "20", "--crash-on", "poison")
+    engine = bench.process(StandInProcess("engine", *options))
+    port = engine.address.rsplit(":", 1)[1]
+    entry = bench.entry(bench.agent(engine.url))
+    beat = entry.wait_for(Beat, lambda beat: beat.server_up)
+    body = completion("innocent", tokens=1000)
+    entry.send(dispatch_to(beat, "innocent", body=body))
+    entry.wait_for_bytes("innocent", 100)
+
+    for name in ("guilty", "guilty again"):
+        poison = dispatch_to(
+            entry.wait_for(Beat, lambda beat: beat.server_up),
+            name,
+            body=completion("poison"),
+            fingerprint="guilty",
+        )
+        entry.send(poison)
+        assert entry.end(name).outcome is Outcome.UNKNOWN
+        bench.process(StandInProcess("engine", "--port", port, *options))
+    assert entry.end("innocent").outcome is Outcome.UNKNOWN
+    entry.send(TraceWanted("innocent"))
+    events = EVENTS_DECODER.decode(entry.wait_for(TraceFound).events)
+
+    told = dict(entry.beat().crashed)
+    assert told == {"guilty": 2, "print of innocent": 1}
+    assert ServerDied("agent-1", "print of innocent", 1) in [
+        event.event for event in events
+    ]
+
+
+@pytest.mark.parametrize("signals", [1, 2])
+def test_a_stopped_agent_delivers_what_runs_and_exits_with_0(
+    bench: Bench, tmp_path: Path, signals: int
+) -> None:
+    """The caller sees the whole answer; the process ends after it, with code 0.
+
+    SIGTERM comes in the middle of a stream, once or twice. New work is refused.
+    """
+    engine = bench.engine(step_ms=20.0)
+    agent = bench.process(AgentProcess(agent_settings(engine.url), tmp_path))
+    entry = bench.entry(agent)
+    beat = entry.beat()
+    entry.send(dispatch_to(beat, "a", body=completion("a", tokens=100)))
+    entry.wait_for_bytes("a", 200)
+
+    for _ in range(signals):
+        agent.signal(signal.SIGTERM)
+        leaving = entry.wait_for(Beat, lambda beat: beat.leaving)
+    entry.send(dispatch_to(leaving, "b"))
+
+    assert entry.not_run("b").reason is Refusal.LEAVING
+    assert entry.end("a").outcome is Outcome.RAN
+    assert entry.body("a") == streamed_answer("a", 100)
+    assert agent.exit_code() == 0
+
+
+def test_a_dispatch_that_lay_before_a_paused_agent_is_refused(
+    bench: Bench, tmp_path: Path
+) -> None:
+    """The caller is told not-run, truly, and its request never runs.
+
+    The agent is paused; a dispatch reaches its socket. The entry has long given it up
+    when the agent wakes, so the agent refuses what names its token of before.
+    """
+    engine = bench.engine()
+    agent = bench.process(AgentProcess(agent_settings(engine.url), tmp_path))
+    entry = bench.entry(agent)
+    beat = entry.beat()
+
+    agent.signal(signal.SIGSTOP)
+    entry.send(dispatch_to(beat, "a"))
+    time.sleep(TIMINGS.token_s + TIMINGS.heartbeat_s)
+    agent.signal(signal.SIGCONT)
+
+    assert entry.not_run("a").reason is Refusal.STALE_TOKEN
+    entry.send(dispatch_to(entry.beat(), "b"))
+    assert entry.end("b").outcome is Outcome.RAN
+    assert engine.counters.report()["by_request_id"] == {"b": 1}
