--- /dev/null
+++ b/src/kingcupwheel/claims/store.py
@@ -0,0 +1,117 @@
+"""Claims on the platform: made once, moved by conditional update, read back if unsure.
+
+A write can take effect while the answer confirming it is lost. Every write therefore
+carries a fresh nonce: whoever does not know whether its write took effect reads the
+claim and looks for its own nonce. Without that, an entry would see its own claim as
+somebody else's and wait for a run that nobody started.
+"""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.claims.exceptions import ClaimMoved
+from kingcupwheel.claims.exceptions import ClaimUnreachable
+from kingcupwheel.claims.records import ClaimRecord
+from kingcupwheel.claims.records import Held
+from kingcupwheel.claims.records import claim_key
+from kingcupwheel.platform.errors import Conflict
+from kingcupwheel.platform.errors import RateLimited
+from kingcupwheel.platform.errors import Rejected
+from kingcupwheel.platform.errors import Unavailable
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.claims.exceptions import ClaimError
+    from kingcupwheel.platform.client import PlatformClient
+    from kingcupwheel.platform.errors import PlatformError
+
+_DECODER = msgspec.json.Decoder(ClaimRecord)
+# How long a caller is asked to wait when the platform can't be reached: about as long
+# as a short outage, and well under the patience of a person at a counter.
+_RETRY_AFTER_S = 5.0
+
+
+def new_nonce() -> str:
+    """Return a name for one write."""
+    return secrets.token_hex(8)
+
+
+class ClaimStore:
+    """Makes, moves and reads claims; safe from any thread."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    def make(self, claim_id: str, record: ClaimRecord) -> Result[Held, ClaimError]:
+        """Create the claim; ``ClaimMoved`` if it exists and is not this write's."""
+        written = self._client.create(claim_key(claim_id), _encode(record))
+        return self._settle(claim_id, record, written)
+
+    def move(self, held: Held, record: ClaimRecord) -> Result[Held, ClaimError]:
+        """Replace the claim held; ``ClaimMoved`` if somebody else changed it."""
+        key = claim_key(held.claim_id)
+        written = self._client.update(key, _encode(record), version=held.version)
+        return self._settle(held.claim_id, record, written)
+
+    def read(self, claim_id: str) -> Result[Held | None, ClaimUnreachable]:
+        """Return the claim, or None if there is none."""
+        found = self._client.read(claim_key(claim_id))
+        if found.is_error():
+            return Error(_unreachable(found.error))
+        if found.ok is None:
+            return Ok(None)
+        try:
+            record = _DECODER.decode(found.ok.value)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return Error(ClaimUnreachable(f"unreadable claim: {error}", _RETRY_AFTER_S))
+        return Ok(Held(claim_id, found.ok.version, record))
+
+    def _settle(
+        self,
+        claim_id: str,
+        record: ClaimRecord,
+        written: Result[int, PlatformError],
+    ) -> Result[Held, ClaimError]:
+        if written.is_ok():
+            return Ok(Held(claim_id, written.ok, record))
+        match written.error:
+            case Conflict() | Unavailable(sent=True):
+                return self._read_back(claim_id, record)
+            case error:
+                return Error(_unreachable(error))
+
+    def _read_back(
+        self, claim_id: str, record: ClaimRecord
+    ) -> Result[Held, ClaimError]:
+        found = self.read(claim_id)
+        if found.is_error():
+            return Error(found.error)
+        if found.ok is not None and found.ok.record.nonce == record.nonce:
+            return Ok(found.ok)
+        if found.ok is None:
+            # A stale read, or the write is still on its way: it can't be told apart.
+            return Error(ClaimUnreachable("claim not confirmed", _RETRY_AFTER_S))
+        return Error(ClaimMoved(claim_id))
+
+
+def _encode(record: ClaimRecord) -> bytes:
+    return msgspec.json.encode(record)
+
+
+def _unreachable(error: PlatformError) -> ClaimUnreachable:
+    match error:
+        case Unavailable(detail, _):
+            return ClaimUnreachable(detail, _RETRY_AFTER_S)
+        case RateLimited(retry_after_s):
+            return ClaimUnreachable("platform asks for fewer calls", retry_after_s)
+        case Rejected(status, detail):
+            return ClaimUnreachable(f"platform says {status}: {detail}", _RETRY_AFTER_S)
+        case Conflict(_, version):
+            return ClaimUnreachable(f"claim at version {version}", _RETRY_AFTER_S)
--- /dev/null
+++ b/src/kingcupwheel/entry/answering.py
@@ -0,0 +1,200 @@
+"""Passes an answer on to the caller, whole or visibly cut."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from kingcupwheel.entry.answers import StreamedAnswer
+from kingcupwheel.entry.answers import WholeAnswer
+from kingcupwheel.entry.exceptions import AnswerCutError
+from kingcupwheel.entry.following import Chunk
+from kingcupwheel.entry.following import Ended
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.trace.events import CallerLeft
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import FirstByte
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from kingcupwheel.entry.answers import Answer
+    from kingcupwheel.entry.attempting import Plan
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.dispatching import Place
+    from kingcupwheel.entry.following import HeadKnown
+    from kingcupwheel.entry.reading import AnswerReader
+    from kingcupwheel.entry.watching import CallerWatch
+
+# An unstreamed answer up to this size is read to its end first, so that its head can
+# tell the outcome; a larger one is passed on as it comes, to bound the entry's memory.
+WHOLE_ANSWER_BYTES = 256 * 1024
+# How long one wait for the next bytes lasts before the caller is looked at again. There
+# is no limit on the whole: an agent that says ``Running`` is alive, however slow.
+_WAIT_S = 1.0
+_EVENT_STREAM = "text/event-stream"
+_DEFAULT_BYTES_PER_TOKEN = 4.0
+
+
+class Answering:
+    """The second half of a request: its answer's head is known.
+
+    ``end`` frees the place and the inbox; it is called exactly once.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        plan: Plan,
+        reader: AnswerReader,
+        watch: CallerWatch,
+        place: Place | None,
+        end: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._plan = plan
+        self._reader = reader
+        self._watch = watch
+        self._place = place
+        self._end = end
+        self._status = 0
+        self._first_byte_s: float | None = None
+        self._gaps_s: list[float] = []
+        self._last_chunk_at = 0.0
+
+    def pass_on(self, head: HeadKnown) -> Answer:
+        """Return the answer: whole if it is short and unstreamed, else as a stream."""
+        self._status = head.status
+        if _is_event_stream(head) or self._plan.request.streamed:
+            body = self._event_stream(_is_event_stream(head))
+            return StreamedAnswer(head.status, head.headers, body)
+        return self._read_whole(head)
+
+    def _read_whole(self, head: HeadKnown) -> Answer:
+        parts: list[bytes] = []
+        while self._reader.offset <= WHOLE_ANSWER_BYTES:
+            match self._next():
+                case Chunk(data):
+                    parts.append(data)
+                case Ended() as ended:
+                    self._finish(ended)
+                    body = b"".join(parts)
+                    return self._whole(head, body, ended)
+                case None:
+                    return self._caller_left(head)
+        body_stream = self._plain_stream(tuple(parts))
+        return StreamedAnswer(head.status, head.headers, body_stream)
+
+    def _whole(self, head: HeadKnown, body: bytes, ended: Ended) -> Answer:
+        if ended.outcome is Outcome.RAN:
+            return WholeAnswer(head.status, head.headers, body, ended.outcome)
+        message = f"The answer was cut short: {ended.detail}.".encode()
+        return WholeAnswer(502, (), message, ended.outcome)
+
+    def _caller_left(self, head: HeadKnown) -> Answer:
+        return WholeAnswer(head.status, (), b"", Outcome.UNKNOWN)
+
+    def _event_stream(self, with_outcome: bool) -> Iterator[bytes]:
+        try:
+            while True:
+                match self._next():
+                    case Chunk(data):
+                        yield data
+                    case Ended() as ended:
+                        self._finish(ended)
+                        if with_outcome:
+                            yield self._outcome_event(ended)
+                        self._raise_if_cut(ended)
+                        return
+                    case None:
+                        return
+        except GeneratorExit:
+            self._left()
+            raise
+
+    def _plain_stream(self, parts: tuple[bytes, ...]) -> Iterator[bytes]:
+        yield from parts
+        yield from self._event_stream(False)
+
+    def _raise_if_cut(self, ended: Ended) -> None:
+        if ended.outcome is not Outcome.RAN:
+            raise AnswerCutError(ended.detail)
+
+    def _outcome_event(self, ended: Ended) -> bytes:
+        told = {
+            "request_id": self._plan.request.request_id,
+            "outcome": ended.outcome.value,
+            "reason": ended.detail,
+        }
+        return b"event: kingcupwheel\ndata: " + msgspec.json.encode(told) + b"\n\n"
+
+    def _next(self) -> Chunk | Ended | None:
+        """Return the next bytes or the end; None once the caller has left."""
+        while True:
+            step = self._reader.next(_WAIT_S)
+            match step:
+                case Chunk():
+                    self._time_chunk()
+                    return step
+                case Ended():
+                    return step
+            if self._watch.gone():
+                self._left()
+                return None
+
+    def _time_chunk(self) -> None:
+        now = monotonic()
+        if self._first_byte_s is None:
+            self._first_byte_s = now - self._plan.request.received_at
+            self._record(FirstByte(self._reader.server, self._reader.inbox.key.attempt))
+        else:
+            self._gaps_s.append(now - self._last_chunk_at)
+        self._last_chunk_at = now
+
+    def _left(self) -> None:
+        """Cancel what the caller left behind, unless it may not be repeated."""
+        if self._plan.request.route.repeatable:
+            self._reader.cancel()
+        self._record(CallerLeft(self._reader.offset))
+        self._finish(Ended(Outcome.UNKNOWN, "the caller left"))
+
+    def _finish(self, ended: Ended) -> None:
+        request = self._plan.request
+        self._end()
+        self._judge_server(ended)
+        length = self._reader.offset
+        self._record(
+            Finished(ended.outcome.value, self._status, length, ended.detail or "whole")
+        )
+        tokens = len(self._gaps_s) + 1 if request.streamed else 0
+        tokens = tokens or int(length / _DEFAULT_BYTES_PER_TOKEN)
+        self._context.limits.finish(request, self._plan.work, float(tokens))
+        self._context.observer.answered(
+            request,
+            server=self._reader.server,
+            outcome=ended.outcome,
+            status=self._status,
+            first_byte_s=self._first_byte_s,
+            gaps_s=self._gaps_s,
+        )
+
+    def _judge_server(self, ended: Ended) -> None:
+        if self._place is None:
+            return
+        dispatcher = self._context.dispatchers.of(self._plan.request.group)
+        if ended.outcome is Outcome.RAN and self._first_byte_s is not None:
+            dispatcher.succeeded(self._place, self._first_byte_s)
+
+    def _record(self, event: FirstByte | CallerLeft | Finished) -> None:
+        self._context.recorder.record(self._plan.request.request_id, event)
+
+
+def _is_event_stream(head: HeadKnown) -> bool:
+    return any(
+        name.lower() == "content-type" and value.startswith(_EVENT_STREAM)
+        for name, value in head.headers
+    )
--- /dev/null
+++ b/src/kingcupwheel/entry/attempting.py
@@ -0,0 +1,176 @@
+"""Starts attempts: waits for a place, dispatches once, opens the inbox first."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.decisions.candidates import Ask
+from kingcupwheel.entry.dispatching import Place
+from kingcupwheel.entry.dispatching import Ticket
+from kingcupwheel.entry.dispatching import TimedOut
+from kingcupwheel.entry.inbox import AttemptKey
+from kingcupwheel.entry.reading import CREDIT_BYTES
+from kingcupwheel.entry.reading import AnswerReader
+from kingcupwheel.entry.refusals import Refusal
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.runs import ClaimRef
+from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.trace.events import Alternative
+from kingcupwheel.trace.events import Dispatched
+from kingcupwheel.trace.events import Placed
+from kingcupwheel.trace.events import Queued
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.claims.records import Held
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.entry.watching import CallerWatch
+
+# How often a waiting thread looks whether its caller is still there.
+CALLER_CHECK_S = 0.5
+
+
+class Plan(NamedTuple):
+    """What is known of a request before it is placed.
+
+    ``work`` is predicted work in tokens; ``suspect`` tells that it ran where a server
+    died.
+    """
+
+    request: CallerRequest
+    work: float
+    suspect: bool
+
+
+class Attempts:
+    """Starts the attempts of one request; belongs to one thread."""
+
+    def __init__(self, context: EntryContext, plan: Plan, watch: CallerWatch) -> None:
+        self._context = context
+        self._plan = plan
+        self._watch = watch
+        self._count = 0
+        self._avoid: frozenset[str] = frozenset()
+
+    @property
+    def count(self) -> int:
+        """Attempts placed so far."""
+        return self._count
+
+    def avoid(self, server: str) -> None:
+        """Don't place a further attempt on ``server``."""
+        self._avoid |= {server}
+
+    def place(self) -> Place | Refusal:
+        """Wait for a place; raises CallerGoneError if the caller leaves meanwhile."""
+        request = self._plan.request
+        ask = Ask(
+            prefix_key=request.prefix_key,
+            work=self._plan.work,
+            avoid=self._avoid,
+            suspect=self._plan.suspect,
+            data_centre=self._context.settings.data_centre,
+            repeatable=request.route.repeatable,
+        )
+        dispatcher = self._context.dispatchers.of(request.group)
+        ticket = dispatcher.submit(request, self._plan.work, ask)
+        if not isinstance(ticket, Ticket):
+            return Refusal(503, ticket.limit, ticket.detail, ticket.retry_after_s)
+        place = ticket.wait(0)
+        if place is None:
+            self._record(Queued(ticket.waiting_ahead))
+            place = self._wait(ticket)
+        if isinstance(place, TimedOut):
+            return _timed_out(place, self._context.limits.retry_after(request))
+        self._count += 1
+        self._record_place(place)
+        return place
+
+    def _wait(self, ticket: Ticket) -> Place | TimedOut:
+        dispatcher = self._context.dispatchers.of(self._plan.request.group)
+        while True:
+            place = ticket.wait(CALLER_CHECK_S)
+            if place is not None:
+                return place
+            if self._watch.gone():
+                dispatcher.withdraw(ticket)
+                self._watch.raise_gone()
+            dispatcher.pump()
+
+    def _record_place(self, place: Place) -> None:
+        decision = place.decision
+        alternatives = tuple(Alternative(*pair) for pair in decision.alternatives)
+        event = Placed(
+            place.server, self._count, place.waited_s, decision.why, alternatives
+        )
+        self._record(event)
+
+    def release(self, place: Place) -> None:
+        """Give a place back that was not used, or whose attempt has ended."""
+        self._context.dispatchers.of(self._plan.request.group).release(place)
+
+    def failed(self, place: Place) -> None:
+        """Count an attempt that failed through its server."""
+        self._context.dispatchers.of(self._plan.request.group).failed(place)
+
+    def dispatch(self, place: Place, held: Held | None) -> AnswerReader:
+        """Send the request to the agent of ``place``, exactly once.
+
+        After a link was replaced only ``Resume`` is sent: a second copy of a dispatch
+        would make ``wrong incarnation`` an unsafe ground for ``not-run``.
+        """
+        context = self._context
+        request = self._plan.request
+        key = AttemptKey(request.request_id, self._count)
+        inbox = context.inboxes.open(key, place.address, place.incarnation)
+        assert inbox is not None, "attempt numbers are not reused"
+        claim = None if held is None else ClaimRef(held.claim_id, held.record.fence)
+        message = _dispatch_of(self._plan, key, place, claim)
+        context.hub.send(Outgoing(place.address, 0), message)
+        self._record(Dispatched(place.server, self._count))
+        return AnswerReader(
+            inbox,
+            context.hub,
+            context.recorder,
+            traced_as=request.request_id,
+            server=place.server,
+            claim_id=None if held is None else held.claim_id,
+        )
+
+    def _record(self, event: Queued | Placed | Dispatched) -> None:
+        self._context.recorder.record(self._plan.request.request_id, event)
+
+
+def _timed_out(timed_out: TimedOut, retry_after_s: float) -> Refusal:
+    message = f"No server could take it before its deadline: {timed_out.why}."
+    return Refusal(503, "deadline", message, retry_after_s)
+
+
+def _dispatch_of(
+    plan: Plan, key: AttemptKey, place: Place, claim: ClaimRef | None
+) -> Dispatch:
+    request = plan.request
+    return Dispatch(
+        request_id=key.request_id,
+        attempt=key.attempt,
+        incarnation=place.incarnation,
+        token=place.token,
+        claim=claim,
+        organisation=request.organisation.name,
+        fingerprint=request.fingerprint,
+        priority=request.organisation.priority,
+        streamed=request.streamed,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        work=plan.work,
+        deadline_s=max(0.0, request.deadline_at - monotonic()),
+        credit=CREDIT_BYTES,
+        manifest_version=request.manifest_version,
+        repeatable=request.route.repeatable,
+        suspect=plan.suspect,
+    )
--- /dev/null
+++ b/src/kingcupwheel/entry/callers.py
@@ -0,0 +1,107 @@
+"""Pages of the entry's own for callers: discovery and what became of a request."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+from typing import TypedDict
+
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import Received
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.membership import Membership
+    from kingcupwheel.manifest.schema import Organisation
+    from kingcupwheel.trace.events import TraceEvent
+    from kingcupwheel.trace.recorder import Recorder
+
+_ENTRIES_PATH = "/kingcupwheel/v1/entries"
+_REQUESTS_PATH = "/kingcupwheel/v1/requests/"
+
+
+class Page(NamedTuple):
+    """A status and a body to be sent as JSON."""
+
+    status: int
+    body: Any
+
+
+class EntriesBody(TypedDict):
+    """Which addresses to use, and for how many seconds to keep them."""
+
+    entries: list[str]
+    keep_s: float
+
+
+class RequestBody(TypedDict):
+    """What became of a request; ``outcome`` is None while it is in progress."""
+
+    request_id: str
+    outcome: str | None
+    status: int | None
+    reason: str
+    story: list[str]
+
+
+class CallerPages:
+    """Answers an organisation's questions about itself."""
+
+    def __init__(
+        self, recorder: Recorder, membership: Membership, *, keep_s: float
+    ) -> None:
+        self._recorder = recorder
+        self._membership = membership
+        self._keep_s = keep_s
+
+    def answer(self, method: str, path: str, organisation: Organisation) -> Page:
+        """Return the page at ``path``, which begins with the entry's own prefix."""
+        if method != "GET":
+            return _error(405, "bad-method", "These pages are only read.")
+        if path == _ENTRIES_PATH:
+            return self._entries(organisation)
+        if path.startswith(_REQUESTS_PATH):
+            return self._request(path[len(_REQUESTS_PATH) :], organisation)
+        return _error(404, "no-page", "There is no such page.")
+
+    def _entries(self, organisation: Organisation) -> Page:
+        addresses = self._membership.entries_for(organisation, monotonic())
+        entries = [f"http://{address}" for address in addresses]
+        return Page(200, EntriesBody(entries=entries, keep_s=self._keep_s))
+
+    def _request(self, request_id: str, organisation: Organisation) -> Page:
+        # A caller learns nothing of other organisations' requests, not even whether an
+        # id exists.
+        events = self._recorder.events(request_id)
+        if not _belongs(events, organisation):
+            return _error(404, "no-request", "This entry knows no such request.")
+        return Page(200, _body(request_id, events))
+
+
+def _belongs(events: tuple[TraceEvent, ...], organisation: Organisation) -> bool:
+    return any(
+        isinstance(one.event, Received) and one.event.organisation == organisation.name
+        for one in events
+    )
+
+
+def _body(request_id: str, events: tuple[TraceEvent, ...]) -> RequestBody:
+    body = RequestBody(
+        request_id=request_id,
+        outcome=None,
+        status=None,
+        reason="in progress",
+        story=[type(one.event).__name__ for one in events],
+    )
+    for one in events:
+        if isinstance(one.event, Finished):
+            body["outcome"] = one.event.outcome
+            body["status"] = one.event.status
+            body["reason"] = one.event.reason
+    return body
+
+
+def _error(status: int, reason: str, message: str) -> Page:
+    return Page(status, {"error": {"reason": reason, "message": message}})
--- /dev/null
+++ b/src/kingcupwheel/entry/context.py
@@ -0,0 +1,35 @@
+"""What request threads share: the parts of one entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from threading import Event
+
+    from kingcupwheel.claims.store import ClaimStore
+    from kingcupwheel.entry.dispatchers import Dispatchers
+    from kingcupwheel.entry.inbox import Inboxes
+    from kingcupwheel.entry.limits import Limits
+    from kingcupwheel.entry.observing import Observer
+    from kingcupwheel.entry.servers import ServerTable
+    from kingcupwheel.link.hub import Hub
+    from kingcupwheel.settings.schema import Settings
+    from kingcupwheel.trace.recorder import Recorder
+
+
+class EntryContext(NamedTuple):
+    """The shared parts; each is safe from any thread."""
+
+    settings: Settings
+    hub: Hub
+    servers: ServerTable
+    inboxes: Inboxes
+    dispatchers: Dispatchers
+    limits: Limits
+    claims: ClaimStore
+    recorder: Recorder
+    observer: Observer
+    leaving: Event
--- /dev/null
+++ b/src/kingcupwheel/entry/daemon.py
@@ -0,0 +1,144 @@
+"""The entry daemon: puts the parts together, starts them and stops them gracefully."""
+
+from __future__ import annotations
+
+import logging
+from threading import Event
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.claims.store import ClaimStore
+from kingcupwheel.entry.application import Application
+from kingcupwheel.entry.callers import CallerPages
+from kingcupwheel.entry.context import EntryContext
+from kingcupwheel.entry.dispatchers import Dispatchers
+from kingcupwheel.entry.gateway import SPARE_THREADS
+from kingcupwheel.entry.gateway import HttpServer
+from kingcupwheel.entry.handling import Handler
+from kingcupwheel.entry.inbox import Inboxes
+from kingcupwheel.entry.limits import Limits
+from kingcupwheel.entry.membership import Membership
+from kingcupwheel.entry.observing import NoObserver
+from kingcupwheel.entry.peers import PeerFetcher
+from kingcupwheel.entry.servers import ServerTable
+from kingcupwheel.link.hub import Hub
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.manifest.keeper import ManifestKeeper
+from kingcupwheel.messages.membership import InstancesWanted
+from kingcupwheel.plugins.kernel import load_builtin
+from kingcupwheel.plugins.kernel import platform_clients
+from kingcupwheel.trace.recorder import Recorder
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.manifest.inforce import InForce
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.settings.schema import Settings
+
+logger = logging.getLogger("kingcupwheel.entry")
+
+# How often a stopping entry looks whether the requests in progress have ended.
+_DRAIN_CHECK_S = 0.1
+
+
+class EntryDaemon:
+    """One entry; ``start`` returns once callers are served."""
+
+    def __init__(self, settings: Settings) -> None:
+        load_builtin()
+        self._settings = settings
+        self._leaving = Event()
+        client = platform_clients.get(settings.platform.client)(settings.platform)
+        self._recorder = Recorder(settings.name, limit=settings.entry.traces)
+        self._hub = Hub(
+            listen=settings.listen, on_message=self._on_message, on_tick=self._on_tick
+        )
+        servers = ServerTable(settings.timings)
+        self._context = EntryContext(
+            settings=settings,
+            hub=self._hub,
+            servers=servers,
+            inboxes=Inboxes(),
+            dispatchers=Dispatchers(servers, data_centre=settings.data_centre),
+            limits=Limits(lambda one: self._membership.share_of(one, monotonic())),
+            claims=ClaimStore(client),
+            recorder=self._recorder,
+            observer=NoObserver(),
+            leaving=self._leaving,
+        )
+        fetcher = PeerFetcher(self._hub)
+        self._keeper = ManifestKeeper(
+            client,
+            fetch_from_peer=fetcher.fetch,
+            on_change=self._on_manifest,
+            watch_s=settings.timings.watch_s,
+        )
+        self._membership = Membership(
+            settings, client, servers, self._hub, ask_seeds=self._ask_seeds
+        )
+        self._handler = Handler(self._context, self._membership, self._keeper, fetcher)
+        # Callers keep an answer for less than a leaving entry goes on accepting.
+        pages = CallerPages(
+            self._recorder, self._membership, keep_s=settings.timings.leave_s / 2
+        )
+        self._application = Application(
+            self._context, lambda: self._keeper.current, pages
+        )
+        self._http = HttpServer(
+            self._application,
+            listen=settings.http,
+            threads=settings.entry.threads + SPARE_THREADS,
+            name=settings.name,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port for callers."""
+        return self._http.port
+
+    def start(self) -> None:
+        """Bind, then start every part."""
+        self._http.bind()
+        self._hub.start()
+        self._keeper.start()
+        self._membership.start()
+        self._http.start()
+        logger.info("Serving callers on port %d.", self.port)
+
+    def stop(self) -> None:
+        """Stop gracefully: refuse new work after a while, finish what is in progress.
+
+        Nothing bounds the wait for requests in progress; their own progress does.
+        """
+        self._leaving.set()
+        self._handler.say_leaving()
+        logger.info("Leaving; %d in progress.", self._application.in_progress)
+        self._wait_for_callers()
+        self._application.refuse_new()
+        while self._application.in_progress:
+            Event().wait(_DRAIN_CHECK_S)
+        self._http.stop()
+        self._membership.stop()
+        self._keeper.stop()
+        self._hub.stop()
+        logger.info("Stopped.")
+
+    def _wait_for_callers(self) -> None:
+        # Callers keep addresses for a while; until they have asked again, a refusal
+        # here would cost them a retry for nothing.
+        Event().wait(self._settings.timings.leave_s)
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        self._handler.on_message(link, message)
+
+    def _on_tick(self, now: float) -> None:
+        self._handler.on_tick(now)
+
+    def _on_manifest(self, in_force: InForce) -> None:
+        logger.info("Manifest version %d is in force.", in_force.version)
+        self._context.limits.renew_shares()
+
+    def _ask_seeds(self) -> None:
+        for address in self._settings.seeds:
+            self._hub.send(Outgoing(address, 0), InstancesWanted(self._settings.name))
--- /dev/null
+++ b/src/kingcupwheel/entry/dispatchers.py
@@ -0,0 +1,68 @@
+"""The dispatchers of all groups, made when a group is first used."""
+
+from __future__ import annotations
+
+from threading import Lock
+from typing import TYPE_CHECKING
+
+from kingcupwheel.entry.dispatching import GroupDispatcher
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.servers import ServerTable
+    from kingcupwheel.manifest.schema import ServerGroup
+
+
+class Dispatchers:
+    """One dispatcher for each definition of a group.
+
+    Requests admitted under an earlier manifest finish with the group as it was then; a
+    definition that nobody waits for any more is forgotten when another one arrives.
+    """
+
+    def __init__(self, servers: ServerTable, *, data_centre: str) -> None:
+        self._servers = servers
+        self._data_centre = data_centre
+        self._by_group: dict[ServerGroup, GroupDispatcher] = {}
+        self._lock = Lock()
+
+    def of(self, group: ServerGroup) -> GroupDispatcher:
+        """Return the dispatcher for ``group`` as its request was admitted under."""
+        with self._lock:
+            known = self._by_group.get(group)
+            if known is None:
+                self._forget_idle(group.name)
+                known = GroupDispatcher(
+                    group, self._servers, data_centre=self._data_centre
+                )
+                self._by_group[group] = known
+        return known
+
+    def _forget_idle(self, name: str) -> None:
+        idle = [
+            group
+            for group, dispatcher in self._by_group.items()
+            if group.name == name and dispatcher.waiting == 0
+        ]
+        for group in idle:
+            del self._by_group[group]
+
+    def pump(self, name: str) -> None:
+        """Place what can be placed in the group; called when a heartbeat came."""
+        for group, dispatcher in tuple(self._by_group.items()):
+            if group.name == name:
+                dispatcher.pump()
+
+    def restarted(self, name: str, server: str) -> None:
+        """Forget the failures of an earlier life of the group's ``server``."""
+        for group, dispatcher in tuple(self._by_group.items()):
+            if group.name == name:
+                dispatcher.restarted(server)
+
+    @property
+    def waiting_by_group(self) -> dict[str, int]:
+        """How many requests wait in each group."""
+        waiting: dict[str, int] = {}
+        for group, dispatcher in tuple(self._by_group.items()):
+            waiting[group.name] = waiting.get(group.name, 0) + dispatcher.waiting
+        return waiting
--- /dev/null
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -0,0 +1,285 @@
+"""Gives waiting requests to servers: the queue and the placement of each group.
+
+The decisions themselves are pure and live in ``decisions``; this module feeds them with
+what is known and carries out what they say, under one lock for each group.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import replace
+from queue import Empty
+from queue import SimpleQueue
+from random import Random
+from threading import Lock
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.decisions.admission import Refuse
+from kingcupwheel.decisions.candidates import Candidate
+from kingcupwheel.decisions.candidates import NoPlace
+from kingcupwheel.decisions.candidates import Placed
+from kingcupwheel.decisions.group_health import GroupHealth
+from kingcupwheel.decisions.group_health import ServerLoad
+from kingcupwheel.decisions.health import ServerState
+from kingcupwheel.decisions.queueing import FairQueue
+from kingcupwheel.decisions.queueing import Queued
+from kingcupwheel.decisions.queueing import Waiting
+from kingcupwheel.plugins.kernel import placement_policies
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.decisions.candidates import Ask
+    from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.entry.servers import Server
+    from kingcupwheel.entry.servers import ServerTable
+    from kingcupwheel.manifest.schema import ServerGroup
+
+# Waiting requests that only some servers may take (retries, suspects) are tried apart
+# from the queue, so that they don't hold up the rest; they are rare, so few suffice.
+_MAX_ASIDE = 32
+
+
+class Place(NamedTuple):
+    """A server to dispatch to, as of its latest heartbeat."""
+
+    server: str
+    address: str
+    incarnation: str
+    token: int
+    decision: Placed
+    waited_s: float
+    work: float
+    suspect: bool
+
+
+class TimedOut(NamedTuple):
+    """The deadline passed while waiting; ``why`` is what stood in the way last."""
+
+    why: str
+
+
+class Ticket:
+    """A request's wait for a place."""
+
+    def __init__(self, waiting: Waiting, ask: Ask) -> None:
+        self.waiting = waiting
+        self.ask = ask
+        self.last_hindrance = "no server is known"
+        self.waiting_ahead = 0
+        self._places: SimpleQueue[Place | TimedOut] = SimpleQueue()
+
+    def give(self, place: Place | TimedOut) -> None:
+        """End the wait."""
+        self._places.put(place)
+
+    def wait(self, timeout_s: float) -> Place | TimedOut | None:
+        """Return the end of the wait, or None after ``timeout_s`` seconds."""
+        try:
+            return self._places.get(timeout=max(0.0, timeout_s))
+        except Empty:
+            return None
+
+
+class GroupDispatcher:
+    """The queue of one server group; safe from any thread."""
+
+    def __init__(
+        self, group: ServerGroup, servers: ServerTable, *, data_centre: str
+    ) -> None:
+        self._group = group
+        self._servers = servers
+        self._data_centre = data_centre
+        self._policy = placement_policies.get(group.placement)()
+        self._queue = FairQueue(limit=group.queue)
+        self._health = GroupHealth()
+        self._tickets_by_request_id: dict[str, Ticket] = {}
+        self._held: Ticket | None = None
+        self._aside: deque[Ticket] = deque()
+        self._draw = Random(group.name)
+        self._lock = Lock()
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._tickets_by_request_id)
+
+    def submit(self, request: CallerRequest, work: float, ask: Ask) -> Ticket | Refuse:
+        """Queue the request, then place what can be placed."""
+        now = monotonic()
+        waiting = Waiting(
+            request_id=request.request_id,
+            organisation=request.organisation.name,
+            priority=request.organisation.priority,
+            work=work,
+            deadline_at=request.deadline_at,
+            queued_at=now,
+        )
+        ticket = Ticket(waiting, ask)
+        with self._lock:
+            refused = self._enqueue(ticket, now)
+            if refused is not None:
+                return refused
+            self._tickets_by_request_id[request.request_id] = ticket
+            self._pump(now)
+        return ticket
+
+    def _enqueue(self, ticket: Ticket, now: float) -> Refuse | None:
+        if ticket.ask.suspect or ticket.ask.avoid:
+            if len(self._aside) >= _MAX_ASIDE:
+                return Refuse("retries-full", "Too many retries wait.", 1.0)
+            self._aside.append(ticket)
+            return None
+        match self._queue.push(ticket.waiting, now):
+            case Queued(ahead):
+                ticket.waiting_ahead = ahead
+                return None
+            case Refuse() as refused:
+                return refused
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Forget a ticket whose caller left; a place already given is returned."""
+        with self._lock:
+            self._forget(ticket)
+        place = ticket.wait(0)
+        if isinstance(place, Place):
+            self.release(place)
+
+    def _forget(self, ticket: Ticket) -> None:
+        request_id = ticket.waiting.request_id
+        if self._tickets_by_request_id.get(request_id) is ticket:
+            del self._tickets_by_request_id[request_id]
+        self._queue.remove(request_id)
+        if self._held is ticket:
+            self._held = None
+        if ticket in self._aside:
+            self._aside.remove(ticket)
+
+    def release(self, place: Place) -> None:
+        """Give the place back and let the next request have it."""
+        with self._servers.lock:
+            server = self._servers.by_address(place.address)
+            if server is not None:
+                server.in_flight = max(0, server.in_flight - 1)
+                server.suspects = max(0, server.suspects - place.suspect)
+        self.pump()
+
+    def succeeded(self, place: Place, latency_s: float) -> None:
+        """Count a whole answer whose first byte took ``latency_s`` seconds."""
+        with self._lock:
+            self._health.of(place.server).succeeded(latency_s, monotonic())
+
+    def failed(self, place: Place) -> None:
+        """Count an attempt that failed through its server."""
+        with self._lock:
+            self._health.of(place.server).failed(monotonic())
+
+    def restarted(self, server: str) -> None:
+        """Forget the failures of a server's earlier life."""
+        with self._lock:
+            self._health.restarted(server)
+
+    def pump(self) -> None:
+        """Place what can be placed; called whenever a place may have come free."""
+        with self._lock:
+            self._pump(monotonic())
+
+    def _pump(self, now: float) -> None:
+        self._expire(now)
+        for _ in range(len(self._aside)):
+            ticket = self._aside.popleft()
+            if not self._place(ticket, now):
+                self._aside.append(ticket)
+        while (waiting := self._next(now)) is not None:
+            if not self._place(waiting, now):
+                self._held = waiting
+                return
+
+    def _next(self, now: float) -> Ticket | None:
+        if self._held is not None:
+            held, self._held = self._held, None
+            return held
+        while (waiting := self._queue.pop(now)) is not None:
+            ticket = self._tickets_by_request_id.get(waiting.request_id)
+            if ticket is not None:
+                return ticket
+        return None
+
+    def _expire(self, now: float) -> None:
+        self._queue.expired(now)
+        late = [
+            ticket
+            for ticket in self._tickets_by_request_id.values()
+            if ticket.waiting.deadline_at <= now
+        ]
+        for ticket in late:
+            self._forget(ticket)
+            ticket.give(TimedOut(ticket.last_hindrance))
+
+    def _place(self, ticket: Ticket, now: float) -> bool:
+        with self._servers.lock:
+            servers = {
+                server.name: server
+                for server in self._servers.of_group(self._group.name)
+                if server.beat is not None
+            }
+            decision = self._policy.place(
+                self._candidates(servers, now), ticket.ask, now, self._draw
+            )
+            match decision:
+                case NoPlace(reason):
+                    ticket.last_hindrance = reason
+                    return False
+                case Placed(server=name):
+                    place = _take(servers[name], decision, ticket, now)
+        del self._tickets_by_request_id[ticket.waiting.request_id]
+        ticket.give(place)
+        return True
+
+    def _candidates(self, servers: dict[str, Server], now: float) -> list[Candidate]:
+        concurrency = self._group.concurrency
+        plain = [_candidate(server, concurrency, now) for server in servers.values()]
+        loads = [ServerLoad(one.name, one.held, one.capacity) for one in plain]
+        state_by_name = self._health.states(loads, now)
+        for name, server in servers.items():
+            if not server.in_service:
+                state_by_name[name] = ServerState.LEAVING
+        return [replace(one, state=state_by_name[one.name]) for one in plain]
+
+
+def _take(server: Server, decision: Placed, ticket: Ticket, now: float) -> Place:
+    beat = server.known_beat
+    server.in_flight += 1
+    server.suspects += ticket.ask.suspect
+    server.sent_since_beat += 1
+    server.work_since_beat += ticket.waiting.work
+    return Place(
+        server=server.name,
+        address=server.instance.address,
+        incarnation=beat.incarnation,
+        token=beat.token,
+        decision=decision,
+        waited_s=now - ticket.waiting.queued_at,
+        work=ticket.waiting.work,
+        suspect=ticket.ask.suspect,
+    )
+
+
+def _candidate(server: Server, concurrency: int, now: float) -> Candidate:
+    load = server.known_beat.load
+    return Candidate(
+        name=server.name,
+        data_centre=server.instance.data_centre,
+        capacity=min(load.capacity, concurrency),
+        running=load.running,
+        queued=load.queued,
+        work=load.work,
+        rate=load.rate,
+        own_in_flight=server.in_flight,
+        heard_age_s=now - server.heard_at,
+        started_age_s=now - server.first_heard_at,
+        own_since_report=server.sent_since_beat,
+        own_work_since_report=server.work_since_beat,
+        suspects_running=server.suspects,
+    )
--- /dev/null
+++ b/src/kingcupwheel/entry/following.py
@@ -0,0 +1,148 @@
+"""Follows one attempt's answer: the next offset only, resuming where a gap shows.
+
+Pure: messages in, steps out. Frames can arrive late, twice or from an old link; only
+bytes at the next offset of this attempt are passed on, so that a caller never gets
+bytes of another answer, a hole or a repetition.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.messages.runs import Accepted
+from kingcupwheel.messages.runs import Data
+from kingcupwheel.messages.runs import End
+from kingcupwheel.messages.runs import Head
+from kingcupwheel.messages.runs import NotRun
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.messages.runs import Refusal
+from kingcupwheel.messages.runs import Unseen
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.messages.base import Message
+
+# Resumes in a row that bring no new byte before the rest is held to be gone: a few
+# lost frames are mended by one or two, and a freed buffer by none.
+MAX_RESUMES_WITHOUT_PROGRESS = 5
+
+
+class Started(NamedTuple):
+    """The agent holds the attempt; ``running`` tells that its server has it."""
+
+    running: bool
+
+
+class HeadKnown(NamedTuple):
+    """Status and headers of the answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
+class Chunk(NamedTuple):
+    """The next bytes of the body."""
+
+    data: bytes
+
+
+class Ended(NamedTuple):
+    """The last step: nothing more will come."""
+
+    outcome: Outcome
+    detail: str
+
+
+class NotStarted(NamedTuple):
+    """The last step: the agent did not run it and never will."""
+
+    reason: Refusal
+
+
+class NeverSeen(NamedTuple):
+    """The agent's life ``incarnation`` never saw the attempt."""
+
+    incarnation: str
+
+
+class ResumeAt(NamedTuple):
+    """Ask the agent again from ``offset``; ``why`` is a short reason."""
+
+    offset: int
+    why: str
+
+
+class Nothing(NamedTuple):
+    """The message changes nothing."""
+
+
+Step = Started | HeadKnown | Chunk | Ended | NotStarted | NeverSeen | ResumeAt | Nothing
+
+
+class Following:
+    """The state of one answer being followed; belongs to one thread."""
+
+    def __init__(self) -> None:
+        self._offset = 0
+        self._head_known = False
+        self._resumes = 0
+
+    @property
+    def offset(self) -> int:
+        """Bytes of the body passed on so far."""
+        return self._offset
+
+    @property
+    def head_known(self) -> bool:
+        """Whether status and headers have been passed on."""
+        return self._head_known
+
+    def on(self, message: Message) -> Step:
+        """Return what ``message`` brings."""
+        match message:
+            case Data(offset=offset, data=data):
+                return self._on_data(offset, data)
+            case Accepted(running=running):
+                return Started(running)
+            case Head(status=status, headers=headers):
+                return self._on_head(status, headers)
+            case End(length=length, outcome=outcome, detail=detail):
+                return self._on_end(length, outcome, detail)
+            case NotRun(reason=reason):
+                return NotStarted(reason)
+            case Unseen(incarnation=incarnation):
+                return NeverSeen(incarnation)
+        return Nothing()
+
+    def link_replaced(self) -> ResumeAt:
+        """Return the step to take after the link was replaced."""
+        return ResumeAt(self._offset, "link replaced")
+
+    def _on_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> Step:
+        if self._head_known:
+            return Nothing()
+        self._head_known = True
+        return HeadKnown(status, headers)
+
+    def _on_data(self, offset: int, data: bytes) -> Step:
+        if offset > self._offset or not self._head_known:
+            return self._resume("frames missing")
+        fresh = data[self._offset - offset :]
+        if not fresh:
+            return Nothing()
+        self._resumes = 0
+        self._offset += len(fresh)
+        return Chunk(fresh)
+
+    def _on_end(self, length: int, outcome: Outcome, detail: str) -> Step:
+        whole = self._offset == length and self._head_known
+        if whole or outcome is not Outcome.RAN:
+            return Ended(outcome, detail)
+        return self._resume("end before its frames")
+
+    def _resume(self, why: str) -> Step:
+        self._resumes += 1
+        if self._resumes > MAX_RESUMES_WITHOUT_PROGRESS:
+            return Ended(Outcome.UNKNOWN, "the rest of the answer is gone")
+        return ResumeAt(self._offset, why)
--- /dev/null
+++ b/src/kingcupwheel/entry/gateway.py
@@ -0,0 +1,97 @@
+"""The HTTP server towards callers: cheroot, with a look at the caller's socket."""
+
+from __future__ import annotations
+
+import logging
+from threading import Thread
+from typing import Any
+
+from cheroot import wsgi
+
+from kingcupwheel.entry.exceptions import AnswerCutError
+from kingcupwheel.entry.exceptions import CannotServeError
+
+
+logger = logging.getLogger("kingcupwheel.entry")
+
+SOCKET_KEY = "kingcupwheel.socket"
+CLOSE_KEY = "kingcupwheel.close"
+# Threads kept beyond those that answer requests, so that refusals, status questions and
+# discovery are still answered at once when every other thread waits.
+SPARE_THREADS = 16
+# How long a caller may take to send the next bytes of its request, or to read the next
+# of its answer, before the thread is freed.
+_SOCKET_TIMEOUT_S = 30
+# Connections that wait to be accepted: a burst of callers that come back together.
+_BACKLOG = 256
+# Hard bound on a request's head; the limit that callers are told of is lower.
+_MAX_HEAD_BYTES = 262_144
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Lets the application look at the caller's socket and end the connection."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the environment with the keys of this module."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[SOCKET_KEY] = self.req.conn.socket
+        environ[CLOSE_KEY] = self._close
+        return environ
+
+    def _close(self) -> None:
+        self.req.close_connection = True
+
+
+class _Server(wsgi.Server):
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Log what the server noticed; a cut answer has been logged already."""
+        if traceback and AnswerCutError.__name__ not in msg:
+            logger.warning("HTTP server: %s", msg.strip(), exc_info=True)
+
+
+class HttpServer:
+    """Serves a WSGI application on ``listen`` (``IP:port``) with so many threads."""
+
+    def __init__(
+        self, application: Any, *, listen: str, threads: int, name: str
+    ) -> None:
+        host, _, port = listen.rpartition(":")
+        self._listen = listen
+        self._server = _Server(
+            (host, int(port)),
+            application,
+            numthreads=threads,
+            server_name=name,
+            request_queue_size=_BACKLOG,
+            timeout=_SOCKET_TIMEOUT_S,
+            shutdown_timeout=_SOCKET_TIMEOUT_S,
+        )
+        self._server.gateway = _Gateway
+        self._server.max_request_header_size = _MAX_HEAD_BYTES
+        self._thread = Thread(target=self._serve, name=f"http-{name}", daemon=True)
+
+    @property
+    def port(self) -> int:
+        """The port listened on."""
+        return int(self._server.bind_addr[1])
+
+    def bind(self) -> None:
+        """Bind the address; raises CannotServeError."""
+        try:
+            self._server.prepare()
+        except OSError as error:
+            raise CannotServeError(self._listen, str(error)) from error
+
+    def start(self) -> None:
+        """Serve in a thread."""
+        self._thread.start()
+
+    def _serve(self) -> None:
+        self._server.serve()
+
+    def stop(self) -> None:
+        """Close the listening socket and wait for the threads."""
+        self._server.stop()
+        self._thread.join(_SOCKET_TIMEOUT_S)
--- /dev/null
+++ b/src/kingcupwheel/entry/handling.py
@@ -0,0 +1,195 @@
+"""Takes the messages that reach an entry; runs on the hub's thread, never blocks."""
+
+from __future__ import annotations
+
+import logging
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from kingcupwheel.entry.inbox import AgentGone
+from kingcupwheel.entry.inbox import AttemptKey
+from kingcupwheel.entry.inbox import LinkReplaced
+from kingcupwheel.entry.servers import Gone
+from kingcupwheel.entry.servers import Restarted
+from kingcupwheel.entry.servers import Silent
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.membership import InstanceInfo
+from kingcupwheel.messages.membership import InstancesFound
+from kingcupwheel.messages.membership import InstancesWanted
+from kingcupwheel.messages.membership import ManifestObject
+from kingcupwheel.messages.membership import ManifestWanted
+from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.messages.runs import Accepted
+from kingcupwheel.messages.runs import Data
+from kingcupwheel.messages.runs import End
+from kingcupwheel.messages.runs import Entombed
+from kingcupwheel.messages.runs import Head
+from kingcupwheel.messages.runs import NotRun
+from kingcupwheel.messages.runs import Running
+from kingcupwheel.messages.runs import Unseen
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.platform.client import Instance
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.membership import Membership
+    from kingcupwheel.entry.peers import PeerFetcher
+    from kingcupwheel.entry.servers import Finding
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.manifest.keeper import ManifestKeeper
+    from kingcupwheel.messages.base import Message
+
+logger = logging.getLogger("kingcupwheel.entry")
+
+
+class Handler:
+    """Routes messages and sends heartbeats."""
+
+    def __init__(
+        self,
+        context: EntryContext,
+        membership: Membership,
+        keeper: ManifestKeeper,
+        fetcher: PeerFetcher,
+    ) -> None:
+        self._context = context
+        self._membership = membership
+        self._keeper = keeper
+        self._fetcher = fetcher
+        self._beat_at = 0.0
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Take one message."""
+        match message, link:
+            case Beat(), Outgoing(address):
+                self._on_beat(address, message)
+            case (
+                Accepted() | Head() | Data() | End() | NotRun() | Unseen(),
+                Outgoing(address),
+            ):
+                self._context.servers.alive(address, monotonic())
+                key = AttemptKey(message.request_id, message.attempt)
+                self._context.inboxes.deliver(key, message)
+            case Running(attempts), Outgoing(address):
+                self._on_running(address, message, attempts)
+            case Entombed(claim_id), Outgoing(address):
+                self._context.servers.alive(address, monotonic())
+                self._context.inboxes.deliver_claim(claim_id, message)
+            case _:
+                self._on_peer_message(link, message)
+
+    def _on_running(
+        self, address: str, message: Running, attempts: tuple[tuple[str, int], ...]
+    ) -> None:
+        self._context.servers.alive(address, monotonic())
+        for request_id, attempt in attempts:
+            self._context.inboxes.deliver(AttemptKey(request_id, attempt), message)
+
+    def _on_peer_message(self, link: Link, message: Message) -> None:
+        send = self._context.hub.send
+        match message:
+            case PeerBeat():
+                self._on_peer_beat(message)
+            case ManifestWanted(key):
+                send(link, self._keeper.object_for(key))
+            case ManifestObject():
+                self._fetcher.found(message)
+            case TraceWanted(request_id):
+                send(link, self._trace_of(request_id))
+            case InstancesWanted():
+                send(link, self._instances())
+            case InstancesFound(instances):
+                self._on_instances(instances)
+            case Hello():
+                pass
+            case _:
+                logger.warning("Message %s not expected.", type(message).__name__)
+
+    def _on_beat(self, address: str, beat: Beat) -> None:
+        restarted = self._context.servers.heard(address, beat, monotonic())
+        if restarted is not None:
+            self._on_finding(restarted)
+        if beat.crashed:
+            self._context.limits.heard(beat.name, beat.crashed)
+        self._keeper.heard(beat.manifest_version, "", address)
+        self._context.dispatchers.pump(beat.group)
+
+    def _on_peer_beat(self, beat: PeerBeat) -> None:
+        self._membership.heard(beat, monotonic())
+        if beat.crashed:
+            self._context.limits.heard_from_peer(beat.name, beat.crashed)
+        address = self._membership.address_of(beat.name)
+        self._keeper.heard(beat.manifest_version, beat.manifest_digest, address)
+
+    def _on_instances(self, infos: tuple[InstanceInfo, ...]) -> None:
+        if not self._membership.instances:
+            instances = tuple(Instance(*msgspec.structs.astuple(one)) for one in infos)
+            self._membership.adopt(instances)
+
+    def _instances(self) -> InstancesFound:
+        infos = tuple(InstanceInfo(*one) for one in self._membership.instances)
+        return InstancesFound(infos)
+
+    def _trace_of(self, request_id: str) -> TraceFound:
+        events = self._context.recorder.events(request_id)
+        name = self._context.settings.name
+        return TraceFound(request_id, name, msgspec.msgpack.encode(events), True)
+
+    def on_tick(self, now: float) -> None:
+        """Look for silent links; send heartbeats when it is time."""
+        for finding in self._context.servers.check(now):
+            self._on_finding(finding)
+        if now - self._beat_at >= self._context.settings.timings.heartbeat_s:
+            self._beat_at = now
+            self._send_beats()
+
+    def _on_finding(self, finding: Finding) -> None:
+        inboxes = self._context.inboxes
+        match finding:
+            case Silent(address):
+                logger.warning("Link to %s is silent; opening a new one.", address)
+                self._context.hub.replace(address)
+                for inbox in inboxes.at(address):
+                    inbox.put(LinkReplaced())
+            case Gone(address):
+                logger.warning("Agent at %s is gone.", address)
+                for inbox in inboxes.at(address):
+                    inbox.put(AgentGone("the server's instance does not answer"))
+            case Restarted(address, incarnation):
+                self._on_restarted(address, incarnation)
+
+    def _on_restarted(self, address: str, incarnation: str) -> None:
+        # Only attempts of earlier lives are lost: the first heartbeat of a new life may
+        # come after a dispatch to it.
+        logger.warning("Agent at %s restarted.", address)
+        for inbox in self._context.inboxes.at(address):
+            if inbox.incarnation != incarnation:
+                inbox.put(AgentGone("the agent restarted while it ran"))
+        server = self._context.servers.by_address(address)
+        if server is not None:
+            self._context.dispatchers.restarted(server.instance.group, server.name)
+
+    def _send_beats(self) -> None:
+        context = self._context
+        in_force = self._keeper.current
+        version = 0 if in_force is None else in_force.version
+        digest = "" if in_force is None else in_force.digest
+        leaving = context.leaving.is_set()
+        name, data_centre = context.settings.name, context.settings.data_centre
+        hello = Hello(name, data_centre, version, digest, leaving)
+        for address in context.servers.addresses:
+            context.hub.send(Outgoing(address, 0), hello)
+        crashed = context.limits.crashed
+        beat = PeerBeat(name, data_centre, version, digest, leaving, crashed)
+        for peer in self._membership.peers:
+            context.hub.send(Outgoing(peer.address, 0), beat)
+
+    def say_leaving(self) -> None:
+        """Tell agents and peers at once that this entry leaves."""
+        self._beat_at = 0.0
--- /dev/null
+++ b/src/kingcupwheel/entry/inbox.py
@@ -0,0 +1,113 @@
+"""Hands messages about an attempt from the hub's thread to the request's thread."""
+
+from __future__ import annotations
+
+from queue import Empty
+from queue import SimpleQueue
+from threading import Lock
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.messages.base import Message
+
+
+class AttemptKey(NamedTuple):
+    """Names one attempt of one request."""
+
+    request_id: str
+    attempt: int
+
+
+class LinkReplaced(NamedTuple):
+    """The link to the agent was silent and has been opened anew."""
+
+
+class AgentGone(NamedTuple):
+    """The agent's life that had the attempt is over, or silent for too long."""
+
+    detail: str
+
+
+class Elapsed(NamedTuple):
+    """Nothing came within the time waited."""
+
+
+class Inbox:
+    """What is still to be read about one attempt."""
+
+    def __init__(self, key: AttemptKey, address: str, incarnation: str) -> None:
+        self.key = key
+        self.address = address
+        self.incarnation = incarnation
+        self._items: SimpleQueue[Message | LinkReplaced | AgentGone] = SimpleQueue()
+
+    def put(self, item: Message | LinkReplaced | AgentGone) -> None:
+        """Add an item; called on the hub's thread."""
+        self._items.put(item)
+
+    def get(self, timeout_s: float) -> Message | LinkReplaced | AgentGone | Elapsed:
+        """Return the next item, or ``Elapsed`` after ``timeout_s`` seconds."""
+        try:
+            return self._items.get(timeout=max(0.0, timeout_s))
+        except Empty:
+            return Elapsed()
+
+
+class Inboxes:
+    """The inboxes of all attempts under way; safe from any thread."""
+
+    def __init__(self) -> None:
+        self._by_key: dict[AttemptKey, Inbox] = {}
+        self._by_claim_id: dict[str, Inbox] = {}
+        self._lock = Lock()
+
+    def open(self, key: AttemptKey, address: str, incarnation: str) -> Inbox | None:
+        """Return a new inbox, or None while another thread follows that attempt."""
+        inbox = Inbox(key, address, incarnation)
+        with self._lock:
+            if key in self._by_key:
+                return None
+            self._by_key[key] = inbox
+        return inbox
+
+    def close(self, inbox: Inbox) -> None:
+        """Forget the inbox; what comes later is dropped."""
+        with self._lock:
+            if self._by_key.get(inbox.key) is inbox:
+                del self._by_key[inbox.key]
+
+    def listen_for_claim(self, claim_id: str, inbox: Inbox) -> None:
+        """Let messages that name only the claim reach ``inbox`` as well."""
+        with self._lock:
+            self._by_claim_id[claim_id] = inbox
+
+    def forget_claim(self, claim_id: str) -> None:
+        """End ``listen_for_claim``."""
+        with self._lock:
+            self._by_claim_id.pop(claim_id, None)
+
+    def deliver(self, key: AttemptKey, message: Message) -> bool:
+        """Hand ``message`` to the attempt's inbox; False if nobody follows it."""
+        inbox = self._by_key.get(key)
+        if inbox is None:
+            return False
+        inbox.put(message)
+        return True
+
+    def deliver_claim(self, claim_id: str, message: Message) -> None:
+        """Hand ``message`` to whoever listens for the claim."""
+        inbox = self._by_claim_id.get(claim_id)
+        if inbox is not None:
+            inbox.put(message)
+
+    def at(self, address: str) -> tuple[Inbox, ...]:
+        """Return the inboxes of attempts at the agent with that address."""
+        with self._lock:
+            return tuple(i for i in self._by_key.values() if i.address == address)
+
+    @property
+    def count(self) -> int:
+        """How many attempts are under way."""
+        return len(self._by_key)
--- /dev/null
+++ b/src/kingcupwheel/entry/joining.py
@@ -0,0 +1,316 @@
+"""Answers a request whose idempotency key was claimed before, and moves claims.
+
+Every path here ends in the one answer of the one run, in a run of its own that is
+surely the only one, or in a truthful ``unknown``.
+"""
+
+from __future__ import annotations
+
+import time
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import msgspec
+
+from kingcupwheel.claims.exceptions import ClaimMoved
+from kingcupwheel.claims.exceptions import ClaimUnreachable
+from kingcupwheel.claims.records import ClaimRecord
+from kingcupwheel.claims.records import Held
+from kingcupwheel.claims.records import claim_id_of
+from kingcupwheel.claims.store import new_nonce
+from kingcupwheel.entry.following import NeverSeen
+from kingcupwheel.entry.following import NotStarted
+from kingcupwheel.entry.inbox import AgentGone
+from kingcupwheel.entry.inbox import AttemptKey
+from kingcupwheel.entry.inbox import Elapsed
+from kingcupwheel.entry.inbox import Inbox
+from kingcupwheel.entry.reading import AnswerReader
+from kingcupwheel.entry.refusals import KEY_REUSED
+from kingcupwheel.entry.refusals import Refusal
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.runs import Entomb
+from kingcupwheel.messages.runs import Entombed
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.platform.client import Instance
+from kingcupwheel.trace.events import Claimed
+from kingcupwheel.trace.events import Joined
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.dispatching import Place
+    from kingcupwheel.entry.following import Step
+    from kingcupwheel.entry.requests import CallerRequest
+
+# How often a thread looks again whether another one here still follows the answer.
+_FOLLOWED_CHECK_S = 0.1
+# How often an unanswered question to an agent is asked again over the link of then.
+_ASK_AGAIN_S = 1.0
+# Changes of one claim by others before this entry stops competing for it: each means
+# that another entry made progress with it.
+MAX_MOVES = 4
+
+
+class Joinable(NamedTuple):
+    """The earlier run's answer, being read; ``first`` is what came already."""
+
+    reader: AnswerReader
+    first: Step
+
+
+class Free(NamedTuple):
+    """The claim is this request's to run; no earlier dispatch can start any more."""
+
+    held: Held
+
+
+class Final(NamedTuple):
+    """Nothing is left to read or run."""
+
+    refusal: Refusal
+
+
+class Again(NamedTuple):
+    """Another entry changed the claim meanwhile; look at it anew."""
+
+
+Finding = Joinable | Free | Final | Again
+
+
+class Claims:
+    """The claim of one request; belongs to one thread."""
+
+    def __init__(self, context: EntryContext, request: CallerRequest) -> None:
+        self._context = context
+        self._request = request
+        self._claim_id = claim_id_of(request.organisation.name, request.idempotency_key)
+
+    @property
+    def claim_id(self) -> str:
+        """The digest that names the claim."""
+        return self._claim_id
+
+    def read(self) -> Held | Refusal | None:
+        """Return the claim as the platform has it, None if there is none."""
+        found = self._context.claims.read(self._claim_id)
+        if found.is_error():
+            return unreachable(found.error, claimed=True)
+        return found.ok
+
+    def take(
+        self, place: Place, attempt: int, held: Held | None
+    ) -> Held | Again | Refusal:
+        """Make the claim for ``place``, or move the one held there."""
+        record = self._record_for(place, attempt, held)
+        if held is None:
+            written = self._context.claims.make(self._claim_id, record)
+        else:
+            written = self._context.claims.move(held, record)
+        if written.is_ok():
+            self._note(written.ok, "made" if held is None else "moved")
+            return written.ok
+        match written.error:
+            case ClaimMoved():
+                return Again()
+            case ClaimUnreachable() as error:
+                return unreachable(error)
+
+    def _record_for(self, place: Place, attempt: int, held: Held | None) -> ClaimRecord:
+        request = self._request
+        return ClaimRecord(
+            organisation=request.organisation.name,
+            request_id=request.request_id,
+            attempt=attempt,
+            nonce=new_nonce(),
+            body_digest=request.body_digest,
+            entry=self._context.settings.name,
+            agent=place.server,
+            address=place.address,
+            incarnation=place.incarnation,
+            fence=1 if held is None else held.record.fence + 1,
+            created_at=time.time() if held is None else held.record.created_at,
+        )
+
+    def finish(self, held: Held, outcome: Outcome, reason: str) -> None:
+        """Record that nothing can change any more; a failure to write is harmless.
+
+        The next reader of the claim finds the same dead agent and says the same.
+        """
+        record = msgspec.structs.replace(
+            held.record, nonce=new_nonce(), final=outcome, reason=reason
+        )
+        self._context.claims.move(held, record)
+
+    def explore(self, held: Held) -> Finding:
+        """Find out what became of the claim held by an earlier send."""
+        record = held.record
+        if record.body_digest != self._request.body_digest:
+            return Final(KEY_REUSED)
+        if record.final is not None:
+            return Final(_earlier(record.final, record.reason))
+        self._context.recorder.record(
+            self._request.request_id, Joined(record.request_id)
+        )
+        with _Visit(self._context, record):
+            return self._explore_agent(held)
+
+    def _explore_agent(self, held: Held) -> Finding:
+        inbox = self._open_inbox(held.record)
+        if inbox is None:
+            return Final(_still_running())
+        reader = AnswerReader(
+            inbox,
+            self._context.hub,
+            self._context.recorder,
+            traced_as=self._request.request_id,
+            server=held.record.agent,
+            claim_id=held.claim_id,
+        )
+        step = self._ask(reader)
+        match step:
+            case NeverSeen(incarnation) if incarnation == held.record.incarnation:
+                found = self._take_over(held, inbox)
+            case NeverSeen():
+                found = self._lost(held, "the agent restarted after the claim")
+            case NotStarted():
+                found = Free(held)
+            case Elapsed():
+                found = self._lost(held, "the agent does not answer")
+            case _:
+                return Joinable(reader, step)
+        self._context.inboxes.close(inbox)
+        return found
+
+    def _ask(self, reader: AnswerReader) -> Step | Elapsed:
+        # An agent that was just dialled may need a moment, and one message may be lost.
+        until = monotonic() + self._context.settings.timings.give_up_s
+        while monotonic() < until:
+            reader.resume(why="joined by a resend")
+            step = reader.next(_ASK_AGAIN_S)
+            if not isinstance(step, Elapsed):
+                return step
+        return Elapsed()
+
+    def _open_inbox(self, record: ClaimRecord) -> Inbox | None:
+        # Another thread here may follow the same answer; the agent sends it to one
+        # reader at a time, so this one waits until that one has read it.
+        key = AttemptKey(record.request_id, record.attempt)
+        inboxes = self._context.inboxes
+        while monotonic() < self._request.deadline_at:
+            inbox = inboxes.open(key, record.address, record.incarnation)
+            if inbox is not None:
+                return inbox
+            time.sleep(_FOLLOWED_CHECK_S)
+        return None
+
+    def _lost(self, held: Held, reason: str) -> Finding:
+        self.finish(held, Outcome.UNKNOWN, reason)
+        return Final(_earlier(Outcome.UNKNOWN, reason))
+
+    def _take_over(self, held: Held, inbox: Inbox) -> Finding:
+        """Make sure that the earlier dispatch can't start, then free the claim.
+
+        The first entry may be paused between claim and dispatch. The claim's fence is
+        raised while it still names the same agent, then that agent promises to refuse
+        the lower one; in the other order a crash in between would leave a claim that
+        names an agent which never heard of the run.
+        """
+        record = msgspec.structs.replace(
+            held.record,
+            nonce=new_nonce(),
+            entry=self._context.settings.name,
+            fence=held.record.fence + 1,
+        )
+        written = self._context.claims.move(held, record)
+        if written.is_error():
+            match written.error:
+                case ClaimMoved():
+                    return Again()
+                case ClaimUnreachable() as error:
+                    return Final(unreachable(error, claimed=True))
+        raised = written.ok
+        self._note(raised, "raised the fence of")
+        return self._entomb(raised, inbox)
+
+    def _entomb(self, held: Held, inbox: Inbox) -> Finding:
+        record = held.record
+        order = Entomb(held.claim_id, record.fence, record.incarnation)
+        self._context.inboxes.listen_for_claim(held.claim_id, inbox)
+        try:
+            answer = self._entombed(order, inbox, record)
+        finally:
+            self._context.inboxes.forget_claim(held.claim_id)
+        match answer:
+            case Entombed(accepted=True, ran=False):
+                return Free(held)
+            case Entombed(accepted=True):
+                # The earlier dispatch arrived in between: look at its run.
+                return Again()
+            case Entombed():
+                return self._lost(held, "the agent restarted after the claim")
+        return self._lost(held, "the agent does not answer")
+
+    def _entombed(
+        self, order: Entomb, inbox: Inbox, record: ClaimRecord
+    ) -> Entombed | None:
+        until = monotonic() + self._context.settings.timings.give_up_s
+        while monotonic() < until:
+            self._context.hub.send(Outgoing(record.address, 0), order)
+            match inbox.get(_ASK_AGAIN_S):
+                case Entombed() as answer:
+                    return answer
+                case AgentGone():
+                    return None
+        return None
+
+    def _note(self, held: Held, detail: str) -> None:
+        event = Claimed(held.claim_id, held.record.fence, detail)
+        self._context.recorder.record(self._request.request_id, event)
+
+
+class _Visit:
+    """Keeps an agent that this entry does not otherwise use known for a while."""
+
+    def __init__(self, context: EntryContext, record: ClaimRecord) -> None:
+        self._servers = context.servers
+        self._instance = Instance(
+            name=record.agent,
+            role="agent",
+            group="",
+            data_centre="",
+            address=record.address,
+            http="",
+            leaving=False,
+        )
+
+    def __enter__(self) -> None:
+        self._servers.visit(self._instance, monotonic())
+
+    def __exit__(self, *_: object) -> None:
+        self._servers.end_visit(self._instance.address)
+
+
+def unreachable(error: ClaimUnreachable, *, claimed: bool = False) -> Refusal:
+    """Return the refusal of a request whose claim can't be made or settled.
+
+    ``claimed`` tells that an earlier send made a claim: it may have run, and a caller
+    who reads ``not-run`` after a resend would take the whole key for not run.
+    """
+    message = (
+        "The request may run at most once, and the platform can't record it now: "
+        f"{error.detail}."
+    )
+    outcome = Outcome.UNKNOWN if claimed else Outcome.NOT_RUN
+    return Refusal(503, "claim-unavailable", message, error.retry_after_s, outcome)
+
+
+def _earlier(outcome: Outcome, reason: str) -> Refusal:
+    message = f"An earlier send of this Idempotency-Key ended: {reason}."
+    return Refusal(409, "earlier-send", message, outcome=outcome)
+
+
+def _still_running() -> Refusal:
+    # The earlier send runs and this caller has not received its answer: unknown to it.
+    message = "An earlier send of this Idempotency-Key is still being answered."
+    return Refusal(409, "earlier-send-running", message, 1.0, Outcome.UNKNOWN)
--- /dev/null
+++ b/src/kingcupwheel/entry/limits.py
@@ -0,0 +1,152 @@
+"""What an entry allows: allowances, retry budgets and suspects, under one lock."""
+
+from __future__ import annotations
+
+from threading import Lock
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.decisions.admission import Admission
+from kingcupwheel.decisions.admission import Refuse
+from kingcupwheel.decisions.hashing import stable_fraction
+from kingcupwheel.decisions.retries import RetryBudget
+from kingcupwheel.decisions.suspects import Quarantined
+from kingcupwheel.decisions.suspects import ServerLife
+from kingcupwheel.decisions.suspects import Suspect
+from kingcupwheel.decisions.suspects import Suspects
+from kingcupwheel.decisions.work import WorkPredictor
+from kingcupwheel.entry.refusals import Refusal
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.manifest.schema import Organisation
+
+# How long a caller that found no place is asked to stay away: about two heartbeats, in
+# which a group's state is known anew; spread so that callers don't return together.
+_RETRY_AFTER_S = 2.0
+
+
+class Clean(NamedTuple):
+    """The request may go on; ``suspect`` ones run where no other suspect runs."""
+
+    suspect: bool
+
+
+class Limits:
+    """The decisions that belong to no group's queue; safe from any thread.
+
+    ``share_of`` returns this entry's part of an organisation's allowance, 0 to 1.
+    """
+
+    def __init__(self, share_of: Callable[[Organisation], float]) -> None:
+        self._share_of = share_of
+        self._admission = Admission()
+        self._predictor = WorkPredictor()
+        self._suspects = Suspects()
+        self._budgets_by_group: dict[str, RetryBudget] = {}
+        self._configured: dict[str, tuple[Organisation, float]] = {}
+        self._lock = Lock()
+
+    def verdict(self, request: CallerRequest) -> Clean | Refusal:
+        """Refuse what crashed every server that ran it."""
+        with self._lock:
+            verdict = self._suspects.verdict(request.fingerprint, monotonic())
+        match verdict:
+            case Quarantined(deaths, for_s):
+                message = (
+                    f"Earlier sends of this request ran, and {deaths} backend servers "
+                    "died while they did. This send was not run."
+                )
+                return Refusal(422, "quarantined", message, for_s)
+            case Suspect():
+                return Clean(suspect=True)
+        return Clean(suspect=False)
+
+    def admit(self, request: CallerRequest) -> float | Refusal:
+        """Return the predicted work in tokens, or a refusal."""
+        organisation = request.organisation
+        with self._lock:
+            now = monotonic()
+            self._configure(organisation)
+            work = self._predictor.predict(
+                organisation.name,
+                request.route.path,
+                len(request.body),
+                request.max_tokens,
+            )
+            decision = self._admission.admit(organisation.name, work, now)
+            if isinstance(decision, Refuse):
+                message = f"The organisation's allowance is used up: {decision.detail}."
+                return Refusal(429, decision.limit, message, decision.retry_after_s)
+            self._budget(request.group.name).first(now)
+        return work
+
+    def _configure(self, organisation: Organisation) -> None:
+        known = self._configured.get(organisation.name)
+        if known is None or known[0] is not organisation:
+            share = self._share_of(organisation)
+            self._configured[organisation.name] = (organisation, share)
+            self._admission.configure(organisation.name, organisation.allowance, share)
+
+    def renew_shares(self) -> None:
+        """Look up anew which part of each allowance is this entry's to use."""
+        with self._lock:
+            for name, (organisation, before) in tuple(self._configured.items()):
+                share = self._share_of(organisation)
+                if share != before:
+                    self._configured[name] = (organisation, share)
+                    self._admission.configure(name, organisation.allowance, share)
+
+    def finish(self, request: CallerRequest, predicted: float, tokens: float) -> None:
+        """Settle an admitted request that took ``tokens`` of answer."""
+        name = request.organisation.name
+        with self._lock:
+            prompt = predicted if tokens == 0 else len(request.body) / 4
+            actual = 0.0 if tokens == 0 else prompt + tokens
+            self._admission.finish(name, predicted, actual, monotonic())
+            if tokens:
+                self._predictor.learn(
+                    name, request.route.path, int(prompt), int(tokens)
+                )
+                self._suspects.cleared(request.fingerprint)
+
+    def may_retry(self, request: CallerRequest) -> bool:
+        """Return whether the group's retry budget allows one more attempt."""
+        with self._lock:
+            return self._budget(request.group.name).may_retry(monotonic())
+
+    def _budget(self, group: str) -> RetryBudget:
+        return self._budgets_by_group.setdefault(group, RetryBudget())
+
+    def retry_after(self, request: CallerRequest) -> float:
+        """Return seconds to stay away, spread by request."""
+        return _RETRY_AFTER_S * (1.0 + stable_fraction(request.request_id))
+
+    def died(self, fingerprint: str, server: str, life: str) -> None:
+        """Note what ran here when a server died."""
+        with self._lock:
+            self._suspects.died(fingerprint, ServerLife(server, life), monotonic())
+
+    def heard(self, server: str, crashed: tuple[tuple[str, int], ...]) -> None:
+        """Take in an agent's counts of deaths."""
+        with self._lock:
+            now = monotonic()
+            for fingerprint, deaths in crashed:
+                self._suspects.heard(fingerprint, server, deaths, now)
+
+    def heard_from_peer(self, peer: str, crashed: tuple[tuple[str, int], ...]) -> None:
+        """Take in a peer entry's counts of deaths."""
+        with self._lock:
+            now = monotonic()
+            for fingerprint, deaths in crashed:
+                self._suspects.heard_from_peer(fingerprint, peer, deaths, now)
+
+    @property
+    def crashed(self) -> tuple[tuple[str, int], ...]:
+        """Deaths held against each fingerprint, to tell peers."""
+        with self._lock:
+            return self._suspects.counts(monotonic())
--- /dev/null
+++ b/src/kingcupwheel/entry/membership.py
@@ -0,0 +1,180 @@
+"""Which entries and agents there are, and which of them this entry deals with."""
+
+from __future__ import annotations
+
+import logging
+import random
+from threading import Event
+from threading import Lock
+from threading import Thread
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.decisions import subsets
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.entry.servers import ServerTable
+    from kingcupwheel.link.hub import Hub
+    from kingcupwheel.manifest.schema import Organisation
+    from kingcupwheel.messages.membership import PeerBeat
+    from kingcupwheel.platform.client import Instance
+    from kingcupwheel.platform.client import PlatformClient
+    from kingcupwheel.settings.schema import Settings
+
+logger = logging.getLogger("kingcupwheel.entry")
+
+# Peers an entry exchanges heartbeats with: with four of each, news passes through 370
+# entries in about five rounds, at four messages a second.
+_PEERS = 4
+
+
+class Membership:
+    """The latest list of instances, and what this entry makes of it.
+
+    The list lags and can be missing for long. It only ever adds candidates and marks
+    leaving ones: whether an agent or entry is alive is known from its own heartbeats.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        client: PlatformClient,
+        servers: ServerTable,
+        hub: Hub,
+        *,
+        ask_seeds: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._servers = servers
+        self._hub = hub
+        self._ask_seeds = ask_seeds
+        self._instances: tuple[Instance, ...] = ()
+        self._peer_heard_at: dict[str, float] = {}
+        self._leaving_peers: set[str] = set()
+        self._lock = Lock()
+        self._stopping = Event()
+        self._thread = Thread(target=self._run, name="membership", daemon=True)
+
+    def start(self) -> None:
+        """Read the list now and then in a thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stopping.set()
+        self._thread.join()
+
+    @property
+    def instances(self) -> tuple[Instance, ...]:
+        """All instances known."""
+        return self._instances
+
+    def address_of(self, name: str) -> str:
+        """Return the address of the instance called ``name``, empty if unknown."""
+        addresses = (one.address for one in self._instances if one.name == name)
+        return next(addresses, "")
+
+    def _run(self) -> None:
+        period_s = self._settings.timings.instances_s
+        while not self._stopping.is_set():
+            self._read()
+            # Spread, so that a fleet started together does not read together.
+            self._stopping.wait(period_s * random.uniform(0.8, 1.2))
+
+    def _read(self) -> None:
+        found = self._client.instances()
+        if found.is_ok():
+            self.adopt(found.ok)
+        elif not self._instances:
+            logger.warning("No list of instances yet; asking the seeds.")
+            self._ask_seeds()
+
+    def adopt(self, instances: tuple[Instance, ...]) -> None:
+        """Use this list from now on."""
+        with self._lock:
+            self._instances = instances
+            chosen = self._chosen()
+            now = monotonic()
+            for address in self._servers.keep(chosen, now):
+                self._hub.drop(address)
+
+    def _chosen(self) -> tuple[Instance, ...]:
+        """Return the agents to keep links to: a subset of each group's."""
+        agents = [one for one in self._instances if one.role == "agent"]
+        chosen: list[Instance] = []
+        for group in sorted({one.group for one in agents}):
+            chosen.extend(self._subset([one for one in agents if one.group == group]))
+        return tuple(chosen)
+
+    def _subset(self, agents: list[Instance]) -> list[Instance]:
+        size = self._settings.entry.subset
+        names = subsets.subset(
+            self._settings.name,
+            self._entries_with_self(),
+            [subsets.Instance(one.name, one.data_centre) for one in agents],
+            size,
+        )
+        wanted = set(names)
+        return [one for one in agents if one.name in wanted]
+
+    def _entries_with_self(self) -> list[subsets.Instance]:
+        entries = [one for one in self._instances if _is_entry(one)]
+        by_name = {one.name: one.data_centre for one in entries}
+        by_name[self._settings.name] = self._settings.data_centre
+        return [subsets.Instance(name, by_name[name]) for name in sorted(by_name)]
+
+    @property
+    def peers(self) -> tuple[Instance, ...]:
+        """The entries that this one sends heartbeats to.
+
+        The next ones in a ring of names, so that the links form a connected whole.
+        """
+        entries = sorted(one for one in self._instances if _is_entry(one))
+        others = [one for one in entries if one.name != self._settings.name]
+        after = [one for one in others if one.name > self._settings.name]
+        before = [one for one in others if one.name < self._settings.name]
+        return tuple((after + before)[:_PEERS])
+
+    def heard(self, beat: PeerBeat, now: float) -> None:
+        """Take in a peer's heartbeat."""
+        self._peer_heard_at[beat.name] = now
+        if beat.leaving:
+            self._leaving_peers.add(beat.name)
+        else:
+            self._leaving_peers.discard(beat.name)
+
+    def entries_for(self, organisation: Organisation, now: float) -> tuple[str, ...]:
+        """Return the ``IP:port`` of the entries for an organisation's callers.
+
+        A leaving entry drops out at once, whether the list says so or its heartbeat.
+        """
+        live = {one.name: one for one in self._instances if self._is_live(one, now)}
+        chosen = subsets.entries_for(
+            organisation.name,
+            [subsets.Instance(one.name, one.data_centre) for one in live.values()],
+            organisation.allowance,
+            self._settings.data_centre,
+        )
+        return tuple(live[name].http for name in chosen)
+
+    def _is_live(self, one: Instance, now: float) -> bool:
+        if not _is_entry(one) or one.leaving or one.name in self._leaving_peers:
+            return False
+        heard_at = self._peer_heard_at.get(one.name)
+        return heard_at is None or now - heard_at < self._settings.timings.gone_s
+
+    def share_of(self, organisation: Organisation, now: float) -> float:
+        """Return this entry's part of the organisation's allowance, 0 to 1.
+
+        An entry outside the set still admits a little: a caller may hold an old answer.
+        """
+        members = self.entries_for(organisation, now)
+        return 1.0 / max(1, len(members))
+
+
+def _is_entry(one: Instance) -> bool:
+    return one.role == "entry"
--- /dev/null
+++ b/src/kingcupwheel/entry/peers.py
@@ -0,0 +1,53 @@
+"""Fetches objects of the manifest from peers."""
+
+from __future__ import annotations
+
+from queue import Empty
+from queue import SimpleQueue
+from threading import Lock
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.membership import ManifestWanted
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.hub import Hub
+    from kingcupwheel.messages.membership import ManifestObject
+
+# How long one peer is given for one object of at most a megabyte.
+_PEER_TIMEOUT_S = 1.5
+
+
+class PeerFetcher:
+    """Asks a peer for an object of the manifest; one question at a time."""
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+        self._found: SimpleQueue[ManifestObject] = SimpleQueue()
+        self._lock = Lock()
+
+    def found(self, message: ManifestObject) -> None:
+        """Take a peer's answer; called on the hub's thread."""
+        self._found.put(message)
+
+    def fetch(self, address: str, key: str) -> Result[ManifestObject | None, str]:
+        """Return the peer's answer, or why there is none."""
+        with self._lock:
+            self._hub.send(Outgoing(address, 0), ManifestWanted(key))
+            return self._wait(address, key)
+
+    def _wait(self, address: str, key: str) -> Result[ManifestObject | None, str]:
+        until = monotonic() + _PEER_TIMEOUT_S
+        while True:
+            try:
+                answer = self._found.get(timeout=max(0.0, until - monotonic()))
+            except Empty:
+                return Error(f"{address} did not answer in {_PEER_TIMEOUT_S} s")
+            if answer.key == key:
+                return Ok(answer)
--- /dev/null
+++ b/src/kingcupwheel/entry/reading.py
@@ -0,0 +1,130 @@
+"""Reads one attempt's answer from its inbox, resuming and acknowledging on the way."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.entry.following import Chunk
+from kingcupwheel.entry.following import Ended
+from kingcupwheel.entry.following import Following
+from kingcupwheel.entry.following import Nothing
+from kingcupwheel.entry.following import ResumeAt
+from kingcupwheel.entry.inbox import AgentGone
+from kingcupwheel.entry.inbox import Elapsed
+from kingcupwheel.entry.inbox import LinkReplaced
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.runs import Ack
+from kingcupwheel.messages.runs import Cancel
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.messages.runs import Resume
+from kingcupwheel.trace.events import Resumed
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.following import Step
+    from kingcupwheel.entry.inbox import Inbox
+    from kingcupwheel.link.hub import Hub
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.trace.recorder import Recorder
+
+# Bytes of an answer that may be under way unacknowledged: many frames of tokens, so
+# that acknowledgements are rare, yet little memory for a caller who reads slowly.
+CREDIT_BYTES = 256 * 1024
+
+
+class AnswerReader:
+    """Follows the attempt of one inbox; belongs to one request thread.
+
+    ``traced_as`` is the request id under which resumptions are recorded.
+    """
+
+    def __init__(
+        self,
+        inbox: Inbox,
+        hub: Hub,
+        recorder: Recorder,
+        *,
+        traced_as: str,
+        server: str,
+        claim_id: str | None,
+    ) -> None:
+        self._inbox = inbox
+        self._hub = hub
+        self._recorder = recorder
+        self._traced_as = traced_as
+        self._server = server
+        self._claim_id = claim_id
+        self._following = Following()
+        self._acked = 0
+
+    @property
+    def inbox(self) -> Inbox:
+        """Where the attempt's messages arrive."""
+        return self._inbox
+
+    @property
+    def server(self) -> str:
+        """The name of the backend server's instance."""
+        return self._server
+
+    @property
+    def offset(self) -> int:
+        """Bytes of the body read so far."""
+        return self._following.offset
+
+    def next(self, timeout_s: float) -> Step | Elapsed:
+        """Return the next step that matters to the caller, or ``Elapsed``."""
+        until = monotonic() + timeout_s
+        while True:
+            item = self._inbox.get(until - monotonic())
+            step = self._step(item)
+            if not isinstance(step, Nothing):
+                return step
+
+    def _step(
+        self, item: Message | LinkReplaced | AgentGone | Elapsed
+    ) -> Step | Elapsed:
+        match item:
+            case Elapsed():
+                return item
+            case AgentGone(detail):
+                return Ended(Outcome.UNKNOWN, detail)
+            case LinkReplaced():
+                return self._resume(self._following.link_replaced())
+            case message:
+                return self._take(self._following.on(message))
+
+    def _take(self, step: Step) -> Step:
+        match step:
+            case ResumeAt():
+                return self._resume(step)
+            case Chunk():
+                self._acknowledge_some()
+            case Ended():
+                self._send(Ack(*self._inbox.key, self._following.offset))
+        return step
+
+    def _resume(self, step: ResumeAt) -> Step:
+        self.resume(why=step.why)
+        return Nothing()
+
+    def resume(self, *, why: str) -> None:
+        """Ask the agent for the answer from the next byte on."""
+        offset = self._following.offset
+        event = Resumed(self._server, self._inbox.key.attempt, offset, why)
+        self._recorder.record(self._traced_as, event)
+        self._send(Resume(*self._inbox.key, offset, CREDIT_BYTES, self._claim_id))
+
+    def _acknowledge_some(self) -> None:
+        offset = self._following.offset
+        if offset - self._acked >= CREDIT_BYTES // 2:
+            self._acked = offset
+            self._send(Ack(*self._inbox.key, offset))
+
+    def cancel(self) -> None:
+        """Tell the agent that the answer is not wanted any more."""
+        self._send(Cancel(*self._inbox.key))
+
+    def _send(self, message: Message) -> None:
+        self._hub.send(Outgoing(self._inbox.address, 0), message)
--- /dev/null
+++ b/src/kingcupwheel/entry/refusals.py
@@ -0,0 +1,70 @@
+"""Refusals as callers see them: status, reason, outcome and when to come back."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TypedDict
+
+from kingcupwheel.messages.runs import Outcome
+
+
+class Refusal(NamedTuple):
+    """The final answer to a request that gets no answer of a backend server.
+
+    ``limit`` is machine-readable, ``message`` a sentence. ``retry_after_s`` is 0 where
+    coming back does not help.
+    """
+
+    status: int
+    limit: str
+    message: str
+    retry_after_s: float = 0.0
+    outcome: Outcome = Outcome.NOT_RUN
+
+
+class RefusalBody(TypedDict):
+    """The JSON body of a refusal, under the key ``error``."""
+
+    reason: str
+    message: str
+    outcome: str
+    request_id: str
+    retry_after_s: float
+
+
+def body_of(refusal: Refusal, request_id: str) -> RefusalBody:
+    """Return what the caller reads."""
+    return RefusalBody(
+        reason=refusal.limit,
+        message=refusal.message,
+        outcome=refusal.outcome.value,
+        request_id=request_id,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def bad_request(message: str) -> Refusal:
+    """Return a refusal of a malformed request."""
+    return Refusal(400, "bad-request", message)
+
+
+NO_KEY = Refusal(401, "no-key", "A bearer key is needed.")
+BAD_KEY = Refusal(401, "bad-key", "The key belongs to no organisation.")
+NO_ROUTE = Refusal(404, "no-route", "No route has this host and path.")
+BAD_METHOD = Refusal(405, "bad-method", "The route does not take this method.")
+BODY_TOO_LARGE = Refusal(413, "body-too-large", "The body is over the entry's limit.")
+HEADERS_TOO_LARGE = Refusal(
+    431, "headers-too-large", "The headers are over the entry's limit."
+)
+KEY_REUSED = Refusal(
+    422, "idempotency-key-reused", "The Idempotency-Key was used with another body."
+)
+KEY_MISSING = Refusal(
+    400,
+    "idempotency-key-missing",
+    "This route runs requests at most once and needs an Idempotency-Key.",
+)
+NO_MANIFEST = Refusal(503, "no-manifest", "No configuration is in force yet.", 2.0)
+BUSY = Refusal(503, "entry-busy", "The entry answers as many requests as it may.", 1.0)
+CALLER_LEFT = Refusal(499, "caller-left", "The caller left before it was placed.")
+LEAVING = Refusal(503, "entry-leaving", "The entry stops; use another one.", 1.0)
--- /dev/null
+++ b/src/kingcupwheel/entry/servers.py
@@ -0,0 +1,214 @@
+"""What an entry knows of the agents it uses, from their heartbeats."""
+
+from __future__ import annotations
+
+from threading import Lock
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.messages.membership import Beat
+    from kingcupwheel.platform.client import Instance
+    from kingcupwheel.settings.schema import Timings
+
+
+class Restarted(NamedTuple):
+    """The agent at ``address`` lives anew; earlier lives are over."""
+
+    address: str
+    incarnation: str
+
+
+class Silent(NamedTuple):
+    """Nothing was heard for a while: the link has to be replaced."""
+
+    address: str
+
+
+class Gone(NamedTuple):
+    """Nothing was heard for so long that its attempts are given up."""
+
+    address: str
+
+
+Finding = Restarted | Silent | Gone
+
+
+class Server:
+    """One backend server's agent as seen from here; guarded by the table's lock."""
+
+    def __init__(self, instance: Instance) -> None:
+        self.instance = instance
+        self.beat: Beat | None = None
+        self.heard_at = 0.0
+        self.first_heard_at = 0.0
+        self.replaced_at = 0.0
+        self.in_flight = 0
+        self.sent_since_beat = 0
+        self.work_since_beat = 0.0
+        self.suspects = 0
+        self.gone = False
+
+    @property
+    def name(self) -> str:
+        """The instance's name."""
+        return self.instance.name
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the platform or the agent itself says that it leaves.
+
+        Either is enough: the platform's list lags, and an agent that is paused while
+        leaving can't tell.
+        """
+        return self.instance.leaving or (self.beat is not None and self.beat.leaving)
+
+    @property
+    def known_beat(self) -> Beat:
+        """The latest heartbeat of a server that was heard."""
+        assert self.beat is not None, "only servers that were heard are placed on"
+        return self.beat
+
+    @property
+    def in_service(self) -> bool:
+        """Whether new work may go there."""
+        up = self.beat is not None and self.beat.server_up
+        return up and not self.leaving and not self.gone
+
+
+class ServerTable:
+    """The agents this entry keeps links to, by address; safe from any thread."""
+
+    def __init__(self, timings: Timings) -> None:
+        self._timings = timings
+        self._by_address: dict[str, Server] = {}
+        self._lock = Lock()
+        self._checked_at: float | None = None
+
+    @property
+    def lock(self) -> Lock:
+        """Guards the servers that ``of_group`` returns."""
+        return self._lock
+
+    def keep(self, instances: tuple[Instance, ...], now: float) -> tuple[str, ...]:
+        """Use just ``instances`` from now on; return addresses no longer used.
+
+        A server with attempts under way, or one that is still heard, stays known: the
+        platform's list lags, and nobody is cut off because of it.
+        """
+        wanted = {instance.address: instance for instance in instances}
+        with self._lock:
+            for address, instance in wanted.items():
+                self._adopt(address, instance, now)
+            dropped = [
+                address
+                for address, server in self._by_address.items()
+                if address not in wanted and server.in_flight == 0
+            ]
+            for address in dropped:
+                del self._by_address[address]
+        return tuple(dropped)
+
+    def _adopt(self, address: str, instance: Instance, now: float) -> None:
+        known = self._by_address.get(address)
+        if known is None:
+            server = Server(instance)
+            server.heard_at = now
+            server.replaced_at = now
+            self._by_address[address] = server
+            return
+        known.instance = instance
+
+    def visit(self, instance: Instance, now: float) -> None:
+        """Know the agent at least until ``end_visit``, without placing work there."""
+        with self._lock:
+            if instance.address not in self._by_address:
+                self._adopt(instance.address, instance, now)
+            self._by_address[instance.address].in_flight += 1
+
+    def end_visit(self, address: str) -> None:
+        """End one ``visit``."""
+        with self._lock:
+            server = self._by_address.get(address)
+            if server is not None:
+                server.in_flight = max(0, server.in_flight - 1)
+
+    def heard(self, address: str, beat: Beat, now: float) -> Restarted | None:
+        """Take in a heartbeat; tell if it is from a new life of the agent."""
+        with self._lock:
+            server = self._by_address.get(address)
+            if server is None:
+                return None
+            before = server.beat
+            server.beat = beat
+            server.sent_since_beat = 0
+            server.work_since_beat = 0.0
+            restarted = before is not None and before.incarnation != beat.incarnation
+            if before is None or restarted:
+                server.first_heard_at = now
+            self._alive(server, now)
+        return Restarted(address, beat.incarnation) if restarted else None
+
+    def alive(self, address: str, now: float) -> None:
+        """Note any other sign of life from the agent."""
+        with self._lock:
+            server = self._by_address.get(address)
+            if server is not None:
+                self._alive(server, now)
+
+    def _alive(self, server: Server, now: float) -> None:
+        server.heard_at = now
+        server.gone = False
+
+    def check(self, now: float) -> tuple[Finding, ...]:
+        """Return the links that went silent; called about every heartbeat.
+
+        When this process itself was paused, everybody seems silent at once. The time
+        not lived is added to each last sign of life; otherwise a pause here would give
+        up answers that are alive over there.
+        """
+        with self._lock:
+            self._forgive_own_pause(now)
+            findings = [self._judge(server, now) for server in self._servers()]
+        return tuple(finding for finding in findings if finding is not None)
+
+    def _servers(self) -> tuple[Server, ...]:
+        return tuple(self._by_address.values())
+
+    def _forgive_own_pause(self, now: float) -> None:
+        last, self._checked_at = self._checked_at, now
+        if last is None or now - last <= self._timings.silence_s / 2:
+            return
+        for server in self._by_address.values():
+            server.heard_at += now - last
+            server.replaced_at += now - last
+
+    def _judge(self, server: Server, now: float) -> Finding | None:
+        silent_s = now - server.heard_at
+        if silent_s > self._timings.give_up_s and not server.gone:
+            server.gone = True
+            return Gone(server.instance.address)
+        since_replaced_s = now - server.replaced_at
+        if min(silent_s, since_replaced_s) > self._timings.silence_s:
+            server.replaced_at = now
+            return Silent(server.instance.address)
+        return None
+
+    def of_group(self, group: str) -> tuple[Server, ...]:
+        """Return the group's servers; read them under ``lock`` only."""
+        return tuple(s for s in self._servers() if s.instance.group == group)
+
+    def by_name(self, name: str) -> Server | None:
+        """Return the server with that instance name."""
+        with self._lock:
+            return next((s for s in self._servers() if s.name == name), None)
+
+    def by_address(self, address: str) -> Server | None:
+        """Return the server at that address."""
+        return self._by_address.get(address)
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """The addresses of all agents in use."""
+        return tuple(self._by_address)
--- /dev/null
+++ b/src/kingcupwheel/entry/watching.py
@@ -0,0 +1,46 @@
+"""Tells whether a caller is still connected while its request waits."""
+
+from __future__ import annotations
+
+import select
+import socket
+from typing import NoReturn
+from typing import Protocol
+
+from kingcupwheel.entry.exceptions import CallerGoneError
+
+
+class CallerWatch(Protocol):
+    """Looks at the caller's connection."""
+
+    def gone(self) -> bool:
+        """Return True once the caller has closed its connection."""
+
+    def raise_gone(self) -> NoReturn:
+        """Raise CallerGoneError."""
+
+
+class SocketWatch:
+    """Watches a caller's socket without reading from it."""
+
+    def __init__(self, connection: socket.socket | None) -> None:
+        self._connection = connection
+
+    def gone(self) -> bool:
+        """Return True once the peer has closed or reset the connection.
+
+        Bytes that wait to be read are a further request, not an end.
+        """
+        if self._connection is None:
+            return False
+        try:
+            readable, _, _ = select.select([self._connection], [], [], 0)
+            if not readable:
+                return False
+            return not self._connection.recv(1, socket.MSG_PEEK)
+        except (OSError, ValueError):
+            return True
+
+    def raise_gone(self) -> NoReturn:
+        """Raise CallerGoneError."""
+        raise CallerGoneError("the caller closed its connection")
--- a/src/kingcupwheel/messages/codec.py
+++ b/src/kingcupwheel/messages/codec.py
@@ -15,6 +15,8 @@
 from kingcupwheel.messages.expertmaps import MapReply
 from kingcupwheel.messages.membership import Beat
 from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.membership import InstancesFound
+from kingcupwheel.messages.membership import InstancesWanted
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
 from kingcupwheel.messages.membership import PeerBeat
@@ -59,6 +61,8 @@
     | PeerBeat
     | ManifestWanted
     | ManifestObject
+    | InstancesWanted
+    | InstancesFound
     | TraceWanted
     | TraceFound
     | MapOrder
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -80,3 +80,27 @@
     key: str
     version: int
     value: bytes | None
+
+
+class InstanceInfo(Message, frozen=True):
+    """One instance of the platform's list, as one entry tells another."""
+
+    name: str
+    role: str
+    group: str
+    data_centre: str
+    address: str
+    http: str
+    leaving: bool
+
+
+class InstancesWanted(Message, frozen=True):
+    """Entry to peer: which instances do you know? Asked when the platform is down."""
+
+    name: str
+
+
+class InstancesFound(Message, frozen=True):
+    """Answers ``InstancesWanted``."""
+
+    instances: tuple[InstanceInfo, ...]
--- a/src/kingcupwheel/settings/schema.py
+++ b/src/kingcupwheel/settings/schema.py
@@ -79,7 +79,8 @@
     given up ``give_up_s`` after their last sign of life. ``token_s`` is how old a
     dispatch's clock token may be. ``instances_s`` is how often the platform's list is
     read, ``watch_s`` how long one watch waits. ``leave_s`` is how long a leaving entry
-    still accepts connections from callers that have not yet heard.
+    still accepts connections from callers that have not yet heard; callers are told to
+    keep an address for less than that.
     """
 
     heartbeat_s: float = 1.0
@@ -89,7 +90,7 @@
     token_s: float = 5.0
     instances_s: float = 2.0
     watch_s: float = 20.0
-    leave_s: float = 2.0
+    leave_s: float = 6.0
     trace_batch_s: float = 10.0
 
 
@@ -108,7 +109,8 @@
 
     ``listen`` is ``IP:port`` of the socket for the system's own processes; ``http`` is
     where callers connect (entries only); ``http_public`` is what callers are told when
-    it differs. ``server`` and ``group`` are for agents only.
+    it differs. ``server`` and ``group`` are for agents only. ``seeds`` are addresses of
+    some entries, asked when the platform does not answer at the start.
     """
 
     name: str
@@ -121,6 +123,7 @@
     http_public: str = ""
     operator_http: str = ""
     group: str = ""
+    seeds: tuple[str, ...] = ()
     server: ServerSettings | None = None
     statsd: StatsdSettings = StatsdSettings()
     log_level: LogLevel = LogLevel.INFO
--- /dev/null
+++ b/tools/caller.py
@@ -0,0 +1,122 @@
+"""A caller for demonstrations, tests and measurements."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+_TIMEOUT_S = 60.0
+_OUTCOME_EVENT = b"event: kingcupwheel\ndata: "
+
+
+class Reply(NamedTuple):
+    """What a caller got.
+
+    ``outcome`` is what the entry said of it, empty if it said nothing; ``whole`` is
+    False where the connection was cut; ``body`` is without the entry's own last event.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    outcome: str
+    whole: bool
+    first_byte_s: float
+    took_s: float
+
+    @property
+    def request_id(self) -> str:
+        """The id under which the entry traces the request."""
+        return self.headers.get("kingcupwheel-request-id", "")
+
+    @property
+    def json(self) -> Any:
+        """The body, decoded."""
+        return msgspec.json.decode(self.body)
+
+
+class Unanswered(NamedTuple):
+    """The connection failed before any answer."""
+
+    detail: str
+
+
+class Caller:
+    """Calls entries with one organisation's key; safe from any thread."""
+
+    def __init__(self, key: str, *, timeout_s: float = _TIMEOUT_S) -> None:
+        self._key = key
+        self._pool = urllib3.PoolManager(
+            maxsize=256,
+            retries=False,
+            timeout=urllib3.Timeout(connect=5.0, read=timeout_s),
+        )
+
+    def call(
+        self,
+        address: str,
+        path: str,
+        body: Any = None,
+        *,
+        method: str = "POST",
+        idempotency_key: str = "",
+        headers: dict[str, str] | None = None,
+    ) -> Reply | Unanswered:
+        """Send one request and read its whole answer."""
+        started = time.monotonic()
+        sent = {"Authorization": f"Bearer {self._key}", **(headers or {})}
+        if idempotency_key:
+            sent["Idempotency-Key"] = idempotency_key
+        payload = None if body is None else msgspec.json.encode(body)
+        url = f"http://{address}{path}"
+        try:
+            response = self._pool.request(
+                method, url, body=payload, headers=sent, preload_content=False
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return Unanswered(str(error))
+        return _read(response, started)
+
+
+def _read(response: urllib3.BaseHTTPResponse, started: float) -> Reply:
+    parts: list[bytes] = []
+    first_at = 0.0
+    whole = True
+    try:
+        for part in _parts(response):
+            first_at = first_at or time.monotonic()
+            parts.append(part)
+    except (urllib3.exceptions.HTTPError, OSError):
+        whole = False
+    finally:
+        response.release_conn()
+    body, outcome = _split_outcome(b"".join(parts))
+    headers = {name.lower(): value for name, value in response.headers.items()}
+    outcome = outcome or headers.get("kingcupwheel-outcome", "")
+    now = time.monotonic()
+    first_byte_s = (first_at or now) - started
+    return Reply(
+        response.status, headers, body, outcome, whole, first_byte_s, now - started
+    )
+
+
+def _parts(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    while part := response.read1():
+        yield part
+
+
+def _split_outcome(body: bytes) -> tuple[bytes, str]:
+    """Part the entry's own last event from the answer of the backend server."""
+    head, mark, told = body.rpartition(_OUTCOME_EVENT)
+    if not mark:
+        return body, ""
+    return head, str(msgspec.json.decode(told)["outcome"])
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,268 @@
+"""A small fleet of real processes on the loopback address, with stand-ins around it."""
+
+from __future__ import annotations
+
+import hashlib
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+import yaml
+
+from tools.caller import Caller
+from tools.caller import Reply
+from tools.processes import START_TIMEOUT_S
+from tools.processes import Process
+from tools.processes import free_port
+from tools.processes import wait_until
+
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+_ROOT = Path(__file__).resolve().parent.parent
+_COMMAND_TIMEOUT_S = 60
+
+
+class Entry(NamedTuple):
+    """A running entry; ``http`` is where callers connect."""
+
+    process: Process
+    http: str
+    address: str
+
+
+class Agent(NamedTuple):
+    """A running agent and its backend server."""
+
+    process: Process
+    address: str
+    server: Process
+    server_address: str
+
+
+def key_digest(key: str) -> str:
+    """Return what a manifest holds of a bearer key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Fleet:
+    """Processes by name; leaving the ``with`` block ends every one of them."""
+
+    def __init__(self, timings: dict[str, float] | None = None) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="kingcupwheel-")
+        self._path = Path(self._folder.name)
+        self._timings = timings or {}
+        self._http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self.entries: dict[str, Entry] = {}
+        self.agents: dict[str, Agent] = {}
+        self.stand_ins: dict[str, Process] = {}
+        self.platform = ""
+
+    def __enter__(self) -> Fleet:
+        """Start the platform stand-in."""
+        process, address = self.start_stand_in("platform", "tests.standins.platform")
+        self.platform = address
+        del process
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End every process."""
+        for process in self.processes:
+            process.kill()
+        self._folder.cleanup()
+
+    @property
+    def processes(self) -> tuple[Process, ...]:
+        """Every process started and not replaced since."""
+        entries = [entry.process for entry in self.entries.values()]
+        agents = [agent.process for agent in self.agents.values()]
+        return (*entries, *agents, *self.stand_ins.values())
+
+    def log(self, name: str) -> str:
+        """Return what a process logged."""
+        return (self._path / f"{name}.log").read_text()
+
+    def start_stand_in(
+        self, name: str, module: str, *options: str, port: int = 0
+    ) -> tuple[Process, str]:
+        """Start a stand-in; return it and its ``IP:port``."""
+        arguments = [module, "--port", str(port), *options]
+        process = Process(name, arguments, self._path / f"{name}.log")
+        self.stand_ins[name] = process
+        return process, process.first_line()
+
+    def add_agent(
+        self,
+        name: str,
+        group: str,
+        *,
+        kind: str = "engine",
+        data_centre: str = "dc-1",
+        options: tuple[str, ...] = (),
+        limits: dict[str, Any] | None = None,
+    ) -> Agent:
+        """Start a backend server and the agent beside it, and list the instance."""
+        module = f"tests.standins.{kind}"
+        server, server_address = self.start_stand_in(f"{name}-server", module, *options)
+        address = f"127.0.0.1:{free_port()}"
+        settings = self._settings(name, "agent", address, data_centre)
+        settings["group"] = group
+        settings["server"] = {"url": f"http://{server_address}", "adapter": kind}
+        settings["agent"] = limits or {}
+        process = self._start(name, "agent", settings)
+        agent = Agent(process, address, server, server_address)
+        self.agents[name] = agent
+        self.list_instance(name, "agent", group, data_centre, address)
+        return agent
+
+    def restart_agent(self, name: str) -> Agent:
+        """Start the agent anew with the same settings, beside the same server."""
+        agent = self.agents[name]
+        process = self._start_again(name, "agent")
+        self.agents[name] = agent._replace(process=process)
+        return self.agents[name]
+
+    def restart_server(
+        self, name: str, kind: str = "engine", options: tuple[str, ...] = ()
+    ) -> None:
+        """Start the backend server of an agent anew at the same address."""
+        agent = self.agents[name]
+        port = int(agent.server_address.rpartition(":")[2])
+        server, _ = self.start_stand_in(
+            f"{name}-server", f"tests.standins.{kind}", *options, port=port
+        )
+        self.agents[name] = agent._replace(server=server)
+
+    def add_entry(
+        self,
+        name: str,
+        *,
+        data_centre: str = "dc-1",
+        seeds: tuple[str, ...] = (),
+        limits: dict[str, Any] | None = None,
+    ) -> Entry:
+        """Start an entry and list the instance."""
+        address = f"127.0.0.1:{free_port()}"
+        http = f"127.0.0.1:{free_port()}"
+        settings = self._settings(name, "entry", address, data_centre)
+        settings["http"] = http
+        settings["seeds"] = list(seeds)
+        settings["entry"] = limits or {}
+        entry = Entry(self._start(name, "entry", settings), http, address)
+        self.entries[name] = entry
+        self.list_instance(name, "entry", "", data_centre, address, http)
+        return entry
+
+    def restart_entry(self, name: str) -> Entry:
+        """Start the entry anew with the same settings."""
+        process = self._start_again(name, "entry")
+        self.entries[name] = self.entries[name]._replace(process=process)
+        return self.entries[name]
+
+    def _settings(
+        self, name: str, role: str, address: str, data_centre: str
+    ) -> dict[str, Any]:
+        return {
+            "name": name,
+            "role": role,
+            "data_centre": data_centre,
+            "listen": address,
+            "platform": {"url": f"http://{self.platform}"},
+            "timings": self._timings,
+        }
+
+    def _start(self, name: str, role: str, settings: dict[str, Any]) -> Process:
+        path = self._path / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return self._start_again(name, role)
+
+    def _start_again(self, name: str, role: str) -> Process:
+        path = self._path / f"{name}.yaml"
+        arguments = ["kingcupwheel", role, "--settings", str(path)]
+        return Process(name, arguments, self._path / f"{name}.log")
+
+    def list_instance(
+        self,
+        name: str,
+        role: str,
+        group: str,
+        data_centre: str,
+        address: str,
+        http: str = "",
+        *,
+        leaving: bool = False,
+    ) -> None:
+        """Put an instance on the platform's list."""
+        instance = {
+            "role": role,
+            "group": group,
+            "data_centre": data_centre,
+            "address": address,
+            "http": http,
+            "leaving": leaving,
+        }
+        self._test("PUT", self.platform, f"/test/instances/{name}", instance)
+
+    def unlist(self, name: str) -> None:
+        """Take an instance off the platform's list."""
+        self._test("DELETE", self.platform, f"/test/instances/{name}")
+
+    def switch(self, address: str = "", **switches: Any) -> None:
+        """Set the platform stand-in's switches."""
+        self._test("PUT", address or self.platform, "/test/switches", switches)
+
+    def _test(self, method: str, address: str, path: str, body: Any = None) -> Any:
+        payload = None if body is None else msgspec.json.encode(body)
+        response = self._http.request(method, f"http://{address}{path}", body=payload)
+        assert response.status < 300, (path, response.status, response.data)
+        return msgspec.json.decode(response.data) if response.data else None
+
+    def runs(self, agent: str) -> Any:
+        """Return what the agent's server counts of its runs."""
+        return self._test("GET", self.agents[agent].server_address, "/test/runs")
+
+    def submit(self, manifest: dict[str, Any]) -> subprocess.CompletedProcess[str]:
+        """Submit a manifest by the command line."""
+        path = self._path / "manifest.yaml"
+        path.write_text(yaml.safe_dump(manifest))
+        return self.command(
+            "manifest", "submit", str(path), "--platform", f"http://{self.platform}"
+        )
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the command line."""
+        return subprocess.run(
+            [sys.executable, "-m", "kingcupwheel", *arguments],
+            cwd=_ROOT,
+            capture_output=True,
+            text=True,
+            timeout=_COMMAND_TIMEOUT_S,
+            check=False,
+        )
+
+    def wait_ready(self, key: str, path: str, body: Any) -> None:
+        """Wait until every entry gets an answer of a backend server at ``path``."""
+        caller = Caller(key)
+        for entry in self.entries.values():
+            wait_until(
+                lambda http=entry.http: _serves(caller, http, path, body),  # type: ignore[misc]
+                f"an answer through {entry.http}",
+                START_TIMEOUT_S,
+            )
+
+
+def _serves(caller: Caller, http: str, path: str, body: Any) -> bool:
+    reply = caller.call(http, path, body)
+    return isinstance(reply, Reply) and reply.status == 200
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,101 @@
+"""Starts, signals and stops the processes of a small fleet on this machine."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+_ROOT = Path(__file__).resolve().parent.parent
+_POLL_S = 0.02
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 60.0
+
+
+def free_port() -> int:
+    """Return a port of the loopback address that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_until(condition: Callable[[], bool], what: str, timeout_s: float) -> None:
+    """Wait for ``condition``; raises TimeoutError that names ``what``."""
+    until = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > until:
+            raise TimeoutError(f"not within {timeout_s} s: {what}")
+        time.sleep(_POLL_S)
+
+
+class Process:
+    """One process of the fleet; its log is kept in ``log``."""
+
+    def __init__(self, name: str, arguments: Sequence[str], log: Path) -> None:
+        self.name = name
+        self.log = log
+        environment = dict(os.environ, PYTHONPATH=f"{_ROOT / 'src'}:{_ROOT}")
+        with log.open("ab") as errors:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=_ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=errors,
+                start_new_session=True,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._popen.pid
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs, or is paused."""
+        return self._popen.poll() is None
+
+    def first_line(self) -> str:
+        """Return the first line printed, which tells a stand-in's address."""
+        assert self._popen.stdout is not None
+        return self._popen.stdout.readline().decode().strip()
+
+    def pause(self) -> None:
+        """Freeze the process (SIGSTOP)."""
+        self._popen.send_signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let a frozen process go on (SIGCONT)."""
+        self._popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask for a graceful stop (SIGTERM)."""
+        self._popen.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """End the process at once (SIGKILL) and wait for that."""
+        if self.alive:
+            self._popen.kill()
+        self._popen.wait(STOP_TIMEOUT_S)
+        self._close()
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Return the exit code once the process has ended."""
+        code = self._popen.wait(timeout_s)
+        self._close()
+        return code
+
+    def _close(self) -> None:
+        if self._popen.stdout is not None:
+            self._popen.stdout.close()
