--- /dev/null
+++ b/src/kingcupwheel/decisions/baselines.py
@@ -0,0 +1,65 @@
+"""Simple placement policies to measure against."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING
+
+from kingcupwheel.decisions.candidates import NoPlace
+from kingcupwheel.decisions.candidates import Placed
+from kingcupwheel.decisions.placement import usable
+from kingcupwheel.plugins.kernel import placement_policies
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from kingcupwheel.decisions.candidates import Ask
+    from kingcupwheel.decisions.candidates import Candidate
+
+
+@placement_policies.register("random")
+class RandomChoice:
+    """Any server that is in service and not known to be full."""
+
+    def place(
+        self, candidates: Sequence[Candidate], ask: Ask, now: float, draw: Random
+    ) -> Placed | NoPlace:
+        """Draw evenly."""
+        able = usable(candidates, ask)
+        if isinstance(able, NoPlace):
+            return able
+        return Placed(draw.choice(able).name, "random")
+
+
+@placement_policies.register("round-robin")
+class RoundRobin:
+    """Each server in its turn."""
+
+    def __init__(self) -> None:
+        self._turn = count()
+
+    def place(
+        self, candidates: Sequence[Candidate], ask: Ask, now: float, draw: Random
+    ) -> Placed | NoPlace:
+        """Take the next one."""
+        able = usable(candidates, ask)
+        if isinstance(able, NoPlace):
+            return able
+        return Placed(able[next(self._turn) % len(able)].name, "next in turn")
+
+
+@placement_policies.register("least-in-flight")
+class LeastInFlight:
+    """The server with the fewest attempts of this entry."""
+
+    def place(
+        self, candidates: Sequence[Candidate], ask: Ask, now: float, draw: Random
+    ) -> Placed | NoPlace:
+        """Take the least, drawn evenly among equals."""
+        able = usable(candidates, ask)
+        if isinstance(able, NoPlace):
+            return able
+        best = min(able, key=lambda one: (one.own_in_flight, draw.random()))
+        return Placed(best.name, "fewest in flight")
--- /dev/null
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -0,0 +1,124 @@
+"""What placement knows of a server, and what it is asked."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from kingcupwheel.decisions.health import ServerState
+
+
+# A server that has just started has empty caches and has to warm up: given its whole
+# part at once, the first requests on it are the slowest of the group.
+SLOW_START_S = 15.0
+_FIRST_PART = 0.1
+
+# A slow server is given this part of its capacity. Not nothing: it still answers, and
+# a group that loses every slow server loads the others until they are slow too.
+SLOW_PART = 0.4
+
+# A report older than this is from a server that may be silent; its room counts for less
+# with each further second, so that work drifts away before the link is given up.
+FRESH_S = 2.0
+
+# Without an observed rate a server's work is not weighed.
+_NO_RATE = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A server as one entry sees it.
+
+    ``running``, ``queued``, ``capacity``, ``work`` (tokens) and ``rate`` (tokens per
+    second) are from its agent's last report, ``heard_age_s`` old. ``own_in_flight``
+    counts this entry's attempts on it now, ``own_since_report`` those of them that the
+    report cannot include yet, and ``own_work_since_report`` their predicted tokens.
+    ``started_age_s`` is how long its server has been up, ``suspects_running`` how many
+    suspects this entry knows to run on it.
+    """
+
+    name: str
+    data_centre: str
+    capacity: int
+    running: int = 0
+    queued: int = 0
+    work: float = 0.0
+    rate: float = _NO_RATE
+    own_in_flight: int = 0
+    heard_age_s: float = 0.0
+    started_age_s: float = 3600.0
+    state: ServerState = ServerState.HEALTHY
+    own_since_report: int = 0
+    own_work_since_report: float = 0.0
+    suspects_running: int = 0
+
+    @property
+    def held(self) -> int:
+        """Attempts on the server, as far as the entry can know."""
+        reported = self.running + self.queued + self.own_since_report
+        return max(reported, self.own_in_flight)
+
+    @property
+    def room(self) -> float:
+        """The capacity to count on, less than ``capacity`` when in doubt."""
+        part = 1.0
+        if self.started_age_s < SLOW_START_S:
+            part *= max(_FIRST_PART, self.started_age_s / SLOW_START_S)
+        if self.state is ServerState.SLOW:
+            part *= SLOW_PART
+        if self.heard_age_s > FRESH_S:
+            part *= FRESH_S / self.heard_age_s
+        return max(1.0, self.capacity * part)
+
+    @property
+    def load(self) -> float:
+        """Attempts held per place to count on; 1 is full."""
+        return self.held / self.room
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a further attempt would have to wait at the server."""
+        return self.load >= 1.0
+
+
+class Ask(NamedTuple):
+    """What is to be placed.
+
+    ``prefix_key`` names the beginning of the prompt (empty: no affinity), ``work`` is
+    predicted tokens, ``avoid`` the servers already tried. A ``suspect`` runs where no
+    other suspect does. ``data_centre`` is the entry's own.
+    """
+
+    prefix_key: str = ""
+    work: float = 0.0
+    avoid: frozenset[str] = frozenset()
+    suspect: bool = False
+    data_centre: str = ""
+    repeatable: bool = True
+
+
+class Weighed(NamedTuple):
+    """A server that was weighed, and its load when it was."""
+
+    server: str
+    load: float
+
+
+class Placed(NamedTuple):
+    """Give it to ``server``; ``why`` is a short reason for the trace."""
+
+    server: str
+    why: str
+    alternatives: tuple[Weighed, ...] = ()
+
+
+class NoPlace(NamedTuple):
+    """No server can take it now; ``reason`` is short and fixed."""
+
+    reason: str
+
+
+NO_SERVERS = NoPlace("no server is in service")
+ALL_FULL = NoPlace("every server is full")
+ALL_TRIED = NoPlace("every server was tried")
+SUSPECT_WAITS = NoPlace("every server runs another suspect")
--- /dev/null
+++ b/src/kingcupwheel/decisions/decay.py
@@ -0,0 +1,33 @@
+"""Sums that forget: the memory of every decision that looks at recent events."""
+
+from __future__ import annotations
+
+from math import exp
+
+
+class DecayingSum:
+    """A sum whose parts fade by ``exp(-age / time_constant_s)``.
+
+    It needs two numbers however many events it has seen.
+    """
+
+    __slots__ = ("_at", "_time_constant_s", "_value")
+
+    def __init__(self, time_constant_s: float) -> None:
+        self._time_constant_s = time_constant_s
+        self._value = 0.0
+        self._at = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Add ``amount`` at ``now`` (monotonic seconds)."""
+        self._value = self.value(now) + amount
+        self._at = max(now, self._at)
+
+    def value(self, now: float) -> float:
+        """Return what is left of the sum at ``now``."""
+        age_s = max(0.0, now - self._at)
+        return self._value * exp(-age_s / self._time_constant_s)
+
+    def rate(self, now: float) -> float:
+        """Return the recent amount per second."""
+        return self.value(now) / self._time_constant_s
--- /dev/null
+++ b/src/kingcupwheel/decisions/drain.py
@@ -0,0 +1,51 @@
+"""How fast a queue is drained, as observed."""
+
+from __future__ import annotations
+
+from math import exp
+
+
+# Memory of the observed rate: some mean answers of 8 s, so that one long answer does
+# not look like a stall, and a group that lost half its servers shows within seconds.
+TIME_CONSTANT_S = 10.0
+
+# With less than this seen of a backlog, nothing is known of the rate.
+_LEAST_SEEN_S = 0.5
+
+
+class DrainRate:
+    """Work per second taken from a queue while something waited in it.
+
+    Load: a group at saturation, or one that stalls. Harm prevented: a rate from idle
+    times says nothing about a backlog, and a rate from takes alone never notices that
+    they have stopped. The time since the last take therefore counts as well.
+    """
+
+    __slots__ = ("_busy_s", "_since", "_work")
+
+    def __init__(self) -> None:
+        self._work = 0.0
+        self._busy_s = 0.0
+        self._since: float | None = None
+
+    def start(self, now: float) -> None:
+        """Note that the queue is no longer empty."""
+        self._since = now
+
+    def took(self, work: float, now: float, *, empty: bool) -> None:
+        """Count work taken at ``now``; ``empty`` tells that nothing waits any more."""
+        waited_s = 0.0 if self._since is None else max(0.0, now - self._since)
+        kept = exp(-waited_s / TIME_CONSTANT_S)
+        self._work = self._work * kept + work
+        self._busy_s = self._busy_s * kept + waited_s
+        self._since = None if empty else now
+
+    def seconds(self, work: float, now: float) -> float:
+        """Return how long ``work`` takes to drain; 0 while no rate is known."""
+        waited_s = 0.0 if self._since is None else max(0.0, now - self._since)
+        busy_s = self._busy_s + waited_s
+        if busy_s < _LEAST_SEEN_S:
+            return 0.0
+        if self._work <= 0.0:
+            return busy_s if work > 0.0 else 0.0
+        return work * busy_s / self._work
--- /dev/null
+++ b/src/kingcupwheel/decisions/group_health.py
@@ -0,0 +1,90 @@
+"""The health of a group's servers, with a guard against mass ejection."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.decisions.health import ServerHealth
+from kingcupwheel.decisions.health import ServerState
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+
+# Ejected servers are at most this share of a group. Reason: when more fail, the cause
+# lies with the requests, the link or the entry itself, and the rest would be overrun.
+MAX_EJECTED_SHARE = 1 / 3
+
+_OUT_OF_SERVICE = (ServerState.EJECTED, ServerState.PROBING)
+
+
+class ServerLoad(NamedTuple):
+    """What a server holds: attempts running or queued, and how many it can run."""
+
+    name: str
+    held: int
+    capacity: int
+
+
+class GroupHealth:
+    """The health of each server of a group, as one entry sees it.
+
+    Load: a switch, a rack or a bad request makes many servers fail at once. Harm
+    prevented: with those gone the rest is overrun and fails too, until none is left.
+    No ejection takes the group beyond ``MAX_EJECTED_SHARE``, or leaves the others
+    without room for what the group holds at the moment; the worst go first.
+    """
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, ServerHealth] = {}
+
+    def of(self, server: str) -> ServerHealth:
+        """Return the health of ``server``, new if it was never seen."""
+        return self._by_name.setdefault(server, ServerHealth())
+
+    def restarted(self, server: str) -> None:
+        """Forget what is known of ``server``: a new life of it has come up."""
+        self._by_name.pop(server, None)
+
+    def keep(self, servers: Iterable[str]) -> None:
+        """Forget every server but these."""
+        wanted = set(servers)
+        for name in [name for name in self._by_name if name not in wanted]:
+            del self._by_name[name]
+
+    def states(self, loads: Iterable[ServerLoad], now: float) -> dict[str, ServerState]:
+        """Return the state of each server by name."""
+        load_by_name = {load.name: load for load in loads}
+        health_by_name = {name: self.of(name) for name in load_by_name}
+        median_s = _median_latency(health_by_name)
+        held = sum(load.held for load in load_by_name.values())
+        places = sum(load.capacity for load in load_by_name.values())
+        may_leave = int(len(load_by_name) * MAX_EJECTED_SHARE)
+        state_by_name: dict[str, ServerState] = {}
+        for name in sorted(load_by_name, key=lambda name: _rank(health_by_name, name)):
+            load = load_by_name[name]
+            has_room = held - load.held <= places - load.capacity
+            may_eject = may_leave > 0 and has_room
+            state = health_by_name[name].update(median_s, now, may_eject=may_eject)
+            state_by_name[name] = state
+            if state in _OUT_OF_SERVICE:
+                may_leave -= 1
+                places -= load.capacity
+        return state_by_name
+
+
+def _median_latency(health_by_name: Mapping[str, ServerHealth]) -> float:
+    known = [one.latency_s for one in health_by_name.values() if one.is_measured]
+    return median(known) if known else 0.0
+
+
+def _rank(
+    health_by_name: Mapping[str, ServerHealth], name: str
+) -> tuple[bool, int, str]:
+    """Order for judging: the ejected first, then those that fail most."""
+    health = health_by_name[name]
+    return (not health.is_ejected, -health.failing, name)
--- /dev/null
+++ b/src/kingcupwheel/decisions/health.py
@@ -0,0 +1,138 @@
+"""Judges backend servers by the outcomes and latencies of their attempts."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from kingcupwheel.decisions.decay import DecayingSum
+
+
+# Failures in a row that eject a server: fewer would eject for one bad request and its
+# retry, more would cost callers while a dead server answers at once and looks idle.
+FAILURES_IN_A_ROW = 3
+
+# Share of recent attempts that may fail, and the least number that says anything.
+FAILED_SHARE = 0.5
+LEAST_ATTEMPTS = 6.0
+
+# Memory of outcomes: some answers long, so that a server that recovered is soon good.
+OUTCOMES_S = 20.0
+
+# A server is slow from twice the group's median latency on, and no longer so below one
+# and a half times: between them it keeps its state and does not flap.
+SLOW_FACTOR = 2.0
+RECOVERED_FACTOR = 1.5
+
+# A latency counts as an eighth of the mean, once so many have been seen.
+_LATENCY_GAIN = 1 / 8
+_LEAST_LATENCIES = 5
+
+# First ejection, doubled each time up to the longest: a server that crashed is back in
+# seconds, one that fails for an hour gets a probe every two minutes.
+EJECTION_S = 5.0
+MAX_EJECTION_S = 120.0
+
+# Good probes in a row that make a server healthy again.
+GOOD_PROBES = 3
+
+
+class ServerState(StrEnum):
+    """What a server may be given.
+
+    ``HEALTHY`` its part, ``SLOW`` less, ``PROBING`` single repeatable requests,
+    ``EJECTED`` nothing, ``LEAVING`` nothing ever again.
+    """
+
+    HEALTHY = "healthy"
+    SLOW = "slow"
+    PROBING = "probing"
+    EJECTED = "ejected"
+    LEAVING = "leaving"
+
+
+class ServerHealth:
+    """One server's state as seen by one entry.
+
+    Load: a server that fails at once looks idle and draws all requests; a slow one
+    holds whatever it is given. Harm prevented: callers get its errors and its waits.
+    """
+
+    def __init__(self) -> None:
+        self._attempts = DecayingSum(OUTCOMES_S)
+        self._failures = DecayingSum(OUTCOMES_S)
+        self._failed_in_a_row = 0
+        self._good_probes = 0
+        self._ejections = 0
+        self._ejected_until: float | None = None
+        self._latencies = 0
+        self._is_slow = False
+        self.latency_s = 0.0
+
+    @property
+    def is_measured(self) -> bool:
+        """Whether ``latency_s`` is a mean of enough attempts."""
+        return self._latencies >= _LEAST_LATENCIES
+
+    @property
+    def is_ejected(self) -> bool:
+        """Whether it is ejected or being probed."""
+        return self._ejected_until is not None
+
+    @property
+    def failing(self) -> int:
+        """Failures in a row, to compare servers that both fail."""
+        return self._failed_in_a_row
+
+    def succeeded(self, latency_s: float, now: float) -> None:
+        """Count a whole answer; ``latency_s`` is the time to its first byte."""
+        self._attempts.add(1.0, now)
+        self._failed_in_a_row = 0
+        self._latencies += 1
+        gain = max(_LATENCY_GAIN, 1 / self._latencies)
+        self.latency_s += (latency_s - self.latency_s) * gain
+        if self._ejected_until is not None:
+            self._good_probes += 1
+            if self._good_probes >= GOOD_PROBES:
+                self._recover()
+
+    def failed(self, now: float) -> None:
+        """Count an attempt that failed through the server: an error, a cut, silence."""
+        self._attempts.add(1.0, now)
+        self._failures.add(1.0, now)
+        self._failed_in_a_row += 1
+        self._good_probes = 0
+        if self._ejected_until is not None and now >= self._ejected_until:
+            self._eject(now)
+
+    def wants_ejection(self, now: float) -> bool:
+        """Tell whether its outcomes call for an ejection."""
+        if self._failed_in_a_row >= FAILURES_IN_A_ROW:
+            return True
+        attempts = self._attempts.value(now)
+        failures = self._failures.value(now)
+        return attempts >= LEAST_ATTEMPTS and failures > attempts * FAILED_SHARE
+
+    def update(self, median_s: float, now: float, *, may_eject: bool) -> ServerState:
+        """Return the state at ``now``, beside a group of that median latency."""
+        if self._ejected_until is None and may_eject and self.wants_ejection(now):
+            self._eject(now)
+        if self._ejected_until is not None:
+            waits = now < self._ejected_until
+            return ServerState.EJECTED if waits else ServerState.PROBING
+        if self.is_measured and median_s > 0.0:
+            factor = RECOVERED_FACTOR if self._is_slow else SLOW_FACTOR
+            self._is_slow = self.latency_s > factor * median_s
+        return ServerState.SLOW if self._is_slow else ServerState.HEALTHY
+
+    def _eject(self, now: float) -> None:
+        self._ejected_until = now + min(EJECTION_S * 2**self._ejections, MAX_EJECTION_S)
+        self._ejections = min(self._ejections + 1, 8)
+        self._good_probes = 0
+
+    def _recover(self) -> None:
+        self._ejected_until = None
+        self._ejections = 0
+        self._attempts = DecayingSum(OUTCOMES_S)
+        self._failures = DecayingSum(OUTCOMES_S)
+        self._latencies = 0
+        self.latency_s = 0.0
--- /dev/null
+++ b/src/kingcupwheel/decisions/matching.py
@@ -0,0 +1,90 @@
+"""Even assignment of choosers to options that every process works out alike."""
+
+from __future__ import annotations
+
+from heapq import heappush
+from heapq import heappushpop
+from math import ceil
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.decisions.hashing import stable_hash
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+# Places of an option above the mean. Without any, one that leaves moves a long chain of
+# others; with more, options differ more in how many chose them.
+SLACK_PLACES = 1
+
+
+class _Bid(NamedTuple):
+    """A chooser's claim to a place; the lowest is turned away first."""
+
+    worth: int
+    chooser: str
+
+
+class _Option:
+    """Holds the best bids up to its number of places."""
+
+    __slots__ = ("_bids", "_places")
+
+    def __init__(self, places: int) -> None:
+        self._places = places
+        self._bids: list[_Bid] = []
+
+    @property
+    def choosers(self) -> list[str]:
+        return [bid.chooser for bid in self._bids]
+
+    def offer(self, bid: _Bid) -> str | None:
+        """Return whom it turns away, if anybody."""
+        if len(self._bids) < self._places:
+            heappush(self._bids, bid)
+            return None
+        return heappushpop(self._bids, bid).chooser
+
+
+def match_evenly(
+    choosers: Sequence[str], options: Sequence[str], wanted: int
+) -> dict[str, tuple[str, ...]]:
+    """Return ``wanted`` different options for each chooser, evenly chosen.
+
+    Each chooser ranks the options by a hash of both names, each option holds the
+    choosers that rank it best up to its places, and whoever is turned away goes on down
+    its own ranking (deferred acceptance; Gale and Shapley, 1962). The result depends on
+    the names alone and not on their order, and one that comes or goes moves few others.
+    """
+    wanted = min(wanted, len(options))
+    mean = len(choosers) * wanted / len(options)
+    places = min(len(choosers), ceil(mean) + SLACK_PLACES)
+    option_by_name = {name: _Option(places) for name in options}
+    preferences_by_chooser = {name: iter(_ranked(name, options)) for name in choosers}
+    unplaced = [chooser for chooser in choosers for _ in range(wanted)]
+    while unplaced:
+        chooser = unplaced.pop()
+        preference = next(preferences_by_chooser[chooser], None)
+        if preference is None:
+            continue
+        rank, name = preference
+        turned_away = option_by_name[name].offer(_Bid(-rank, chooser))
+        if turned_away is not None:
+            unplaced.append(turned_away)
+    return _by_chooser(choosers, option_by_name)
+
+
+def _ranked(chooser: str, options: Sequence[str]) -> list[tuple[int, str]]:
+    return sorted((stable_hash(chooser, name), name) for name in options)
+
+
+def _by_chooser(
+    choosers: Sequence[str], option_by_name: dict[str, _Option]
+) -> dict[str, tuple[str, ...]]:
+    names_by_chooser: dict[str, list[str]] = {chooser: [] for chooser in choosers}
+    for name, option in option_by_name.items():
+        for chooser in option.choosers:
+            names_by_chooser[chooser].append(name)
+    return {chooser: tuple(names) for chooser, names in names_by_chooser.items()}
--- /dev/null
+++ b/src/kingcupwheel/decisions/placement.py
@@ -0,0 +1,150 @@
+"""Chooses a server for a request: two random choices, with what is known of each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from kingcupwheel.decisions.candidates import ALL_FULL
+from kingcupwheel.decisions.candidates import ALL_TRIED
+from kingcupwheel.decisions.candidates import NO_SERVERS
+from kingcupwheel.decisions.candidates import SUSPECT_WAITS
+from kingcupwheel.decisions.candidates import Ask
+from kingcupwheel.decisions.candidates import Candidate
+from kingcupwheel.decisions.candidates import NoPlace
+from kingcupwheel.decisions.candidates import Placed
+from kingcupwheel.decisions.candidates import Weighed
+from kingcupwheel.decisions.hashing import stable_hash
+from kingcupwheel.decisions.health import ServerState
+from kingcupwheel.plugins.kernel import placement_policies
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+
+# Servers drawn for a choice. Two give most of the gain over one; with every server
+# compared, all entries would pick the same one from reports of the same second.
+CHOICES = 2
+
+# Requests that go to a server on probe, as a share of the repeatable ones: at nine
+# requests a second an entry probes about every five seconds.
+PROBE_SHARE = 0.02
+
+# A server of another data centre counts as this much fuller: about a millisecond more
+# each way, so the own data centre is left only when it is clearly fuller.
+DISTANCE_LOAD = 0.15
+
+# The home of a prefix may be this much fuller than the mean: a cached prefix saves the
+# prompt's work, which a longer wait soon eats up.
+AFFINITY_SLACK = 0.25
+AFFINITY_MAX_LOAD = 0.9
+
+
+class PlacementPolicy(Protocol):
+    """A placement plug-in; one instance serves one group at one entry."""
+
+    def place(
+        self, candidates: Sequence[Candidate], ask: Ask, now: float, draw: Random
+    ) -> Placed | NoPlace:
+        """Choose a server among the group's that are within the entry's subset."""
+
+
+def usable(candidates: Sequence[Candidate], ask: Ask) -> list[Candidate] | NoPlace:
+    """Return the servers that may be given ``ask``, or why there are none."""
+    up = [
+        candidate
+        for candidate in candidates
+        if candidate.state not in (ServerState.LEAVING, ServerState.EJECTED)
+    ]
+    if not up:
+        return NO_SERVERS
+    untried = [candidate for candidate in up if candidate.name not in ask.avoid]
+    if not untried:
+        return ALL_TRIED
+    with_room = [candidate for candidate in untried if not candidate.is_full]
+    if not with_room:
+        return ALL_FULL
+    if not ask.suspect:
+        return with_room
+    # Failure: two suspects on one server, which dies. Symptom: the innocent one is
+    # blamed twice. Apart, the second death leaves a single cause.
+    alone = [candidate for candidate in with_room if not candidate.suspects_running]
+    return alone or SUSPECT_WAITS
+
+
+@placement_policies.register("two-choices")
+class TwoChoices:
+    """The less loaded of two random servers, unless the prefix has a home with room.
+
+    Load: some hundred entries place on the same servers by reports a second old. Harm
+    prevented: each choosing the least loaded server of its own view, all choose the
+    same one, which is overrun until the next report. Two random choices never do that,
+    and need no exact figures.
+    """
+
+    def place(
+        self, candidates: Sequence[Candidate], ask: Ask, now: float, draw: Random
+    ) -> Placed | NoPlace:
+        """Choose a server; ``now`` is not needed, since ages are in the candidates."""
+        able = usable(candidates, ask)
+        if isinstance(able, NoPlace):
+            return able
+        proven, probed = _parted(able)
+        if probed and (not proven or _probes(ask, draw)):
+            return Placed(draw.choice(probed).name, "probe of an ejected server")
+        home = self._home(proven, ask)
+        if home is not None:
+            return Placed(home.name, "home of the prefix", _weigh([home]))
+        drawn = _draw(proven, draw)
+        best = min(drawn, key=lambda candidate: _cost(candidate, ask))
+        others = [candidate for candidate in drawn if candidate is not best]
+        why = "less loaded of two" if others else "the only one with room"
+        return Placed(best.name, why, _weigh([best, *others]))
+
+    @staticmethod
+    def _home(proven: Sequence[Candidate], ask: Ask) -> Candidate | None:
+        """Return the prefix's home by rendezvous hashing, if it has room to spare.
+
+        Load: many requests that begin alike. Harm prevented: without the bound the home
+        of a popular prefix is overrun while others idle.
+        """
+        if not ask.prefix_key or ask.suspect:
+            return None
+        home = max(proven, key=lambda one: stable_hash(ask.prefix_key, one.name))
+        mean = sum(candidate.load for candidate in proven) / len(proven)
+        if home.load > min(AFFINITY_MAX_LOAD, mean + AFFINITY_SLACK):
+            return None
+        return home
+
+
+def _parted(able: Sequence[Candidate]) -> tuple[list[Candidate], list[Candidate]]:
+    proven = [one for one in able if one.state is not ServerState.PROBING]
+    probed = [one for one in able if one.state is ServerState.PROBING]
+    return proven, [one for one in probed if one.own_in_flight == 0]
+
+
+def _probes(ask: Ask, draw: Random) -> bool:
+    # A probe may fail; only what may be run again is risked.
+    return ask.repeatable and not ask.suspect and draw.random() < PROBE_SHARE
+
+
+def _draw(proven: Sequence[Candidate], draw: Random) -> list[Candidate]:
+    """Draw two different servers, each as often as it has room."""
+    if len(proven) <= CHOICES:
+        return list(proven)
+    rooms = [candidate.room for candidate in proven]
+    first = draw.choices(proven, rooms)[0]
+    rest = [candidate for candidate in proven if candidate is not first]
+    second = draw.choices(rest, [candidate.room for candidate in rest])[0]
+    return [first, second]
+
+
+def _cost(candidate: Candidate, ask: Ask) -> float:
+    distance = 0.0 if candidate.data_centre == ask.data_centre else DISTANCE_LOAD
+    return candidate.load + distance
+
+
+def _weigh(candidates: Sequence[Candidate]) -> tuple[Weighed, ...]:
+    return tuple(Weighed(one.name, round(one.load, 3)) for one in candidates)
--- /dev/null
+++ b/src/kingcupwheel/decisions/queueing.py
@@ -0,0 +1,229 @@
+"""A bounded queue that is fair by organisation and refuses what cannot make it."""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heappop
+from heapq import heappush
+from typing import NamedTuple
+
+from kingcupwheel.decisions.admission import MAX_RETRY_AFTER_S
+from kingcupwheel.decisions.admission import MIN_RETRY_AFTER_S
+from kingcupwheel.decisions.admission import Refuse
+from kingcupwheel.decisions.drain import DrainRate
+from kingcupwheel.decisions.hashing import stable_fraction
+
+
+# Work that a flow of the lowest priority is given in a round, in tokens. One mean
+# request: smaller ones make the rounds long, larger ones make short requests wait.
+QUANTUM = 512.0
+
+# A flow may hold so many times the places that are free. Reason: one flow alone gets
+# two thirds of the queue, and however many flood it, a free place is left for the next
+# organisation.
+FREE_PLACES_FACTOR = 2
+
+# Weight of priority p is (p + 1): priority 9 gets ten times the work of priority 0, and
+# none is given nothing, so that no priority starves another.
+_WEIGHT_OF_LOWEST = 1.0
+
+
+class Waiting(NamedTuple):
+    """A request that waits for a place on a server.
+
+    ``work`` is predicted work in tokens; the times are monotonic seconds, and
+    ``deadline_at`` is when it must have left the queue at the latest.
+    """
+
+    request_id: str
+    organisation: str
+    priority: int
+    work: float
+    deadline_at: float
+    queued_at: float
+
+
+class Queued(NamedTuple):
+    """The request waits; ``ahead`` others were in the queue."""
+
+    ahead: int
+    predicted_wait_s: float = 0.0
+
+
+class _Flow:
+    """The waiting requests of one organisation and priority."""
+
+    __slots__ = ("backlog", "deficit", "has_turn", "requests", "weight")
+
+    def __init__(self, priority: int) -> None:
+        self.requests: deque[Waiting] = deque()
+        self.weight = max(0, priority) + _WEIGHT_OF_LOWEST
+        self.deficit = 0.0
+        self.has_turn = False
+        self.backlog = 0.0
+
+    def takes_turn(self, quantum: float) -> bool:
+        """Return whether its first request may be taken in this turn."""
+        if not self.has_turn:
+            self.has_turn = True
+            self.deficit += quantum * self.weight
+        if self.deficit >= self.requests[0].work:
+            return True
+        self.has_turn = False
+        return False
+
+
+class FairQueue:
+    """Deficit round robin by predicted work over organisations and priorities.
+
+    Load: more requests than the servers have places for, some organisations with ten
+    times the requests or the work of others. Harm prevented: in a common line the flood
+    of one makes all wait; a long line answers everybody too late. ``limit`` bounds the
+    requests held here, and so memory and threads.
+    """
+
+    def __init__(self, limit: int, *, quantum: float = QUANTUM) -> None:
+        self._limit = limit
+        self._quantum = quantum
+        self._flow_by_key: dict[tuple[str, int], _Flow] = {}
+        self._turns: deque[tuple[str, int]] = deque()
+        self._waiting_by_id: dict[str, Waiting] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._expired: list[Waiting] = []
+        self._drain = DrainRate()
+
+    def __len__(self) -> int:
+        return len(self._waiting_by_id)
+
+    @property
+    def work(self) -> float:
+        """The predicted work that waits, in tokens."""
+        return sum(flow.backlog for flow in self._flow_by_key.values())
+
+    def push(self, waiting: Waiting, now: float) -> Queued | Refuse:
+        """Queue a request, or refuse it at once with a time to come back."""
+        ahead = len(self)
+        key = (waiting.organisation, waiting.priority)
+        flow = self._flow_by_key.get(key) or _Flow(waiting.priority)
+        if len(flow.requests) >= FREE_PLACES_FACTOR * (self._limit - ahead):
+            wait_s = self._drain.seconds(self.work, now)
+            return _refuse("queue", f"{ahead} requests wait", wait_s, waiting)
+        wait_s = self._predicted_wait(flow, waiting.work, now)
+        left_s = waiting.deadline_at - now
+        if wait_s > left_s:
+            detail = f"predicted wait {wait_s:.1f} s, deadline in {left_s:.1f} s"
+            return _refuse("deadline", detail, wait_s - max(0.0, left_s), waiting)
+        if not self._waiting_by_id:
+            self._drain.start(now)
+        self._add(key, flow, waiting)
+        return Queued(ahead, wait_s)
+
+    def peek(self, now: float) -> Waiting | None:
+        """Return the request whose turn it is, or None if none waits in time."""
+        self._drop_expired(now)
+        passed = 0
+        while self._turns:
+            flow = self._flow_by_key[self._turns[0]]
+            if flow.takes_turn(self._quantum):
+                return flow.requests[0]
+            self._turns.rotate(-1)
+            passed += 1
+            if passed == len(self._turns):
+                self._skip_rounds()
+        return None
+
+    def pop(self, now: float) -> Waiting | None:
+        """Take out and return what ``peek`` returns."""
+        waiting = self.peek(now)
+        if waiting is None:
+            return None
+        key = self._turns[0]
+        flow = self._flow_by_key[key]
+        flow.requests.popleft()
+        flow.deficit -= waiting.work
+        flow.backlog -= waiting.work
+        del self._waiting_by_id[waiting.request_id]
+        self._drop_if_empty(key, flow)
+        self._drain.took(waiting.work, now, empty=not self._waiting_by_id)
+        return waiting
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Take a request out, for instance when its caller has left."""
+        waiting = self._waiting_by_id.pop(request_id, None)
+        if waiting is None:
+            return None
+        key = (waiting.organisation, waiting.priority)
+        flow = self._flow_by_key[key]
+        flow.requests.remove(waiting)
+        flow.backlog -= waiting.work
+        self._drop_if_empty(key, flow)
+        return waiting
+
+    def expired(self, now: float) -> list[Waiting]:
+        """Return, once, the requests whose deadline passed while they waited."""
+        self._drop_expired(now)
+        expired = self._expired
+        self._expired = []
+        return expired
+
+    def _add(self, key: tuple[str, int], flow: _Flow, waiting: Waiting) -> None:
+        if not flow.requests:
+            self._flow_by_key[key] = flow
+            self._turns.append(key)
+        flow.requests.append(waiting)
+        flow.backlog += waiting.work
+        self._waiting_by_id[waiting.request_id] = waiting
+        heappush(self._deadlines, (waiting.deadline_at, waiting.request_id))
+
+    def _skip_rounds(self) -> None:
+        """Grant at once the rounds in which nobody's deficit would suffice.
+
+        Load: requests of some 100,000 tokens alone in the queue. Harm prevented: some
+        hundred rounds over all flows for one decision.
+        """
+        flows = self._flow_by_key.values()
+        rounds = min(
+            (flow.requests[0].work - flow.deficit) // (self._quantum * flow.weight)
+            for flow in flows
+        )
+        for flow in flows:
+            flow.deficit += max(0.0, rounds) * self._quantum * flow.weight
+
+    def _drop_if_empty(self, key: tuple[str, int], flow: _Flow) -> None:
+        if flow.requests:
+            return
+        del self._flow_by_key[key]
+        self._turns.remove(key)
+
+    def _drop_expired(self, now: float) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request_id = heappop(self._deadlines)
+            waiting = self._waiting_by_id.get(request_id)
+            if waiting is not None and waiting.deadline_at <= now:
+                self.remove(request_id)
+                self._expired.append(waiting)
+
+    def _predicted_wait(self, own: _Flow, work: float, now: float) -> float:
+        """Return the seconds until a new request of ``own`` would be taken.
+
+        Until then every other flow is served at most its weight's part of what ``own``
+        is, or all that it has.
+        """
+        mine = own.backlog + work
+        before = own.backlog
+        for flow in self._flow_by_key.values():
+            if flow is not own:
+                before += min(flow.backlog, mine * flow.weight / own.weight)
+        return self._drain.seconds(before, now)
+
+
+def _refuse(limit: str, detail: str, wait_s: float, waiting: Waiting) -> Refuse:
+    """Refuse with Retry-After spread over as long again as the wait.
+
+    Load: some hundreds of requests refused in the same second. Harm prevented: callers
+    that come back together meet a full queue together. The spread depends on the
+    request's id alone, so that a trace can be worked out again.
+    """
+    base_s = max(MIN_RETRY_AFTER_S, wait_s)
+    after_s = base_s * (1.0 + stable_fraction(waiting.request_id))
+    return Refuse(limit, detail, min(MAX_RETRY_AFTER_S, after_s))
--- /dev/null
+++ b/src/kingcupwheel/decisions/shares.py
@@ -0,0 +1,114 @@
+"""How an organisation's allowance is split over the entries of its set.
+
+No entry is in charge. Each holds a share and tells it to the others of the set, with
+the demand it sees, on the heartbeats that flow anyway. It lowers its share at once and
+raises it late, so that the sum stays within the allowance whatever is lost on the way:
+
+- A raise takes at most an equal part of what nobody holds, and the next one waits until
+  every peer has answered the last. Two entries that raise at once therefore never take
+  the same part.
+- A silent peer can neither lend nor borrow. From ``STALE_S`` on, the entries that miss
+  it hold at most an equal part; only from ``RETURN_S`` on do they count a silent peer
+  as holding no more than that.
+
+Bound: the sum of shares is at most 1 while all entries agree on the set, plus
+``FLOOR`` for the part that every entry may always use. An entry that was dropped from
+the set and cannot be told adds at most one equal part of the set that it knew.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+# A peer whose answer is older than three heartbeats of a second is silent.
+STALE_S = 3.0
+
+# When a silent peer has surely lowered its share: it noticed the silence at the latest
+# ``STALE_S`` after its own last answer, which may be one delivery and one heartbeat
+# younger than the one this entry has; a delivery of more than ``STALE_S`` is silence.
+RETURN_S = 3 * STALE_S
+
+# The sum of what all entries may use beyond their shares. Reason: a caller that moves
+# to another entry is served there before the share has followed it.
+FLOOR = 0.1
+
+# Demands below this are noise.
+_LEAST_DEMAND = 1e-6
+
+
+class PeerShare(NamedTuple):
+    """What a peer of the set last told.
+
+    ``demand`` is the demand it sees as a fraction of the whole allowance, ``held`` the
+    share it holds. ``age_s`` is how long ago this entry sent the newest heartbeat that
+    the peer has answered, so that it bounds the age of the news in both directions; for
+    a peer never heard it is the time since it was learned of.
+    """
+
+    demand: float
+    held: float
+    age_s: float
+
+
+class Share(NamedTuple):
+    """The share an entry holds, and when it last raised it (monotonic seconds)."""
+
+    held: float = 0.0
+    raised_at: float = float("-inf")
+
+    def usable(self, entries: int) -> float:
+        """Return the part of the allowance this entry may use."""
+        return max(self.held, FLOOR / entries)
+
+
+def next_share(
+    share: Share, demand: float, peers: Sequence[PeerShare], now: float
+) -> Share:
+    """Return the share to hold from ``now`` on, to be told to the peers.
+
+    Load: an organisation whose callers move between the entries of its set, entries
+    that come, go and lose each other. Harm prevented: a fixed equal split refuses
+    callers at a busy entry while its peer idles; a split by guesses admits more than
+    the allowance. ``peers`` are the other members; ``demand`` is a fraction of the
+    whole allowance. Call it about every heartbeat, and first thing after a pause.
+    """
+    equal = 1.0 / (len(peers) + 1)
+    target = _target(demand, peers, equal)
+    if target <= share.held:
+        return Share(target, share.raised_at)
+    since_raise_s = now - share.raised_at
+    if not all(_has_answered(peer, since_raise_s) for peer in peers):
+        return share
+    free = 1.0 - share.held - sum(_occupied(peer, equal) for peer in peers)
+    step = free if all(peer.age_s > RETURN_S for peer in peers) else free * equal
+    if step <= 0.0:
+        return share
+    return Share(min(target, share.held + step), now)
+
+
+def _target(demand: float, peers: Sequence[PeerShare], equal: float) -> float:
+    if any(peer.age_s > STALE_S for peer in peers):
+        return equal
+    total = demand + sum(peer.demand for peer in peers)
+    if total < _LEAST_DEMAND:
+        return equal
+    if total <= 1.0:
+        return demand + (1.0 - total) * equal
+    return demand / total
+
+
+def _has_answered(peer: PeerShare, since_raise_s: float) -> bool:
+    """Tell whether ``peer`` knows of the last raise, or is gone."""
+    if peer.age_s > RETURN_S:
+        return True
+    return peer.age_s <= STALE_S and peer.age_s < since_raise_s
+
+
+def _occupied(peer: PeerShare, equal: float) -> float:
+    return equal if peer.age_s > RETURN_S else peer.held
--- /dev/null
+++ b/src/kingcupwheel/decisions/subsets.py
@@ -0,0 +1,117 @@
+"""Who talks to whom: servers of an entry, entries of an organisation."""
+
+from __future__ import annotations
+
+from math import ceil
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.decisions.hashing import stable_hash
+from kingcupwheel.decisions.matching import match_evenly
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from kingcupwheel.manifest.schema import Allowance
+
+
+# Part of a subset that lies in other data centres: enough to carry on when the own
+# one's servers fail, few enough that most traffic stays near.
+SPILL_PART = 0.25
+
+# A set has two entries at least, so that one may fail.
+LEAST_ENTRIES = 2
+
+# Work one entry of the target carries for a single organisation, in tokens a second:
+# half of 860,000 over 370 entries, so that a set's members have room for others.
+ENTRY_WORK_PER_S = 1_150.0
+
+# A set this large reaches a tenth of the target's entries; each member gossips its
+# demand to all others of the set.
+MOST_ENTRIES = 16
+
+
+class Instance(NamedTuple):
+    """An entry or server and where it is."""
+
+    name: str
+    data_centre: str
+
+
+def subset(
+    entry: str,
+    entries: Sequence[Instance],
+    servers: Sequence[Instance],
+    size: int,
+    *,
+    spill_part: float = SPILL_PART,
+) -> tuple[str, ...]:
+    """Return the names of the servers of one group that ``entry`` keeps links to.
+
+    Load: 370 entries before 1,000 servers. Harm prevented: with every entry linked to
+    every server, heartbeats alone are 370,000 a second. Every process that knows the
+    same ``entries`` and ``servers`` works out the same subsets. Of ``size``, the part
+    ``spill_part`` lies in other data centres; a data centre short of servers is made up
+    for by the others. Own data centre first; ``entry`` has to be among ``entries``.
+    """
+    if len(servers) <= size:
+        return _nearest_first(entry, entries, servers)
+    home = next(one.data_centre for one in entries if one.name == entry)
+    near = [one.name for one in servers if one.data_centre == home]
+    far = [one.name for one in servers if one.data_centre != home]
+    beside = [one.name for one in entries if one.data_centre == home]
+    wanted = size if not far else size - int(size * spill_part)
+    own = near
+    if len(near) > wanted:
+        own = list(match_evenly(beside, near, wanted)[entry])
+    ranked = sorted(far, key=lambda name: stable_hash("spill", entry, name))
+    return (*own, *ranked[: size - len(own)])
+
+
+def entries_for(
+    organisation: str,
+    entries: Sequence[Instance],
+    allowance: Allowance,
+    data_centre: str,
+) -> tuple[str, ...]:
+    """Return the entries that an organisation's callers are told to use.
+
+    The set depends on the organisation, its allowance and the live entries alone, so
+    that every entry names the same set and the shares of the allowance add up; the
+    order puts those of ``data_centre`` first. Members are picked by rendezvous hashing,
+    a data centre at a time, so that losing one data centre leaves some, and an entry
+    that leaves is replaced without moving the others.
+
+    Load: 43,000 organisations. Harm prevented: spread over all entries, every
+    allowance would be split 370 times and no entry's part would admit a request.
+    """
+    wanted = min(entries_wanted(allowance), len(entries))
+    by_rank = sorted(
+        entries, key=lambda one: stable_hash("entries", organisation, one.name)
+    )
+    seen_by_data_centre: dict[str, int] = {}
+    turns: list[tuple[int, int, Instance]] = []
+    for rank, one in enumerate(by_rank):
+        turn = seen_by_data_centre.get(one.data_centre, 0)
+        seen_by_data_centre[one.data_centre] = turn + 1
+        turns.append((turn, rank, one))
+    chosen = [one for _, _, one in sorted(turns)[:wanted]]
+    chosen.sort(key=lambda one: one.data_centre != data_centre)
+    return tuple(one.name for one in chosen)
+
+
+def entries_wanted(allowance: Allowance) -> int:
+    """Return how many entries an allowance is split over."""
+    by_work = ceil(allowance.work_per_s / ENTRY_WORK_PER_S)
+    by_concurrency = max(1, allowance.concurrency // 2)
+    wanted = min(by_work, by_concurrency, MOST_ENTRIES)
+    return max(LEAST_ENTRIES, wanted)
+
+
+def _nearest_first(
+    entry: str, entries: Sequence[Instance], servers: Sequence[Instance]
+) -> tuple[str, ...]:
+    home = next((one.data_centre for one in entries if one.name == entry), "")
+    ranked = sorted(servers, key=lambda one: (one.data_centre != home, one.name))
+    return tuple(one.name for one in ranked)
--- a/src/kingcupwheel/plugins/kernel.py
+++ b/src/kingcupwheel/plugins/kernel.py
@@ -17,17 +17,22 @@
     from collections.abc import Callable
 
     from kingcupwheel.agent.adapters.base import ServerAdapter
+    from kingcupwheel.decisions.placement import PlacementPolicy
     from kingcupwheel.platform.client import PlatformClient
 
 
 platform_clients: Registry[Callable[..., PlatformClient]] = Registry("platform client")
 server_adapters: Registry[Callable[..., ServerAdapter]] = Registry("server adapter")
-placement_policies: Registry[Callable[..., Any]] = Registry("placement policy")
+placement_policies: Registry[Callable[[], PlacementPolicy]] = Registry(
+    "placement policy"
+)
 codecs: Registry[Any] = Registry("codec")
 
 BUILTIN_MODULES = (
     "kingcupwheel.platform.http",
     "kingcupwheel.messages.codec",
+    "kingcupwheel.decisions.placement",
+    "kingcupwheel.decisions.baselines",
 )
 
 
--- /dev/null
+++ b/tools/load_scenarios.py
@@ -0,0 +1,259 @@
+"""Loads and failures for the model, and what callers got."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.manifest.schema import Allowance
+from tools.load_model import Model
+from tools.load_model import Request
+from tools.load_model import Server
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from tools.entry_model import Setup
+
+    Event = tuple[float, Callable[[Model], None]]
+
+
+SERVERS = 16
+CAPACITY = 16
+# Sixteen requests in a batch of 26 ms, a mean of 270 + 20 steps each.
+REQUESTS_PER_S = SERVERS * CAPACITY / (0.026 * 290)
+ORGANISATIONS = tuple(f"organisation-{number}" for number in range(10))
+FLOODING = ORGANISATIONS[0]
+DURATION_S = 60.0
+PROMPT_TOKENS = 400
+ANSWER_TOKENS = 270
+
+
+class Lengths(NamedTuple):
+    """Mean tokens of an answer: ``long_part`` of the requests have ``long`` ones."""
+
+    short: int = ANSWER_TOKENS
+    long: int = ANSWER_TOKENS
+    long_part: float = 0.0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A load as a share of the servers' capacity, and what fails when.
+
+    ``flood`` is the share of requests that come from one organisation;
+    ``burst_factor`` multiplies the load for 3 s in every 15.
+    """
+
+    name: str
+    load: float
+    flood: float = 0.1
+    burst_factor: float = 1.0
+    lengths: Lengths = Lengths()
+    prefixes: int = 0
+    returns: int = 0
+    deadline_s: float = 3.0
+    events: tuple[Event, ...] = ()
+
+
+class Outcome(NamedTuple):
+    """What callers got.
+
+    ``met`` is the share of calls answered whole with the first token in time,
+    ``others_met`` that of all organisations but the flooding one; ``goodput`` the
+    tokens per second of calls met; ``fairness`` Jain's index over organisations of the
+    work met against their max-min fair part; ``first_p95_s`` the 95th percentile of the
+    time to the first token of answered calls, ``gap_p95_ms`` between tokens;
+    ``refused`` the share refused, ``told_late`` the share that waited in vain.
+    """
+
+    met: float
+    others_met: float
+    goodput: float
+    fairness: float
+    first_p95_s: float
+    gap_p95_ms: float
+    refused: float
+    told_late: float
+    retries: int
+
+
+def build_servers(count: int = SERVERS) -> list[Server]:
+    """Return servers spread over three data centres."""
+    return [
+        Server(f"server-{number}", f"dc-{number % 3}", CAPACITY)
+        for number in range(count)
+    ]
+
+
+def build_requests(scenario: Scenario, seed: int) -> list[Request]:
+    """Return calls with exponential gaps and lengths."""
+    draw = Random(seed)
+    lengths = scenario.lengths
+    mean = lengths.short + (lengths.long - lengths.short) * lengths.long_part
+    rate = scenario.load * REQUESTS_PER_S * (ANSWER_TOKENS + 20) / (mean + 20)
+    requests = []
+    at = 2.0
+    while at < DURATION_S:
+        bursting = at % 15.0 > 12.0
+        at += draw.expovariate(rate * (scenario.burst_factor if bursting else 1.0))
+        flooding = draw.random() < scenario.flood
+        organisation = FLOODING if flooding else draw.choice(ORGANISATIONS[1:])
+        is_long = draw.random() < lengths.long_part
+        answer = lengths.long if is_long else lengths.short
+        prefix = f"{int(scenario.prefixes * draw.random() ** 2)}"
+        requests.append(
+            Request(
+                at,
+                organisation,
+                1 + int(draw.expovariate(1 / PROMPT_TOKENS)),
+                1 + int(draw.expovariate(1 / answer)),
+                scenario.deadline_s,
+                prefix if scenario.prefixes else "",
+                scenario.returns,
+            )
+        )
+    return requests
+
+
+def allowances() -> dict[str, Allowance]:
+    """Return allowances that together are one and a half times the capacity."""
+    tokens_per_s = REQUESTS_PER_S * (PROMPT_TOKENS + ANSWER_TOKENS)
+    part = 1.5 * tokens_per_s / len(ORGANISATIONS)
+    return {
+        name: Allowance(work_per_s=part, burst=5 * part, concurrency=64)
+        for name in ORGANISATIONS
+    }
+
+
+def play(scenario: Scenario, setup: Setup, seed: int = 1) -> tuple[Outcome, Model]:
+    """Run a scenario and return what callers got."""
+    model = Model(
+        setup, build_servers(), seed=seed, allowance_by_organisation=allowances()
+    )
+    requests = build_requests(scenario, seed)
+    model.run(requests, DURATION_S + 30.0, scenario.events)
+    return judge(requests, model), model
+
+
+def judge(requests: Sequence[Request], model: Model) -> Outcome:
+    """Sum up what callers got."""
+    answered = [one for one in requests if one.end == "answered"]
+    ends = Counter(one.end for one in requests)
+    others = [one for one in requests if one.organisation != FLOODING]
+    return Outcome(
+        _share_met(requests),
+        _share_met(others),
+        sum(one.work for one in requests if one.met) / DURATION_S,
+        fairness(requests),
+        percentile([(one.first_at or 0.0) - one.at for one in answered], 0.95),
+        1000 * percentile([one.gap_s for one in answered], 0.95),
+        ends["refused"] / len(requests),
+        sum(_told_late(one) for one in requests) / len(requests),
+        sum(entry.retry_count for entry in model.entries),
+    )
+
+
+def fairness(requests: Sequence[Request]) -> float:
+    """Return Jain's index of work met over each organisation's max-min fair part."""
+    wanted: Counter[str] = Counter()
+    met: Counter[str] = Counter()
+    for one in requests:
+        wanted[one.organisation] += one.work
+        met[one.organisation] += one.work if one.met else 0
+    fair = max_min(dict(wanted), float(met.total()))
+    parts = [met[name] / fair[name] for name in wanted if fair[name] > 0.0]
+    squares = sum(part * part for part in parts)
+    return sum(parts) ** 2 / (len(parts) * squares) if squares else 0.0
+
+
+def max_min(wanted: dict[str, int], total: float) -> dict[str, float]:
+    """Share ``total`` so that nobody gets more while another wants and has less."""
+    part_by_name: dict[str, float] = {}
+    left = total
+    for number, name in enumerate(sorted(wanted, key=lambda name: wanted[name])):
+        part_by_name[name] = min(wanted[name], left / (len(wanted) - number))
+        left -= part_by_name[name]
+    return part_by_name
+
+
+def percentile(values: Sequence[float], part: float) -> float:
+    """Return the value that ``part`` of the values do not exceed; 0 for none."""
+    ordered = sorted(values)
+    return ordered[int(part * (len(ordered) - 1))] if ordered else 0.0
+
+
+def _share_met(requests: Sequence[Request]) -> float:
+    return sum(one.met for one in requests) / max(1, len(requests))
+
+
+def _told_late(request: Request) -> bool:
+    if request.end == "answered":
+        return not request.met
+    return request.end != "refused" or request.refused_after_s > 0.1
+
+
+def _set_silent(data_centre: str, *, silent: bool) -> Callable[[Model], None]:
+    def change(model: Model) -> None:
+        for server in model.servers:
+            if server.data_centre == data_centre:
+                server.silent = silent
+                if not silent:
+                    server.running.clear()
+                    server.queue.clear()
+                    server.started_at = model.now
+
+    return change
+
+
+def _set_slow(model: Model) -> None:
+    model.servers[0].factor = 4.0
+
+
+def _set_lying(model: Model) -> None:
+    model.servers[0].lies = True
+
+
+def _set_failing(model: Model) -> None:
+    model.servers[0].fails = True
+
+
+def _set_failing_many(model: Model) -> None:
+    for server in model.servers[:10]:
+        server.fails = True
+
+
+def _mend(model: Model) -> None:
+    for server in model.servers:
+        server.fails = False
+
+
+SCENARIOS = (
+    Scenario("steady, 70% load", 0.7),
+    Scenario("bursts, 50% load, 4x for 3 s", 0.5, burst_factor=4.0),
+    Scenario("one floods, 130% load", 1.3, flood=0.6),
+    Scenario("one slow server (4x), 70% load", 0.7, events=((10.0, _set_slow),)),
+    Scenario("one lying server, 70% load", 0.7, events=((10.0, _set_lying),)),
+    Scenario("long and short mixed, 80% load", 0.8, lengths=Lengths(80, 2000, 0.1)),
+    Scenario("saturation, 150% load", 1.5, returns=2),
+    Scenario(
+        "dead data centre, 55% load",
+        0.55,
+        events=(
+            (20.0, _set_silent("dc-1", silent=True)),
+            (40.0, _set_silent("dc-1", silent=False)),
+        ),
+    ),
+    Scenario("one server fails at once, 70% load", 0.7, events=((10.0, _set_failing),)),
+    Scenario(
+        "ten of 16 fail for 10 s, 30% load",
+        0.3,
+        events=((20.0, _set_failing_many), (30.0, _mend)),
+    ),
+    Scenario("40 prefixes, 70% load", 0.7, prefixes=40),
+)
