--- a/src/kingcupwheel/plugins/kernel.py
+++ b/src/kingcupwheel/plugins/kernel.py
@@ -33,6 +33,8 @@
     "kingcupwheel.messages.codec",
     "kingcupwheel.decisions.placement",
     "kingcupwheel.decisions.baselines",
+    "kingcupwheel.agent.adapters.engine",
+    "kingcupwheel.agent.adapters.service",
 )
 
 
