--- a/src/kingcupwheel/console/commands/trace.py
+++ b/src/kingcupwheel/console/commands/trace.py
@@ -2,9 +2,133 @@
 
 from __future__ import annotations
 
+import sys
+from typing import TYPE_CHECKING
+
 import click
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.console.exit_codes import ExitCode
+from kingcupwheel.console.platform import open_platform
+from kingcupwheel.link.asking import Asker
+from kingcupwheel.trace.claims import ClaimView
+from kingcupwheel.trace.claims import find_claim
+from kingcupwheel.trace.exceptions import BadRequestId
+from kingcupwheel.trace.exceptions import FindError
+from kingcupwheel.trace.exceptions import NoClaim
+from kingcupwheel.trace.exceptions import PlatformDown
+from kingcupwheel.trace.finding import Finder
+from kingcupwheel.trace.printing import story_text
+from kingcupwheel.trace.story import State
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.platform.client import PlatformClient
+    from kingcupwheel.trace.story import Story
 
 
 @click.command("trace")
-def command() -> None:
-    """Not here yet."""
+@click.argument("request_id", required=False)
+@click.option("--platform", "url", required=True, help="URL of the platform's service.")
+@click.option("--idempotency-key", help="Find the request by this key.")
+@click.option("--organisation", help="The organisation that used the key.")
+@click.option(
+    "--address",
+    "addresses",
+    multiple=True,
+    metavar="NAME=IP:PORT",
+    help="Ask this process there, as when the platform's list can't be read.",
+)
+@click.option("--timeout", "timeout_s", default=2.0, show_default=True, help="Seconds.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def command(
+    request_id: str | None,
+    url: str,
+    idempotency_key: str | None,
+    organisation: str | None,
+    addresses: tuple[str, ...],
+    timeout_s: float,
+    as_json: bool,
+) -> None:
+    """Tell what became of one request, and why.
+
+    Exit code 0: the whole story; 7: parts are missing; 6: nothing was found.
+    """
+    client = open_platform(url)
+    wanted = _wanted(client, request_id, idempotency_key, organisation)
+    if wanted.is_error():
+        _fail(wanted.error)
+    claim = wanted.ok
+    finder = Finder(
+        client,
+        Asker(timeout_s=timeout_s),
+        address_by_process=_addresses(addresses),
+        agents=(claim.agent,) if claim.agent else (),
+    )
+    found = finder.find(claim.request_id)
+    if found.is_error():
+        _fail(found.error)
+    _print(found.ok, as_json=as_json)
+    sys.exit(_exit_code(found.ok))
+
+
+def _wanted(
+    client: PlatformClient,
+    request_id: str | None,
+    idempotency_key: str | None,
+    organisation: str | None,
+) -> Result[ClaimView, FindError]:
+    if request_id:
+        return Ok(ClaimView(request_id))
+    if idempotency_key and organisation:
+        return find_claim(client, organisation, idempotency_key)
+    if idempotency_key or organisation:
+        raise click.UsageError("--idempotency-key and --organisation go together.")
+    return Error(BadRequestId(""))
+
+
+def _addresses(pairs: tuple[str, ...]) -> dict[str, str]:
+    address_by_process = {}
+    for pair in pairs:
+        process, separator, address = pair.partition("=")
+        if not separator or ":" not in address:
+            raise click.BadParameter(f"{pair!r} is not NAME=IP:PORT.")
+        address_by_process[process] = address
+    return address_by_process
+
+
+def _print(story: Story, *, as_json: bool) -> None:
+    if as_json:
+        encoded = msgspec.json.format(msgspec.json.encode(story), indent=2)
+        click.echo(encoded.decode())
+    else:
+        click.echo(story_text(story))
+
+
+def _exit_code(story: Story) -> ExitCode:
+    match story.state:
+        case State.UNKNOWN:
+            return ExitCode.NOT_FOUND
+        case State.CONTRADICTORY:
+            return ExitCode.FAILED
+        case _:
+            return ExitCode.OK if story.whole else ExitCode.INCOMPLETE
+
+
+def _fail(error: FindError) -> None:
+    match error:
+        case BadRequestId(text):
+            _exit(f"{text!r} is no request id.", ExitCode.USAGE)
+        case NoClaim(key):
+            message = f"No claim is kept for key {key!r}; claims have a retention."
+            _exit(message, ExitCode.NOT_FOUND)
+        case PlatformDown(detail):
+            _exit(f"Cannot look it up: {detail}.", ExitCode.UNAVAILABLE)
+
+
+def _exit(message: str, code: ExitCode) -> None:
+    click.echo(f"Error: {message}", err=True)
+    sys.exit(code)
--- a/src/kingcupwheel/settings/schema.py
+++ b/src/kingcupwheel/settings/schema.py
@@ -79,7 +79,8 @@
     given up ``give_up_s`` after their last sign of life. ``token_s`` is how old a
     dispatch's clock token may be. ``instances_s`` is how often the platform's list is
     read, ``watch_s`` how long one watch waits. ``leave_s`` is how long a leaving entry
-    still accepts connections from callers that have not yet heard.
+    still accepts connections from callers that have not yet heard. ``trace_batch_s`` is
+    the period of one batch of trace events; it decides the writes that traces cost.
     """
 
     heartbeat_s: float = 1.0
@@ -90,7 +91,7 @@
     instances_s: float = 2.0
     watch_s: float = 20.0
     leave_s: float = 2.0
-    trace_batch_s: float = 10.0
+    trace_batch_s: float = 30.0
 
 
 class ServerSettings(Record, frozen=True):
--- /dev/null
+++ b/src/kingcupwheel/trace/batches.py
@@ -0,0 +1,149 @@
+"""Batches of trace events: their keys, their format and their retention.
+
+A batch is the object ``traces/<process>/<hour>/<since>-<until>-<life>-<part>`` with
+Unix seconds; ``hour`` counts hours since the epoch, ``life`` tells two lives of a
+process apart. A request id names its entry and time, so one listing of an hour finds
+the batches that can hold it.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import NamedTuple
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.trace.events import EVENTS_DECODER
+from kingcupwheel.trace.events import TraceEvent
+from kingcupwheel.trace.exceptions import BadBatch
+
+
+PREFIX = "traces/"
+HOUR_S = 3600
+# The longest period of one batch; a reader starts this much before the request.
+MAX_PERIOD_S = 600
+# The platform holds values up to 1 MB; the difference is for the batch's other fields.
+PART_BYTES = 900_000
+# Events joined before they are compressed. They shrink several times; a part that does
+# not shrink enough is halved.
+RAW_PART_BYTES = 3_000_000
+# Unpacked size that a reader accepts, so that a damaged object can't fill its memory.
+_MAX_RAW_BYTES = 2 * RAW_PART_BYTES
+_COMPRESSION = 6
+
+
+class Loss(msgspec.Struct, frozen=True):
+    """Events recorded between two Unix times that no batch holds, and why."""
+
+    since: float
+    until: float
+    events: int
+    why: str
+
+
+class Batch(msgspec.Struct, frozen=True):
+    """What one object holds; ``packed`` is compressed concatenated events."""
+
+    process: str
+    since: float
+    until: float
+    events: int
+    packed: bytes
+    losses: tuple[Loss, ...] = ()
+
+
+class BatchName(NamedTuple):
+    """The parts of a batch's key; times are whole Unix seconds."""
+
+    process: str
+    since: int
+    until: int
+    life: str
+    part: int
+
+    @property
+    def key(self) -> str:
+        """The object's key."""
+        span = f"{self.since}-{self.until}-{self.life}-{self.part}"
+        return f"{hour_prefix(self.process, self.since)}{span}"
+
+
+class Part(NamedTuple):
+    """Compressed events and how many they are."""
+
+    packed: bytes
+    events: int
+
+
+def hour_prefix(process: str, at: float) -> str:
+    """Return what the keys of the process's batches of that hour start with."""
+    return f"{PREFIX}{process}/{int(at) // HOUR_S}/"
+
+
+def parse_key(key: str) -> BatchName | None:
+    """Return the parts of ``key``, or None if it names no batch."""
+    try:
+        _, process, _, span = key.split("/")
+        since, until, life, part = span.split("-")
+        return BatchName(process, int(since), int(until), life, int(part))
+    except ValueError:
+        return None
+
+
+def make_parts(encoded: tuple[bytes, ...]) -> tuple[Part, ...]:
+    """Return the events as compressed parts, each small enough for one object."""
+    packed = _pack(encoded)
+    if len(packed) <= PART_BYTES or len(encoded) == 1:
+        return (Part(packed, len(encoded)),)
+    middle = len(encoded) // 2
+    return make_parts(encoded[:middle]) + make_parts(encoded[middle:])
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Return the object's value."""
+    return msgspec.msgpack.encode(batch)
+
+
+def decode_batch(value: bytes) -> Result[Batch, BadBatch]:
+    """Return the batch in ``value``, or why it is none."""
+    try:
+        return Ok(_BATCH_DECODER.decode(value))
+    except msgspec.MsgspecError as error:
+        return Error(BadBatch(str(error)))
+
+
+def events_of(
+    batch: Batch, request_id: str
+) -> Result[tuple[TraceEvent, ...], BadBatch]:
+    """Return the events of one request in the batch, in order of recording."""
+    try:
+        events = _unpack(batch.packed)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        return Error(BadBatch(str(error)))
+    return Ok(tuple(event for event in events if event.request_id == request_id))
+
+
+def expired(name: BatchName, *, now: float, retention_s: float) -> bool:
+    """Tell whether the batch is past its retention."""
+    return name.until + retention_s < now
+
+
+_BATCH_DECODER: msgspec.msgpack.Decoder[Batch] = msgspec.msgpack.Decoder(Batch)
+
+
+def _pack(encoded: tuple[bytes, ...]) -> bytes:
+    # The head of a msgpack array of 32-bit length, so that the joined items are one.
+    head = b"\xdd" + len(encoded).to_bytes(4, "big")
+    return zlib.compress(head + b"".join(encoded), _COMPRESSION)
+
+
+def _unpack(packed: bytes) -> tuple[TraceEvent, ...]:
+    inflater = zlib.decompressobj()
+    raw = inflater.decompress(packed, _MAX_RAW_BYTES)
+    if not inflater.eof:
+        raise zlib.error("the batch is cut short or too large")
+    events: tuple[TraceEvent, ...] = EVENTS_DECODER.decode(raw)
+    return events
--- a/src/kingcupwheel/trace/events.py
+++ b/src/kingcupwheel/trace/events.py
@@ -186,3 +186,4 @@
 EVENTS_DECODER: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(
     tuple[TraceEvent, ...]
 )
+EVENT_DECODER: msgspec.msgpack.Decoder[TraceEvent] = msgspec.msgpack.Decoder(TraceEvent)
--- /dev/null
+++ b/src/kingcupwheel/trace/exceptions.py
@@ -0,0 +1,32 @@
+"""Errors of the trace layer."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class BadBatch(NamedTuple):
+    """An object under ``traces/`` that can't be read; ``detail`` says why."""
+
+    detail: str
+
+
+class BadRequestId(NamedTuple):
+    """The text names no request."""
+
+    text: str
+
+
+class NoClaim(NamedTuple):
+    """No claim is kept for the idempotency key; claims have a retention."""
+
+    key: str
+
+
+class PlatformDown(NamedTuple):
+    """The platform's service did not answer; ``detail`` says how."""
+
+    detail: str
+
+
+FindError = BadRequestId | NoClaim | PlatformDown
--- /dev/null
+++ b/src/kingcupwheel/trace/finding.py
@@ -0,0 +1,229 @@
+"""Gathering the parts of one request's story, without an index.
+
+The id names the entry and the time; the entry's events name the agents. Each is asked
+over its own socket first, and its batches are read if it is gone or does not hold all.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Protocol
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.trace.events import EVENTS_DECODER
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import Received
+from kingcupwheel.trace.events import Refused
+from kingcupwheel.trace.exceptions import BadRequestId
+from kingcupwheel.trace.reading import BatchReader
+from kingcupwheel.trace.reading import describe
+from kingcupwheel.trace.story import Part
+from kingcupwheel.trace.story import Source
+from kingcupwheel.trace.story import Story
+from kingcupwheel.trace.story import servers_named
+from kingcupwheel.trace.story import tell
+from kingcupwheel.utils.request_ids import parse_request_id
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.platform.client import PlatformClient
+    from kingcupwheel.trace.events import TraceEvent
+    from kingcupwheel.trace.exceptions import FindError
+    from kingcupwheel.trace.reading import BatchEvents
+    from kingcupwheel.utils.request_ids import RequestId
+
+# Agents asked when the entry left nothing that names them. It covers every agent of
+# today's deployments; of a larger fleet the rest is named as not asked.
+MAX_GUESSED = 128
+
+
+class _Directory(NamedTuple):
+    address_by_process: dict[str, str]
+    agents: tuple[str, ...]
+    trouble: str
+
+
+class TraceAsker(Protocol):
+    """Asks live processes; ``link.asking.Asker`` does."""
+
+    def ask(
+        self,
+        address_by_process: Mapping[str, str],
+        question: Message,
+        answer: type[TraceFound],
+    ) -> dict[str, TraceFound]:
+        """Return the answers by process, without those that did not come in time."""
+
+
+class Finder:
+    """Finds stories; belongs to one thread.
+
+    ``address_by_process`` holds addresses given by hand, for when the platform's list
+    can't be read; they go before the list's. ``agents`` names agents to ask in any
+    case, such as the one that a claim names.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        asker: TraceAsker,
+        *,
+        address_by_process: Mapping[str, str] | None = None,
+        agents: Iterable[str] = (),
+    ) -> None:
+        self._client = client
+        self._asker = asker
+        self._given = dict(address_by_process or {})
+        self._agents = tuple(agents)
+        self._reader = BatchReader(client)
+
+    def find(self, request_id: str) -> Result[Story, FindError]:
+        """Return what can be said of the request, with what is missing."""
+        parsed = parse_request_id(request_id)
+        if parsed is None:
+            return Error(BadRequestId(request_id))
+        directory = self._directory()
+        entry = self._parts((parsed.entry,), request_id, parsed, directory)[0]
+        servers = dict.fromkeys((*servers_named(entry.events), *self._agents))
+        agents = self._parts(tuple(servers), request_id, parsed, directory)
+        if not entry.events and not any(part.events for part in agents):
+            agents = (*agents, *self._guess(request_id, directory))
+        parts = (entry, *agents)
+        if directory.trouble and any(part.gaps for part in parts):
+            gaps = (directory.trouble, *entry.gaps)
+            parts = (msgspec.structs.replace(entry, gaps=gaps), *agents)
+        return Ok(tell(request_id, parts))
+
+    def _directory(self) -> _Directory:
+        listed = self._client.instances()
+        if listed.is_error():
+            trouble = f"The list of instances is missing: {describe(listed.error)}."
+            return _Directory(self._given, tuple(self._given), trouble)
+        address_by_process = {item.name: item.address for item in listed.ok}
+        agents = tuple(item.name for item in listed.ok if item.role == "agent")
+        return _Directory(address_by_process | self._given, agents, "")
+
+    def _parts(
+        self,
+        processes: tuple[str, ...],
+        request_id: str,
+        parsed: RequestId,
+        directory: _Directory,
+    ) -> tuple[Part, ...]:
+        found_by_process = self._ask(processes, request_id, directory)
+        return tuple(
+            self._part(process, found_by_process.get(process), request_id, parsed)
+            for process in processes
+        )
+
+    def _ask(
+        self, processes: tuple[str, ...], request_id: str, directory: _Directory
+    ) -> dict[str, TraceFound]:
+        addresses = {
+            process: address
+            for process in processes
+            if (address := directory.address_by_process.get(process))
+        }
+        return self._asker.ask(addresses, TraceWanted(request_id), TraceFound)
+
+    def _part(
+        self,
+        process: str,
+        found: TraceFound | None,
+        request_id: str,
+        parsed: RequestId,
+    ) -> Part:
+        live = _decode(found)
+        if found is not None and found.complete:
+            return Part(process, Source.LIVE, live)
+        since = parsed.started_ms / 1000
+        stored = self._reader.read(process, request_id, since=since)
+        events = _union(live, stored.events)
+        source = Source.BATCHES if stored.events else Source.NOWHERE
+        source = Source.LIVE if live else source
+        gaps = _gaps(process, parsed.entry, found, events, stored)
+        return Part(process, source, events, gaps)
+
+    def _guess(self, request_id: str, directory: _Directory) -> tuple[Part, ...]:
+        """Ask agents at large: the entry is gone and left nothing."""
+        asked = directory.agents[:MAX_GUESSED]
+        found_by_process = self._ask(asked, request_id, directory)
+        parts = tuple(
+            Part(process, Source.LIVE, events)
+            for process, found in found_by_process.items()
+            if (events := _decode(found))
+        )
+        silent = [process for process in asked if process not in found_by_process]
+        unasked = len(directory.agents) - len(asked)
+        gaps = []
+        if silent and not parts:
+            gaps.append(f"No answer came from {', '.join(silent)}.")
+        if unasked and not parts:
+            gaps.append(f"{unasked} more agents were not asked.")
+        if gaps:
+            parts = (*parts, Part("agents", Source.NOWHERE, (), tuple(gaps)))
+        return parts
+
+
+def _decode(found: TraceFound | None) -> tuple[TraceEvent, ...]:
+    if found is None:
+        return ()
+    try:
+        events: tuple[TraceEvent, ...] = EVENTS_DECODER.decode(found.events)
+    except msgspec.MsgspecError:
+        return ()
+    return events
+
+
+def _union(
+    live: tuple[TraceEvent, ...], stored: tuple[TraceEvent, ...]
+) -> tuple[TraceEvent, ...]:
+    held = set(stored)
+    return stored + tuple(event for event in live if event not in held)
+
+
+def _gaps(
+    process: str,
+    entry: str,
+    found: TraceFound | None,
+    events: tuple[TraceEvent, ...],
+    stored: BatchEvents,
+) -> tuple[str, ...]:
+    if _ended(events, whole_from_start=process == entry):
+        return ()
+    if found is None:
+        why = f"{process} does not answer"
+    else:
+        why = f"{process} no longer holds all of it (restarted, or it is too long ago)"
+    if stored.trouble:
+        batches = stored.trouble
+    elif stored.until:
+        batches = f"its batches reach to Unix second {stored.until}"
+    else:
+        batches = "it left no batches of that time"
+    lost = tuple(
+        f"{process} says that it lost {loss.events} events between Unix seconds "
+        f"{loss.since:.0f} and {loss.until:.0f}: {loss.why}."
+        for loss in stored.losses
+    )
+    return (f"Part of {process}'s account may be missing: {why}, and {batches}.", *lost)
+
+
+def _ended(events: tuple[TraceEvent, ...], *, whole_from_start: bool) -> bool:
+    """Tell whether the events run to the end of the request at that process."""
+    ended = any(isinstance(event.event, Finished | Refused) for event in events)
+    if not whole_from_start:
+        return ended
+    begun = any(isinstance(event.event, Received) for event in events)
+    return begun and any(isinstance(event.event, Finished) for event in events)
--- /dev/null
+++ b/src/kingcupwheel/trace/merging.py
@@ -0,0 +1,68 @@
+"""One order for the events of several processes, by time and by cause.
+
+Clocks of processes differ by some milliseconds, so that time alone may put an answer
+before its request. A process's own events keep their order; between processes an event
+waits for what must have come before it.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kingcupwheel.trace.events import AnyEvent
+from kingcupwheel.trace.events import Dispatched
+from kingcupwheel.trace.events import FirstByte
+from kingcupwheel.trace.events import TraceEvent
+
+
+class _Cause(NamedTuple):
+    kind: type[AnyEvent]
+    attempt: int
+
+
+def merge(entry: str, parts: tuple[tuple[TraceEvent, ...], ...]) -> list[TraceEvent]:
+    """Return all events in order; ``entry`` is the process that took the request.
+
+    Each part holds the events of one process in order of recording. An event that
+    waits for one that nobody recorded is not held up; a contradiction falls back to
+    time.
+    """
+    queues = [list(part) for part in parts if part]
+    merged: list[TraceEvent] = []
+    while queues:
+        ready = [queue for queue in queues if not _blocked(entry, queue, queues)]
+        chosen = min(ready or queues, key=lambda queue: queue[0].at)
+        merged.append(chosen.pop(0))
+        queues = [queue for queue in queues if queue]
+    return merged
+
+
+def _blocked(
+    entry: str, queue: list[TraceEvent], queues: list[list[TraceEvent]]
+) -> bool:
+    cause = _cause(entry, queue[0])
+    if cause is None:
+        return False
+    return any(
+        _matches(cause, event)
+        for other in queues
+        if other is not queue
+        for event in other
+    )
+
+
+def _cause(entry: str, event: TraceEvent) -> _Cause | None:
+    """Return what another process must have recorded before ``event``."""
+    attempt: int | None = getattr(event.event, "attempt", None)
+    if event.process != entry:
+        return _Cause(Dispatched, attempt) if attempt is not None else None
+    if isinstance(event.event, FirstByte):
+        return _Cause(FirstByte, event.event.attempt)
+    return None
+
+
+def _matches(cause: _Cause, event: TraceEvent) -> bool:
+    return (
+        isinstance(event.event, cause.kind)
+        and getattr(event.event, "attempt", None) == cause.attempt
+    )
--- /dev/null
+++ b/src/kingcupwheel/trace/outbox.py
@@ -0,0 +1,229 @@
+"""When a process writes which batch of events, decided without input or output.
+
+Load: 1,370 processes share a platform that takes several hundred writes a second, and
+claims of requests that run at most once need most of them. Harm prevented: traces that
+crowd out claims, above all when the platform comes back after an outage and everyone
+has an hour of events to tell. So each process makes at most ``CALLS_PER_PERIOD`` calls
+a period, and what waits is joined into few large objects instead of many small ones.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.trace.batches import RAW_PART_BYTES
+from kingcupwheel.trace.batches import Batch
+from kingcupwheel.trace.batches import BatchName
+from kingcupwheel.trace.batches import Loss
+from kingcupwheel.trace.batches import encode_batch
+from kingcupwheel.trace.batches import expired
+from kingcupwheel.trace.batches import make_parts
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.trace.recorder import Drained
+
+# One batch, the deletion of one expired batch, and one more to catch up after an
+# outage. 1,370 processes with periods of 30 s then stay under 137 calls a second.
+CALLS_PER_PERIOD = 3
+# Batches that wait for the platform, compressed, plus events not yet compressed. An
+# hour at the target rate of an entry has to fit, in a small share of its 256 MB.
+OUTBOX_BYTES = 16_000_000
+# Keys of written batches that are remembered for deletion: three days of 30 s periods.
+_REMEMBERED = 10_000
+_PHASES = 1000
+
+
+class WriteBatch(NamedTuple):
+    """Create this object; it is the oldest that waits."""
+
+    key: str
+    value: bytes
+
+
+class DeleteBatch(NamedTuple):
+    """Remove this expired object; ``version`` is 0 if it is not known."""
+
+    key: str
+    version: int
+
+
+class _Waiting(NamedTuple):
+    name: BatchName
+    batch: Batch
+
+
+class _Written(NamedTuple):
+    name: BatchName
+    version: int
+
+
+class Outbox:
+    """Events on their way to the platform; belongs to one thread.
+
+    ``life`` tells this process's life from earlier ones of its name. Times called
+    ``now`` are monotonic seconds; ``at`` is Unix seconds.
+    """
+
+    def __init__(self, process: str, *, life: str, period_s: float, now: float) -> None:
+        self._process = process
+        self._life = life
+        self._gap_s = period_s / CALLS_PER_PERIOD
+        self._period_s = period_s
+        # Processes that start together, as after an outage, must not write together.
+        phase = zlib.crc32(process.encode()) % _PHASES / _PHASES
+        self._next_call = now + phase * self._gap_s
+        self._next_batch = now + phase * period_s
+        self._part = 0
+        self._open: list[bytes] = []
+        self._open_bytes = 0
+        self._open_since = 0.0
+        self._open_until = 0.0
+        self._waiting: deque[_Waiting] = deque()
+        self._waiting_bytes = 0
+        self._losses: list[Loss] = []
+        self._written: deque[_Written] = deque(maxlen=_REMEMBERED)
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes held for the platform."""
+        return self._waiting_bytes + self._open_bytes
+
+    @property
+    def next_call(self) -> float:
+        """The earliest monotonic time of the next call."""
+        return self._next_call
+
+    def add(self, drained: Drained) -> None:
+        """Take events from the recorder; the oldest batch makes room, counted."""
+        if drained.lost:
+            self._lose(drained.since, drained.until, drained.lost, "no room in memory")
+        if drained.encoded:
+            self._take(drained)
+        while self.waiting_bytes > OUTBOX_BYTES and self._waiting:
+            oldest = self._waiting.popleft().batch
+            self._waiting_bytes -= len(oldest.packed)
+            self._lose(
+                oldest.since, oldest.until, oldest.events, "platform out of reach"
+            )
+
+    def remember(self, names: tuple[BatchName, ...]) -> None:
+        """Take over deletion of batches that earlier lives wrote, oldest first."""
+        earlier = [name for name in names if name.life != self._life]
+        self._written.extendleft(_Written(name, 0) for name in reversed(earlier))
+
+    def call(
+        self, *, now: float, at: float, retention_s: float
+    ) -> WriteBatch | DeleteBatch | None:
+        """Return the call to make now, if its time has come.
+
+        ``settle`` has to follow before the next call.
+        """
+        if now < self._next_call:
+            return None
+        if now >= self._next_batch and not self._waiting:
+            self._seal()
+        if self._waiting:
+            return self._write()
+        if self._written and expired(
+            self._written[0].name, now=at, retention_s=retention_s
+        ):
+            return DeleteBatch(self._written[0].name.key, self._written[0].version)
+        return None
+
+    def flush(self) -> WriteBatch | None:
+        """Return the next write without regard to time, for a graceful stop."""
+        if not self._waiting:
+            self._seal()
+        return self._write() if self._waiting else None
+
+    def written(self, *, version: int, now: float) -> None:
+        """Note that the batch of the last call is on the platform."""
+        done = self._waiting.popleft()
+        self._waiting_bytes -= len(done.batch.packed)
+        self._written.append(_Written(done.name, version))
+        self._losses = []
+        self._pause(now)
+        if not self._waiting:
+            self._next_batch = now + self._period_s
+
+    def rejected(self, why: str, *, now: float) -> None:
+        """Note that the platform will never take the batch of the last call."""
+        refused = self._waiting.popleft().batch
+        self._waiting_bytes -= len(refused.packed)
+        self._lose(refused.since, refused.until, refused.events, why)
+        self._pause(now)
+
+    def deleted(self, *, now: float) -> None:
+        """Note that the batch of the last call is gone."""
+        self._written.popleft()
+        self._pause(now)
+
+    def found(self, *, version: int, now: float) -> None:
+        """Note the version of the batch to delete, which the refusal told."""
+        self._written[0] = _Written(self._written[0].name, version)
+        self._pause(now)
+
+    def failed(self, *, now: float, wait_s: float = 0.0) -> None:
+        """Note that the last call came to nothing; the same follows later."""
+        self._pause(now)
+        self._next_call = max(self._next_call, now + wait_s)
+
+    def _pause(self, now: float) -> None:
+        self._next_call = now + self._gap_s
+
+    def _take(self, drained: Drained) -> None:
+        if not self._open:
+            self._open_since = drained.since
+        self._open_until = drained.until
+        self._open.extend(drained.encoded)
+        self._open_bytes += sum(map(len, drained.encoded))
+        if self._open_bytes >= RAW_PART_BYTES:
+            self._seal()
+
+    def _seal(self) -> None:
+        if not self._open:
+            return
+        for part in make_parts(tuple(self._open)):
+            self._part += 1
+            name = BatchName(
+                self._process,
+                int(self._open_since),
+                int(self._open_until) + 1,
+                self._life,
+                self._part,
+            )
+            batch = Batch(
+                self._process,
+                self._open_since,
+                self._open_until,
+                part.events,
+                part.packed,
+            )
+            self._waiting.append(_Waiting(name, batch))
+            self._waiting_bytes += len(part.packed)
+        self._open = []
+        self._open_bytes = 0
+
+    def _write(self) -> WriteBatch:
+        name, batch = self._waiting[0]
+        telling = Batch(
+            batch.process,
+            batch.since,
+            batch.until,
+            batch.events,
+            batch.packed,
+            tuple(self._losses),
+        )
+        self._waiting[0] = _Waiting(name, telling)
+        return WriteBatch(name.key, encode_batch(telling))
+
+    def _lose(self, since: float, until: float, events: int, why: str) -> None:
+        last = self._losses[-1] if self._losses else None
+        if last and last.why == why:
+            since, events = min(last.since, since), last.events + events
+            self._losses.pop()
+        self._losses.append(Loss(since, until, events, why))
--- /dev/null
+++ b/src/kingcupwheel/trace/printing.py
@@ -0,0 +1,74 @@
+"""A story as text for a terminal."""
+
+from __future__ import annotations
+
+from datetime import UTC
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+from kingcupwheel.trace.events import Joined
+from kingcupwheel.trace.story import Source
+from kingcupwheel.trace.story import State
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.trace.story import Line
+    from kingcupwheel.trace.story import Part
+    from kingcupwheel.trace.story import Story
+
+_SOURCE_WORDS = {
+    Source.LIVE: "answered itself",
+    Source.BATCHES: "gone; read from its batches",
+    Source.NOWHERE: "nothing found",
+}
+
+
+def story_text(story: Story) -> str:
+    """Return the story in lines: what happened, the outcome, what is missing."""
+    width = max((len(line.process) for line in story.lines), default=0)
+    blocks = [
+        [f"Request {story.request_id}", *_sources(story)],
+        [_line_text(line, width) for line in story.lines],
+        [_outcome(story), *_see_also(story)],
+        [f"Missing: {gap}" for gap in story.gaps],
+    ]
+    return "\n\n".join("\n".join(block) for block in blocks if block)
+
+
+def _sources(story: Story) -> list[str]:
+    return [f"  {part.process}: {_source(part)}" for part in story.parts]
+
+
+def _source(part: Part) -> str:
+    return f"{_SOURCE_WORDS[part.source]}, {len(part.events)} events"
+
+
+def _line_text(line: Line, width: int) -> str:
+    at = datetime.fromtimestamp(line.at, tz=UTC)
+    stamp = at.strftime("%Y-%m-%d %H:%M:%S.") + f"{at.microsecond // 1000:03d}"
+    return f"{stamp}  {line.process:<{width}}  {line.sentence}"
+
+
+def _outcome(story: Story) -> str:
+    match story.state:
+        case State.FINISHED:
+            reason = f" ({story.reason})" if story.reason else ""
+            return f"Outcome told to the caller: {story.outcome}{reason}."
+        case State.UNDER_WAY:
+            return "The request is still under way."
+        case State.OUTCOME_MISSING:
+            return "Outcome told to the caller: not recorded in what was found."
+        case State.CONTRADICTORY:
+            return "Outcome told to the caller: recorded more than once, a fault."
+        case State.UNKNOWN:
+            return "Nothing was found of this request."
+
+
+def _see_also(story: Story) -> list[str]:
+    earlier = {
+        event.event.earlier: None
+        for part in story.parts
+        for event in part.events
+        if isinstance(event.event, Joined)
+    }
+    return [f"See also: kingcupwheel trace {request_id}" for request_id in earlier]
--- /dev/null
+++ b/src/kingcupwheel/trace/reading.py
@@ -0,0 +1,119 @@
+"""Finding a request's events in the batches that a process left on the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.platform.errors import Conflict
+from kingcupwheel.platform.errors import RateLimited
+from kingcupwheel.platform.errors import Rejected
+from kingcupwheel.platform.errors import Unavailable
+from kingcupwheel.trace.batches import HOUR_S
+from kingcupwheel.trace.batches import MAX_PERIOD_S
+from kingcupwheel.trace.batches import decode_batch
+from kingcupwheel.trace.batches import events_of
+from kingcupwheel.trace.batches import hour_prefix
+from kingcupwheel.trace.batches import parse_key
+from kingcupwheel.trace.events import Finished
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.platform.client import PlatformClient
+    from kingcupwheel.platform.errors import PlatformError
+    from kingcupwheel.trace.batches import Batch
+    from kingcupwheel.trace.batches import BatchName
+    from kingcupwheel.trace.batches import Loss
+    from kingcupwheel.trace.events import TraceEvent
+
+# Batches read for one process of one request: at 30 s each this is 20 minutes, past
+# the longest answer. A bound keeps one command from reading days of batches.
+MAX_BATCHES = 40
+# Clocks of two processes may differ by this much.
+_CLOCK_S = 2
+
+
+class BatchEvents(NamedTuple):
+    """Events of one request that one process put in batches.
+
+    ``until`` is the Unix second that the batches read reach to, 0 if there are none.
+    ``losses`` are what the process says it could not write. ``trouble`` says what
+    could not be read, empty if all could.
+    """
+
+    events: tuple[TraceEvent, ...]
+    until: int
+    losses: tuple[Loss, ...]
+    trouble: str
+
+
+class BatchReader:
+    """Reads batches; each call makes at most ``MAX_BATCHES`` reads and three lists."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    def read(self, process: str, request_id: str, *, since: float) -> BatchEvents:
+        """Return the request's events that ``process`` wrote from ``since`` on.
+
+        Reading stops with the batch that holds the end of the request there.
+        """
+        names, trouble = self._names(process, since)
+        events: list[TraceEvent] = []
+        losses: list[Loss] = []
+        until = 0
+        for name in names[:MAX_BATCHES]:
+            batch, error = self._batch(name)
+            if batch is None:
+                trouble = error
+                continue
+            found = events_of(batch, request_id)
+            if found.is_error():
+                trouble = f"batch {name.key} is damaged: {found.error.detail}"
+                continue
+            until = max(until, name.until)
+            losses.extend(batch.losses)
+            events.extend(found.ok)
+            if any(isinstance(event.event, Finished) for event in found.ok):
+                break
+        else:
+            if len(names) > MAX_BATCHES:
+                trouble = f"only the first {MAX_BATCHES} batches were read"
+        relevant = tuple(loss for loss in losses if loss.until >= since)
+        return BatchEvents(tuple(events), until, relevant, trouble)
+
+    def _names(self, process: str, since: float) -> tuple[list[BatchName], str]:
+        first = int(since - MAX_PERIOD_S) // HOUR_S
+        last = int(since) // HOUR_S + 1
+        names: list[BatchName] = []
+        for hour in range(first, last + 1):
+            listed = self._client.keys(hour_prefix(process, hour * HOUR_S))
+            if listed.is_error():
+                return names, f"batches can't be listed: {describe(listed.error)}"
+            names.extend(name for key in listed.ok if (name := parse_key(key)))
+        names = [name for name in names if name.until >= since - _CLOCK_S]
+        return sorted(names, key=lambda name: (name.since, name.part)), ""
+
+    def _batch(self, name: BatchName) -> tuple[Batch | None, str]:
+        read = self._client.read(name.key)
+        if read.is_error():
+            return None, f"batch {name.key} can't be read: {describe(read.error)}"
+        if read.ok is None:
+            return None, f"batch {name.key} has been deleted"
+        batch = decode_batch(read.ok.value)
+        if batch.is_error():
+            return None, f"batch {name.key} is damaged: {batch.error.detail}"
+        return batch.ok, ""
+
+
+def describe(error: PlatformError) -> str:
+    """Return a platform error in a few words."""
+    match error:
+        case Unavailable(detail):
+            return f"the platform does not answer ({detail})"
+        case RateLimited(retry_after_s):
+            return f"the platform asks to wait {retry_after_s:g} s"
+        case Rejected(status, detail):
+            return f"the platform refuses with {status} ({detail})"
+        case Conflict(key, version):
+            return f"{key} is at version {version}"
--- a/src/kingcupwheel/trace/recorder.py
+++ b/src/kingcupwheel/trace/recorder.py
@@ -1,18 +1,59 @@
-"""Events of recent requests in bounded memory."""
+"""Events of recent requests in bounded memory.
+
+Events are kept encoded: one ``bytes`` object is smaller than the records it stands for,
+the garbage collector does not walk it, and a batch is made by joining them.
+"""
 
 from __future__ import annotations
 
 import time
 from collections import OrderedDict
+from collections import deque
 from threading import Lock
 from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import msgspec
 
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.trace.events import EVENT_DECODER
+from kingcupwheel.trace.events import Finished
 from kingcupwheel.trace.events import TraceEvent
+from kingcupwheel.utils.request_ids import parse_request_id
 
 
 if TYPE_CHECKING:
     from kingcupwheel.trace.events import AnyEvent
 
+# Events kept for one request. A request on a flapping link may be resumed without end;
+# past the bound only its final outcome is added, and the story says so.
+EVENTS_PER_REQUEST = 200
+# Encoded events that wait to be put in a batch. At 10 requests a second with about
+# 1.5 KB each this is some four minutes: far more than a batch's period, so that it
+# only bites when the shipper's thread is stuck.
+UNSHIPPED_BYTES = 4_000_000
+
+
+class Drained(NamedTuple):
+    """Events not yet in a batch, encoded, oldest first.
+
+    ``since`` and ``until`` are Unix seconds of the first and last record call;
+    ``lost`` counts events that found no room since the last call.
+    """
+
+    encoded: tuple[bytes, ...]
+    since: float
+    until: float
+    lost: int
+
+
+class _Story:
+    __slots__ = ("capped", "encoded")
+
+    def __init__(self) -> None:
+        self.encoded: list[bytes] = []
+        self.capped = False
+
 
 class Recorder:
     """Keeps the events of the latest ``limit`` requests; safe from any thread."""
@@ -20,18 +61,93 @@
     def __init__(self, process: str, *, limit: int) -> None:
         self._process = process
         self._limit = limit
-        self._by_request_id: OrderedDict[str, list[TraceEvent]] = OrderedDict()
+        self._started = time.time()
+        self._forgotten_ms = 0
+        self._stories_by_request_id: OrderedDict[str, _Story] = OrderedDict()
+        self._unshipped: deque[bytes] = deque()
+        self._unshipped_bytes = 0
+        self._since = self._started
+        self._lost = 0
+        self._encoder = msgspec.msgpack.Encoder()
         self._lock = Lock()
 
+    @property
+    def process(self) -> str:
+        """The name that the events are recorded under."""
+        return self._process
+
     def record(self, request_id: str, event: AnyEvent) -> None:
         """Add ``event`` to the request's story; the oldest story makes room."""
-        entry = TraceEvent(request_id, time.time(), self._process, event)
+        at = time.time()
+        entry = TraceEvent(request_id, at, self._process, event)
         with self._lock:
-            self._by_request_id.setdefault(request_id, []).append(entry)
-            if len(self._by_request_id) > self._limit:
-                self._by_request_id.popitem(last=False)
+            encoded = self._encoder.encode(entry)
+            self._keep(request_id, encoded, final=isinstance(event, Finished))
+            self._queue(encoded, at)
 
     def events(self, request_id: str) -> tuple[TraceEvent, ...]:
         """Return what is held of the request, in order of recording."""
         with self._lock:
-            return tuple(self._by_request_id.get(request_id, ()))
+            story = self._stories_by_request_id.get(request_id)
+            encoded = tuple(story.encoded) if story else ()
+        return tuple(EVENT_DECODER.decode(item) for item in encoded)
+
+    def found(self, request_id: str) -> TraceFound:
+        """Answer ``TraceWanted``: the events held, and whether none was let go.
+
+        ``complete`` is False if events of the request may have been recorded by an
+        earlier life of this process, pushed out by newer requests or left out.
+        """
+        events = self.events(request_id)
+        with self._lock:
+            story = self._stories_by_request_id.get(request_id)
+            complete = self._covers(request_id) and not (story and story.capped)
+        payload = msgspec.msgpack.encode(events)
+        return TraceFound(request_id, self._process, payload, complete)
+
+    def drain(self) -> Drained:
+        """Hand over the events that are not yet in a batch."""
+        with self._lock:
+            now = time.time()
+            drained = Drained(tuple(self._unshipped), self._since, now, self._lost)
+            self._unshipped.clear()
+            self._unshipped_bytes = 0
+            self._since = now
+            self._lost = 0
+        return drained
+
+    def _keep(self, request_id: str, encoded: bytes, *, final: bool) -> None:
+        story = self._stories_by_request_id.get(request_id)
+        if story is None:
+            story = _Story()
+            self._stories_by_request_id[request_id] = story
+            self._make_room()
+        if len(story.encoded) < EVENTS_PER_REQUEST or final:
+            story.encoded.append(encoded)
+        else:
+            story.capped = True
+
+    def _make_room(self) -> None:
+        while len(self._stories_by_request_id) > self._limit:
+            oldest, _ = self._stories_by_request_id.popitem(last=False)
+            self._forgotten_ms = max(self._forgotten_ms, _started_ms(oldest))
+
+    def _queue(self, encoded: bytes, at: float) -> None:
+        if not self._unshipped:
+            self._since = at
+        self._unshipped.append(encoded)
+        self._unshipped_bytes += len(encoded)
+        while self._unshipped_bytes > UNSHIPPED_BYTES:
+            self._unshipped_bytes -= len(self._unshipped.popleft())
+            self._lost += 1
+
+    def _covers(self, request_id: str) -> bool:
+        # A story that was pushed out may start anew with a late event; judging by the
+        # time in the id catches that too.
+        started_ms = _started_ms(request_id)
+        return started_ms > max(int(self._started * 1000), self._forgotten_ms)
+
+
+def _started_ms(request_id: str) -> int:
+    parsed = parse_request_id(request_id)
+    return parsed.started_ms if parsed else 0
--- /dev/null
+++ b/src/kingcupwheel/trace/sentences.py
@@ -0,0 +1,139 @@
+"""One plain sentence for each kind of event."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kingcupwheel.trace.events import Admitted
+from kingcupwheel.trace.events import CallerLeft
+from kingcupwheel.trace.events import Claimed
+from kingcupwheel.trace.events import Dispatched
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import FirstByte
+from kingcupwheel.trace.events import Joined
+from kingcupwheel.trace.events import ManifestChanged
+from kingcupwheel.trace.events import Noted
+from kingcupwheel.trace.events import Placed
+from kingcupwheel.trace.events import Queued
+from kingcupwheel.trace.events import Received
+from kingcupwheel.trace.events import Refused
+from kingcupwheel.trace.events import Resumed
+from kingcupwheel.trace.events import Retried
+from kingcupwheel.trace.events import ServerDied
+from kingcupwheel.trace.events import Started
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.trace.events import Alternative
+    from kingcupwheel.trace.events import TraceEvent
+
+
+def sentence(event: TraceEvent, *, entry: str, arrived: float | None) -> str:
+    """Return what ``event`` says in plain words.
+
+    ``entry`` is the process that took the request, ``arrived`` when it did so.
+    """
+    told = (
+        _arrival(event)
+        or _placement(event)
+        or _answer(event, arrived=arrived)
+        or _ending(event, final=event.process == entry)
+    )
+    return told or f"Recorded {type(event.event).__name__}."
+
+
+def _arrival(event: TraceEvent) -> str | None:
+    match event.event:
+        case Received() as received:
+            return _received(received)
+        case Joined(earlier):
+            return f"Joined to request {earlier}, sent earlier with the same key."
+        case Claimed(claim_id, fence, detail):
+            return f"Claim {claim_id[:12]}: {detail} (fence {fence})."
+        case Admitted(work, detail):
+            return f"Admitted; predicted work {work:,.0f} tokens{_after(detail)}."
+        case Refused() as refused:
+            return _refused(refused)
+        case ManifestChanged(version):
+            return f"Manifest version {version} came into force meanwhile."
+    return None
+
+
+def _received(received: Received) -> str:
+    repeatable = "may be repeated" if received.repeatable else "runs at most once"
+    return (
+        f"{received.method} {received.path} arrived with {received.body_bytes:,} bytes "
+        f"from {received.organisation or 'nobody known'}, route "
+        f"{received.route or 'none'}, group {received.group or 'none'}; it "
+        f"{repeatable}. Manifest version {received.manifest_version} was in force."
+    )
+
+
+def _refused(refused: Refused) -> str:
+    back = ""
+    if refused.retry_after_s:
+        back = f" The caller may come back after {refused.retry_after_s:.1f} s."
+    return f"Refused by the limit {refused.limit}{_after(refused.detail)}.{back}"
+
+
+def _placement(event: TraceEvent) -> str | None:
+    match event.event:
+        case Queued(ahead):
+            return f"Queued behind {ahead} others."
+        case Placed() as placed:
+            return _placed(placed)
+        case Dispatched(server, attempt):
+            return f"Sent to {server} as attempt {attempt}."
+        case Retried(attempt, why):
+            return f"Attempt {attempt} came to nothing: {why}. Another follows."
+    return None
+
+
+def _placed(placed: Placed) -> str:
+    weighed = ", ".join(map(_load, placed.alternatives))
+    return (
+        f"Placed on {placed.server} for attempt {placed.attempt} after "
+        f"{placed.waited_s:.3f} s in the queue: {placed.why or 'no reason kept'}."
+        + (f" Weighed: {weighed}." if weighed else "")
+    )
+
+
+def _load(alternative: Alternative) -> str:
+    return f"{alternative.server} at {alternative.load:.0%}"
+
+
+def _answer(event: TraceEvent, *, arrived: float | None) -> str | None:
+    match event.event:
+        case Started(server, attempt):
+            return f"Handed to {server} to run (attempt {attempt})."
+        case FirstByte(server, attempt):
+            since = f", {event.at - arrived:.3f} s after arrival" if arrived else ""
+            return f"First byte of {server}'s answer (attempt {attempt}){since}."
+        case Resumed(server, attempt, offset, why):
+            return (
+                f"Took attempt {attempt} on {server} up again at byte {offset:,}: "
+                f"{why}."
+            )
+        case ServerDied(server, fingerprint, deaths):
+            return (
+                f"{server} died while this ran on it; fingerprint {fingerprint[:12]} "
+                f"has now been there at {deaths} deaths."
+            )
+        case CallerLeft(offset):
+            return f"The caller left at byte {offset:,}; the work was cancelled."
+    return None
+
+
+def _ending(event: TraceEvent, *, final: bool) -> str | None:
+    match event.event:
+        case Finished(outcome, status, length, reason):
+            what = "Final outcome" if final else "This attempt ended as"
+            code = f", status {status}" if status else ""
+            return f"{what}: {outcome}{code}, {length:,} bytes{_after(reason)}."
+        case Noted(text):
+            return text if text.endswith(".") else f"{text}."
+    return None
+
+
+def _after(detail: str) -> str:
+    return f": {detail}" if detail else ""
--- /dev/null
+++ b/src/kingcupwheel/trace/story.py
@@ -0,0 +1,187 @@
+"""The story of one request, from the parts that processes and batches hold."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from kingcupwheel.trace.events import Dispatched
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import Placed
+from kingcupwheel.trace.events import Received
+from kingcupwheel.trace.events import TraceEvent
+from kingcupwheel.trace.merging import merge
+from kingcupwheel.trace.sentences import sentence
+from kingcupwheel.utils.request_ids import parse_request_id
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Clocks are kept within some milliseconds of each other; more than this is told.
+_CLOCK_S = 0.05
+
+
+class Source(StrEnum):
+    """Where a part of a story came from."""
+
+    LIVE = "live"
+    BATCHES = "batches"
+    NOWHERE = "nowhere"
+
+
+class Part(msgspec.Struct, frozen=True):
+    """What one process recorded; ``gaps`` say what may be missing, and why."""
+
+    process: str
+    source: Source
+    events: tuple[TraceEvent, ...] = ()
+    gaps: tuple[str, ...] = ()
+
+
+class State(StrEnum):
+    """Whether the story has its end.
+
+    ``CONTRADICTORY`` is a fault of the system: more than one final outcome.
+    """
+
+    FINISHED = "finished"
+    UNDER_WAY = "under-way"
+    OUTCOME_MISSING = "outcome-missing"
+    CONTRADICTORY = "contradictory"
+    UNKNOWN = "unknown"
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One sentence, the Unix time and the process that says so."""
+
+    at: float
+    process: str
+    sentence: str
+
+
+class Story(msgspec.Struct, frozen=True):
+    """What became of one request.
+
+    ``outcome`` is the outcome told to the caller, empty unless ``state`` is finished;
+    ``manifest_version`` is the one in force at arrival, None if not known.
+    """
+
+    request_id: str
+    state: State
+    outcome: str
+    reason: str
+    manifest_version: int | None
+    lines: tuple[Line, ...]
+    gaps: tuple[str, ...]
+    parts: tuple[Part, ...]
+
+    @property
+    def whole(self) -> bool:
+        """True if nothing is known to be missing."""
+        return not self.gaps and self.state is not State.CONTRADICTORY
+
+
+def tell(request_id: str, parts: Iterable[Part]) -> Story:
+    """Return the story that ``parts``, one for each process, make up."""
+    kept = tuple(parts)
+    parsed = parse_request_id(request_id)
+    entry = parsed.entry if parsed else ""
+    events = merge(entry, tuple(part.events for part in kept))
+    received = _received(events)
+    endings = _endings(events, entry)
+    state = _state(kept, endings, entry)
+    return Story(
+        request_id=request_id,
+        state=state,
+        outcome=endings[0].outcome if state is State.FINISHED else "",
+        reason=endings[0].reason if state is State.FINISHED else "",
+        manifest_version=_manifest_version(received),
+        lines=_lines(events, entry, received.at if received else None),
+        gaps=(*_ending_gaps(state, events, endings, entry), *_part_gaps(kept)),
+        parts=kept,
+    )
+
+
+def servers_named(events: Iterable[TraceEvent]) -> tuple[str, ...]:
+    """Return the servers that the events name as placed on, in order."""
+    named = {
+        event.event.server: None
+        for event in events
+        if isinstance(event.event, Placed | Dispatched)
+    }
+    return tuple(named)
+
+
+def _received(events: list[TraceEvent]) -> TraceEvent | None:
+    return next((e for e in events if isinstance(e.event, Received)), None)
+
+
+def _manifest_version(received: TraceEvent | None) -> int | None:
+    if received is None or not isinstance(received.event, Received):
+        return None
+    return received.event.manifest_version
+
+
+def _endings(events: list[TraceEvent], entry: str) -> list[Finished]:
+    return [
+        event.event
+        for event in events
+        if event.process == entry and isinstance(event.event, Finished)
+    ]
+
+
+def _state(parts: tuple[Part, ...], endings: list[Finished], entry: str) -> State:
+    if len(endings) > 1:
+        return State.CONTRADICTORY
+    if endings:
+        return State.FINISHED
+    told = next((part for part in parts if part.process == entry), None)
+    if told and told.events and not told.gaps and told.source is Source.LIVE:
+        return State.UNDER_WAY
+    if any(part.events for part in parts):
+        return State.OUTCOME_MISSING
+    return State.UNKNOWN
+
+
+def _lines(
+    events: list[TraceEvent], entry: str, arrived: float | None
+) -> tuple[Line, ...]:
+    lines = []
+    latest = 0.0
+    for event in events:
+        own = arrived if event.process == entry else None
+        text = sentence(event, entry=entry, arrived=own)
+        if latest - event.at > _CLOCK_S:
+            text += f" (Its clock is {latest - event.at:.3f} s or more behind.)"
+        latest = max(latest, event.at)
+        lines.append(Line(event.at, event.process, text))
+    return tuple(lines)
+
+
+def _ending_gaps(
+    state: State, events: list[TraceEvent], endings: list[Finished], entry: str
+) -> tuple[str, ...]:
+    match state:
+        case State.CONTRADICTORY:
+            words = " and ".join(ending.outcome for ending in endings)
+            return (f"{entry} recorded {len(endings)} final outcomes: {words}.",)
+        case State.OUTCOME_MISSING:
+            return (f"What {entry} told the caller is missing. {_nearest(events)}",)
+        case _:
+            return ()
+
+
+def _nearest(events: list[TraceEvent]) -> str:
+    ended = [event for event in events if isinstance(event.event, Finished)]
+    if not ended:
+        return "No process recorded an end of the work."
+    last = ended[-1]
+    outcome = last.event.outcome if isinstance(last.event, Finished) else ""
+    return f"{last.process} recorded that its attempt ended as {outcome}."
+
+
+def _part_gaps(parts: tuple[Part, ...]) -> tuple[str, ...]:
+    return tuple(gap for part in parts for gap in part.gaps)
--- /dev/null
+++ b/tests/trace/builders.py
@@ -0,0 +1,169 @@
+"""Requests, events and a platform in memory for tests of traces."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.platform.client import Instance
+from kingcupwheel.platform.client import Versioned
+from kingcupwheel.platform.errors import Conflict
+from kingcupwheel.platform.errors import PlatformError
+from kingcupwheel.platform.errors import Unavailable
+from kingcupwheel.trace.events import Admitted
+from kingcupwheel.trace.events import Alternative
+from kingcupwheel.trace.events import AnyEvent
+from kingcupwheel.trace.events import Dispatched
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import FirstByte
+from kingcupwheel.trace.events import Placed
+from kingcupwheel.trace.events import Received
+from kingcupwheel.trace.events import Started
+from kingcupwheel.trace.events import TraceEvent
+from kingcupwheel.utils.request_ids import new_request_id
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.trace.recorder import Recorder
+
+T = TypeVar("T")
+
+START = 1_800_000_000.0
+ENTRY = "entry-1"
+AGENT = "agent-2"
+
+
+def request_id(*, at: float = START) -> str:
+    return str(new_request_id(ENTRY, now=at))
+
+
+def received(**changes: object) -> Received:
+    event = Received(
+        "POST", "/v1/pickups", 120, "retazo", "/v1/pickups", "banks", 7, False, "k1"
+    )
+    return msgspec.structs.replace(event, **changes)
+
+
+ENTRY_EVENTS: tuple[AnyEvent, ...] = (
+    received(),
+    Admitted(300.0),
+    Placed(
+        AGENT,
+        1,
+        0.12,
+        "least loaded of two",
+        (Alternative(AGENT, 0.25), Alternative("agent-3", 0.75)),
+    ),
+    Dispatched(AGENT, 1),
+    FirstByte(AGENT, 1),
+    Finished("ran", 200, 1234, "whole"),
+)
+AGENT_EVENTS: tuple[AnyEvent, ...] = (
+    Started(AGENT, 1),
+    FirstByte(AGENT, 1),
+    Finished("ran", 200, 1234, "whole"),
+)
+
+
+def events(
+    wanted: str, process: str, recorded: tuple[AnyEvent, ...], *, at: float = START
+) -> tuple[TraceEvent, ...]:
+    """Return trace events ten milliseconds apart."""
+    return tuple(
+        TraceEvent(wanted, at + index / 100, process, event)
+        for index, event in enumerate(recorded)
+    )
+
+
+class MemoryPlatform:
+    """Objects in memory; ``down`` makes every call fail, ``calls`` counts them.
+
+    ``lose_next`` lets the next write take effect and loses its confirmation.
+    """
+
+    def __init__(self, *names: str) -> None:
+        self.objects: dict[str, Versioned] = {}
+        self.down = False
+        self.lose_next = False
+        self.calls: list[str] = []
+        self._names = names
+
+    def read(self, key: str) -> Result[Versioned | None, PlatformError]:
+        return self._answer("read", self.objects.get(key))
+
+    def create(self, key: str, value: bytes) -> Result[int, PlatformError]:
+        if not self.down and key in self.objects:
+            return Error(Conflict(key, self.objects[key].version))
+        if not self.down:
+            self.objects[key] = Versioned(key, 1, value)
+        if self.lose_next:
+            self.lose_next = False
+            return Error(Unavailable("confirmation lost", sent=True))
+        return self._answer("create", 1)
+
+    def update(
+        self, key: str, value: bytes, *, version: int
+    ) -> Result[int, PlatformError]:
+        return self._answer("update", version + 1)
+
+    def delete(self, key: str, *, version: int) -> Result[None, PlatformError]:
+        held = self.objects.get(key)
+        if not self.down and (held is None or held.version != version):
+            return Error(Conflict(key, held.version if held else 0))
+        if not self.down:
+            del self.objects[key]
+        return self._answer("delete", None)
+
+    def keys(self, prefix: str) -> Result[tuple[str, ...], PlatformError]:
+        found = sorted(key for key in self.objects if key.startswith(prefix))
+        return self._answer("keys", tuple(found))
+
+    def watch(
+        self, key: str, *, after: int, timeout_s: float
+    ) -> Result[Versioned | None, PlatformError]:
+        return self._answer("watch", None)
+
+    def instances(self) -> Result[tuple[Instance, ...], PlatformError]:
+        listed = tuple(
+            Instance(name, name.split("-")[0], "banks", "heredia", name, "", False)
+            for name in self._names
+        )
+        return self._answer("instances", listed)
+
+    def _answer(self, call: str, value: T) -> Result[T, PlatformError]:
+        self.calls.append(call)
+        if self.down:
+            return Error(Unavailable("connection refused", sent=False))
+        return Ok(value)
+
+
+class MemoryAsker:
+    """Answers for processes that still run; ``asked`` keeps who was asked."""
+
+    def __init__(self, **recorder_by_process: Recorder) -> None:
+        self._recorders = {r.process: r for r in recorder_by_process.values()}
+        self.asked: list[str] = []
+
+    def ask(
+        self,
+        address_by_process: Mapping[str, str],
+        question: Message,
+        answer: type[TraceFound],
+    ) -> dict[str, TraceFound]:
+        assert isinstance(question, TraceWanted)
+        self.asked.extend(address_by_process)
+        return {
+            process: self._recorders[process].found(question.request_id)
+            for process in address_by_process
+            if process in self._recorders
+        }
--- /dev/null
+++ b/tests/trace/test_command.py
@@ -0,0 +1,128 @@
+from __future__ import annotations
+
+import hashlib
+import json
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+from click.testing import CliRunner
+
+from kingcupwheel.console.application import main
+from kingcupwheel.console.commands import trace
+from kingcupwheel.console.exit_codes import ExitCode
+from kingcupwheel.link.hub import Hub
+from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.platform.client import Versioned
+from kingcupwheel.trace.recorder import Recorder
+from tests.trace.builders import AGENT
+from tests.trace.builders import AGENT_EVENTS
+from tests.trace.builders import ENTRY
+from tests.trace.builders import ENTRY_EVENTS
+from tests.trace.builders import MemoryPlatform
+from tests.trace.builders import request_id
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from click.testing import Result
+
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+
+
+class LiveProcess:
+    """A process that answers ``TraceWanted`` over its own socket."""
+
+    def __init__(self, recorder: Recorder) -> None:
+        self._recorder = recorder
+        self.hub = Hub(
+            listen="127.0.0.1:0", on_message=self._answer, on_tick=lambda _: None
+        )
+        self.hub.start()
+
+    def _answer(self, link: Link, message: Message) -> None:
+        if isinstance(message, TraceWanted):
+            self.hub.send(link, self._recorder.found(message.request_id))
+
+
+class Scene:
+    def __init__(self) -> None:
+        self.platform = MemoryPlatform()
+        entry, agent = Recorder(ENTRY, limit=10), Recorder(AGENT, limit=10)
+        self.wanted = request_id(at=time.time() + 0.01)
+        for event in ENTRY_EVENTS:
+            entry.record(self.wanted, event)
+        for event in AGENT_EVENTS:
+            agent.record(self.wanted, event)
+        self.processes = {ENTRY: LiveProcess(entry), AGENT: LiveProcess(agent)}
+
+    def run(self, *arguments: str) -> Result:
+        addresses = [
+            f"--address={name}=127.0.0.1:{process.hub.port}"
+            for name, process in self.processes.items()
+        ]
+        line = ["trace", "--platform=http://none", *addresses, *arguments]
+        return CliRunner().invoke(main, line)
+
+
+@pytest.fixture
+def scene(monkeypatch: pytest.MonkeyPatch) -> Iterator[Scene]:
+    made = Scene()
+    monkeypatch.setattr(trace, "open_platform", lambda _: made.platform)
+    yield made
+    for process in made.processes.values():
+        process.hub.stop()
+
+
+def test_the_command_asks_the_processes_over_their_sockets_and_tells_the_story(
+    scene: Scene,
+) -> None:
+    result = scene.run(scene.wanted)
+
+    assert result.exit_code == ExitCode.OK, result.output
+    assert "Outcome told to the caller: ran (whole)." in result.output
+    assert "agent-2  Handed to agent-2 to run (attempt 1)." in result.output
+
+
+def test_a_request_is_found_by_organisation_and_idempotency_key(scene: Scene) -> None:
+    key = f"claims/{hashlib.sha256(b'retazo' + bytes(1) + b'k1').hexdigest()}"
+    claim = json.dumps({"request_id": scene.wanted, "agent": AGENT, "fence": 3})
+    scene.platform.objects[key] = Versioned(key, 1, claim.encode())
+
+    by_key = ("--idempotency-key=k1", "--organisation=retazo", "--json")
+    result = scene.run(*by_key)
+    told = json.loads(result.output)
+    assert (told["request_id"], told["outcome"]) == (scene.wanted, "ran")
+
+    result = scene.run("--idempotency-key=k2", "--organisation=retazo")
+    assert result.exit_code == ExitCode.NOT_FOUND
+
+
+def test_a_frozen_agent_costs_the_timeout_and_is_named_as_missing(scene: Scene) -> None:
+    """The engineer gets the entry's account and reads that the agent is silent.
+
+    The agent accepts the connection and never answers. The command waits once, for the
+    time given, then looks for batches and says what is missing.
+    """
+    silent = Hub(
+        listen="127.0.0.1:0", on_message=lambda *_: None, on_tick=lambda _: None
+    )
+    silent.start()
+    scene.processes[AGENT].hub.stop()
+    scene.processes[AGENT].hub = silent
+    result = scene.run(scene.wanted, "--timeout=0.3")
+
+    assert result.exit_code == ExitCode.INCOMPLETE
+    assert "Missing: Part of agent-2's account may be missing" in result.output
+
+
+def test_wrong_usage_and_an_unreachable_platform_exit_with_their_own_codes(
+    scene: Scene,
+) -> None:
+    assert scene.run("nonsense").exit_code == ExitCode.USAGE
+    assert scene.run("--organisation=retazo").exit_code == ExitCode.USAGE
+    scene.platform.down = True
+    by_key = ("--idempotency-key=k1", "--organisation=retazo")
+    assert scene.run(*by_key).exit_code == ExitCode.UNAVAILABLE
--- /dev/null
+++ b/tests/trace/test_finding.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import time
+
+from kingcupwheel.trace.exceptions import BadRequestId
+from kingcupwheel.trace.finding import Finder
+from kingcupwheel.trace.recorder import Recorder
+from kingcupwheel.trace.shipper import BatchShipper
+from kingcupwheel.trace.story import Source
+from kingcupwheel.trace.story import State
+from kingcupwheel.trace.story import Story
+from tests.trace.builders import AGENT
+from tests.trace.builders import AGENT_EVENTS
+from tests.trace.builders import ENTRY
+from tests.trace.builders import ENTRY_EVENTS
+from tests.trace.builders import MemoryAsker
+from tests.trace.builders import MemoryPlatform
+from tests.trace.builders import request_id
+
+
+class Scene:
+    """An entry and an agent that ran one request, and the platform."""
+
+    def __init__(self) -> None:
+        self.platform = MemoryPlatform(ENTRY, AGENT, "agent-9")
+        self.entry = Recorder(ENTRY, limit=100)
+        self.agent = Recorder(AGENT, limit=100)
+        self.wanted = request_id(at=time.time() + 0.01)
+        for event in ENTRY_EVENTS:
+            self.entry.record(self.wanted, event)
+        for event in AGENT_EVENTS:
+            self.agent.record(self.wanted, event)
+
+    def ship(self, recorder: Recorder) -> None:
+        """Stop the process's shipper, which writes what waits."""
+        BatchShipper(
+            recorder, self.platform, period_s=30, retention_s=lambda: 1e6
+        ).stop()
+
+    def find(self, **live: Recorder) -> tuple[Story, MemoryAsker]:
+        asker = MemoryAsker(**live)
+        return Finder(self.platform, asker).find(self.wanted).ok, asker
+
+
+def test_live_processes_tell_the_whole_story_and_nobody_else_is_asked() -> None:
+    scene = Scene()
+    story, asker = scene.find(entry=scene.entry, agent=scene.agent)
+
+    assert (story.state, story.whole) == (State.FINISHED, True)
+    assert asker.asked == [ENTRY, AGENT]
+    assert scene.platform.calls == ["instances"]
+
+
+def test_after_both_processes_are_gone_the_batches_tell_the_whole_story() -> None:
+    """The engineer asks a day later; entry and agent were replaced meanwhile.
+
+    Both stopped gracefully and wrote their last batch, one of them with a
+    confirmation that was lost. The story is as whole as it was live.
+    """
+    scene = Scene()
+    live, _ = scene.find(entry=scene.entry, agent=scene.agent)
+    scene.ship(scene.entry)
+    scene.platform.lose_next = True
+    scene.ship(scene.agent)
+    story, _ = scene.find()
+
+    assert [part.source for part in story.parts] == [Source.BATCHES, Source.BATCHES]
+    assert story.whole
+    assert story.lines == live.lines
+
+
+def test_an_entry_killed_before_its_batch_is_made_up_for_by_the_agents() -> None:
+    """The engineer reads what the agent did and that the entry's part is missing.
+
+    SIGKILL takes the entry's events; nothing names the agent, so the agents at large
+    are asked, within a bound.
+    """
+    scene = Scene()
+    story, asker = scene.find(agent=scene.agent)
+
+    assert story.state is State.OUTCOME_MISSING
+    assert {part.process for part in story.parts if part.events} == {AGENT}
+    assert any("entry-1 does not answer" in gap for gap in story.gaps)
+    assert asker.asked == [ENTRY, AGENT, "agent-9"]
+
+
+def test_an_outage_of_the_platform_leaves_what_addresses_given_by_hand_answer() -> None:
+    """The engineer gives the addresses; the list and the batches are out of reach."""
+    scene = Scene()
+    scene.platform.down = True
+    asker = MemoryAsker(entry=scene.entry)
+    finder = Finder(scene.platform, asker, address_by_process={ENTRY: "127.0.0.1:1"})
+    story = finder.find(scene.wanted).ok
+
+    assert story.outcome == "ran"
+    assert not story.whole
+    assert "The list of instances is missing" in story.gaps[0]
+    assert any("agent-2 does not answer" in gap for gap in story.gaps)
+
+
+def test_an_id_that_was_never_given_out_is_unknown_and_other_text_is_no_id() -> None:
+    scene = Scene()
+    scene.wanted = request_id(at=time.time() + 1)
+    story, _ = scene.find(entry=scene.entry, agent=scene.agent)
+
+    assert story.state is State.UNKNOWN
+    refused = Finder(scene.platform, MemoryAsker()).find("no id")
+    assert refused.error == BadRequestId("no id")
--- /dev/null
+++ b/tests/trace/test_outbox.py
@@ -0,0 +1,154 @@
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.platform.client import MAX_VALUE_BYTES
+from kingcupwheel.settings.schema import Timings
+from kingcupwheel.trace.batches import decode_batch
+from kingcupwheel.trace.batches import events_of
+from kingcupwheel.trace.batches import parse_key
+from kingcupwheel.trace.events import Noted
+from kingcupwheel.trace.outbox import CALLS_PER_PERIOD
+from kingcupwheel.trace.outbox import OUTBOX_BYTES
+from kingcupwheel.trace.outbox import DeleteBatch
+from kingcupwheel.trace.outbox import Outbox
+from kingcupwheel.trace.outbox import WriteBatch
+from kingcupwheel.trace.recorder import Drained
+from kingcupwheel.trace.recorder import Recorder
+from tests.trace.builders import ENTRY
+from tests.trace.builders import START
+from tests.trace.builders import request_id
+
+
+PROCESSES = 370 + 1000
+PERIOD_S = Timings().trace_batch_s
+# "Several hundred" read strictly; half of it is left to claims.
+WRITES_PER_S = 300
+WANTED = request_id()
+
+
+def some_events(size: int = 100, *, seed: int = 0) -> tuple[bytes, ...]:
+    recorder = Recorder(ENTRY, limit=10)
+    recorder.record(WANTED, Noted(random.Random(seed).randbytes(size // 2).hex()))
+    return recorder.drain().encoded
+
+
+def outbox(name: str = ENTRY) -> Outbox:
+    return Outbox(name, life="abcd", period_s=PERIOD_S, now=0.0)
+
+
+class Fleet:
+    """Outboxes of the whole fleet, each second with something to tell."""
+
+    def __init__(self) -> None:
+        self.outboxes = [outbox(f"process-{number}") for number in range(PROCESSES)]
+        self.calls_by_second: Counter[int] = Counter()
+        self.encoded = some_events()
+
+    def run(self, start: int, stop: int, *, up: bool, retention_s: float) -> None:
+        for second in range(start, stop):
+            for box in self.outboxes:
+                self._turn(box, second, up=up, retention_s=retention_s)
+
+    def _turn(self, box: Outbox, second: int, *, up: bool, retention_s: float) -> None:
+        box.add(Drained(self.encoded, START + second, START + second, 0))
+        call = box.call(now=second, at=START + second, retention_s=retention_s)
+        if call is None:
+            return
+        self.calls_by_second[second] += 1
+        if not up:
+            box.failed(now=second)
+        elif isinstance(call, WriteBatch):
+            box.written(version=1, now=second)
+        else:
+            box.deleted(now=second)
+
+
+def test_the_whole_fleet_stays_under_half_of_the_platforms_writes() -> None:
+    """Callers of the platform see at most half of its writes taken by traces.
+
+    1,370 processes record events all the time and delete what has expired. The
+    platform is down for ten minutes in between and comes back for everyone at once:
+    claims of requests that run at most once must still find their writes.
+    """
+    fleet = Fleet()
+    fleet.run(0, 300, up=True, retention_s=100)
+    fleet.run(300, 900, up=False, retention_s=100)
+    fleet.run(900, 1200, up=True, retention_s=100)
+
+    # The first seconds fill the phases; no second may pass the bound, ever.
+    assert max(fleet.calls_by_second.values()) <= WRITES_PER_S
+    for start in range(0, 1200, 30):
+        calls = sum(
+            fleet.calls_by_second[second] for second in range(start, start + 30)
+        )
+        assert calls <= PROCESSES * CALLS_PER_PERIOD
+        assert calls / 30 <= WRITES_PER_S / 2
+
+
+def test_an_outage_beyond_the_bound_is_counted_and_told_in_the_next_batch() -> None:
+    """An engineer who misses events reads how many were lost, when and why.
+
+    The platform is down while more is recorded than may wait. The oldest batches make
+    room; once the platform is back, the next batch tells the loss.
+    """
+    box = outbox()
+    rounds = 40
+    for number in range(rounds):
+        chunk = some_events(2_000_000, seed=number)
+        box.add(Drained(chunk, START + number, START + number, 0))
+        if box.call(now=100.0 * number, at=START, retention_s=1e9):
+            box.failed(now=100.0 * number)
+    assert box.waiting_bytes <= OUTBOX_BYTES
+
+    kept = 0
+    lost = 0
+    while call := box.flush():
+        batch = decode_batch(call.value).ok
+        kept += batch.events
+        lost += sum(loss.events for loss in batch.losses)
+        box.written(version=1, now=1e6)
+    assert lost > 0
+    assert kept + lost == rounds
+
+
+@given(st.lists(st.integers(10, 400_000), min_size=1, max_size=30))
+def test_every_event_is_in_exactly_one_object_and_every_object_fits(
+    sizes: list[int],
+) -> None:
+    box = outbox()
+    encoded = sum((some_events(size) for size in sizes), ())
+    box.add(Drained(encoded, START, START + 1, 0))
+
+    found = 0
+    keys = set()
+    while call := box.flush():
+        assert len(call.value) < MAX_VALUE_BYTES
+        found += len(events_of(decode_batch(call.value).ok, WANTED).ok)
+        keys.add(call.key)
+        name = parse_key(call.key)
+        assert name is not None
+        assert (name.process, name.key) == (ENTRY, call.key)
+        box.written(version=1, now=0.0)
+    assert found == len(sizes)
+    assert keys
+
+
+def test_an_expired_batch_of_an_earlier_life_is_deleted_by_the_version_found() -> None:
+    box = outbox()
+    earlier = parse_key("traces/entry-1/500000/1800000000-1800000030-ffff-1")
+    assert earlier is not None
+    box.remember((earlier,))
+
+    assert box.call(now=100.0, at=START + 40, retention_s=60) is None
+    call = box.call(now=100.0, at=START + 100, retention_s=60)
+    assert call == DeleteBatch(earlier.key, 0)
+    box.found(version=5, now=100.0)
+    call = box.call(now=200.0, at=START + 100, retention_s=60)
+    assert call == DeleteBatch(earlier.key, 5)
+    box.deleted(now=200.0)
+    assert box.call(now=300.0, at=START + 100, retention_s=60) is None
--- /dev/null
+++ b/tests/trace/test_recorder.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+from freezegun import freeze_time
+
+from kingcupwheel.trace.events import EVENTS_DECODER
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import Noted
+from kingcupwheel.trace.recorder import EVENTS_PER_REQUEST
+from kingcupwheel.trace.recorder import UNSHIPPED_BYTES
+from kingcupwheel.trace.recorder import Recorder
+from tests.trace.builders import ENTRY
+from tests.trace.builders import START
+from tests.trace.builders import request_id
+
+
+def test_a_request_pushed_out_by_newer_ones_is_no_longer_claimed_to_be_complete() -> (
+    None
+):
+    with freeze_time(tz_offset=0) as clock:
+        clock.move_to("2027-01-15")
+        recorder = Recorder(ENTRY, limit=2)
+        ids = []
+        for _ in range(3):
+            clock.tick(1)
+            ids.append(request_id(at=clock().timestamp()))
+            recorder.record(ids[-1], Noted("here"))
+
+    assert not recorder.found(ids[0]).complete
+    assert recorder.events(ids[0]) == ()
+    assert recorder.found(ids[2]).complete
+    assert len(EVENTS_DECODER.decode(recorder.found(ids[2]).events)) == 1
+
+
+def test_a_request_older_than_this_life_of_the_process_may_lack_events() -> None:
+    recorder = Recorder(ENTRY, limit=2)
+
+    assert not recorder.found(request_id(at=START - 1e9)).complete
+
+
+def test_a_request_resumed_without_end_keeps_its_first_events_and_its_outcome() -> None:
+    recorder = Recorder(ENTRY, limit=2)
+    wanted = request_id(at=START + 1e9)
+    for number in range(EVENTS_PER_REQUEST + 10):
+        recorder.record(wanted, Noted(str(number)))
+    recorder.record(wanted, Finished("ran", 200, 1, "whole"))
+
+    held = recorder.events(wanted)
+    assert len(held) == EVENTS_PER_REQUEST + 1
+    assert isinstance(held[-1].event, Finished)
+    assert not recorder.found(wanted).complete
+
+
+def test_events_that_nobody_drains_stay_within_the_bound_and_the_loss_is_counted() -> (
+    None
+):
+    recorder = Recorder(ENTRY, limit=2)
+    text = "x" * 100_000
+    for _ in range(60):
+        recorder.record(request_id(), Noted(text))
+
+    drained = recorder.drain()
+    assert sum(map(len, drained.encoded)) <= UNSHIPPED_BYTES
+    assert drained.lost == 60 - len(drained.encoded)
+    assert recorder.drain().encoded == ()
--- /dev/null
+++ b/tests/trace/test_story.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.trace.events import AnyEvent
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import Joined
+from kingcupwheel.trace.events import Refused
+from kingcupwheel.trace.merging import merge
+from kingcupwheel.trace.printing import story_text
+from kingcupwheel.trace.story import Part
+from kingcupwheel.trace.story import Source
+from kingcupwheel.trace.story import State
+from kingcupwheel.trace.story import tell
+from tests.trace.builders import AGENT
+from tests.trace.builders import AGENT_EVENTS
+from tests.trace.builders import ENTRY
+from tests.trace.builders import ENTRY_EVENTS
+from tests.trace.builders import START
+from tests.trace.builders import events
+from tests.trace.builders import received
+from tests.trace.builders import request_id
+
+
+WANTED = request_id()
+
+
+def live(process: str, recorded: tuple[AnyEvent, ...], *, at: float = START) -> Part:
+    return Part(process, Source.LIVE, events(WANTED, process, recorded, at=at))
+
+
+def test_the_story_tells_limit_wait_place_alternatives_and_outcome_in_plain_words() -> (
+    None
+):
+    story = tell(WANTED, (live(ENTRY, ENTRY_EVENTS), live(AGENT, AGENT_EVENTS)))
+    text = story_text(story)
+
+    assert (story.state, story.outcome, story.manifest_version) == (
+        State.FINISHED,
+        "ran",
+        7,
+    )
+    assert "it runs at most once. Manifest version 7 was in force." in text
+    assert "Placed on agent-2 for attempt 1 after 0.120 s in the queue: least" in text
+    assert "Weighed: agent-2 at 25%, agent-3 at 75%." in text
+    assert "2027-01-15 08:00:00.030  entry-1  Sent to agent-2 as attempt 1." in text
+    assert text.count("Final outcome: ran") == 1
+    assert "Missing" not in text
+
+
+def test_a_refusal_names_its_limit_and_a_resend_names_the_first_request() -> None:
+    refusal = Refused("allowance-concurrency", "201 of 200 in use", 2.5)
+    story = tell(
+        WANTED,
+        (
+            live(
+                ENTRY,
+                (
+                    received(),
+                    Joined("entry-3.1.aa"),
+                    refusal,
+                    Finished("not-run", 429, 0, ""),
+                ),
+            ),
+        ),
+    )
+    text = story_text(story)
+
+    assert "Refused by the limit allowance-concurrency: 201 of 200 in use." in text
+    assert "The caller may come back after 2.5 s." in text
+    assert "See also: kingcupwheel trace entry-3.1.aa" in text
+
+
+def test_two_final_outcomes_are_told_as_a_fault() -> None:
+    doubled = (*ENTRY_EVENTS, Finished("unknown", 0, 0, "gave up"))
+    story = tell(WANTED, (live(ENTRY, doubled),))
+
+    assert story.state is State.CONTRADICTORY
+    assert not story.whole
+    assert story.gaps == ("entry-1 recorded 2 final outcomes: ran and unknown.",)
+
+
+def test_an_entry_killed_before_its_batch_leaves_the_agents_word_and_a_stated_gap() -> (
+    None
+):
+    """The engineer reads that the agent ran it, and that the caller's end is unknown.
+
+    The entry dies with its events; only the agent's part is left. The story must not
+    pass the agent's outcome off as what the caller was told.
+    """
+    lost = Part(ENTRY, Source.NOWHERE, gaps=("entry-1 is gone.",))
+    story = tell(WANTED, (lost, live(AGENT, AGENT_EVENTS)))
+
+    assert story.state is State.OUTCOME_MISSING
+    assert story.outcome == ""
+    assert "agent-2 recorded that its attempt ended as ran." in story.gaps[0]
+    assert story.gaps[1] == "entry-1 is gone."
+
+
+def test_a_request_without_an_end_at_a_live_entry_is_under_way() -> None:
+    story = tell(WANTED, (live(ENTRY, ENTRY_EVENTS[:3]),))
+
+    assert story.state is State.UNDER_WAY
+    assert story.whole
+
+
+@given(st.floats(-5, 5))
+def test_clocks_that_differ_never_put_an_answer_before_its_request(skew: float) -> None:
+    parts = (
+        events(WANTED, ENTRY, ENTRY_EVENTS),
+        events(WANTED, AGENT, AGENT_EVENTS, at=START + skew),
+    )
+    merged = merge(ENTRY, parts)
+    kinds = [(event.process, type(event.event).__name__) for event in merged]
+
+    assert len(merged) == len(ENTRY_EVENTS) + len(AGENT_EVENTS)
+    assert kinds.index((ENTRY, "Dispatched")) < kinds.index((AGENT, "Started"))
+    assert kinds.index((AGENT, "FirstByte")) < kinds.index((ENTRY, "FirstByte"))
+    for part in parts:
+        assert [event for event in merged if event in part] == list(part)
