--- a/src/kingcupwheel/platform/http.py
+++ b/src/kingcupwheel/platform/http.py
@@ -1,3 +1,269 @@
-"""The platform's object API over HTTP."""
+"""The platform's object API over HTTP.
+
+Versions travel as ETags. Writes are conditional by ``If-Match`` or, for the first one,
+``If-None-Match: *``; watches are long polls. Everything this project assumes of the
+platform's own protocol is in this module.
+"""
 
 from __future__ import annotations
+
+from contextlib import contextmanager
+from threading import BoundedSemaphore
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import TypeVar
+from urllib.parse import quote
+from urllib.parse import urlencode
+from urllib.parse import urlsplit
+
+import msgspec
+import urllib3
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.platform.client import Instance
+from kingcupwheel.platform.client import Versioned
+from kingcupwheel.platform.errors import Conflict
+from kingcupwheel.platform.errors import PlatformError
+from kingcupwheel.platform.errors import RateLimited
+from kingcupwheel.platform.errors import Rejected
+from kingcupwheel.platform.errors import Unavailable
+from kingcupwheel.plugins.kernel import platform_clients
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from urllib3 import BaseHTTPResponse
+
+    from kingcupwheel.settings.schema import PlatformSettings
+
+T = TypeVar("T")
+
+# Connections kept open for watches; a process needs one for the manifest and a few more
+# for leases. Further ones are opened and closed as needed.
+_WATCH_CONNECTIONS = 4
+# The least time given to a call that had to wait for a connection.
+_LEAST_CALL_S = 0.05
+_DEFAULT_RETRY_AFTER_S = 1.0
+# Failures before a request can have reached the platform.
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.NameResolutionError,
+    urllib3.exceptions.EmptyPoolError,
+    urllib3.exceptions.ClosedPoolError,
+    urllib3.exceptions.LocationValueError,
+)
+
+
+class _Call(NamedTuple):
+    """One HTTP call; ``writes`` tells that losing its answer leaves doubt."""
+
+    method: str
+    path: str
+    key: str = ""
+    body: bytes | None = None
+    headers: dict[str, str] | None = None
+
+    @property
+    def writes(self) -> bool:
+        return self.method != "GET"
+
+
+@platform_clients.register("http")
+class HttpPlatformClient:
+    """Speaks HTTP through urllib3; safe from any thread.
+
+    At most ``settings.connections`` calls are under way at once; the wait for a free
+    one counts against the call's timeout, so that a hanging platform can't hold a
+    thread for longer. Watches use connections of their own: waiting ones would
+    otherwise use up the calls' connections.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        url = urlsplit(settings.url)
+        origin = f"{url.scheme}://{url.netloc}"
+        self._base = url.path.rstrip("/")
+        self._timeout_s = settings.timeout_s
+        self._calls = urllib3.connection_from_url(origin, maxsize=settings.connections)
+        self._watches = urllib3.connection_from_url(origin, maxsize=_WATCH_CONNECTIONS)
+        self._free = BoundedSemaphore(settings.connections)
+
+    def read(self, key: str) -> Result[Versioned | None, PlatformError]:
+        """Return the object, or None if it does not exist."""
+        return self._call(_Call("GET", _object_path(key), key)).bind(
+            lambda response: _versioned(key, response, 404)
+        )
+
+    def create(self, key: str, value: bytes) -> Result[int, PlatformError]:
+        """Create the object if absent; return its version, else ``Conflict``."""
+        return self._write(key, value, {"If-None-Match": "*"})
+
+    def update(
+        self, key: str, value: bytes, *, version: int
+    ) -> Result[int, PlatformError]:
+        """Replace the object if it is at ``version``; return the new version."""
+        return self._write(key, value, {"If-Match": f'"{version}"'})
+
+    def delete(self, key: str, *, version: int) -> Result[None, PlatformError]:
+        """Remove the object if it is at ``version``."""
+        headers = {"If-Match": f'"{version}"'}
+        call = _Call("DELETE", _object_path(key), key, headers=headers)
+        return self._call(call).bind(lambda response: _expect(response, 200, 204))
+
+    def keys(self, prefix: str) -> Result[tuple[str, ...], PlatformError]:
+        """Return the keys that start with ``prefix``, sorted."""
+        call = _Call("GET", f"/v1/objects?{urlencode({'prefix': prefix})}")
+        return self._call(call).bind(
+            lambda response: _decoded(response, tuple[str, ...])
+        )
+
+    def watch(
+        self, key: str, *, after: int, timeout_s: float
+    ) -> Result[Versioned | None, PlatformError]:
+        """Wait for the object to pass version ``after``; None when time runs out."""
+        query = urlencode({"watch": after, "timeout": timeout_s})
+        call = _Call("GET", f"{_object_path(key)}?{query}", key)
+        timeout = urllib3.Timeout(
+            connect=self._timeout_s, read=timeout_s + self._timeout_s
+        )
+        return self._send(self._watches, call, timeout).bind(
+            lambda response: _versioned(key, response, 304, 404)
+        )
+
+    def instances(self) -> Result[tuple[Instance, ...], PlatformError]:
+        """Return the platform's lagging list of live and leaving instances."""
+        return self._call(_Call("GET", "/v1/instances")).bind(_instances)
+
+    def _write(
+        self, key: str, value: bytes, headers: dict[str, str]
+    ) -> Result[int, PlatformError]:
+        call = _Call("PUT", _object_path(key), key, value, headers)
+        return self._call(call).bind(_new_version)
+
+    def _call(self, call: _Call) -> Result[BaseHTTPResponse, PlatformError]:
+        deadline = monotonic() + self._timeout_s
+        with self._slot() as free:
+            if not free:
+                return Error(Unavailable("no free connection", sent=False))
+            left_s = max(_LEAST_CALL_S, deadline - monotonic())
+            timeout = urllib3.Timeout(total=left_s)
+            return self._send(self._calls, call, timeout)
+
+    @contextmanager
+    def _slot(self) -> Iterator[bool]:
+        free = self._free.acquire(timeout=self._timeout_s)
+        try:
+            yield free
+        finally:
+            if free:
+                self._free.release()
+
+    def _send(
+        self, pool: urllib3.HTTPConnectionPool, call: _Call, timeout: urllib3.Timeout
+    ) -> Result[BaseHTTPResponse, PlatformError]:
+        try:
+            response = pool.request(
+                call.method,
+                self._base + call.path,
+                body=call.body,
+                headers=call.headers,
+                timeout=timeout,
+                retries=False,
+                redirect=False,
+            )
+        except _NOT_SENT as error:
+            return Error(Unavailable(_brief(error), sent=False))
+        except urllib3.exceptions.HTTPError as error:
+            return Error(Unavailable(_brief(error), sent=call.writes))
+        refusal = _refusal(call, response)
+        return Ok(response) if refusal is None else Error(refusal)
+
+
+def _object_path(key: str) -> str:
+    return "/v1/objects/" + quote(key, safe="/")
+
+
+def _brief(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
+def _refusal(call: _Call, response: BaseHTTPResponse) -> PlatformError | None:
+    status = response.status
+    if status in (409, 412):
+        return Conflict(call.key, _version(response))
+    if status == 429:
+        return RateLimited(_retry_after_s(response))
+    if status >= 500:
+        # A gateway may answer so after passing the write on: its effect is in doubt.
+        return Unavailable(f"status {status}", sent=call.writes)
+    if status >= 400 and status != 404:
+        return Rejected(status, response.reason or "")
+    return None
+
+
+def _version(response: BaseHTTPResponse) -> int:
+    tag = response.headers.get("ETag", "").removeprefix("W/").strip('"')
+    return int(tag) if tag.isdecimal() else 0
+
+
+def _retry_after_s(response: BaseHTTPResponse) -> float:
+    text = response.headers.get("Retry-After", "")
+    return float(text) if text.isdecimal() else _DEFAULT_RETRY_AFTER_S
+
+
+def _unexpected(response: BaseHTTPResponse) -> PlatformError:
+    return Rejected(response.status, response.reason or "unexpected answer")
+
+
+def _expect(response: BaseHTTPResponse, *statuses: int) -> Result[None, PlatformError]:
+    if response.status in statuses:
+        return Ok(None)
+    return Error(_unexpected(response))
+
+
+def _versioned(
+    key: str, response: BaseHTTPResponse, *absent: int
+) -> Result[Versioned | None, PlatformError]:
+    if response.status in absent:
+        return Ok(None)
+    version = _version(response)
+    if response.status != 200 or version == 0:
+        return Error(_unexpected(response))
+    return Ok(Versioned(key, version, response.data))
+
+
+def _new_version(response: BaseHTTPResponse) -> Result[int, PlatformError]:
+    version = _version(response)
+    if response.status not in (200, 201, 204) or version == 0:
+        return Error(_unexpected(response))
+    return Ok(version)
+
+
+def _instances(
+    response: BaseHTTPResponse,
+) -> Result[tuple[Instance, ...], PlatformError]:
+    # NamedTuples decode from arrays; the list holds objects.
+    return _decoded(response, list[dict[str, str | bool]]).bind(_named_instances)
+
+
+def _named_instances(
+    items: list[dict[str, str | bool]],
+) -> Result[tuple[Instance, ...], PlatformError]:
+    try:
+        rows = [[item[field] for field in Instance._fields] for item in items]
+        return Ok(msgspec.convert(rows, tuple[Instance, ...]))
+    except (KeyError, msgspec.ValidationError) as error:
+        return Error(Rejected(200, f"bad instance list: {error}"))
+
+
+def _decoded(response: BaseHTTPResponse, kind: type[T]) -> Result[T, PlatformError]:
+    if response.status != 200:
+        return Error(_unexpected(response))
+    try:
+        return Ok(msgspec.json.decode(response.data, type=kind))
+    except msgspec.DecodeError as error:
+        return Error(Rejected(response.status, str(error)))
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,215 @@
+"""A stand-in of the platform's object API, with switches for its faults.
+
+``python -m tests.standins.platform --port 0`` prints its ``IP:port`` on the first
+line. Under ``/test``: ``PUT /test/switches`` (JSON, see ``Switches``), ``PUT`` and
+``DELETE /test/instances/NAME``, ``GET /test/counters``.
+"""
+
+from __future__ import annotations
+
+import argparse
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from threading import Thread
+from time import sleep
+from typing import Any
+from urllib.parse import parse_qs
+from urllib.parse import unquote
+from urllib.parse import urlsplit
+
+import msgspec
+
+from tests.standins.platform_state import MAX_VALUE_BYTES
+from tests.standins.platform_state import PlatformState
+
+
+_OBJECTS = "/v1/objects/"
+_INSTANCES = "/test/instances/"
+_HANG_LIMIT_S = 60.0
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 512
+
+    def __init__(self, port: int) -> None:
+        super().__init__(("127.0.0.1", port), _Handler)
+        self.state = PlatformState()
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Say nothing of callers that hang up."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+    server: _Server
+
+    def setup(self) -> None:
+        super().setup()
+        self.state = self.server.state
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Log nothing."""
+
+    def do_GET(self) -> None:
+        url = urlsplit(self.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/test/counters":
+            self._answer_json(dict(self.state.calls))
+        elif url.path == "/v1/objects":
+            if self._may_go_on("list"):
+                self._answer_json(self.state.keys(query.get("prefix", "")))
+        elif url.path == "/v1/instances":
+            if self._may_go_on("list"):
+                self._answer_json(self.state.instances())
+        elif "watch" in query:
+            self._watch(_key(url.path), query)
+        elif self._may_go_on("read"):
+            self._answer_held(_key(url.path), 0, 404)
+
+    def do_PUT(self) -> None:
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.path == "/test/switches":
+            self.state.switch(**msgspec.json.decode(body))
+            self._answer(204)
+        elif self.path.startswith(_INSTANCES):
+            name = self.path.removeprefix(_INSTANCES)
+            self.state.set_instance(name, msgspec.json.decode(body))
+            self._answer(204)
+        else:
+            self._write(body)
+
+    def do_DELETE(self) -> None:
+        if self.path.startswith(_INSTANCES):
+            self.state.set_instance(self.path.removeprefix(_INSTANCES), None)
+            self._answer(204)
+        else:
+            self._write(None)
+
+    def _may_go_on(self, kind: str) -> bool:
+        within = self.state.count(kind)
+        switches = self.state.switches
+        sleep(switches.slow_s)
+        if switches.outage == "down":
+            self._answer(503)
+        elif switches.outage == "hang":
+            self._hang()
+        elif not within:
+            self._answer(429, headers={"Retry-After": "1"})
+        else:
+            return True
+        return False
+
+    def _hang(self) -> None:
+        self.close_connection = True
+        state = self.state
+        with state.changed:
+            state.changed.wait_for(
+                lambda: state.switches.outage != "hang", _HANG_LIMIT_S
+            )
+
+    def _write(self, value: bytes | None) -> None:
+        if not self._may_go_on("write"):
+            return
+        if value is not None and len(value) > MAX_VALUE_BYTES:
+            self._answer(413)
+            return
+        version = 0
+        if "If-Match" in self.headers:
+            version = int(self.headers["If-Match"].strip('"'))
+        elif self.headers.get("If-None-Match") != "*":
+            self._answer(428)
+            return
+        written = self.state.write(_key(self.path), value, version=version)
+        if written.done and self.state.take_lost_answer():
+            self.close_connection = True
+            return
+        status = 200 if written.done else 412
+        self._answer(status, headers={"ETag": f'"{written.version}"'})
+
+    def _watch(self, key: str, query: dict[str, str]) -> None:
+        if not self._may_go_on("watch"):
+            return
+        after = int(query["watch"])
+        self.state.wait_past(key, after, float(query.get("timeout", "1")))
+        match self.state.switches.outage:
+            case "down":
+                self._answer(503)
+            case "hang":
+                self._hang()
+            case _:
+                self._answer_held(key, after, 304)
+
+    def _answer_held(self, key: str, after: int, otherwise: int) -> None:
+        held = self.state.read(key)
+        if held.value is None or held.version <= after:
+            self._answer(otherwise)
+        else:
+            self._answer(200, held.value, {"ETag": f'"{held.version}"'})
+
+    def _answer_json(self, content: object) -> None:
+        self._answer(200, msgspec.json.encode(content))
+
+    def _answer(
+        self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> None:
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def _key(path: str) -> str:
+    return unquote(path.removeprefix(_OBJECTS))
+
+
+class PlatformStandIn:
+    """The stand-in within a test's own process."""
+
+    def __init__(self, port: int = 0) -> None:
+        self._server = _Server(port)
+        self._thread = Thread(
+            target=self._server.serve_forever, args=(0.05,), daemon=True
+        )
+
+    @property
+    def state(self) -> PlatformState:
+        """Its objects, switches and counters."""
+        return self._server.state
+
+    @property
+    def address(self) -> str:
+        """Its ``IP:port``."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    @property
+    def url(self) -> str:
+        """Its address as the settings name it."""
+        return f"http://{self.address}"
+
+    def __enter__(self) -> PlatformStandIn:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.state.switch(outage="down")
+        self._server.shutdown()
+        self._server.server_close()
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, default=0)
+    with PlatformStandIn(parser.parse_args().port) as stand_in:
+        print(stand_in.address, flush=True)
+        while True:
+            sleep(3600)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/platform_state.py
@@ -0,0 +1,151 @@
+"""What the platform stand-in holds: objects, the lagging list, switches, counters."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import deque
+from threading import Condition
+from time import monotonic
+from typing import NamedTuple
+
+import msgspec
+
+
+MAX_VALUE_BYTES = 1_000_000
+_WINDOW_S = 1.0
+
+
+class Switches(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Faults that a test turns on; all off by default.
+
+    ``outage`` is ``off``, ``down`` (answers 503) or ``hang`` (accepts and says
+    nothing). ``lose_answers`` counts writes still to take effect without an answer;
+    ``stale`` is how many versions reads are behind. Rates of 0 mean no limit.
+    """
+
+    outage: str = "off"
+    slow_s: float = 0.0
+    lose_answers: int = 0
+    stale: int = 0
+    lag_s: float = 0.0
+    reads_per_s: int = 0
+    writes_per_s: int = 0
+
+
+class Held(NamedTuple):
+    """One version of an object; ``value`` is None once deleted."""
+
+    version: int
+    value: bytes | None
+
+
+class Written(NamedTuple):
+    """What a write came to; ``version`` is the object's afterwards."""
+
+    done: bool
+    version: int
+
+
+_ABSENT = Held(0, None)
+
+
+class PlatformState:
+    """Thread-safe; watches wait on its condition."""
+
+    def __init__(self) -> None:
+        self.changed = Condition()
+        self.switches = Switches()
+        self.calls: Counter[str] = Counter()
+        self._revision = 0
+        self._history_by_key: dict[str, list[Held]] = {}
+        self._times_by_kind: dict[str, deque[float]] = {}
+        self._instances_by_name: dict[str, dict[str, object]] = {}
+        self._pending: list[tuple[float, str, dict[str, object] | None]] = []
+
+    def switch(self, **changes: object) -> None:
+        """Change some switches and wake whoever waits."""
+        with self.changed:
+            self.switches = msgspec.structs.replace(self.switches, **changes)
+            self.changed.notify_all()
+
+    def count(self, kind: str) -> bool:
+        """Count a call; False if it is over its rate."""
+        limited = "reads_per_s" if kind in ("read", "watch", "list") else "writes_per_s"
+        with self.changed:
+            self.calls[kind] += 1
+            limit = getattr(self.switches, limited)
+            times = self._times_by_kind.setdefault(limited, deque())
+            now = monotonic()
+            while times and times[0] <= now - _WINDOW_S:
+                times.popleft()
+            if limit and len(times) >= limit:
+                self.calls["refused"] += 1
+                return False
+            times.append(now)
+            return True
+
+    def read(self, key: str) -> Held:
+        """Return the object as reads see it now (see ``Switches.stale``)."""
+        with self.changed:
+            history = self._history_by_key.get(key, [])
+            visible = len(history) - self.switches.stale
+            return history[visible - 1] if visible > 0 else _ABSENT
+
+    def write(self, key: str, value: bytes | None, *, version: int) -> Written:
+        """Write (or delete, by None) if the object is at ``version``, 0 if absent."""
+        with self.changed:
+            history = self._history_by_key.setdefault(key, [_ABSENT])
+            latest = history[-1]
+            found = 0 if latest.value is None else latest.version
+            if found != version:
+                return Written(False, found)
+            self._revision += 1
+            history.append(Held(self._revision, value))
+            self.changed.notify_all()
+            return Written(True, self._revision)
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys that exist under ``prefix``, sorted."""
+        with self.changed:
+            return sorted(
+                key
+                for key, history in self._history_by_key.items()
+                if key.startswith(prefix) and history[-1].value is not None
+            )
+
+    def wait_past(self, key: str, after: int, timeout_s: float) -> Held:
+        """Wait until the object passes ``after``, an outage starts, or time runs out.
+
+        The result may still be at ``after`` or below.
+        """
+        with self.changed:
+            self.changed.wait_for(
+                lambda: self.read(key).version > after or self.switches.outage != "off",
+                timeout_s,
+            )
+            return self.read(key)
+
+    def take_lost_answer(self) -> bool:
+        """Return whether this write's answer is to be lost."""
+        with self.changed:
+            left = self.switches.lose_answers
+            if left > 0:
+                self.switch(lose_answers=left - 1)
+            return left > 0
+
+    def set_instance(self, name: str, instance: dict[str, object] | None) -> None:
+        """List an instance, or take it off by None; seen after the lag."""
+        with self.changed:
+            visible_at = monotonic() + self.switches.lag_s
+            self._pending.append((visible_at, name, instance))
+
+    def instances(self) -> list[dict[str, object]]:
+        """Return the lagging list."""
+        with self.changed:
+            now = monotonic()
+            for _, name, instance in [due for due in self._pending if due[0] <= now]:
+                self._instances_by_name.pop(name, None)
+                if instance is not None:
+                    self._instances_by_name[name] = instance
+            self._pending = [due for due in self._pending if due[0] > now]
+            return list(self._instances_by_name.values())
