--- a/src/kingcupwheel/entry/running.py
+++ b/src/kingcupwheel/entry/running.py
@@ -178,8 +178,14 @@
         while True:
             step = reader.next(CALLER_CHECK_S)
             match step:
-                case HeadKnown() | Ended() | NotStarted() | NeverSeen():
+                case HeadKnown() | Ended() | NotStarted():
                     return step
+                case NeverSeen(incarnation):
+                    if incarnation != reader.inbox.incarnation:
+                        return Ended(Outcome.UNKNOWN, "the agent restarted")
+                    # The dispatch was lost, or is still on its way over an old link.
+                    # Cancelling leaves a tombstone, and the answer is a true NotRun.
+                    reader.cancel()
                 case Started(now_running):
                     running = running or now_running
                     self._note_started(reader, now_running)
@@ -219,8 +225,6 @@
         match step:
             case NotStarted(reason):
                 return self._turned_away_by(reason, attempts, place)
-            case NeverSeen():
-                return self._turned_away_by(AgentRefusal.CANCELLED, attempts, place)
             case Ended(outcome, detail):
                 return self._failed(outcome, detail, attempts, place)
         raise AssertionError(step)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -206,6 +206,7 @@
     ) -> None:
         """Put an instance on the platform's list."""
         instance = {
+            "name": name,
             "role": role,
             "group": group,
             "data_centre": data_centre,
