--- /dev/null
+++ b/src/kingcupwheel/manifest/assembly.py
@@ -0,0 +1,145 @@
+"""Puts a manifest together from its objects, reusing what has not changed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.manifest.exceptions import BadObject
+from kingcupwheel.manifest.exceptions import FetchError
+from kingcupwheel.manifest.shards import Core
+from kingcupwheel.manifest.shards import Index
+from kingcupwheel.manifest.shards import decode_bucket
+from kingcupwheel.manifest.shards import decode_core
+from kingcupwheel.manifest.shards import decode_index
+from kingcupwheel.manifest.shards import join
+from kingcupwheel.manifest.shards import shard_key
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from kingcupwheel.manifest.schema import Manifest
+    from kingcupwheel.manifest.schema import Organisation
+
+# Returns an object's value by key.
+ObjectSource = Callable[[str], Result[bytes, FetchError]]
+
+
+class Bucket(NamedTuple):
+    """A decoded shard of organisations with its stored value."""
+
+    value: bytes
+    organisations: tuple[Organisation, ...]
+
+
+class Assembly(NamedTuple):
+    """A manifest with the objects it came from.
+
+    ``buckets_by_digest`` is empty where organisations are not wanted.
+    """
+
+    index_value: bytes
+    index_object: Index
+    core_value: bytes
+    core: Core
+    buckets_by_digest: Mapping[str, Bucket]
+
+    @property
+    def manifest(self) -> Manifest:
+        """The whole manifest, organisations sorted by name."""
+        buckets = self.buckets_by_digest.values()
+        return join(self.core, (bucket.organisations for bucket in buckets))
+
+
+class FetchedObjects:
+    """Remembers objects between tries to put one manifest together.
+
+    Failure: one read of many is refused by the platform's rate limit. Symptom: each try
+    starts with the first shard again, which keeps the platform at its limit when many
+    processes start at once. What was read is kept until a try succeeds; keys are
+    digests, so it can't be out of date.
+    """
+
+    def __init__(self) -> None:
+        self._values_by_key: dict[str, bytes] = {}
+
+    def over(self, source: ObjectSource) -> ObjectSource:
+        """Return ``source`` with what was fetched before."""
+
+        def read(key: str) -> Result[bytes, FetchError]:
+            known = self._values_by_key.get(key)
+            if known is not None:
+                return Ok(known)
+            value = source(key)
+            if value.is_ok():
+                self._values_by_key[key] = value.ok
+            return value
+
+        return read
+
+    def forget(self) -> None:
+        """Drop what was fetched."""
+        self._values_by_key.clear()
+
+
+def assemble(
+    index_value: bytes,
+    source: ObjectSource,
+    *,
+    reuse: Assembly | None = None,
+    with_organisations: bool = True,
+) -> Result[Assembly, FetchError]:
+    """Return the manifest that ``index_value`` names.
+
+    Shards that ``reuse`` holds are not read again; every other is read from ``source``
+    and checked against its digest.
+    """
+    index = decode_index(index_value)
+    if index.is_error():
+        return Error(index.error)
+    core = _core(index.ok, source, reuse)
+    if core.is_error():
+        return Error(core.error)
+    wanted = index.ok.organisations if with_organisations else ()
+    buckets = _buckets(wanted, source, reuse)
+    if buckets.is_error():
+        return Error(buckets.error)
+    return Ok(Assembly(index_value, index.ok, *core.ok, buckets.ok))
+
+
+def _core(
+    index: Index, source: ObjectSource, reuse: Assembly | None
+) -> Result[tuple[bytes, Core], FetchError]:
+    if reuse is not None and reuse.index_object.core == index.core:
+        return Ok((reuse.core_value, reuse.core))
+    value = source(shard_key(index.core))
+    if value.is_error():
+        return Error(value.error)
+    decoded: Result[Core, BadObject] = decode_core(index.core, value.ok)
+    return Ok((value.ok, decoded.ok)) if decoded.is_ok() else Error(decoded.error)
+
+
+def _buckets(
+    digests: tuple[str, ...], source: ObjectSource, reuse: Assembly | None
+) -> Result[dict[str, Bucket], FetchError]:
+    held = {} if reuse is None else reuse.buckets_by_digest
+    buckets_by_digest: dict[str, Bucket] = {}
+    for digest in digests:
+        known = held.get(digest)
+        if known is not None:
+            buckets_by_digest[digest] = known
+            continue
+        value = source(shard_key(digest))
+        if value.is_error():
+            return Error(value.error)
+        decoded = decode_bucket(digest, value.ok)
+        if decoded.is_error():
+            return Error(decoded.error)
+        buckets_by_digest[digest] = Bucket(value.ok, decoded.ok)
+    return Ok(buckets_by_digest)
--- /dev/null
+++ b/src/kingcupwheel/manifest/exceptions.py
@@ -0,0 +1,78 @@
+"""Errors of the manifest layer."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class LostRace(NamedTuple):
+    """Another manifest was accepted first.
+
+    ``expected`` is the version the operator saw, ``found`` the one in force now, 0 if
+    there is none.
+    """
+
+    expected: int
+    found: int
+
+    def __str__(self) -> str:
+        return (
+            f"not accepted: made for version {self.expected}, but version"
+            f" {self.found} is in force"
+        )
+
+
+class PlatformFailed(NamedTuple):
+    """The platform could not be used; nothing was accepted."""
+
+    detail: str
+
+    def __str__(self) -> str:
+        return f"the platform failed: {self.detail}"
+
+
+class Unsettled(NamedTuple):
+    """The confirmation was lost and could not be read back in time.
+
+    The manifest may be in force; ``submission`` is its id.
+    """
+
+    submission: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"may be accepted or not (submission {self.submission}): {self.detail}"
+
+
+class TooLarge(NamedTuple):
+    """An object of the manifest is over the platform's limit; sizes in bytes."""
+
+    what: str
+    size: int
+    limit: int
+
+    def __str__(self) -> str:
+        return f"{self.what}: {self.size} bytes are over the limit of {self.limit}"
+
+
+class BadObject(NamedTuple):
+    """A stored object is not what its key or its index says."""
+
+    key: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.key}: {self.detail}"
+
+
+class MissingObject(NamedTuple):
+    """Nobody who was asked has the object."""
+
+    key: str
+
+    def __str__(self) -> str:
+        return f"{self.key}: not found"
+
+
+SubmitError = LostRace | PlatformFailed | Unsettled | TooLarge
+FetchError = PlatformFailed | BadObject | MissingObject
--- /dev/null
+++ b/src/kingcupwheel/manifest/holder.py
@@ -0,0 +1,110 @@
+"""Holds one version of the manifest and replaces it by later ones only."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from threading import Condition
+from threading import Lock
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.manifest.inforce import InForce
+from kingcupwheel.manifest.shards import INDEX_KEY
+from kingcupwheel.manifest.shards import shard_key
+from kingcupwheel.messages.membership import ManifestObject
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from kingcupwheel.manifest.assembly import Assembly
+
+ChangeListener = Callable[[InForce], None]
+
+logger = logging.getLogger("kingcupwheel.manifest")
+
+
+class _Held(NamedTuple):
+    """A version with its objects' values, swapped as one."""
+
+    in_force: InForce
+    values_by_key: Mapping[str, bytes]
+
+
+class Holder:
+    """Safe from any thread; readers take no lock."""
+
+    def __init__(self) -> None:
+        self._held: _Held | None = None
+        self._swapping = Lock()
+        self._changed = Condition()
+        self._listeners: list[ChangeListener] = []
+
+    @property
+    def current(self) -> InForce | None:
+        """The version held, None before the first one."""
+        held = self._held
+        return None if held is None else held.in_force
+
+    @property
+    def version(self) -> int:
+        """Its number, 0 before the first one."""
+        held = self._held
+        return 0 if held is None else held.in_force.version
+
+    def subscribe(self, listener: ChangeListener) -> None:
+        """Call ``listener`` with each version held from now on, in order."""
+        self._listeners.append(listener)
+
+    def adopt(self, version: int, assembly: Assembly) -> bool:
+        """Hold ``assembly`` if it is later than what is held.
+
+        Failure: a read of the platform answers an older version after a newer one was
+        adopted here, or two threads finish in the other order. Symptom: an accepted
+        change is undone on one process. Versions of a key only rise, so comparing them
+        under the lock that swaps is enough.
+        """
+        if version <= self.version:
+            return False
+        in_force = InForce(version, assembly)
+        held = _Held(in_force, _values_by_key(assembly))
+        with self._swapping:
+            if version <= self.version:
+                return False
+            self._held = held
+            with self._changed:
+                self._changed.notify_all()
+            self._tell(in_force)
+        logger.info("Version %d is in force.", version)
+        return True
+
+    def wait(self, version: int, timeout_s: float) -> bool:
+        """Return whether ``version`` or a later one is held within the time."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self.version >= version, timeout_s)
+
+    def object_for(self, key: str) -> ManifestObject:
+        """Return an object of the version held; ``value`` is None if it has none."""
+        held = self._held
+        if held is None:
+            return ManifestObject(key=key, version=0, value=None)
+        value = held.values_by_key.get(key)
+        return ManifestObject(key=key, version=held.in_force.version, value=value)
+
+    def _tell(self, in_force: InForce) -> None:
+        for listener in tuple(self._listeners):
+            try:
+                listener(in_force)
+            except Exception:
+                logger.exception("A listener failed.")
+
+
+def _values_by_key(assembly: Assembly) -> dict[str, bytes]:
+    values_by_key = {
+        INDEX_KEY: assembly.index_value,
+        shard_key(assembly.index_object.core): assembly.core_value,
+    }
+    for digest, bucket in assembly.buckets_by_digest.items():
+        values_by_key[shard_key(digest)] = bucket.value
+    return values_by_key
--- /dev/null
+++ b/src/kingcupwheel/manifest/keeper.py
@@ -0,0 +1,266 @@
+"""Keeps the manifest in force in a process up to date, and never takes it back."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from random import Random
+from threading import Condition
+from threading import Event
+from threading import Thread
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.manifest.assembly import FetchedObjects
+from kingcupwheel.manifest.assembly import assemble
+from kingcupwheel.manifest.exceptions import BadObject
+from kingcupwheel.manifest.holder import Holder
+from kingcupwheel.manifest.shards import INDEX_KEY
+from kingcupwheel.manifest.store import describe
+from kingcupwheel.manifest.store import read_object
+from kingcupwheel.messages.membership import ManifestObject
+from kingcupwheel.utils.backoff import Backoff
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.manifest.assembly import ObjectSource
+    from kingcupwheel.manifest.exceptions import FetchError
+    from kingcupwheel.manifest.holder import ChangeListener
+    from kingcupwheel.manifest.inforce import InForce
+    from kingcupwheel.platform.client import PlatformClient
+    from kingcupwheel.platform.client import Versioned
+
+# Asks the peer at an address for an object; the error says why there was no answer.
+FetchFromPeer = Callable[[str, str], Result[ManifestObject | None, str]]
+
+logger = logging.getLogger("kingcupwheel.manifest")
+
+# Processes that saw the same change spread their reads of shards over this time: 370
+# entries and 1,000 agents at once would use up the platform's 2,000 reads a second.
+# It leaves most of the 7 seconds in which a change has to be in force everywhere.
+DEFAULT_SPREAD_S = 1.5
+# Pauses after a failed watch. The longest bounds how long after an outage a change is
+# noticed; 1,370 processes at 2 to 4 s make about 460 calls a second meanwhile.
+_LEAST_PAUSE_S = 0.2
+_MOST_PAUSE_S = 4.0
+# A watch that ends without news sooner than this has not waited; the next one does.
+_LEAST_WATCH_S = 0.2
+# Peers remembered as ahead. One is enough to copy from, further ones stand in for it.
+_HINTS = 8
+
+
+class _Hint(NamedTuple):
+    """A peer that named a later version than the one in force here."""
+
+    address: str
+    version: int
+
+
+class ManifestKeeper:
+    """Holds the manifest in force; adopts later versions only.
+
+    Two ways lead to a new version: a watch on the platform, and ``heard``, which is
+    told the version that each message of another process names. Either is enough, so
+    that a process cut off from the platform, or whose watch went silent, follows its
+    peers.
+
+    ``fetch_from_peer(address, key)`` may block; it is called on the keeper's threads.
+    ``on_change`` is called as by ``subscribe``. ``with_organisations=False`` keeps
+    groups and routes only, which is all an agent needs. ``watch_s`` is how long one
+    watch waits, ``spread_s`` the longest random delay before shards are read.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        *,
+        fetch_from_peer: FetchFromPeer,
+        on_change: ChangeListener,
+        with_organisations: bool = True,
+        watch_s: float = 20.0,
+        spread_s: float = DEFAULT_SPREAD_S,
+        random: Random | None = None,
+    ) -> None:
+        self._client = client
+        self._fetch_from_peer = fetch_from_peer
+        self._with_organisations = with_organisations
+        self._watch_s = watch_s
+        self._spread_s = spread_s
+        self._random = random or Random()
+        self._holder = Holder()
+        self._holder.subscribe(on_change)
+        self._fetched = FetchedObjects()
+        self._hinted = Condition()
+        self._hints_by_address: dict[str, _Hint] = {}
+        self._stopping = Event()
+        self._threads = (
+            Thread(target=self._follow_platform, name="manifest-watch", daemon=True),
+            Thread(target=self._follow_peers, name="manifest-peers", daemon=True),
+        )
+
+    @property
+    def current(self) -> InForce | None:
+        """The manifest in force here, None until the first one is adopted."""
+        return self._holder.current
+
+    @property
+    def version(self) -> int:
+        """Its version, 0 before the first one; what messages name."""
+        return self._holder.version
+
+    @property
+    def digest(self) -> str:
+        """Its digest, empty before the first one; what messages name."""
+        current = self._holder.current
+        return "" if current is None else current.digest
+
+    def start(self) -> None:
+        """Start to follow the platform and the peers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop following; a watch that is under way is left to run out."""
+        self._stopping.set()
+        with self._hinted:
+            self._hinted.notify_all()
+
+    def subscribe(self, listener: ChangeListener) -> None:
+        """Call ``listener`` with each manifest adopted from now on.
+
+        Calls come one at a time, in the order of versions, on a keeper's thread.
+        """
+        self._holder.subscribe(listener)
+
+    def wait(self, version: int, timeout_s: float) -> bool:
+        """Return whether ``version`` or a later one is in force within the time."""
+        return self._holder.wait(version, timeout_s)
+
+    def object_for(self, key: str) -> ManifestObject:
+        """Return the answer to a peer that wants this object; never blocks."""
+        return self._holder.object_for(key)
+
+    def heard(self, version: int, digest: str, address: str) -> None:
+        """Note that the process at ``address`` names this version; never blocks.
+
+        ``digest`` may be empty where a message names the version only.
+        """
+        current = self._holder.current
+        in_force = 0 if current is None else current.version
+        if (
+            current is not None
+            and version == in_force
+            and digest not in ("", current.digest)
+        ):
+            logger.error("Peer %s has another version %d.", address, version)
+        if version <= in_force:
+            return
+        with self._hinted:
+            hints = self._hints_by_address
+            if address in hints or len(hints) < _HINTS:
+                hints[address] = _Hint(address, version)
+                self._hinted.notify_all()
+
+    def _follow_platform(self) -> None:
+        backoff = Backoff(
+            least_s=_LEAST_PAUSE_S, most_s=_MOST_PAUSE_S, random=self._random
+        )
+        while not self._stopping.is_set():
+            if self._watch_once():
+                backoff.reset()
+            else:
+                self._stopping.wait(backoff.next_s())
+
+    def _watch_once(self) -> bool:
+        """Return whether to watch again at once."""
+        begun = monotonic()
+        found = self._client.watch(
+            INDEX_KEY, after=self.version, timeout_s=self._watch_s
+        )
+        if found.is_error():
+            logger.warning("Watch failed: %s.", describe(found.error))
+            return False
+        if found.ok is None:
+            return monotonic() - begun >= _LEAST_WATCH_S
+        return self._adopt_from_platform(found.ok)
+
+    def _adopt_from_platform(self, found: Versioned) -> bool:
+        if found.version <= self.version:
+            logger.warning("The platform answered old version %d.", found.version)
+            return False
+        if self.version > 0:
+            self._stopping.wait(self._random.uniform(0.0, self._spread_s))
+        return self._adopt(found.version, found.value, self._from_platform)
+
+    def _follow_peers(self) -> None:
+        while not self._stopping.is_set():
+            hint = self._next_hint()
+            if hint is not None:
+                self._adopt_from_peer(hint)
+
+    def _next_hint(self) -> _Hint | None:
+        """Wait for a peer that is ahead; None when stopping."""
+        with self._hinted:
+            self._hinted.wait_for(
+                lambda: self._hints_by_address or self._stopping.is_set()
+            )
+            if self._stopping.is_set():
+                return None
+            address = max(
+                self._hints_by_address,
+                key=lambda each: self._hints_by_address[each].version,
+            )
+            return self._hints_by_address.pop(address)
+
+    def _adopt_from_peer(self, hint: _Hint) -> None:
+        # A failed hint is dropped: the peer's next heartbeat brings another.
+        if hint.version <= self.version:
+            return
+        found = self._fetch_from_peer(hint.address, INDEX_KEY)
+        if found.is_error():
+            logger.warning("Peer %s did not answer: %s.", hint.address, found.error)
+            return
+        index = found.ok
+        if index is None or index.value is None or index.version <= self.version:
+            return
+
+        def from_peer(key: str) -> Result[bytes, FetchError]:
+            return self._from_peer(hint.address, key)
+
+        self._adopt(index.version, index.value, from_peer)
+
+    def _adopt(self, version: int, index_value: bytes, source: ObjectSource) -> bool:
+        current = self._holder.current
+        assembly = assemble(
+            index_value,
+            self._fetched.over(source),
+            reuse=None if current is None else current.assembly,
+            with_organisations=self._with_organisations,
+        )
+        if assembly.is_error():
+            logger.warning("Version %d not adopted: %s.", version, assembly.error)
+            if isinstance(assembly.error, BadObject):
+                self._fetched.forget()
+            return False
+        self._fetched.forget()
+        self._holder.adopt(version, assembly.ok)
+        return True
+
+    def _from_platform(self, key: str) -> Result[bytes, FetchError]:
+        return read_object(self._client, key)
+
+    def _from_peer(self, address: str, key: str) -> Result[bytes, FetchError]:
+        found = self._fetch_from_peer(address, key)
+        if found.is_ok() and found.ok is not None and found.ok.value is not None:
+            return Ok(found.ok.value)
+        return self._from_platform(key)
+
+
+def _warn_of_twin(current: InForce, version: int, digest: str, address: str) -> None:
+    """Log a peer that holds the same version with other content."""
+    if version == current.version and digest not in ("", current.digest):
+        logger.error("Peer %s has another version %d.", address, version)
--- /dev/null
+++ b/src/kingcupwheel/manifest/loading.py
@@ -0,0 +1,55 @@
+"""Reads a manifest as the build pipeline writes it and checks it whole."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.manifest.checks import manifest_problems
+from kingcupwheel.manifest.schema import Manifest
+from kingcupwheel.utils.shapes import convert
+from kingcupwheel.utils.yaml import read_yaml
+
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from kingcupwheel.utils.problems import Problems
+
+
+def load_manifest(
+    text: str, *, placements: Collection[str] = ()
+) -> Result[Manifest, Problems]:
+    """Return the manifest in ``text`` (YAML or JSON), or all that is wrong with it.
+
+    ``placements`` are the known placement policies; none are checked if it is empty.
+    Cross references are looked at once every field has the right type.
+    """
+    return (
+        _read(text)
+        .bind(lambda data: convert(data, Manifest))
+        .bind(lambda manifest: check_manifest(manifest, placements=placements))
+    )
+
+
+def check_manifest(
+    manifest: Manifest, *, placements: Collection[str] = ()
+) -> Result[Manifest, Problems]:
+    """Return ``manifest``, or every field whose value is out of place."""
+    problems = tuple(manifest_problems(manifest, placements))
+    return Error(problems) if problems else Ok(manifest)
+
+
+def _read(text: str) -> Result[Any, Problems]:
+    # JSON is read by a parser of its own, which is far faster than YAML's.
+    if text.lstrip().startswith("{"):
+        try:
+            return Ok(msgspec.json.decode(text))
+        except msgspec.DecodeError:
+            return read_yaml(text)
+    return read_yaml(text)
--- /dev/null
+++ b/src/kingcupwheel/manifest/shards.py
@@ -0,0 +1,221 @@
+"""A manifest as objects of the platform: an index and content-addressed shards.
+
+Values are limited to a megabyte and 43,000 organisations don't fit in one, so they are
+spread over buckets by a digest of the name: a change of one organisation rewrites one
+bucket. Groups, routes and the rest are one more shard, all that an agent needs. The
+index names each shard by its digest, therefore what an index names can't change.
+"""
+
+from __future__ import annotations
+
+import zlib
+from hashlib import sha256
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.manifest.exceptions import BadObject
+from kingcupwheel.manifest.exceptions import TooLarge
+from kingcupwheel.manifest.schema import Goals
+from kingcupwheel.manifest.schema import Manifest
+from kingcupwheel.manifest.schema import Organisation
+from kingcupwheel.manifest.schema import Retention
+from kingcupwheel.manifest.schema import Route
+from kingcupwheel.manifest.schema import ServerGroup
+from kingcupwheel.platform.client import MAX_VALUE_BYTES
+from kingcupwheel.utils.structs import Record
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+INDEX_KEY = "manifest/index"
+SHARD_PREFIX = "manifest/shards/"
+
+# Organisations a bucket holds on average at most. A smaller bucket costs each process
+# fewer bytes at a change, a larger one costs a starting process fewer calls.
+_BUCKET_ORGANISATIONS = 1024
+_MAX_BUCKETS = 4096
+# A shard may unpack to no more than this: a damaged one must not use up the memory.
+_MAX_UNPACKED_BYTES = 16_000_000
+_COMPRESSION_LEVEL = 6
+# Submissions that an index remembers of those before it, so that a submitter whose
+# confirmation was lost learns that it won even if others have won since.
+_EARLIER_SUBMISSIONS = 32
+
+
+class Index(Record, frozen=True):
+    """What a manifest version consists of.
+
+    ``submission`` names the submission, ``earlier`` those before it, latest first.
+    ``core`` is the shard of groups, routes and the rest; ``organisations`` are those of
+    the buckets, whose number is a power of two. Shards are named by SHA-256 digest.
+    """
+
+    submission: str
+    core: str
+    organisations: tuple[str, ...]
+    earlier: tuple[str, ...] = ()
+
+    @property
+    def shard_keys(self) -> tuple[str, ...]:
+        """The keys of all shards, the core's first."""
+        return tuple(shard_key(each) for each in (self.core, *self.organisations))
+
+
+class Core(Record, frozen=True):
+    """A manifest without its organisations."""
+
+    groups: tuple[ServerGroup, ...]
+    routes: tuple[Route, ...]
+    goals: Goals
+    retention: Retention
+
+
+class Sharded(NamedTuple):
+    """A manifest cut into objects; values are as stored, by key."""
+
+    index_object: Index
+    shards_by_key: Mapping[str, bytes]
+
+
+def shard_key(digest: str) -> str:
+    """Return the key of the shard with that digest."""
+    return SHARD_PREFIX + digest
+
+
+def cut(
+    manifest: Manifest, *, submission: str, previous: Index | None
+) -> Result[Sharded, TooLarge]:
+    """Cut ``manifest`` into shards and their index, which follows ``previous``."""
+    buckets = _bucket_count(len(manifest.organisations), previous)
+    organisations_by_bucket: list[list[Organisation]] = [[] for _ in range(buckets)]
+    for organisation in manifest.organisations:
+        organisations_by_bucket[_bucket(organisation.name, buckets)].append(
+            organisation
+        )
+    core = Core(
+        groups=manifest.groups,
+        routes=manifest.routes,
+        goals=manifest.goals,
+        retention=manifest.retention,
+    )
+    core_value = _pack(core)
+    values = [_pack(_sorted(each)) for each in organisations_by_bucket]
+    index = Index(
+        submission=submission,
+        core=_digest(core_value),
+        organisations=tuple(_digest(value) for value in values),
+        earlier=_earlier(previous),
+    )
+    shards_by_key = {
+        shard_key(_digest(value)): value for value in (core_value, *values)
+    }
+    return _checked(Sharded(index, shards_by_key))
+
+
+def join(core: Core, buckets: Iterable[tuple[Organisation, ...]]) -> Manifest:
+    """Return the manifest that was cut; its organisations come sorted by name."""
+    organisations = [each for bucket in buckets for each in bucket]
+    return Manifest(
+        organisations=_sorted(organisations),
+        groups=core.groups,
+        routes=core.routes,
+        goals=core.goals,
+        retention=core.retention,
+    )
+
+
+def encode_index(index: Index) -> bytes:
+    """Return the index object's value, which is JSON."""
+    return msgspec.json.encode(index)
+
+
+def decode_index(value: bytes) -> Result[Index, BadObject]:
+    """Return the index in an object's value."""
+    try:
+        return Ok(msgspec.json.decode(value, type=Index))
+    except msgspec.DecodeError as error:
+        return Error(BadObject(INDEX_KEY, str(error)))
+
+
+def decode_core(digest: str, value: bytes) -> Result[Core, BadObject]:
+    """Return the core shard in ``value`` if it has that digest."""
+    return _unpack(digest, value, Core)
+
+
+def decode_bucket(
+    digest: str, value: bytes
+) -> Result[tuple[Organisation, ...], BadObject]:
+    """Return the organisations in ``value`` if it has that digest."""
+    return _unpack(digest, value, tuple[Organisation, ...])
+
+
+def _bucket_count(organisations: int, previous: Index | None) -> int:
+    """Return a power of two.
+
+    The previous number stays while buckets are between a quarter and the whole of their
+    target size: another number rewrites every bucket, and an organisation added or
+    removed at a boundary would do so each time.
+    """
+    least = 1
+    while least * _BUCKET_ORGANISATIONS < organisations and least < _MAX_BUCKETS:
+        least *= 2
+    if previous is None:
+        return least
+    now = len(previous.organisations)
+    is_power_of_two = now > 0 and now & (now - 1) == 0
+    return now if is_power_of_two and least <= now <= 4 * least else least
+
+
+def _bucket(name: str, buckets: int) -> int:
+    return int.from_bytes(sha256(name.encode()).digest()[:4], "big") % buckets
+
+
+def _sorted(organisations: list[Organisation]) -> tuple[Organisation, ...]:
+    return tuple(sorted(organisations, key=lambda each: each.name))
+
+
+def _earlier(previous: Index | None) -> tuple[str, ...]:
+    if previous is None:
+        return ()
+    return (previous.submission, *previous.earlier)[:_EARLIER_SUBMISSIONS]
+
+
+def _checked(sharded: Sharded) -> Result[Sharded, TooLarge]:
+    values_by_key = {
+        INDEX_KEY: encode_index(sharded.index_object),
+        **sharded.shards_by_key,
+    }
+    for key, value in values_by_key.items():
+        if len(value) > MAX_VALUE_BYTES:
+            return Error(TooLarge(key, len(value), MAX_VALUE_BYTES))
+    return Ok(sharded)
+
+
+def _digest(value: bytes) -> str:
+    return sha256(value).hexdigest()
+
+
+def _pack(content: Any) -> bytes:
+    return zlib.compress(msgspec.json.encode(content), _COMPRESSION_LEVEL)
+
+
+def _unpack(digest: str, value: bytes, kind: Any) -> Result[Any, BadObject]:
+    key = shard_key(digest)
+    if _digest(value) != digest:
+        return Error(BadObject(key, "its value has another digest"))
+    try:
+        unpacker = zlib.decompressobj()
+        content = unpacker.decompress(value, _MAX_UNPACKED_BYTES)
+        if unpacker.unconsumed_tail:
+            return Error(BadObject(key, f"unpacks to over {_MAX_UNPACKED_BYTES} bytes"))
+        return Ok(msgspec.json.decode(content, type=kind))
+    except (zlib.error, msgspec.DecodeError) as error:
+        return Error(BadObject(key, str(error)))
--- /dev/null
+++ b/src/kingcupwheel/settings/checks.py
@@ -0,0 +1,130 @@
+"""Checks of a settings file's values."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
+
+import msgspec
+
+from kingcupwheel.manifest.checks import NAME_FORM
+from kingcupwheel.manifest.checks import NAME_RULE
+from kingcupwheel.plugins.kernel import load_builtin
+from kingcupwheel.plugins.kernel import platform_clients
+from kingcupwheel.plugins.kernel import server_adapters
+from kingcupwheel.settings.schema import Role
+from kingcupwheel.utils.problems import Problem
+from kingcupwheel.utils.ranges import Ranges
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from kingcupwheel.settings.schema import ServerSettings
+    from kingcupwheel.settings.schema import Settings
+    from kingcupwheel.settings.schema import Timings
+
+_HIGHEST_PORT = 65_535
+
+
+def settings_problems(settings: Settings) -> Iterator[Problem]:
+    """Yield all that is wrong with the values."""
+    load_builtin()
+    for field in ("name", "data_centre"):
+        if not NAME_FORM.fullmatch(getattr(settings, field)):
+            yield Problem(field, f"{NAME_RULE}, not {getattr(settings, field)!r}")
+    yield from _address(settings.listen, "listen")
+    for field in ("http", "http_public", "operator_http"):
+        if getattr(settings, field):
+            yield from _address(getattr(settings, field), field)
+    yield from _platform(settings)
+    if settings.statsd.host:
+        ranges = Ranges(settings.statsd, "statsd")
+        yield from ranges.between("port", 1, _HIGHEST_PORT)
+    for field in ("entry", "agent"):
+        limits = getattr(settings, field)
+        yield from Ranges(limits, field).positive(*_fields(limits))
+    yield from _timings(settings.timings)
+    match settings.role:
+        case Role.ENTRY:
+            yield from _entry(settings)
+        case Role.AGENT:
+            yield from _agent(settings)
+
+
+def _fields(record: msgspec.Struct) -> tuple[str, ...]:
+    return tuple(field.name for field in msgspec.structs.fields(record))
+
+
+def _address(text: str, path: str) -> Iterator[Problem]:
+    host, _, port = text.rpartition(":")
+    try:
+        ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        yield Problem(path, f"must be IP:port with an IP number, not {text!r}")
+        return
+    if not port.isdecimal() or int(port) > _HIGHEST_PORT:
+        yield Problem(path, f"has no port from 0 to {_HIGHEST_PORT}: {text!r}")
+
+
+def _url(text: str, path: str) -> Iterator[Problem]:
+    try:
+        url = urlsplit(text)
+        usable = url.scheme in ("http", "https") and bool(url.hostname)
+        usable = usable and url.port != 0
+    except ValueError:
+        usable = False
+    if not usable:
+        yield Problem(path, f"must be an http:// or https:// address, not {text!r}")
+
+
+def _platform(settings: Settings) -> Iterator[Problem]:
+    platform = settings.platform
+    yield from _url(platform.url, "platform.url")
+    yield from Ranges(platform, "platform").positive("timeout_s", "connections")
+    yield from _plugin("platform.client", platform.client, platform_clients.names)
+
+
+def _plugin(path: str, name: str, known: tuple[str, ...]) -> Iterator[Problem]:
+    if name not in known:
+        yield Problem(path, f"no plug-in {name!r}; known: {', '.join(known)}")
+
+
+def _timings(timings: Timings) -> Iterator[Problem]:
+    yield from Ranges(timings, "timings").positive(*_fields(timings))
+    # A shorter time later in the chain would replace a link, or give up an attempt,
+    # between two heartbeats of a process that is well.
+    chain = ("heartbeat_s", "silence_s", "gone_s", "give_up_s")
+    for shorter, longer in zip(chain, chain[1:], strict=False):
+        if getattr(timings, longer) <= getattr(timings, shorter):
+            yield Problem(f"timings.{longer}", f"must be longer than {shorter}")
+
+
+def _entry(settings: Settings) -> Iterator[Problem]:
+    if not settings.http:
+        yield Problem("http", "missing; an entry needs it")
+    if settings.server is not None:
+        yield Problem("server", "is for agents only")
+    if settings.group:
+        yield Problem("group", "is for agents only")
+
+
+def _agent(settings: Settings) -> Iterator[Problem]:
+    for field in ("http", "http_public"):
+        if getattr(settings, field):
+            yield Problem(field, "is for entries only")
+    if not settings.group:
+        yield Problem("group", "missing; an agent needs it")
+    if settings.server is None:
+        yield Problem("server", "missing; an agent needs it")
+    else:
+        yield from _server(settings.server)
+
+
+def _server(server: ServerSettings) -> Iterator[Problem]:
+    yield from _url(server.url, "server.url")
+    yield from Ranges(server, "server").positive("connect_s", "silence_s")
+    yield from Ranges(server, "server").not_negative("rank")
+    if server_adapters.names:
+        yield from _plugin("server.adapter", server.adapter, server_adapters.names)
--- /dev/null
+++ b/src/kingcupwheel/settings/loader.py
@@ -0,0 +1,40 @@
+"""Reads and checks a process's settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.settings.checks import settings_problems
+from kingcupwheel.settings.schema import Settings
+from kingcupwheel.utils.problems import Problem
+from kingcupwheel.utils.problems import Problems
+from kingcupwheel.utils.shapes import convert
+from kingcupwheel.utils.yaml import read_yaml
+
+
+if TYPE_CHECKING:
+    from os import PathLike
+
+
+def load_settings(path: str | PathLike[str]) -> Result[Settings, Problems]:
+    """Return the settings in the YAML file at ``path``, or all that is wrong."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Error((Problem("", f"cannot read {path}: {error}"),))
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Result[Settings, Problems]:
+    """Return the settings in ``text`` (YAML), or every field that is wrong."""
+    return read_yaml(text).bind(lambda data: convert(data, Settings)).bind(_check)
+
+
+def _check(settings: Settings) -> Result[Settings, Problems]:
+    problems = tuple(settings_problems(settings))
+    return Error(problems) if problems else Ok(settings)
--- /dev/null
+++ b/src/kingcupwheel/utils/backoff.py
@@ -0,0 +1,33 @@
+"""Growing pauses between tries, spread at random."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from random import Random
+
+
+class Backoff:
+    """Pauses in seconds that double from ``least_s`` to ``most_s``.
+
+    Each is drawn from the upper half of its step: after an outage many processes come
+    back, and equal pauses would bring them back together again and again.
+    """
+
+    def __init__(self, *, least_s: float, most_s: float, random: Random) -> None:
+        self._least_s = least_s
+        self._most_s = most_s
+        self._random = random
+        self._step_s = least_s
+
+    def next_s(self) -> float:
+        """Return the next pause."""
+        pause_s = self._step_s * self._random.uniform(0.5, 1.0)
+        self._step_s = min(self._most_s, self._step_s * 2)
+        return pause_s
+
+    def reset(self) -> None:
+        """Start anew after a success."""
+        self._step_s = self._least_s
--- /dev/null
+++ b/src/kingcupwheel/utils/yaml.py
@@ -0,0 +1,53 @@
+"""Strict reading of YAML."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import yaml
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.utils.problems import Problem
+from kingcupwheel.utils.problems import Problems
+
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+# libyaml's parser reads a manifest of 43,000 organisations many times faster.
+_SafeLoader: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+class _StrictLoader(_SafeLoader):  # type: ignore[misc]  # base chosen at run time
+    """Refuses a key that stands twice; YAML's usual loaders keep the last silently."""
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[Hashable, Any]:
+        """Return the mapping of ``node``."""
+        seen: set[str] = set()
+        for key_node, _ in node.value:
+            key = key_node.value if isinstance(key_node, yaml.ScalarNode) else None
+            if key is not None and key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"the key {key!r} stands twice", key_node.start_mark
+                )
+            if key is not None:
+                seen.add(key)
+        mapping: dict[Hashable, Any] = super().construct_mapping(node, deep=deep)
+        return mapping
+
+
+def read_yaml(text: str) -> Result[Any, Problems]:
+    """Return the one document in ``text``, or where it is no YAML."""
+    try:
+        return Ok(yaml.load(text, Loader=_StrictLoader))
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        where = f"line {mark.line + 1}" if mark else ""
+        return Error((Problem(where, f"not valid YAML: {error.problem}"),))
+    except (yaml.YAMLError, ValueError) as error:
+        return Error((Problem("", f"not valid YAML: {error}"),))
--- /dev/null
+++ b/tests/manifest/test_keeper.py
@@ -0,0 +1,214 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.manifest.keeper import ManifestKeeper
+from tests.manifest.builders import build_manifest
+from tests.manifest.builders import key_of
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from kingcupwheel.manifest.inforce import InForce
+    from kingcupwheel.manifest.store import ManifestStore
+    from kingcupwheel.messages.membership import ManifestObject
+    from kingcupwheel.platform.http import HttpPlatformClient
+    from tests.standins.platform import PlatformStandIn
+
+_WAIT_S = 10.0
+_FIRST = "organisation-00000"
+
+
+class Peers:
+    """Keepers that reach each other by name, as processes do by messages."""
+
+    def __init__(self, client: HttpPlatformClient) -> None:
+        self._client = client
+        self.keepers_by_name: dict[str, ManifestKeeper] = {}
+        self.cut_off: set[str] = set()
+        self.versions_by_name: dict[str, list[int]] = {}
+
+    def start(self, name: str, *, with_organisations: bool = True) -> ManifestKeeper:
+        versions = self.versions_by_name.setdefault(name, [])
+
+        def note(in_force: InForce) -> None:
+            versions.append(in_force.version)
+
+        keeper = ManifestKeeper(
+            self._client,
+            fetch_from_peer=self._fetch,
+            on_change=note,
+            with_organisations=with_organisations,
+            watch_s=0.5,
+            spread_s=0.05,
+        )
+        self.keepers_by_name[name] = keeper
+        keeper.start()
+        return keeper
+
+    def _fetch(self, address: str, key: str) -> Result[ManifestObject | None, str]:
+        if address in self.cut_off:
+            return Error("cut off")
+        return Ok(self.keepers_by_name[address].object_for(key))
+
+
+@pytest.fixture
+def peers(client: HttpPlatformClient) -> Iterator[Peers]:
+    peers = Peers(client)
+    yield peers
+    for keeper in peers.keepers_by_name.values():
+        keeper.stop()
+
+
+def _work_of_first(keeper: ManifestKeeper) -> float:
+    assert keeper.current is not None
+    organisation = keeper.current.organisation_of_key(key_of(_FIRST))
+    assert organisation is not None
+    return organisation.allowance.work_per_s
+
+
+def test_a_change_is_in_force_at_once_and_reads_only_what_changed(
+    platform: PlatformStandIn, store: ManifestStore, peers: Peers
+) -> None:
+    first = store.submit(build_manifest(organisations=3000), submission="a").ok
+    entry = peers.start("entry")
+    agent = peers.start("agent", with_organisations=False)
+    assert entry.wait(first.version, _WAIT_S)
+    assert agent.wait(first.version, _WAIT_S)
+    reads = platform.state.calls["read"]
+
+    changed = build_manifest(organisations=3000, work_per_s=7.0)
+    second = store.submit(changed, submission="b").ok
+
+    assert entry.wait(second.version, _WAIT_S)
+    assert agent.wait(second.version, _WAIT_S)
+    assert _work_of_first(entry) == 7.0
+    # One read by the submitter, one of the changed shard by the entry.
+    assert platform.state.calls["read"] - reads == 2
+    assert agent.current is not None
+    assert not agent.current.organisations_by_name
+    assert set(agent.current.groups_by_name) == {"bundles", "banks"}
+    assert entry.current is not None
+    assert entry.current.organisation_of_key("some other key") is None
+    assert len(entry.current.organisations_by_name) == 3000
+
+
+def test_a_stale_read_after_a_newer_version_changes_nothing(
+    platform: PlatformStandIn, store: ManifestStore, peers: Peers
+) -> None:
+    """A process has adopted version 2 when the platform answers version 1 again.
+
+    Callers keep the newer policy: nothing is adopted, and the next change is.
+    """
+    store.submit(build_manifest(), submission="a")
+    second = store.submit(build_manifest(work_per_s=2.0), submission="b").ok
+    entry = peers.start("entry")
+    assert entry.wait(second.version, _WAIT_S)
+
+    platform.state.switch(stale=1)
+    watches = platform.state.calls["watch"]
+    with platform.state.changed:
+        platform.state.changed.wait_for(
+            lambda: platform.state.calls["watch"] >= watches + 2, _WAIT_S
+        )
+    assert _work_of_first(entry) == 2.0
+    platform.state.switch(stale=0)
+    third = store.submit(build_manifest(work_per_s=3.0), submission="c").ok
+
+    assert entry.wait(third.version, _WAIT_S)
+    assert peers.versions_by_name["entry"] == [second.version, third.version]
+
+
+@pytest.mark.parametrize("outage", ["down", "hang"])
+def test_a_process_that_starts_in_an_outage_copies_from_a_peer(
+    platform: PlatformStandIn, store: ManifestStore, peers: Peers, outage: str
+) -> None:
+    """The platform is down or hangs when a new process starts.
+
+    It has no manifest until a peer's message names a version. It then copies every
+    object from that peer, and callers are served under the manifest in force.
+    """
+    version = store.submit(build_manifest(), submission="a").ok.version
+    old = peers.start("old")
+    assert old.wait(version, _WAIT_S)
+    platform.state.switch(outage=outage)
+
+    new = peers.start("new")
+    assert new.current is None
+    new.heard(version, old.digest, "old")
+
+    assert new.wait(version, _WAIT_S)
+    assert new.digest == old.digest
+    assert _work_of_first(new) == 1000.0
+
+
+def test_a_peer_that_fails_is_replaced_by_the_next_that_is_heard(
+    platform: PlatformStandIn, store: ManifestStore, peers: Peers
+) -> None:
+    """During an outage the first peer that is ahead can't be reached.
+
+    Nothing is adopted from it; the next heartbeat of another peer is enough.
+    """
+    version = store.submit(build_manifest(), submission="a").ok.version
+    assert peers.start("dead").wait(version, _WAIT_S)
+    assert peers.start("alive").wait(version, _WAIT_S)
+    platform.state.switch(outage="down")
+    peers.cut_off.add("dead")
+    new = peers.start("new")
+
+    new.heard(version, "", "dead")
+    assert not new.wait(version, 0.2)
+    new.heard(version, "", "alive")
+
+    assert new.wait(version, _WAIT_S)
+
+
+def test_two_changes_at_once_end_with_the_later_one_everywhere(
+    store: ManifestStore, peers: Peers
+) -> None:
+    """Two changes are accepted while three processes are still reading the first.
+
+    Each process may skip the earlier one but ends with the later one, whichever of
+    platform and peers brings it, and none goes back.
+    """
+    first = store.submit(build_manifest(), submission="a").ok.version
+    keepers = [peers.start(name) for name in ("x", "y", "z")]
+    for keeper in keepers:
+        assert keeper.wait(first, _WAIT_S)
+
+    store.submit(build_manifest(work_per_s=2.0), submission="b")
+    last = store.submit(build_manifest(work_per_s=3.0), submission="c").ok.version
+    for keeper in keepers:
+        for name, other in peers.keepers_by_name.items():
+            keeper.heard(other.version, other.digest, name)
+
+    for keeper in keepers:
+        assert keeper.wait(last, _WAIT_S)
+        assert _work_of_first(keeper) == 3.0
+    for versions in peers.versions_by_name.values():
+        assert versions == sorted(set(versions))
+
+
+def test_the_manifest_is_followed_again_after_an_outage(
+    platform: PlatformStandIn, store: ManifestStore, peers: Peers
+) -> None:
+    """The platform hangs, comes back, and a change is accepted.
+
+    The waiting watch ends by its timeout and a new one brings the change.
+    """
+    first = store.submit(build_manifest(), submission="a").ok.version
+    entry = peers.start("entry")
+    assert entry.wait(first, _WAIT_S)
+
+    platform.state.switch(outage="hang")
+    assert not entry.wait(first + 1, 0.7)
+    platform.state.switch(outage="off")
+    second = store.submit(build_manifest(work_per_s=2.0), submission="b").ok.version
+
+    assert entry.wait(second, _WAIT_S)
--- /dev/null
+++ b/tests/manifest/test_shards.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.manifest.assembly import assemble
+from kingcupwheel.manifest.exceptions import BadObject
+from kingcupwheel.manifest.exceptions import TooLarge
+from kingcupwheel.manifest.schema import Manifest
+from kingcupwheel.manifest.schema import Organisation
+from kingcupwheel.manifest.schema import Route
+from kingcupwheel.manifest.shards import Sharded
+from kingcupwheel.manifest.shards import cut
+from kingcupwheel.manifest.shards import encode_index
+from kingcupwheel.manifest.shards import shard_key
+from kingcupwheel.platform.client import MAX_VALUE_BYTES
+from tests.manifest.builders import build_manifest
+from tests.manifest.builders import build_organisation
+from tests.manifest.sources import source_of
+
+
+_ORGANISATIONS = st.lists(
+    st.builds(
+        build_organisation,
+        st.from_regex(r"[a-z][a-z0-9._-]{0,20}", fullmatch=True),
+        work_per_s=st.floats(0.1, 1e9),
+    ),
+    unique_by=lambda each: each.name,
+    max_size=40,
+)
+
+
+def _cut(manifest: Manifest, previous: Sharded | None = None) -> Sharded:
+    index = None if previous is None else previous.index_object
+    return cut(manifest, submission="s", previous=index).ok
+
+
+@given(_ORGANISATIONS)
+def test_a_manifest_comes_back_whole_from_its_shards(
+    organisations: list[Organisation],
+) -> None:
+    plain = build_manifest()
+    manifest = Manifest(
+        organisations=tuple(organisations), groups=plain.groups, routes=plain.routes
+    )
+    sharded = _cut(manifest)
+
+    assembly = assemble(encode_index(sharded.index_object), source_of(sharded)).ok
+
+    by_name = tuple(sorted(organisations, key=lambda each: each.name))
+    assert assembly.manifest.organisations == by_name
+    assert assembly.manifest.groups == manifest.groups
+    assert assembly.manifest.routes == manifest.routes
+
+
+def test_a_change_of_one_organisation_rewrites_one_shard() -> None:
+    before = _cut(build_manifest(organisations=5000))
+    after = _cut(build_manifest(organisations=5000, work_per_s=7.0), before)
+
+    assert len(before.shards_by_key) == 9
+    assert len(after.shards_by_key.keys() - before.shards_by_key.keys()) == 1
+
+
+def test_the_bucket_count_stays_while_organisations_come_and_go() -> None:
+    """Adding the 1,025th organisation doubles the buckets, removing it keeps them.
+
+    A count that followed the size at once would rewrite every shard at each change
+    around such a boundary.
+    """
+    below = _cut(build_manifest(organisations=1024))
+    above = _cut(build_manifest(organisations=1025), below)
+    back = _cut(build_manifest(organisations=1024), above)
+
+    assert len(below.index_object.organisations) == 1
+    assert len(above.index_object.organisations) == 2
+    assert len(back.index_object.organisations) == 2
+    assert len(back.shards_by_key.keys() - above.shards_by_key.keys()) == 1
+
+
+def test_43000_organisations_fit_in_values_far_below_the_limit() -> None:
+    sharded = _cut(build_manifest(organisations=43_000))
+
+    sizes = [len(value) for value in sharded.shards_by_key.values()]
+    assert max(sizes) < MAX_VALUE_BYTES / 10
+    assert len(encode_index(sharded.index_object)) < MAX_VALUE_BYTES / 10
+
+
+def test_a_shard_over_the_limit_is_refused_before_anything_is_written() -> None:
+    plain = build_manifest()
+    routes = tuple(
+        Route(path=f"/{index}/{hash((index, seed))}", group="bundles")
+        for index in range(40_000)
+        for seed in range(2)
+    )
+    manifest = Manifest(
+        organisations=plain.organisations, groups=plain.groups, routes=routes
+    )
+
+    error = cut(manifest, submission="s", previous=None).error
+
+    assert isinstance(error, TooLarge)
+
+
+def test_a_damaged_shard_is_never_taken_in() -> None:
+    sharded = _cut(build_manifest())
+    core = shard_key(sharded.index_object.core)
+    damaged = sharded._replace(
+        shards_by_key={**sharded.shards_by_key, core: b"something else"}
+    )
+
+    result = assemble(encode_index(sharded.index_object), source_of(damaged))
+
+    assert result.error == BadObject(core, "its value has another digest")
