--- /dev/null
+++ b/features/leaving.feature
@@ -0,0 +1,35 @@
+Feature: Leaving and planned stops cut nobody off
+
+  Scenario: Every agent and every entry is replaced under load
+    # Callers stream without pause while one process after the other is told to stop and
+    # a new one takes its place. No stream is cut, lost or doubled.
+    Given a fleet of 2 entries, 2 engines and 0 services
+    And 6 callers stream without pause
+    When each agent is replaced in turn
+    And each entry is replaced in turn
+    And the callers stop
+    Then every load answer is whole or a true not-run
+    And at least 90 in 100 load calls are answered
+    And no key ran twice and every not-run is true
+
+  Scenario: An agent is paused while the list says it leaves
+    # The agent can't tell that it leaves. The platform's list is enough: no new work
+    # goes there, and nothing waits for it.
+    Given a fleet of 1 entries, 2 engines and 0 services
+    When the list says that engine-1 is leaving
+    And 1.5 s pass
+    And agent engine-1 is paused
+    And 8 streams "around" of 10 tokens are spread over the entries
+    Then all 8 streams "around" get their 10 tokens
+
+  Scenario: A leaving agent is heard though the platform is down
+    # The list can't be read; the agent says itself that it leaves.
+    Given a fleet of 1 entries, 2 engines and 0 services
+    And the platform is down
+    And 4 callers stream without pause
+    When agent engine-2 is told to stop
+    And agent engine-2 has ended
+    And 1 s pass
+    And the callers stop
+    Then every load answer is whole or a true not-run
+    And at least 90 in 100 load calls are answered
--- /dev/null
+++ b/features/steps/callers.py
@@ -0,0 +1,163 @@
+"""Steps in which callers send requests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from features.world import COMPLETIONS
+from features.world import RESERVATIONS
+from features.world import Load
+from tests.standins.tokens import streamed_answer
+from tools.processes import wait_until
+
+
+SEEN_TIMEOUT_S = 20.0
+
+
+@when('"{name}" reserves part "{part}" at {entry} with key "{key}"')
+def start_reservation(context: Any, name: str, part: str, entry: str, key: str) -> None:
+    """Start a request that may not be repeated."""
+    body = {"part": part}
+    context.world.start_call(name, entry, RESERVATIONS, body, idempotency_key=key)
+
+
+@when('"{name}" streams {tokens:d} tokens from {entry}')
+def start_stream(context: Any, name: str, tokens: int, entry: str) -> None:
+    """Start a streamed completion."""
+    body = {"prompt": name, "max_tokens": tokens, "stream": True}
+    context.world.start_call(name, entry, COMPLETIONS, body)
+
+
+@when('"{name}" completes "{prompt}" at {entry} with key "{key}"')
+def start_completion(
+    context: Any, name: str, prompt: str, entry: str, key: str
+) -> None:
+    """Start an unstreamed completion under an idempotency key."""
+    body = {"prompt": prompt, "max_tokens": 5}
+    context.world.start_call(name, entry, COMPLETIONS, body, idempotency_key=key)
+
+
+@when('{count:d} streams "{prefix}" of {tokens:d} tokens are spread over the entries')
+def start_streams(context: Any, count: int, prefix: str, tokens: int) -> None:
+    """Start many streams at once."""
+    entries = list(context.world.fleet.entries)
+    for number in range(count):
+        entry = entries[number % len(entries)]
+        start_stream(context, f"{prefix}-{number}", tokens, entry)
+
+
+@given("{streams:d} callers stream without pause")
+@when("{streams:d} callers stream without pause")
+def start_load(context: Any, streams: int) -> None:
+    """Keep the fleet under load until the callers are told to stop."""
+    world = context.world
+    world.load = Load(world, list(world.fleet.entries), streams)
+
+
+@when("the callers use {names} only")
+def use_entries(context: Any, names: str) -> None:
+    """Let the callers follow discovery to other entries."""
+    context.world.load.use(names.split(" and "))
+
+
+@when("the callers stop")
+def stop_load(context: Any) -> None:
+    """Let what is under way end."""
+    context.world.load.stop()
+
+
+@when('the run of key "{key}" has begun')
+def wait_for_run(context: Any, key: str) -> None:
+    """Wait until a backend server counts the run."""
+    world = context.world
+    wait_until(
+        lambda: world.runs_by_idempotency_key().get(key, 0) > 0,
+        f"a run of {key}",
+        SEEN_TIMEOUT_S,
+    )
+
+
+@when("{name} has {count:d} runs")
+def wait_for_runs(context: Any, name: str, count: int) -> None:
+    """Wait until the agent's backend server has begun so many runs."""
+    fleet = context.world.fleet
+    wait_until(
+        lambda: sum(fleet.runs(name)["by_request_id"].values()) >= count,
+        f"{count} runs at {name}",
+        SEEN_TIMEOUT_S,
+    )
+
+
+@when('the claim of key "{key}" exists')
+def wait_for_claim(context: Any, key: str) -> None:
+    """Wait until the platform holds the claim."""
+    fleet = context.world.fleet
+    wait_until(
+        lambda: any(name.startswith("claims/") for name in fleet.stored_keys()),
+        f"a claim of {key}",
+        SEEN_TIMEOUT_S,
+    )
+
+
+@then('"{name}" gets the whole answer')
+def check_whole(context: Any, name: str) -> None:
+    """Check an answer of a backend server, marked as run."""
+    reply = context.world.answered(name)
+    assert reply.whole, reply
+    assert reply.status == 200, reply
+    assert reply.outcome == "ran", reply
+
+
+@then('"{name}" and "{other}" get the same answer')
+def check_same(context: Any, name: str, other: str) -> None:
+    """Check that a resend got the first send's answer."""
+    check_whole(context, name)
+    check_whole(context, other)
+    assert context.world.answered(name).body == context.world.answered(other).body
+
+
+@then('"{name}" gets its {tokens:d} tokens')
+def check_tokens(context: Any, name: str, tokens: int) -> None:
+    """Check the whole stream byte by byte."""
+    check_whole(context, name)
+    expected = streamed_answer(name, tokens)
+    assert context.world.answered(name).body == expected, context.world.reply(name)
+
+
+@then('all {count:d} streams "{prefix}" get their {tokens:d} tokens')
+def check_streams(context: Any, count: int, prefix: str, tokens: int) -> None:
+    """Check every stream byte by byte."""
+    for number in range(count):
+        check_tokens(context, f"{prefix}-{number}", tokens)
+
+
+@then('"{name}" is told {status:d} with outcome {outcome}')
+def check_told(context: Any, name: str, status: int, outcome: str) -> None:
+    """Check a refusal."""
+    reply = context.world.answered(name)
+    assert (reply.status, reply.outcome) == (status, outcome), reply
+
+
+@then('"{name}" is told outcome {outcome}')
+def check_outcome(context: Any, name: str, outcome: str) -> None:
+    """Check the outcome whatever the status."""
+    reply = context.world.answered(name)
+    assert reply.outcome == outcome, reply
+
+
+@then('"{name}" is told by "{limit}"')
+def check_limit(context: Any, name: str, limit: str) -> None:
+    """Check which bound a refusal names."""
+    reply = context.world.answered(name)
+    assert reply.json["error"]["reason"] == limit, reply
+
+
+@then('"{name}" is cut off and not told that its answer is whole')
+def check_cut(context: Any, name: str) -> None:
+    """Check that a truncated answer can't be taken for a whole one."""
+    reply = context.world.reply(name)
+    cut = getattr(reply, "whole", False) is False
+    assert cut or reply.outcome == "unknown", reply
--- /dev/null
+++ b/features/steps/fleet.py
@@ -0,0 +1,211 @@
+"""Steps that start a fleet and bring about failures."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from behave import given
+from behave import when
+from features.world import COMPLETIONS
+from features.world import KEY
+from features.world import World
+from features.world import manifest
+
+
+# Time for the entries to hear of a new life: a few heartbeats of TIMINGS.
+SETTLE_S = 1.0
+
+
+@given("a fleet of {entries:d} entries, {engines:d} engines and {services:d} services")
+def start_fleet(context: Any, entries: int, engines: int, services: int) -> None:
+    """Start the processes, submit the manifest, wait until all serve."""
+    _start(context, entries, engines, services, relayed=False)
+
+
+@given(
+    "a fleet of {entries:d} entries, {engines:d} engines and {services:d} services "
+    "behind relays"
+)
+def start_relayed_fleet(
+    context: Any, entries: int, engines: int, services: int
+) -> None:
+    """As above; entries reach agents through relays that can cut and freeze."""
+    _start(context, entries, engines, services, relayed=True)
+
+
+def _start(
+    context: Any, entries: int, engines: int, services: int, *, relayed: bool
+) -> None:
+    world = World()
+    context.world = world
+    for number in range(1, engines + 1):
+        world.fleet.add_agent(f"engine-{number}", "parts-model", relayed=relayed)
+    for number in range(1, services + 1):
+        world.fleet.add_agent(
+            f"service-{number}", "portal", kind="service", relayed=relayed
+        )
+    for number in range(1, entries + 1):
+        world.fleet.add_entry(f"entry-{number}")
+    submitted = world.fleet.submit(manifest())
+    assert submitted.returncode == 0, submitted.stderr
+    if engines:
+        world.fleet.wait_ready(KEY, COMPLETIONS, {"prompt": "ready", "max_tokens": 1})
+    else:
+        time.sleep(2)
+
+
+@given("service {name} takes {delay_ms:d} ms for each call")
+def slow_service(context: Any, name: str, delay_ms: int) -> None:
+    """Make the service slow, so that a failure hits a request that runs."""
+    context.world.fleet.set_faults(name, delay_ms=delay_ms)
+
+
+@given("engine {name} takes {step_ms:d} ms for each step")
+@when("engine {name} takes {step_ms:d} ms for each step")
+def slow_engine(context: Any, name: str, step_ms: int) -> None:
+    """Set the engine's step time."""
+    context.world.fleet.set_faults(name, step_ms=step_ms)
+
+
+@given("the platform is {outage}")
+@when("the platform is {outage}")
+def set_outage(context: Any, outage: str) -> None:
+    """Turn an outage on (down, hang) or off (up)."""
+    context.world.fleet.switch(outage="off" if outage == "up" else outage)
+
+
+@given("the platform loses the answers of the next {count:d} writes")
+@when("the platform loses the answers of the next {count:d} writes")
+def lose_answers(context: Any, count: int) -> None:
+    """Let writes take effect without an answer."""
+    context.world.fleet.switch(lose_answers=count)
+
+
+@when("the platform answers writes {seconds:g} s late")
+def slow_answers(context: Any, seconds: float) -> None:
+    """Let writes take effect at once and answer late."""
+    context.world.fleet.switch(slow_answer_s=seconds)
+
+
+@when("the platform's reads are {versions:d} versions behind")
+def stale_reads(context: Any, versions: int) -> None:
+    """Let reads answer an older version."""
+    context.world.fleet.switch(stale=versions)
+
+
+@when("{seconds:g} s pass")
+def wait(context: Any, seconds: float) -> None:
+    """Let time pass for the fault to act; checks wait on conditions instead."""
+    time.sleep(seconds)
+
+
+@when("entry {name} is {deed}")
+def disturb_entry(context: Any, name: str, deed: str) -> None:
+    """Kill, pause, wake, stop or restart an entry."""
+    world = context.world
+    if deed == "restarted":
+        world.fleet.entries[name].process.kill()
+        world.fleet.restart_entry(name)
+        return
+    _disturb(world.fleet.entries[name].process, deed)
+
+
+@when("agent {name} is {deed}")
+def disturb_agent(context: Any, name: str, deed: str) -> None:
+    """Kill, pause, wake, stop or restart an agent."""
+    world = context.world
+    if deed == "restarted":
+        world.fleet.agents[name].process.kill()
+        world.fleet.restart_agent(name)
+        return
+    _disturb(world.fleet.agents[name].process, deed)
+
+
+@when("the server of {name} is {deed}")
+def disturb_server(context: Any, name: str, deed: str) -> None:
+    """Kill or restart the backend server beside an agent."""
+    agent = context.world.fleet.agents[name]
+    if deed == "restarted":
+        agent.server.kill()
+        context.world.fleet.restart_server(name)
+        return
+    _disturb(agent.server, deed)
+
+
+def _disturb(process: Any, deed: str) -> None:
+    match deed:
+        case "killed":
+            process.kill()
+        case "paused":
+            process.pause()
+        case "woken":
+            process.wake()
+        case "told to stop":
+            process.terminate()
+        case _:
+            raise AssertionError(deed)
+
+
+@when("the relay of {name} is set to {mode}")
+def set_relay(context: Any, name: str, mode: str) -> None:
+    """Cut or freeze what passes between the entries and an agent."""
+    world = context.world
+    world.fleet.set_relay(world.fleet.agents[name].relay, mode)
+
+
+@when("the list says that {name} is leaving")
+def list_leaving(context: Any, name: str) -> None:
+    """Mark an agent's instance as leaving on the platform's list."""
+    fleet = context.world.fleet
+    agent = fleet.agents[name]
+    group = "portal" if agent.kind == "service" else "parts-model"
+    fleet.list_instance(name, "agent", group, "dc-1", agent.address, leaving=True)
+
+
+@when("the open connections to the server of {name} go silent")
+def mute_server(context: Any, name: str) -> None:
+    """Let the engine's open connections say nothing for good; new ones work."""
+    fleet = context.world.fleet
+    fleet._test("POST", fleet.agents[name].server_address, "/test/silence", {})
+
+
+@when("engine {name} crosses its answers")
+def cross_answers(context: Any, name: str) -> None:
+    """Let the engine answer under another run's id."""
+    context.world.fleet.set_faults(name, crossed=True)
+
+
+@when("agent {name} has ended")
+def wait_for_agent(context: Any, name: str) -> None:
+    """Wait for a graceful stop."""
+    assert context.world.fleet.agents[name].process.wait() == 0
+
+
+@when("each agent is replaced in turn")
+def replace_agents(context: Any) -> None:
+    """Stop each agent gracefully and start it anew."""
+    world = context.world
+    for name in list(world.fleet.agents):
+        _replace(world.fleet.agents[name].process)
+        world.fleet.restart_agent(name)
+        time.sleep(SETTLE_S)
+
+
+@when("each entry is replaced in turn")
+def replace_entries(context: Any) -> None:
+    """Stop each entry gracefully, as discovery tells callers, and start it anew."""
+    world = context.world
+    for name in list(world.fleet.entries):
+        others = [other for other in world.fleet.entries if other != name]
+        world.fleet.entries[name].process.terminate()
+        world.load.use(others)
+        assert world.fleet.entries[name].process.wait() == 0
+        world.fleet.restart_entry(name)
+        world.fleet.wait_ready(KEY, COMPLETIONS, {"prompt": "ready", "max_tokens": 1})
+        world.load.use(list(world.fleet.entries))
+
+
+def _replace(process: Any) -> None:
+    process.terminate()
+    assert process.wait() == 0
--- /dev/null
+++ b/features/steps/judging.py
@@ -0,0 +1,79 @@
+"""Steps that judge a whole scenario by the run counters and the traces."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import then
+from tools.caller import Reply
+
+
+@then('key "{key}" ran {count:d} times')
+def check_runs_of_key(context: Any, key: str, count: int) -> None:
+    """Compare the backend servers' own counters."""
+    runs = context.world.runs_by_idempotency_key().get(key, 0)
+    assert runs == count, runs
+
+
+@then("no key ran twice and every not-run is true")
+def check_counters(context: Any) -> None:
+    """Check each outcome told against the backend servers' own counters."""
+    world = context.world
+    for name in list(world._pending_by_name):
+        world.reply(name)
+    by_key = world.runs_by_idempotency_key()
+    doubled = {key: count for key, count in by_key.items() if count > 1}
+    assert not doubled, doubled
+    by_request = world.runs_by_request_id()
+    for reply in world.replies:
+        if isinstance(reply, Reply) and reply.outcome == "not-run":
+            assert by_request.get(reply.request_id, 0) == 0, reply
+
+
+@then("every load answer is whole or a true not-run")
+def check_load(context: Any) -> None:
+    """Check each answer of the load: nothing cut, nothing lost, nothing false."""
+    world = context.world
+    results = world.load.results
+    by_request = world.runs_by_request_id()
+    answered = 0
+    for reply, expected in results:
+        if not isinstance(reply, Reply):
+            assert "refused" in reply.detail or "reset" in reply.detail, reply
+            continue
+        if reply.status == 503:
+            assert reply.outcome == "not-run", reply
+            assert by_request.get(reply.request_id, 0) == 0, reply
+            continue
+        assert (reply.status, reply.whole, reply.outcome) == (200, True, "ran"), reply
+        assert reply.body == expected, reply
+        answered += 1
+    assert answered > 0
+    print(f"load: {len(results)} calls, {answered} whole answers")
+
+
+@then("at least {percent:d} in 100 load calls are answered")
+def check_answered(context: Any, percent: int) -> None:
+    """Check that refusals stay the exception."""
+    results = context.world.load.results
+    answered = [r for r, _ in results if isinstance(r, Reply) and r.status == 200]
+    assert len(answered) * 100 >= percent * len(results), (len(answered), len(results))
+
+
+@then("each reply has one final outcome in its trace")
+def check_traces(context: Any) -> None:
+    """Ask the command line what became of each request."""
+    world = context.world
+    platform = f"http://{world.fleet.platform}"
+    for reply in world.replies:
+        if not isinstance(reply, Reply) or not reply.request_id:
+            continue
+        told = world.fleet.command(
+            "trace", reply.request_id, "--platform", platform, "--json"
+        )
+        assert told.returncode in (0, 7), (reply, told.stdout, told.stderr)
+        if told.returncode == 0 and reply.outcome:
+            assert f'"outcome":"{reply.outcome}"' in told.stdout.replace(" ", ""), (
+                reply,
+                told.stdout,
+            )
--- /dev/null
+++ b/features/world.py
@@ -0,0 +1,169 @@
+"""What the steps of a scenario share: a fleet, its callers and their replies."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from tests.standins.tokens import streamed_answer
+from tools.caller import Caller
+from tools.caller import Reply
+from tools.caller import Unanswered
+from tools.fleet import Fleet
+from tools.fleet import key_digest
+
+
+KEY = "scenario-key"
+OTHER_KEY = "other-scenario-key"
+COMPLETIONS = "/v1/completions"
+RESERVATIONS = "/v1/reservations"
+ANSWER_TIMEOUT_S = 60.0
+# Faster than in production, so that a scenario takes seconds; the relations are kept.
+TIMINGS = {
+    "heartbeat_s": 0.3,
+    "silence_s": 1.2,
+    "gone_s": 2.0,
+    "give_up_s": 6.0,
+    "token_s": 4.0,
+    "instances_s": 0.5,
+    "watch_s": 5.0,
+    "leave_s": 2.0,
+    "trace_batch_s": 1.0,
+}
+
+Answered = Reply | Unanswered
+
+
+class World:
+    """One scenario's fleet and what its callers saw."""
+
+    def __init__(self) -> None:
+        self.fleet = Fleet(TIMINGS)
+        self.fleet.__enter__()
+        self.caller = Caller(KEY, timeout_s=ANSWER_TIMEOUT_S)
+        self.replies_by_name: dict[str, Answered] = {}
+        self.replies: list[Answered] = []
+        self._pool = ThreadPoolExecutor(64)
+        self._pending_by_name: dict[str, Future[Answered]] = {}
+        self.load: Load | None = None
+
+    def close(self) -> None:
+        """End callers and processes."""
+        if self.load is not None:
+            self.load.stop()
+        self.fleet.__exit__(None, None, None)
+        self._pool.shutdown()
+
+    def print_logs(self) -> None:
+        """Show what each daemon logged last."""
+        for name in (*self.fleet.entries, *self.fleet.agents):
+            print(f"--- {name}\n{self.fleet.log(name)[-2500:]}")
+
+    def http(self, entry: str) -> str:
+        """Return where callers reach the entry."""
+        return self.fleet.entries[entry].http
+
+    def start_call(
+        self, name: str, entry: str, path: str, body: Any, **options: Any
+    ) -> None:
+        """Start a call whose reply goes by ``name``."""
+        http = self.http(entry)
+        self._pending_by_name[name] = self._pool.submit(
+            self.caller.call, http, path, body, **options
+        )
+
+    def reply(self, name: str) -> Answered:
+        """Return the reply called ``name``, waiting for it if need be."""
+        if name not in self.replies_by_name:
+            pending = self._pending_by_name[name]
+            self.keep(name, pending.result(ANSWER_TIMEOUT_S))
+        return self.replies_by_name[name]
+
+    def keep(self, name: str, reply: Answered) -> None:
+        """Remember a reply for the checks at the end."""
+        self.replies_by_name[name] = reply
+        self.replies.append(reply)
+
+    def answered(self, name: str) -> Reply:
+        """Return the reply called ``name``, which must be an answer."""
+        reply = self.reply(name)
+        assert isinstance(reply, Reply), reply
+        return reply
+
+    def runs_by_request_id(self) -> dict[str, int]:
+        """Return how often each request ran, over all backend servers alive."""
+        return self._runs("by_request_id")
+
+    def runs_by_idempotency_key(self) -> dict[str, int]:
+        """Return how often each key ran, over all backend servers alive."""
+        return self._runs("by_idempotency_key")
+
+    def _runs(self, kind: str) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for name, agent in self.fleet.agents.items():
+            if not agent.server.alive:
+                continue
+            for key, count in self.fleet.runs(name)[kind].items():
+                total[key] = total.get(key, 0) + count
+        return total
+
+
+class Load:
+    """Streams completions through some entries until it is stopped."""
+
+    def __init__(self, world: World, entries: list[str], streams: int) -> None:
+        self._world = world
+        self._entries = entries
+        self._stopping = False
+        self.results: list[tuple[Answered, bytes]] = []
+        self._pool = ThreadPoolExecutor(streams)
+        self._workers = [
+            self._pool.submit(self._stream, number) for number in range(streams)
+        ]
+
+    def _stream(self, number: int) -> None:
+        turn = 0
+        while not self._stopping:
+            entry = self._entries[(number + turn) % len(self._entries)]
+            self._call(entry, f"load {number} {turn}")
+            turn += 1
+
+    def _call(self, entry: str, prompt: str) -> None:
+        address = self._world.fleet.entries[entry].http
+        body = {"prompt": prompt, "max_tokens": 20, "stream": True}
+        reply = self._world.caller.call(address, COMPLETIONS, body)
+        if isinstance(reply, Unanswered) or reply.status == 503:
+            # As a caller would: another address, after a moment.
+            time.sleep(0.05)
+        self.results.append((reply, streamed_answer(prompt, 20)))
+
+    def use(self, entries: list[str]) -> None:
+        """Call these entries from now on, as discovery tells callers."""
+        self._entries = entries
+
+    def stop(self) -> None:
+        """Let the calls under way end."""
+        self._stopping = True
+        for worker in self._workers:
+            worker.result(ANSWER_TIMEOUT_S)
+        self._pool.shutdown()
+
+
+def manifest() -> dict[str, Any]:
+    """Return a manifest for the scenarios: one engine group, one plain service."""
+    return {
+        "organisations": [
+            {"name": "agency", "key_digests": [key_digest(KEY)]},
+            {"name": "other", "key_digests": [key_digest(OTHER_KEY)]},
+        ],
+        "groups": [
+            {"name": "parts-model", "kind": "engine", "concurrency": 16},
+            {"name": "portal", "kind": "service", "concurrency": 16},
+        ],
+        "routes": [
+            {"path": COMPLETIONS, "group": "parts-model"},
+            {"path": RESERVATIONS, "group": "portal", "repeatable": False},
+        ],
+    }
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -126,6 +126,7 @@
         if written.done and self.state.take_lost_answer():
             self.close_connection = True
             return
+        sleep(self.state.switches.slow_answer_s)
         status = 200 if written.done else 412
         self._answer(status, headers={"ETag": f'"{written.version}"'})
 
--- a/tests/standins/platform_state.py
+++ b/tests/standins/platform_state.py
@@ -20,11 +20,13 @@
 
     ``outage`` is ``off``, ``down`` (answers 503) or ``hang`` (accepts and says
     nothing). ``lose_answers`` counts writes still to take effect without an answer;
+    ``slow_answer_s`` delays the answers of writes that have taken effect;
     ``stale`` is how many versions reads are behind. Rates of 0 mean no limit.
     """
 
     outage: str = "off"
     slow_s: float = 0.0
+    slow_answer_s: float = 0.0
     lose_answers: int = 0
     stale: int = 0
     lag_s: float = 0.0
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -19,6 +19,7 @@
 from tools.caller import Reply
 from tools.processes import START_TIMEOUT_S
 from tools.processes import Process
+from tools.processes import environment
 from tools.processes import free_port
 from tools.processes import wait_until
 
@@ -39,12 +40,14 @@
 
 
 class Agent(NamedTuple):
-    """A running agent and its backend server."""
+    """A running agent and its backend server; ``relay`` is empty unless asked for."""
 
     process: Process
     address: str
     server: Process
     server_address: str
+    kind: str
+    relay: str = ""
 
 
 def key_digest(key: str) -> str:
@@ -112,21 +115,52 @@
         data_centre: str = "dc-1",
         options: tuple[str, ...] = (),
         limits: dict[str, Any] | None = None,
+        relayed: bool = False,
     ) -> Agent:
-        """Start a backend server and the agent beside it, and list the instance."""
+        """Start a backend server and the agent beside it, and list the instance.
+
+        With ``relayed`` the entries reach the agent through a TCP relay.
+        """
         module = f"tests.standins.{kind}"
         server, server_address = self.start_stand_in(f"{name}-server", module, *options)
         address = f"127.0.0.1:{free_port()}"
         settings = self._settings(name, "agent", address, data_centre)
         settings["group"] = group
-        settings["server"] = {"url": f"http://{server_address}", "adapter": kind}
+        settings["server"] = {
+            "url": f"http://{server_address}",
+            "adapter": kind,
+            "silence_s": self._timings.get("gone_s", 10.0),
+        }
         settings["agent"] = limits or {}
         process = self._start(name, "agent", settings)
-        agent = Agent(process, address, server, server_address)
+        agent = Agent(process, address, server, server_address, kind)
+        if relayed:
+            relay, listed = self.add_relay(f"{name}-relay", address)
+            agent = agent._replace(relay=relay, address=listed)
         self.agents[name] = agent
-        self.list_instance(name, "agent", group, data_centre, address)
+        self.list_instance(name, "agent", group, data_centre, agent.address)
         return agent
 
+    def add_relay(self, name: str, target: str) -> tuple[str, str]:
+        """Start a TCP relay; return the addresses of its control and of itself."""
+        process = Process(
+            name,
+            ["tests.standins.relay", "--target", target],
+            self._path / f"{name}.log",
+        )
+        self.stand_ins[name] = process
+        relayed = process.first_line()
+        return process.first_line(), relayed
+
+    def set_relay(self, control: str, mode: str) -> None:
+        """Let a relay pass, cut, freeze-open or freeze-all."""
+        self._test("POST", control, "/test/mode", {"mode": mode})
+
+    def set_faults(self, agent: str, **faults: Any) -> None:
+        """Switch faults of an agent's server."""
+        address = self.agents[agent].server_address
+        self._test("POST", address, "/test/set", faults)
+
     def restart_agent(self, name: str) -> Agent:
         """Start the agent anew with the same settings, beside the same server."""
         agent = self.agents[name]
@@ -134,14 +168,12 @@
         self.agents[name] = agent._replace(process=process)
         return self.agents[name]
 
-    def restart_server(
-        self, name: str, kind: str = "engine", options: tuple[str, ...] = ()
-    ) -> None:
+    def restart_server(self, name: str, options: tuple[str, ...] = ()) -> None:
         """Start the backend server of an agent anew at the same address."""
         agent = self.agents[name]
         port = int(agent.server_address.rpartition(":")[2])
         server, _ = self.start_stand_in(
-            f"{name}-server", f"tests.standins.{kind}", *options, port=port
+            f"{name}-server", f"tests.standins.{agent.kind}", *options, port=port
         )
         self.agents[name] = agent._replace(server=server)
 
@@ -152,14 +184,17 @@
         data_centre: str = "dc-1",
         seeds: tuple[str, ...] = (),
         limits: dict[str, Any] | None = None,
+        platform: str = "",
     ) -> Entry:
-        """Start an entry and list the instance."""
+        """Start an entry and list the instance; ``platform`` may name a relay."""
         address = f"127.0.0.1:{free_port()}"
         http = f"127.0.0.1:{free_port()}"
         settings = self._settings(name, "entry", address, data_centre)
         settings["http"] = http
         settings["seeds"] = list(seeds)
         settings["entry"] = limits or {}
+        if platform:
+            settings["platform"] = {"url": f"http://{platform}"}
         entry = Entry(self._start(name, "entry", settings), http, address)
         self.entries[name] = entry
         self.list_instance(name, "entry", "", data_centre, address, http)
@@ -230,16 +265,26 @@
         assert response.status < 300, (path, response.status, response.data)
         return msgspec.json.decode(response.data) if response.data else None
 
+    def stored_keys(self) -> list[str]:
+        """Return the keys of all objects that the platform holds."""
+        found: list[str] = self._test("GET", self.platform, "/v1/objects?prefix=")
+        return found
+
     def runs(self, agent: str) -> Any:
         """Return what the agent's server counts of its runs."""
         return self._test("GET", self.agents[agent].server_address, "/test/runs")
 
-    def submit(self, manifest: dict[str, Any]) -> subprocess.CompletedProcess[str]:
+    def submit(
+        self, manifest: dict[str, Any], *options: str
+    ) -> subprocess.CompletedProcess[str]:
         """Submit a manifest by the command line."""
-        path = self._path / "manifest.yaml"
-        path.write_text(yaml.safe_dump(manifest))
+        with tempfile.NamedTemporaryFile(
+            "w", suffix=".yaml", dir=self._path, delete=False
+        ) as file:
+            yaml.safe_dump(manifest, file)
+        platform = f"http://{self.platform}"
         return self.command(
-            "manifest", "submit", str(path), "--platform", f"http://{self.platform}"
+            "manifest", "submit", file.name, "--platform", platform, *options
         )
 
     def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
@@ -247,6 +292,7 @@
         return subprocess.run(
             [sys.executable, "-m", "kingcupwheel", *arguments],
             cwd=_ROOT,
+            env=environment(),
             capture_output=True,
             text=True,
             timeout=_COMMAND_TIMEOUT_S,
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -18,7 +18,7 @@
 
 _ROOT = Path(__file__).resolve().parent.parent
 _POLL_S = 0.02
-START_TIMEOUT_S = 20.0
+START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 60.0
 
 
@@ -38,18 +38,22 @@
         time.sleep(_POLL_S)
 
 
+def environment() -> dict[str, str]:
+    """Return the environment in which this checkout's modules are found."""
+    return dict(os.environ, PYTHONPATH=f"{_ROOT / 'src'}:{_ROOT}")
+
+
 class Process:
     """One process of the fleet; its log is kept in ``log``."""
 
     def __init__(self, name: str, arguments: Sequence[str], log: Path) -> None:
         self.name = name
         self.log = log
-        environment = dict(os.environ, PYTHONPATH=f"{_ROOT / 'src'}:{_ROOT}")
         with log.open("ab") as errors:
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", *arguments],
                 cwd=_ROOT,
-                env=environment,
+                env=environment(),
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=errors,
