--- a/src/kingcupwheel/console/commands/manifest.py
+++ b/src/kingcupwheel/console/commands/manifest.py
@@ -2,9 +2,197 @@
 
 from __future__ import annotations
 
+import secrets
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import NoReturn
+
 import click
+import msgspec
+
+from kingcupwheel.console.exit_codes import ExitCode
+from kingcupwheel.console.platform import open_platform
+from kingcupwheel.console.printing import ManifestShown
+from kingcupwheel.console.printing import manifest_text
+from kingcupwheel.console.printing import rollout_text
+from kingcupwheel.console.problems import report_problems
+from kingcupwheel.manifest.exceptions import LostRace
+from kingcupwheel.manifest.exceptions import PlatformFailed
+from kingcupwheel.manifest.exceptions import TooLarge
+from kingcupwheel.manifest.exceptions import Unsettled
+from kingcupwheel.manifest.loading import load_manifest
+from kingcupwheel.manifest.status import ask_status
+from kingcupwheel.manifest.status import rollout
+from kingcupwheel.manifest.store import DEFAULT_PATIENCE_S
+from kingcupwheel.manifest.store import ManifestStore
+from kingcupwheel.manifest.store import describe
+from kingcupwheel.plugins.kernel import load_builtin
+from kingcupwheel.plugins.kernel import placement_policies
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.manifest.assembly import Assembly
+    from kingcupwheel.manifest.exceptions import SubmitError
+    from kingcupwheel.manifest.schema import Manifest
 
+_SUBMISSION_BYTES = 8
 
-@click.command("manifest")
+_file = click.argument(
+    "file", type=click.Path(exists=True, dir_okay=False, path_type=Path)
+)
+_platform = click.option(
+    "--platform", "url", required=True, help="URL of the platform's service."
+)
+_json = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+
+
+@click.group("manifest")
 def command() -> None:
-    """Not here yet."""
+    """Check and submit the manifest, and see where it is in force."""
+
+
+@command.command("check")
+@_file
+@_json
+def check(file: Path, as_json: bool) -> None:
+    """Check a manifest whole and list everything that is wrong with it.
+
+    Exit code 0: nothing is wrong; 3: something is, one line each.
+    """
+    manifest = _load(file, as_json=as_json)
+    if as_json:
+        report_problems(file, (), as_json=True)
+        return
+    click.echo(
+        f"{file}: good manifest of {len(manifest.organisations)} organisations,"
+        f" {len(manifest.groups)} groups and {len(manifest.routes)} routes."
+    )
+
+
+@command.command("submit")
+@_file
+@_platform
+@click.option(
+    "--expect", type=click.IntRange(min=0), help="The version you saw; 0 for none."
+)
+@click.option(
+    "--timeout",
+    "timeout_s",
+    default=DEFAULT_PATIENCE_S,
+    show_default=True,
+    help="Seconds to go on trying.",
+)
+@_json
+def submit(
+    file: Path, url: str, expect: int | None, timeout_s: float, as_json: bool
+) -> None:
+    """Put a manifest in force everywhere, whole or not at all.
+
+    Exit code 0: accepted; 3: the manifest is wrong; 4: another one was accepted
+    first; 5: the platform failed, nothing was accepted; 7: it can't be told now
+    whether it was accepted.
+    """
+    manifest = _load(file, as_json=as_json)
+    store = ManifestStore(open_platform(url), patience_s=timeout_s)
+    submission = secrets.token_hex(_SUBMISSION_BYTES)
+    result = store.submit(manifest, submission=submission, expected=expect)
+    if result.is_error():
+        _refuse(result.error)
+    accepted = result.ok
+    if as_json:
+        _print_json(accepted._asdict())
+        return
+    since = " A later version is in force already." if accepted.superseded else ""
+    click.echo(
+        f"Version {accepted.version} is accepted"
+        f" ({accepted.shards_written} shards written,"
+        f" {accepted.shards_reused} reused).{since}"
+    )
+
+
+@command.command("show")
+@_platform
+@_json
+def show(url: str, as_json: bool) -> None:
+    """Print the manifest in force, ready to be edited and submitted.
+
+    Exit code 0: printed; 5: the platform failed; 6: there is no manifest yet.
+    """
+    version, assembly = _fetch(ManifestStore(open_platform(url)))
+    shown = ManifestShown(
+        version=version,
+        submission=assembly.index_object.submission,
+        manifest=assembly.manifest,
+    )
+    if as_json:
+        _print_json(shown)
+    else:
+        click.echo(manifest_text(shown), nl=False)
+
+
+@command.command("status")
+@_platform
+@click.option("--timeout", "timeout_s", default=2.0, show_default=True, help="Seconds.")
+@_json
+def status(url: str, timeout_s: float, as_json: bool) -> None:
+    """Tell which processes are on the manifest in force, and which are not yet.
+
+    Exit code 0: all that are listed; 5: the platform failed; 6: there is no manifest
+    yet; 7: some are behind or did not answer, and are named.
+    """
+    client = open_platform(url)
+    version, _ = _fetch(ManifestStore(client))
+    listed = client.instances()
+    if listed.is_error():
+        _fail(f"the list can't be read: {describe(listed.error)}", ExitCode.UNAVAILABLE)
+    found = rollout(version, listed.ok, ask_status(listed.ok, timeout_s))
+    if as_json:
+        _print_json(found)
+    else:
+        click.echo(rollout_text(found), nl=False)
+    sys.exit(ExitCode.OK if found.complete else ExitCode.INCOMPLETE)
+
+
+def _load(file: Path, *, as_json: bool) -> Manifest:
+    load_builtin()
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        _fail(f"cannot read {file}: {error}", ExitCode.INVALID)
+    loaded = load_manifest(text, placements=placement_policies.names)
+    if loaded.is_error():
+        report_problems(file, loaded.error, as_json=as_json)
+        sys.exit(ExitCode.INVALID)
+    return loaded.ok
+
+
+def _fetch(store: ManifestStore) -> tuple[int, Assembly]:
+    fetched = store.fetch()
+    if fetched.is_error():
+        _fail(str(fetched.error), ExitCode.UNAVAILABLE)
+    if fetched.ok is None:
+        _fail("no manifest has been submitted yet", ExitCode.NOT_FOUND)
+    return fetched.ok
+
+
+def _refuse(error: SubmitError) -> NoReturn:
+    match error:
+        case LostRace():
+            _fail(str(error), ExitCode.CONFLICT)
+        case PlatformFailed():
+            _fail(f"not accepted: {error}", ExitCode.UNAVAILABLE)
+        case TooLarge():
+            _fail(f"not accepted: {error}", ExitCode.INVALID)
+        case Unsettled():
+            _fail(str(error), ExitCode.INCOMPLETE)
+
+
+def _fail(message: str, code: ExitCode) -> NoReturn:
+    click.echo(f"kingcupwheel: {message}", err=True)
+    sys.exit(code)
+
+
+def _print_json(content: object) -> None:
+    encoded = msgspec.json.format(msgspec.json.encode(content), indent=2)
+    click.echo(encoded.decode())
--- a/src/kingcupwheel/console/commands/settings.py
+++ b/src/kingcupwheel/console/commands/settings.py
@@ -2,9 +2,35 @@
 
 from __future__ import annotations
 
+import sys
+from pathlib import Path
+
 import click
 
+from kingcupwheel.console.exit_codes import ExitCode
+from kingcupwheel.console.problems import report_problems
+from kingcupwheel.settings.loader import load_settings
+
 
-@click.command("settings")
+@click.group("settings")
 def command() -> None:
-    """Not here yet."""
+    """Look at a process's settings."""
+
+
+@command.command("check")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def check(file: Path, as_json: bool) -> None:
+    """Check a settings file and list everything that is wrong with it.
+
+    Exit code 0: nothing is wrong; 3: something is, one line each.
+    """
+    loaded = load_settings(file)
+    if loaded.is_error():
+        report_problems(file, loaded.error, as_json=as_json)
+        sys.exit(ExitCode.INVALID)
+    if as_json:
+        report_problems(file, (), as_json=True)
+    else:
+        settings = loaded.ok
+        click.echo(f"{file}: good settings of {settings.role.value} {settings.name}.")
--- /dev/null
+++ b/src/kingcupwheel/console/printing.py
@@ -0,0 +1,54 @@
+"""Manifests and their rollout as text for a terminal."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import yaml
+
+from kingcupwheel.manifest.schema import Manifest
+from kingcupwheel.utils.structs import Record
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from kingcupwheel.manifest.status import Process
+    from kingcupwheel.manifest.status import Rollout
+
+
+class ManifestShown(Record, frozen=True):
+    """The manifest in force with its version and the submission it came by."""
+
+    version: int
+    submission: str
+    manifest: Manifest
+
+
+def manifest_text(shown: ManifestShown) -> str:
+    """Return the manifest as YAML with its version in a comment above."""
+    # Plain lists: YAML writes tuples with a tag of its own.
+    data = msgspec.json.decode(msgspec.json.encode(shown.manifest))
+    body = yaml.safe_dump(data, sort_keys=False)
+    return f"# Version {shown.version}, submission {shown.submission}.\n{body}"
+
+
+def rollout_text(rollout: Rollout) -> str:
+    """Return a sentence on the whole and a line for each process not there yet."""
+    processes = len(rollout.there) + len(rollout.behind) + len(rollout.silent)
+    lines = [
+        f"Version {rollout.version} is in force on {len(rollout.there)}"
+        f" of {processes} listed processes."
+    ]
+    lines.extend(_lines(rollout.behind))
+    lines.extend(_lines(rollout.silent))
+    return "\n".join(lines) + "\n"
+
+
+def _lines(processes: tuple[Process, ...]) -> Iterator[str]:
+    for process in processes:
+        leaving = ", leaving" if process.leaving else ""
+        state = "no answer" if process.version is None else f"on {process.version}"
+        where = f"{process.role} {process.name} in {process.data_centre}"
+        yield f"  {where}: {state}{leaving}"
--- /dev/null
+++ b/src/kingcupwheel/manifest/status.py
@@ -0,0 +1,103 @@
+"""Which processes are on the manifest in force, and which are not yet."""
+
+from __future__ import annotations
+
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from kingcupwheel.link.asking import Asker
+from kingcupwheel.messages.membership import StatusFound
+from kingcupwheel.messages.membership import StatusWanted
+from kingcupwheel.utils.structs import Record
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from kingcupwheel.platform.client import Instance
+
+# Processes asked at once; each takes a socket, of which a process may open about 1,000.
+_BATCH = 400
+
+
+class Process(Record, frozen=True):
+    """A listed process; ``version`` is None if it did not answer."""
+
+    name: str
+    role: str
+    data_centre: str
+    version: int | None
+    leaving: bool
+
+
+class Rollout(Record, frozen=True):
+    """How far version ``version`` has come.
+
+    ``behind`` answered with an earlier version, ``silent`` did not answer in time.
+    """
+
+    version: int
+    there: tuple[Process, ...]
+    behind: tuple[Process, ...]
+    silent: tuple[Process, ...]
+
+    @property
+    def complete(self) -> bool:
+        """Whether every listed process is on the version."""
+        return not self.behind and not self.silent
+
+
+def ask_status(
+    instances: Iterable[Instance], timeout_s: float
+) -> dict[str, StatusFound]:
+    """Return the answers of live processes by instance name.
+
+    Each batch of 400 processes takes ``timeout_s`` at most; who does not answer in that
+    time is left out.
+    """
+    asker = Asker(timeout_s=timeout_s)
+    found: dict[str, StatusFound] = {}
+    for batch in _batches(instances):
+        address_by_process = {instance.name: instance.address for instance in batch}
+        found |= asker.ask(address_by_process, StatusWanted(), StatusFound)
+    return found
+
+
+def rollout(
+    version: int,
+    instances: Iterable[Instance],
+    found_by_name: Mapping[str, StatusFound],
+) -> Rollout:
+    """Sort the listed processes by whether they are on ``version``."""
+    there: list[Process] = []
+    behind: list[Process] = []
+    silent: list[Process] = []
+    for instance in sorted(instances, key=lambda each: each.name):
+        found = found_by_name.get(instance.name)
+        process = Process(
+            name=instance.name,
+            role=instance.role,
+            data_centre=instance.data_centre,
+            version=None if found is None else found.manifest_version,
+            leaving=instance.leaving or (found is not None and found.leaving),
+        )
+        if found is None:
+            silent.append(process)
+        elif found.manifest_version < version:
+            behind.append(process)
+        else:
+            there.append(process)
+    return Rollout(
+        version=version,
+        there=tuple(there),
+        behind=tuple(behind),
+        silent=tuple(silent),
+    )
+
+
+def _batches(instances: Iterable[Instance]) -> Iterator[list[Instance]]:
+    remaining = iter(instances)
+    while batch := list(islice(remaining, _BATCH)):
+        yield batch
--- a/src/kingcupwheel/messages/codec.py
+++ b/src/kingcupwheel/messages/codec.py
@@ -20,6 +20,8 @@
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
 from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.messages.membership import StatusFound
+from kingcupwheel.messages.membership import StatusWanted
 from kingcupwheel.messages.runs import Accepted
 from kingcupwheel.messages.runs import Ack
 from kingcupwheel.messages.runs import Cancel
@@ -63,6 +65,8 @@
     | ManifestObject
     | InstancesWanted
     | InstancesFound
+    | StatusWanted
+    | StatusFound
     | TraceWanted
     | TraceFound
     | MapOrder
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -104,3 +104,20 @@
     """Answers ``InstancesWanted``."""
 
     instances: tuple[InstanceInfo, ...]
+
+
+class StatusWanted(Message, frozen=True):
+    """To an entry or agent: say how you are."""
+
+
+class StatusFound(Message, frozen=True):
+    """Answers ``StatusWanted``; ``role`` is ``entry`` or ``agent``.
+
+    ``manifest_version`` is the version in force there, 0 before the first one.
+    """
+
+    name: str
+    role: str
+    data_centre: str
+    manifest_version: int
+    leaving: bool
--- /dev/null
+++ b/tests/manifest/test_commands.py
@@ -0,0 +1,136 @@
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import pytest
+import yaml
+from click.testing import CliRunner
+
+from kingcupwheel.console.application import main
+from kingcupwheel.console.exit_codes import ExitCode
+from kingcupwheel.link.hub import Hub
+from kingcupwheel.manifest.loading import load_manifest
+from kingcupwheel.messages.membership import StatusFound
+from kingcupwheel.messages.membership import StatusWanted
+from tests.manifest.builders import as_data
+from tests.manifest.builders import build_manifest
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+    from click.testing import Result
+
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+    from tests.standins.platform import PlatformStandIn
+
+
+@pytest.fixture
+def file(tmp_path: Path) -> Path:
+    path = tmp_path / "manifest.yaml"
+    path.write_text(yaml.safe_dump(as_data(build_manifest())))
+    return path
+
+
+def _run(*arguments: Any) -> Result:
+    return CliRunner().invoke(main, ["manifest", *map(str, arguments)])
+
+
+@contextmanager
+def _process(
+    platform: PlatformStandIn, name: str, version: int | None
+) -> Iterator[None]:
+    """List a process that answers with ``version``, or not at all for None."""
+
+    def answer(link: Link, message: Message) -> None:
+        if isinstance(message, StatusWanted) and version is not None:
+            found = StatusFound(
+                name=name,
+                role="entry",
+                data_centre="Heredia",
+                manifest_version=version,
+                leaving=False,
+            )
+            hub.send(link, found)
+
+    hub = Hub(listen="127.0.0.1:0", on_message=answer, on_tick=lambda _: None)
+    platform.state.set_instance(
+        name,
+        {
+            "name": name,
+            "role": "entry",
+            "group": "",
+            "data_centre": "Heredia",
+            "address": f"127.0.0.1:{hub.port}",
+            "http": "",
+            "leaving": False,
+        },
+    )
+    hub.start()
+    yield
+    hub.stop()
+
+
+def test_what_is_submitted_can_be_shown_and_submitted_again(
+    platform: PlatformStandIn, file: Path
+) -> None:
+    at = ("--platform", platform.url)
+    assert _run("show", *at).exit_code == ExitCode.NOT_FOUND
+    first = _run("submit", file, *at, "--expect", 0, "--json")
+    version = msgspec.json.decode(first.stdout)["version"]
+
+    shown = _run("show", *at).stdout
+
+    assert shown.startswith(f"# Version {version}, submission ")
+    assert load_manifest(shown).ok == build_manifest()
+    assert _run("submit", file, *at, "--expect", version).exit_code == ExitCode.OK
+
+
+def test_each_failure_has_its_own_exit_code_and_one_line(
+    platform: PlatformStandIn, file: Path
+) -> None:
+    at = ("--platform", platform.url)
+    _run("submit", file, *at)
+
+    lost = _run("submit", file, *at, "--expect", 0)
+    platform.state.switch(outage="down")
+    down = _run("submit", file, *at, "--timeout", 0.3)
+    file.write_text("groups: 3\n")
+    wrong = _run("submit", file, *at)
+
+    assert lost.exit_code == ExitCode.CONFLICT
+    assert "made for version 0, but version" in lost.stderr
+    assert down.exit_code == ExitCode.UNAVAILABLE
+    assert "not accepted: the platform failed" in down.stderr
+    assert wrong.exit_code == ExitCode.INVALID
+    assert wrong.stderr.splitlines() == [
+        f"kingcupwheel: {file}: organisations: missing",
+        f"kingcupwheel: {file}: groups: expected array, got int",
+        f"kingcupwheel: {file}: routes: missing",
+    ]
+    assert lost.stderr.count("\n") == down.stderr.count("\n") == 1
+
+
+def test_status_names_who_is_behind_and_who_is_silent(
+    platform: PlatformStandIn, file: Path
+) -> None:
+    at = ("--platform", platform.url)
+    submitted = _run("submit", file, *at, "--json")
+    version = msgspec.json.decode(submitted.stdout)["version"]
+
+    with _process(platform, "e1", version):
+        assert _run("status", *at).exit_code == ExitCode.OK
+        with _process(platform, "e2", version - 1), _process(platform, "e3", None):
+            result = _run("status", *at, "--timeout", 0.5)
+
+    assert result.exit_code == ExitCode.INCOMPLETE
+    assert result.stdout.splitlines() == [
+        f"Version {version} is in force on 1 of 3 listed processes.",
+        f"  entry e2 in Heredia: on {version - 1}",
+        "  entry e3 in Heredia: no answer",
+    ]
