--- a/src/kingcupwheel/decisions/group_health.py
+++ b/src/kingcupwheel/decisions/group_health.py
@@ -67,7 +67,7 @@
         state_by_name: dict[str, ServerState] = {}
         for name in sorted(load_by_name, key=lambda name: _rank(health_by_name, name)):
             load = load_by_name[name]
-            has_room = held - load.held <= places - load.capacity
+            has_room = held <= places - load.capacity
             may_eject = may_leave > 0 and has_room
             state = health_by_name[name].update(median_s, now, may_eject=may_eject)
             state_by_name[name] = state
--- a/src/kingcupwheel/decisions/matching.py
+++ b/src/kingcupwheel/decisions/matching.py
@@ -4,7 +4,6 @@
 
 from heapq import heappush
 from heapq import heappushpop
-from math import ceil
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -15,11 +14,6 @@
     from collections.abc import Sequence
 
 
-# Places of an option above the mean. Without any, one that leaves moves a long chain of
-# others; with more, options differ more in how many chose them.
-SLACK_PLACES = 1
-
-
 class _Bid(NamedTuple):
     """A chooser's claim to a place; the lowest is turned away first."""
 
@@ -57,11 +51,12 @@
     choosers that rank it best up to its places, and whoever is turned away goes on down
     its own ranking (deferred acceptance; Gale and Shapley, 1962). The result depends on
     the names alone and not on their order, and one that comes or goes moves few others.
+    All options together have just the places that are wanted, so that any two differ by
+    one chooser, or two where a chooser finds the last open places on options that it
+    has already; with more places the last ones in the rankings would stay empty.
     """
     wanted = min(wanted, len(options))
-    mean = len(choosers) * wanted / len(options)
-    places = min(len(choosers), ceil(mean) + SLACK_PLACES)
-    option_by_name = {name: _Option(places) for name in options}
+    option_by_name = _build_options(options, len(choosers) * wanted)
     preferences_by_chooser = {name: iter(_ranked(name, options)) for name in choosers}
     unplaced = [chooser for chooser in choosers for _ in range(wanted)]
     while unplaced:
@@ -73,7 +68,19 @@
         turned_away = option_by_name[name].offer(_Bid(-rank, chooser))
         if turned_away is not None:
             unplaced.append(turned_away)
-    return _by_chooser(choosers, option_by_name)
+    chosen_by_chooser = _by_chooser(choosers, option_by_name)
+    return {
+        chooser: _topped_up(chooser, chosen, options, wanted)
+        for chooser, chosen in chosen_by_chooser.items()
+    }
+
+
+def _build_options(options: Sequence[str], places: int) -> dict[str, _Option]:
+    each, extra = divmod(places, len(options))
+    ordered = sorted(options, key=lambda name: stable_hash("extra place", name))
+    return {
+        name: _Option(each + (number < extra)) for number, name in enumerate(ordered)
+    }
 
 
 def _ranked(chooser: str, options: Sequence[str]) -> list[tuple[int, str]]:
@@ -82,9 +89,18 @@
 
 def _by_chooser(
     choosers: Sequence[str], option_by_name: dict[str, _Option]
-) -> dict[str, tuple[str, ...]]:
+) -> dict[str, list[str]]:
     names_by_chooser: dict[str, list[str]] = {chooser: [] for chooser in choosers}
     for name, option in option_by_name.items():
         for chooser in option.choosers:
             names_by_chooser[chooser].append(name)
-    return {chooser: tuple(names) for chooser, names in names_by_chooser.items()}
+    return names_by_chooser
+
+
+def _topped_up(
+    chooser: str, chosen: Sequence[str], options: Sequence[str], wanted: int
+) -> tuple[str, ...]:
+    if len(chosen) == wanted:
+        return tuple(chosen)
+    others = [name for _, name in _ranked(chooser, options) if name not in chosen]
+    return (*chosen, *others[: wanted - len(chosen)])
--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -94,6 +94,8 @@
         proven, probed = _parted(able)
         if probed and (not proven or _probes(ask, draw)):
             return Placed(draw.choice(probed).name, "probe of an ejected server")
+        if not proven:
+            return ALL_FULL
         home = self._home(proven, ask)
         if home is not None:
             return Placed(home.name, "home of the prefix", _weigh([home]))
--- a/src/kingcupwheel/decisions/queueing.py
+++ b/src/kingcupwheel/decisions/queueing.py
@@ -14,9 +14,10 @@
 from kingcupwheel.decisions.hashing import stable_fraction
 
 
-# Work that a flow of the lowest priority is given in a round, in tokens. One mean
-# request: smaller ones make the rounds long, larger ones make short requests wait.
-QUANTUM = 512.0
+# Work that a flow of the lowest priority is given in a turn, in tokens; one of priority
+# 5 gets 384, about a short request. More lets one flow take many turns' work at once,
+# so that others' short requests wait; less costs more rounds for each decision.
+QUANTUM = 64.0
 
 # A flow may hold so many times the places that are free. Reason: one flow alone gets
 # two thirds of the queue, and however many flood it, a free place is left for the next
--- a/src/kingcupwheel/decisions/retries.py
+++ b/src/kingcupwheel/decisions/retries.py
@@ -41,7 +41,7 @@
     def may_retry(self, now: float) -> bool:
         """Return whether one more retry is within the budget, and count it if so."""
         allowed = self._floor + self._share * self._firsts.value(now)
-        if self._retries.value(now) + 1.0 > allowed:
+        if self._retries.value(now) >= allowed:
             return False
         self._retries.add(1.0, now)
         return True
--- a/src/kingcupwheel/decisions/shares.py
+++ b/src/kingcupwheel/decisions/shares.py
@@ -4,9 +4,10 @@
 the demand it sees, on the heartbeats that flow anyway. It lowers its share at once and
 raises it late, so that the sum stays within the allowance whatever is lost on the way:
 
-- A raise takes at most an equal part of what nobody holds, and the next one waits until
-  every peer has answered the last. Two entries that raise at once therefore never take
-  the same part.
+- Who wants more says so first, and raises only when every peer has answered that: its
+  answer tells what the peer held by then. A raise takes an equal part of what nobody
+  holds, shared with the peers that said the same. Of two entries that raise at once,
+  either both counted the other or one knew of the other's raise.
 - A silent peer can neither lend nor borrow. From ``STALE_S`` on, the entries that miss
   it hold at most an equal part; only from ``RETURN_S`` on do they count a silent peer
   as holding no more than that.
@@ -46,24 +47,36 @@
     """What a peer of the set last told.
 
     ``demand`` is the demand it sees as a fraction of the whole allowance, ``held`` the
-    share it holds. ``age_s`` is how long ago this entry sent the newest heartbeat that
-    the peer has answered, so that it bounds the age of the news in both directions; for
-    a peer never heard it is the time since it was learned of.
+    share it holds, ``wants`` whether it wants more. ``age_s`` is how long ago this
+    entry sent the newest heartbeat that the peer has answered, so that it bounds the
+    age of the news in both directions; for a peer never heard it is the time since it
+    was learned of.
     """
 
     demand: float
     held: float
+    wants: bool
     age_s: float
 
 
 class Share(NamedTuple):
-    """The share an entry holds, and when it last raised it (monotonic seconds)."""
+    """The share an entry holds; tell ``held`` and ``wants`` on every heartbeat.
+
+    ``wants_since`` is when it began to want more (None: it does not), ``raised_at``
+    when it last raised its share; both in monotonic seconds.
+    """
 
     held: float = 0.0
+    wants_since: float | None = None
     raised_at: float = float("-inf")
 
+    @property
+    def wants(self) -> bool:
+        """Whether it wants more than it holds."""
+        return self.wants_since is not None
+
     def usable(self, entries: int) -> float:
-        """Return the part of the allowance this entry may use."""
+        """Return the part of the allowance that one of ``entries`` may use."""
         return max(self.held, FLOOR / entries)
 
 
@@ -76,20 +89,21 @@
     that come, go and lose each other. Harm prevented: a fixed equal split refuses
     callers at a busy entry while its peer idles; a split by guesses admits more than
     the allowance. ``peers`` are the other members; ``demand`` is a fraction of the
-    whole allowance. Call it about every heartbeat, and first thing after a pause.
+    whole allowance. Call it just before each heartbeat, and first thing after a pause.
     """
     equal = 1.0 / (len(peers) + 1)
     target = _target(demand, peers, equal)
     if target <= share.held:
-        return Share(target, share.raised_at)
-    since_raise_s = now - share.raised_at
-    if not all(_has_answered(peer, since_raise_s) for peer in peers):
-        return share
+        return Share(target, None, share.raised_at)
+    wants_since = now if share.wants_since is None else share.wants_since
+    settled_s = now - max(wants_since, share.raised_at)
+    if not all(_has_answered(peer, settled_s) for peer in peers):
+        return share._replace(wants_since=wants_since)
     free = 1.0 - share.held - sum(_occupied(peer, equal) for peer in peers)
-    step = free if all(peer.age_s > RETURN_S for peer in peers) else free * equal
-    if step <= 0.0:
-        return share
-    return Share(min(target, share.held + step), now)
+    claims = 1 + sum(peer.wants and peer.age_s <= STALE_S for peer in peers)
+    if free <= 0.0:
+        return share._replace(wants_since=wants_since)
+    return Share(min(target, share.held + free / claims), wants_since, now)
 
 
 def _target(demand: float, peers: Sequence[PeerShare], equal: float) -> float:
@@ -103,11 +117,11 @@
     return demand / total
 
 
-def _has_answered(peer: PeerShare, since_raise_s: float) -> bool:
-    """Tell whether ``peer`` knows of the last raise, or is gone."""
+def _has_answered(peer: PeerShare, settled_s: float) -> bool:
+    """Tell whether ``peer`` knows the last want and raise, or is gone."""
     if peer.age_s > RETURN_S:
         return True
-    return peer.age_s <= STALE_S and peer.age_s < since_raise_s
+    return peer.age_s <= STALE_S and peer.age_s < settled_s
 
 
 def _occupied(peer: PeerShare, equal: float) -> float:
--- /dev/null
+++ b/tests/decisions/builders.py
@@ -0,0 +1,115 @@
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import NamedTuple
+
+from kingcupwheel.decisions.candidates import Candidate
+from kingcupwheel.decisions.health import ServerState
+from kingcupwheel.decisions.queueing import Waiting
+from kingcupwheel.decisions.shares import PeerShare
+from kingcupwheel.decisions.shares import Share
+from kingcupwheel.decisions.shares import next_share
+from kingcupwheel.decisions.subsets import Instance
+
+
+def waiting(
+    request_id: str,
+    organisation: str = "retazo",
+    *,
+    priority: int = 5,
+    work: float = 100.0,
+    deadline_at: float = 1000.0,
+) -> Waiting:
+    return Waiting(request_id, organisation, priority, work, deadline_at, 0.0)
+
+
+def candidates(
+    count: int,
+    *,
+    data_centre: str = "heredia",
+    state: ServerState = ServerState.HEALTHY,
+) -> list[Candidate]:
+    return [
+        Candidate(f"server-{number}", data_centre, 16, state=state)
+        for number in range(count)
+    ]
+
+
+def fleet(prefix: str, count: int, data_centres: int) -> list[Instance]:
+    return [
+        Instance(f"{prefix}-{number}", f"dc-{number % data_centres}")
+        for number in range(count)
+    ]
+
+
+class Heartbeat(NamedTuple):
+    sent_at: float
+    answers_sent_at: float
+    demand: float = 0.0
+    held: float = 0.0
+    wants: bool = False
+
+
+@dataclass
+class ShareHolder:
+    """One entry of a set: what it holds and what it heard of each peer."""
+
+    share: Share = Share()
+    demand: float = 0.0
+    heard_by_peer: dict[int, Heartbeat] = field(default_factory=dict)
+    is_paused: bool = False
+
+
+class ShareSet:
+    """Entries that split one allowance over links that delay, lose and stall."""
+
+    def __init__(self, size: int) -> None:
+        self.holders = [ShareHolder() for _ in range(size)]
+        self.links = {
+            (one, other): deque[Heartbeat]()
+            for one in range(size)
+            for other in range(size)
+            if one != other
+        }
+        self.cut: set[tuple[int, int]] = set()
+        self.stalled: set[tuple[int, int]] = set()
+        self.now = 0.0
+
+    @property
+    def held(self) -> float:
+        running = [holder for holder in self.holders if not holder.is_paused]
+        return sum(holder.share.held for holder in running)
+
+    def tick(self, seconds: float = 1.0) -> None:
+        """Deliver what the links let through, then let each entry act in turn."""
+        self.now += seconds
+        for (one, other), link in self.links.items():
+            if (one, other) in self.cut:
+                link.clear()
+            if (one, other) in self.stalled or self.holders[other].is_paused:
+                continue
+            while link:
+                self.holders[other].heard_by_peer[one] = link.popleft()
+        for number, holder in enumerate(self.holders):
+            if not holder.is_paused:
+                self._act(number, holder)
+
+    def _act(self, number: int, holder: ShareHolder) -> None:
+        others = [other for other in range(len(self.holders)) if other != number]
+        unheard = Heartbeat(0.0, 0.0)
+        heard = [holder.heard_by_peer.get(other, unheard) for other in others]
+        peers = [
+            PeerShare(
+                beat.demand, beat.held, beat.wants, self.now - beat.answers_sent_at
+            )
+            for beat in heard
+        ]
+        share = next_share(holder.share, holder.demand, peers, self.now)
+        holder.share = share
+        sent_at = self.now + 0.001
+        for other, beat in zip(others, heard, strict=True):
+            self.links[number, other].append(
+                Heartbeat(sent_at, beat.sent_at, holder.demand, share.held, share.wants)
+            )
--- /dev/null
+++ b/tests/decisions/test_placement.py
@@ -0,0 +1,135 @@
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.decisions.candidates import Ask
+from kingcupwheel.decisions.candidates import Candidate
+from kingcupwheel.decisions.candidates import NoPlace
+from kingcupwheel.decisions.candidates import Placed
+from kingcupwheel.decisions.health import ServerState
+from kingcupwheel.plugins.kernel import load_builtin
+from kingcupwheel.plugins.kernel import placement_policies
+from tests.decisions.builders import candidates
+
+
+load_builtin()
+POLICIES = ("two-choices", "random", "round-robin", "least-in-flight")
+
+CANDIDATES = st.lists(
+    st.builds(
+        Candidate,
+        name=st.integers(0, 30).map(str),
+        data_centre=st.sampled_from(["heredia", "cartago"]),
+        capacity=st.integers(1, 16),
+        running=st.integers(0, 20),
+        own_in_flight=st.integers(0, 3),
+        heard_age_s=st.floats(0.0, 10.0),
+        started_age_s=st.floats(0.0, 60.0),
+        state=st.sampled_from(ServerState),
+        suspects_running=st.integers(0, 1),
+    ),
+    max_size=12,
+    unique_by=lambda candidate: candidate.name,
+)
+
+
+def place(servers: list[Candidate], ask: Ask, count: int = 400) -> Counter[str]:
+    policy = placement_policies.get("two-choices")()
+    draw = Random(1)
+    placed = [policy.place(servers, ask, 0.0, draw) for _ in range(count)]
+    return Counter(one.server for one in placed if isinstance(one, Placed))
+
+
+@pytest.mark.parametrize("name", POLICIES)
+@given(servers=CANDIDATES, suspect=st.booleans(), avoided=st.integers(0, 30))
+def test_no_policy_gives_work_to_a_server_that_may_not_have_it(
+    name: str, servers: list[Candidate], suspect: bool, avoided: int
+) -> None:
+    ask = Ask("prefix", 100.0, frozenset({str(avoided)}), suspect=suspect)
+    placed = placement_policies.get(name)().place(servers, ask, 0.0, Random(1))
+    allowed = {
+        one.name
+        for one in servers
+        if one.state not in (ServerState.EJECTED, ServerState.LEAVING)
+        and not one.is_full
+        and one.name not in ask.avoid
+        and not (suspect and one.suspects_running)
+    }
+    match placed:
+        case Placed(server=server):
+            assert server in allowed
+        case NoPlace():
+            probed = {one.name for one in servers if one.state is ServerState.PROBING}
+            assert allowed <= probed
+
+
+def test_the_less_loaded_servers_get_more_and_a_full_one_nothing() -> None:
+    servers = candidates(4)
+    servers[0] = replace(servers[0], running=16)
+    servers[1] = replace(servers[1], running=12)
+
+    given_to = place(servers, Ask(data_centre="heredia"))
+
+    assert given_to["server-0"] == 0
+    assert given_to["server-1"] < 0.05 * 400
+
+
+BUSY = replace(candidates(1)[0], running=4, own_in_flight=2)
+
+
+@pytest.mark.parametrize(
+    "doubtful",
+    [
+        replace(BUSY, started_age_s=1.0),
+        replace(BUSY, state=ServerState.SLOW),
+        replace(BUSY, heard_age_s=8.0),
+        replace(BUSY, running=0, own_in_flight=5),
+    ],
+    ids=["restarted", "slow", "silent", "reports too little"],
+)
+def test_a_doubtful_server_gets_less_than_its_part(doubtful: Candidate) -> None:
+    others = [replace(BUSY, name=one.name) for one in candidates(6)[1:]]
+
+    given_to = place([doubtful, *others], Ask(data_centre="heredia"), 2000)
+
+    assert given_to["server-0"] < 0.7 * 2000 / 6
+
+
+def test_a_probed_server_gets_single_repeatable_requests() -> None:
+    servers = candidates(4)
+    servers[0] = replace(servers[0], state=ServerState.PROBING)
+    ask = Ask(data_centre="heredia")
+
+    assert 0 < place(servers, ask, 1000)["server-0"] < 50
+    assert place(servers, ask._replace(repeatable=False), 1000)["server-0"] == 0
+    assert place(servers, ask._replace(suspect=True), 1000)["server-0"] == 0
+
+
+def test_the_own_data_centre_comes_first_and_spills_over_when_fuller() -> None:
+    near = candidates(3)
+    far = [
+        replace(one, name=f"far-{one.name}", data_centre="cartago")
+        for one in candidates(3)
+    ]
+    ask = Ask(data_centre="heredia")
+    calm = place(near + far, ask)
+    busy = place([replace(one, running=12) for one in near] + far, ask)
+
+    assert sum(calm[one.name] for one in near) > 0.7 * 400
+    assert sum(busy[one.name] for one in far) > 0.7 * 400
+
+
+def test_a_prefix_keeps_its_home_until_that_is_fuller_than_the_rest() -> None:
+    servers = candidates(8)
+    ask = Ask(prefix_key="same beginning", data_centre="heredia")
+    ((home, times),) = place(servers, ask).items()
+    assert times == 400
+
+    busy = [replace(one, running=8 * (one.name == home)) for one in servers]
+    assert place(busy, ask)[home] < 0.1 * 400
--- /dev/null
+++ b/tests/decisions/test_queueing.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.decisions.admission import Refuse
+from kingcupwheel.decisions.queueing import FairQueue
+from kingcupwheel.decisions.queueing import Queued
+from tests.decisions.builders import waiting
+
+
+OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["push", "pop", "remove", "wait"]),
+        st.integers(0, 20),
+        st.sampled_from(["retazo", "agencia", "portal"]),
+        st.integers(0, 9),
+        st.floats(1.0, 5000.0),
+    ),
+    max_size=80,
+)
+
+
+@given(OPERATIONS)
+def test_every_queued_request_leaves_exactly_once_and_the_bound_holds(
+    operations: list[tuple[str, int, str, int, float]],
+) -> None:
+    queue = FairQueue(10)
+    left: Counter[str] = Counter()
+    queued: set[str] = set()
+    now = 0.0
+    for serial, (kind, number, organisation, priority, work) in enumerate(operations):
+        if kind == "push":
+            request = waiting(
+                f"{serial}",
+                organisation,
+                priority=priority,
+                work=work,
+                deadline_at=now + number,
+            )
+            if isinstance(queue.push(request, now), Queued):
+                queued.add(request.request_id)
+        elif kind == "remove" and (removed := queue.remove(f"{number}")):
+            left[removed.request_id] += 1
+        elif kind == "pop" and (popped := queue.pop(now)):
+            left[popped.request_id] += 1
+            assert popped.deadline_at > now
+        elif kind == "wait":
+            now += number / 4
+        left.update(one.request_id for one in queue.expired(now))
+        assert len(queue) <= 10
+    while popped := queue.pop(now):
+        left[popped.request_id] += 1
+    left.update(one.request_id for one in queue.expired(now))
+    assert left == Counter(queued)
+
+
+def test_a_flood_of_one_organisation_leaves_places_and_turns_to_the_others() -> None:
+    queue = FairQueue(100)
+    flood = [queue.push(waiting(f"f{n}", "flood"), 0.0) for n in range(200)]
+    refused = [one for one in flood if isinstance(one, Refuse)]
+    assert len(refused) > 100
+    assert refused[0].limit == "queue"
+
+    for number in range(10):
+        pushed = queue.push(waiting(f"s{number}", "small"), 0.0)
+        assert isinstance(pushed, Queued)
+    first = [queue.pop(0.0) for _ in range(24)]
+    served = Counter(one.organisation for one in first if one)
+    assert served["small"] == 10
+
+
+def test_work_is_shared_by_weight_and_no_priority_starves() -> None:
+    queue = FairQueue(2000)
+    for number in range(400):
+        queue.push(waiting(f"h{number}", "high", priority=9, work=300.0), 0.0)
+        queue.push(waiting(f"l{number}", "low", priority=0, work=30.0), 0.0)
+
+    first = [queue.pop(0.0) for _ in range(200)]
+
+    work: Counter[str] = Counter()
+    for one in first:
+        assert one is not None
+        work[one.organisation] += int(one.work)
+    assert 8.0 < work["high"] / work["low"] < 12.0
+
+
+def test_what_cannot_make_its_deadline_is_refused_at_once_with_spread_returns() -> None:
+    """The group drains a request a second and forty wait.
+
+    A caller with ten seconds left would wait in vain and then be refused. It hears so
+    at once, and callers refused together are told different times.
+    """
+    queue = FairQueue(100)
+    for number in range(50):
+        queue.push(waiting(f"w{number}", f"organisation-{number}"), 0.0)
+    for second in range(1, 11):
+        queue.pop(float(second))
+
+    refused = [
+        queue.push(waiting(f"l{number}", "late", work=5000.0, deadline_at=20.0), 10.0)
+        for number in range(20)
+    ]
+
+    times = [one.retry_after_s for one in refused if isinstance(one, Refuse)]
+    assert len(times) == 20
+    assert max(times) - min(times) > 0.5 * min(times)
+
+
+def test_a_stalled_drain_is_noticed_without_any_take() -> None:
+    queue = FairQueue(100)
+    for number in range(20):
+        queue.push(waiting(f"w{number}"), 0.0)
+    for second in range(1, 11):
+        queue.pop(second / 10)
+    patient = queue.push(waiting("a", deadline_at=4.0), 1.0)
+    assert isinstance(patient, Queued)
+
+    stalled = queue.push(waiting("b", deadline_at=33.0), 30.0)
+    assert isinstance(stalled, Refuse)
--- /dev/null
+++ b/tests/decisions/test_shares.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from kingcupwheel.decisions.shares import RETURN_S
+from tests.decisions.builders import ShareSet
+
+
+CHANGES = st.lists(
+    st.tuples(
+        st.sampled_from(["cut", "stall", "pause", "demand", "demand", "heal"]),
+        st.integers(0, 3),
+        st.integers(0, 3),
+        st.sampled_from([0.0, 0.3, 1.0, 4.0]),
+        st.integers(1, 8),
+    ),
+    min_size=8,
+    max_size=24,
+)
+
+
+@settings(max_examples=300)
+@given(size=st.integers(2, 4), changes=CHANGES)
+def test_shares_never_exceed_the_allowance_whatever_the_links_and_entries_do(
+    size: int, changes: list[tuple[str, int, int, float, int]]
+) -> None:
+    """Links between the entries of a set are cut or stall one way, entries pause.
+
+    Callers must not get more than the allowance out of entries that no longer hear each
+    other, nor while old heartbeats arrive late and all at once.
+    """
+    shares = ShareSet(size)
+    ticks(shares, 12)
+    for kind, one, other, amount, count in changes:
+        change(shares, kind, one % size, other % size, amount)
+        for _ in range(count):
+            shares.tick()
+            assert shares.held <= 1.0 + 1e-9
+
+
+def change(shares: ShareSet, kind: str, one: int, other: int, amount: float) -> None:
+    match kind:
+        case "cut":
+            shares.cut ^= {(one, other)}
+        case "stall":
+            shares.stalled ^= {(one, other)}
+        case "pause":
+            shares.holders[one].is_paused ^= True
+        case "demand":
+            shares.holders[one].demand = amount
+            shares.holders[other].demand = amount
+        case "heal":
+            shares.cut.clear()
+            shares.stalled.clear()
+
+
+@given(size=st.integers(2, 4), busy=st.integers(0, 3))
+def test_an_unused_share_is_lent_and_comes_back_in_stated_times(
+    size: int, busy: int
+) -> None:
+    shares = ShareSet(size)
+    first, second = busy % size, (busy + 1) % size
+    shares.holders[first].demand = 1.5
+    ticks(shares, int(RETURN_S) + 4)
+    assert shares.holders[first].share.held > 0.95
+
+    shares.holders[first].demand = 0.0
+    shares.holders[second].demand = 1.5
+    ticks(shares, 4)
+    assert shares.holders[second].share.held > 0.95
+
+
+def test_entries_cut_off_from_each_other_all_get_an_equal_part() -> None:
+    shares = ShareSet(3)
+    shares.holders[0].demand = 1.0
+    ticks(shares, 25)
+
+    shares.cut = set(shares.links)
+    ticks(shares, int(RETURN_S) + 4)
+
+    held = [round(holder.share.held, 3) for holder in shares.holders]
+    assert held == [0.333, 0.333, 0.333]
+
+
+def ticks(shares: ShareSet, count: int) -> None:
+    for _ in range(count):
+        shares.tick()
