--- a/tools/processes.py
+++ b/tools/processes.py
@@ -38,18 +38,22 @@
         time.sleep(_POLL_S)
 
 
+def environment() -> dict[str, str]:
+    """Return the environment in which this checkout's modules are found."""
+    return dict(os.environ, PYTHONPATH=f"{_ROOT / 'src'}:{_ROOT}")
+
+
 class Process:
     """One process of the fleet; its log is kept in ``log``."""
 
     def __init__(self, name: str, arguments: Sequence[str], log: Path) -> None:
         self.name = name
         self.log = log
-        environment = dict(os.environ, PYTHONPATH=f"{_ROOT / 'src'}:{_ROOT}")
         with log.open("ab") as errors:
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", *arguments],
                 cwd=_ROOT,
-                env=environment,
+                env=environment(),
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=errors,
