--- a/src/kingcupwheel/settings/checks.py
+++ b/src/kingcupwheel/settings/checks.py
@@ -38,6 +38,8 @@
     for field in ("http", "http_public", "operator_http"):
         if getattr(settings, field):
             yield from _address(getattr(settings, field), field)
+    for index, seed in enumerate(settings.seeds):
+        yield from _address(seed, f"seeds[{index}]")
     yield from _platform(settings)
     if settings.statsd.host:
         ranges = Ranges(settings.statsd, "statsd")
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -48,6 +48,7 @@
 def test_values_out_of_place_are_all_listed() -> None:
     data = build_entry()
     data |= {"name": "an entry", "listen": "localhost:7000", "http": "127.0.0.1:99999"}
+    data["seeds"] = ["127.0.0.1:7000", "entry-2"]
     data["platform"] |= {"url": "ftp://x", "client": "pigeon"}
     data["entry"] = {"queue": 0}
     data["timings"] = {"silence_s": 0.5, "token_s": -1}
@@ -56,6 +57,7 @@
         "name",
         "listen",
         "http",
+        "seeds[1]",
         "platform.url",
         "platform.client",
         "entry.queue",
