--- /dev/null
+++ b/src/kingcupwheel/expertmaps/conclusions.py
@@ -0,0 +1,98 @@
+"""What a coordinator concludes from its ranks' answers, as pure functions."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import TypeVar
+
+from kingcupwheel.expertmaps.protocol import NamedMap
+from kingcupwheel.expertmaps.protocol import Schedule
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from kingcupwheel.expertmaps.maps import ExpertMap
+    from kingcupwheel.expertmaps.maps import MapVersion
+    from kingcupwheel.expertmaps.protocol import StateRead
+
+T = TypeVar("T")
+
+# Engine steps take a few milliseconds; until the pace of a group is known this many
+# steps a second are assumed. Too many only delays the switch, too few pauses ranks.
+_ASSUMED_STEPS_PER_S = 250.0
+# A pace measured over less than this is mostly the spread of message delays.
+_PACE_WINDOW_S = 0.5
+
+
+class Pace(NamedTuple):
+    """How fast a group steps, from the last ``step`` heard of and when (``at``)."""
+
+    step: int = 0
+    at: float = 0.0
+    per_s: float = _ASSUMED_STEPS_PER_S
+
+    def seen(self, step: int, now: float) -> Pace:
+        """Return the pace after a rank was at ``step`` at ``now``."""
+        if now - self.at < _PACE_WINDOW_S:
+            return self
+        if self.at and step > self.step:
+            return Pace(step, now, (step - self.step) / (now - self.at))
+        return Pace(step, now, self.per_s)
+
+    def ahead(self, lead_s: float) -> int:
+        """Return how many steps a group runs in ``lead_s`` seconds."""
+        return math.ceil(self.per_s * lead_s)
+
+
+def is_settled(answer: StateRead, version: MapVersion | None) -> bool:
+    """Tell whether a rank has a map, the one of ``version``, and no version open."""
+    status = answer.status
+    known = status.committed is not None and status.committed == version
+    return known and status.held is None
+
+
+def put(answers: tuple[T | None, ...], rank: int, answer: T) -> tuple[T | None, ...]:
+    """Return ``answers`` with that of ``rank`` in place."""
+    return (*answers[:rank], answer, *answers[rank + 1 :])
+
+
+def restate(
+    version: MapVersion, found: Iterable[Schedule | None], initial: ExpertMap
+) -> Schedule:
+    """Return what to commit as ``version``: the highest that any rank has committed.
+
+    A version is committed only after all ranks prepared it. So a rank that has not
+    committed the highest one was held before its step until now, and runs that step on
+    the map that others may already have used. ``initial`` is for a group none of whose
+    ranks has a map.
+    """
+    known = [schedule for schedule in found if schedule is not None]
+    if not known:
+        first = NamedMap(version, initial)
+        return Schedule(version, first, first, 0)
+    highest = max(known, key=lambda schedule: schedule.version)
+    return Schedule(version, highest.before, highest.after, highest.from_step)
+
+
+def staging_turns(
+    current: ExpertMap, wanted: ExpertMap, *, now: float, seconds_per_expert: float
+) -> tuple[float, ...]:
+    """Return when each rank may start to load weights (monotonic seconds).
+
+    Load: ranks that load all at once take the weight store's whole rate. Harm: engines
+    that are starting wait for theirs. Limit: a rank's turn comes when those before it
+    have had the time to load at the rate that is set aside for rebalancing.
+    """
+    turns = []
+    due = now
+    for rank in range(wanted.ranks):
+        turns.append(due)
+        loads = sum(
+            len(set(new[rank]) - set(old[rank]))
+            for old, new in zip(current.layers, wanted.layers, strict=True)
+        )
+        due += loads * seconds_per_expert
+    return tuple(turns)
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/coordinator.py
@@ -0,0 +1,289 @@
+"""The coordinator of a group's expert map as a state machine without I/O or clocks.
+
+In every step all ranks must use one map, whatever process dies. A change is staged,
+prepared for a step to come on all ranks, and only then committed; short of that it is
+aborted. After a takeover, or when a rank has restarted, nothing read from a rank can be
+trusted to stay true, because an order may still be on its way to it; so the coordinator
+supersedes open versions on all ranks first and decides when all have answered. Silence
+means that it waits: a guess could put two maps in force.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.expertmaps.conclusions import Pace
+from kingcupwheel.expertmaps.conclusions import is_settled
+from kingcupwheel.expertmaps.conclusions import put
+from kingcupwheel.expertmaps.conclusions import restate
+from kingcupwheel.expertmaps.conclusions import staging_turns
+from kingcupwheel.expertmaps.maps import NO_VERSION
+from kingcupwheel.expertmaps.phases import Aborting
+from kingcupwheel.expertmaps.phases import Committing
+from kingcupwheel.expertmaps.phases import Event
+from kingcupwheel.expertmaps.phases import Holding
+from kingcupwheel.expertmaps.phases import LeaseLost
+from kingcupwheel.expertmaps.phases import LeaseTaken
+from kingcupwheel.expertmaps.phases import Phase
+from kingcupwheel.expertmaps.phases import Preparing
+from kingcupwheel.expertmaps.phases import Proposed
+from kingcupwheel.expertmaps.phases import Ready
+from kingcupwheel.expertmaps.phases import Replied
+from kingcupwheel.expertmaps.phases import Send
+from kingcupwheel.expertmaps.phases import Staging
+from kingcupwheel.expertmaps.phases import Standby
+from kingcupwheel.expertmaps.phases import Surveying
+from kingcupwheel.expertmaps.phases import Ticked
+from kingcupwheel.expertmaps.phases import label
+from kingcupwheel.expertmaps.phases import order_of
+from kingcupwheel.expertmaps.protocol import Aborted
+from kingcupwheel.expertmaps.protocol import Committed
+from kingcupwheel.expertmaps.protocol import Held
+from kingcupwheel.expertmaps.protocol import NamedMap
+from kingcupwheel.expertmaps.protocol import Prepared
+from kingcupwheel.expertmaps.protocol import RefusalReason
+from kingcupwheel.expertmaps.protocol import Refused
+from kingcupwheel.expertmaps.protocol import Schedule
+from kingcupwheel.expertmaps.protocol import Staged
+from kingcupwheel.expertmaps.protocol import StateRead
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.maps import ExpertMap
+    from kingcupwheel.expertmaps.protocol import AnyReply
+
+
+class CoordinatorTimings(NamedTuple):
+    """Times in seconds, and the weight store's rate in bytes per second.
+
+    Orders are repeated every ``repeat_s``, ranks read every ``poll_s``. ``lead_s`` is
+    how far ahead the step of a change is set. A change not prepared ``prepare_s`` after
+    it was asked for, or not staged ``stage_s`` after the last turn, is aborted.
+    """
+
+    repeat_s: float = 0.5
+    poll_s: float = 2.0
+    lead_s: float = 1.0
+    prepare_s: float = 2.0
+    stage_s: float = 30.0
+    store_bytes_per_s: float = 50_000_000.0
+
+
+DEFAULT_TIMINGS = CoordinatorTimings()
+
+
+class Coordinator:
+    """Give it every event by ``step``; it returns the orders to send.
+
+    ``initial`` is put in force in a group none of whose ranks has a map. Attributes
+    hold immutable values only, so that a shallow copy of a coordinator is a snapshot.
+    """
+
+    def __init__(
+        self,
+        *,
+        ranks: int,
+        initial: ExpertMap,
+        expert_bytes: int = 0,
+        timings: CoordinatorTimings = DEFAULT_TIMINGS,
+    ) -> None:
+        self._ranks = ranks
+        self._initial = initial
+        self._expert_bytes = expert_bytes
+        self._timings = timings
+        self._version = NO_VERSION
+        self._phase: Phase = Standby()
+        self._round = 0
+        self._schedule: Schedule | None = None
+        self._since = 0.0
+        self._sent = 0.0
+        self._pace = Pace()
+
+    @property
+    def phase(self) -> Phase:
+        """What the coordinator is doing."""
+        return self._phase
+
+    @property
+    def fence(self) -> int:
+        """The fence that its orders carry."""
+        return self._version.fence
+
+    @property
+    def schedule(self) -> Schedule | None:
+        """What all ranks have committed, as far as is known."""
+        return self._schedule
+
+    def step(self, event: Event) -> list[Send]:
+        """Take ``event`` and return the orders to send."""
+        match event:
+            case LeaseTaken(fence, now):
+                # Versions of this lease start anew under a fence never used before.
+                self._version = NO_VERSION._replace(fence=fence)
+                self._schedule = None
+                return self._enter(self._survey(), now)
+            case LeaseLost():
+                self._phase = Standby()
+                return []
+            case Proposed(expert_map, now):
+                return self._propose(expert_map, now)
+            case Ticked(now):
+                return self._tick(now)
+            case Replied(rank, reply, now):
+                following = self._reply(rank, reply, now)
+                if following is None:
+                    return []
+                return self._enter(following, now)
+
+    def _enter(self, phase: Phase, now: float) -> list[Send]:
+        """Go to ``phase``; unless it only goes on, tell its ranks at once."""
+        goes_on = label(phase) == label(self._phase)
+        self._phase = phase
+        if goes_on:
+            return []
+        self._since = now
+        return self._orders(now)
+
+    def _orders(self, now: float) -> list[Send]:
+        self._sent = now
+        wanted = (order_of(self._phase, rank, now) for rank in range(self._ranks))
+        return [Send(rank, order) for rank, order in enumerate(wanted) if order]
+
+    def _tick(self, now: float) -> list[Send]:
+        match self._phase:
+            case Staging(version, _, due) if now - due[-1] > self._timings.stage_s:
+                return self._enter(Aborting(version, frozenset()), now)
+            case Preparing(version) if now - self._since > self._timings.prepare_s:
+                return self._enter(Aborting(version, frozenset()), now)
+            case Ready() if now - self._since >= self._timings.poll_s:
+                self._phase = self._ready()
+                self._since = now
+                return self._orders(now)
+        if now - self._sent >= self._timings.repeat_s:
+            return self._orders(now)
+        return []
+
+    def _propose(self, expert_map: ExpertMap, now: float) -> list[Send]:
+        if not isinstance(self._phase, Ready) or self._schedule is None:
+            return []
+        self._version = self._version.next()
+        per_expert = self._expert_bytes / self._timings.store_bytes_per_s
+        due = staging_turns(
+            self._schedule.after.map,
+            expert_map,
+            now=now,
+            seconds_per_expert=per_expert,
+        )
+        staging = Staging(self._version, expert_map, due, frozenset(), self._pace.step)
+        return self._enter(staging, now)
+
+    def _survey(self) -> Surveying:
+        self._round += 1
+        return Surveying(self._round, (None,) * self._ranks)
+
+    def _ready(self) -> Ready:
+        self._round += 1
+        return Ready(self._round, (None,) * self._ranks)
+
+    def _hold(self) -> Holding:
+        self._version = self._version.next()
+        return Holding(self._version, (None,) * self._ranks)
+
+    def _reply(self, rank: int, reply: AnyReply, now: float) -> Phase | None:
+        """Return the phase that follows, or None if the reply changes nothing."""
+        if isinstance(reply, Refused):
+            return self._refused(reply)
+        match self._phase, reply:
+            case Surveying(number) as phase, StateRead(of) if of == number:
+                return self._surveyed(phase, rank, reply)
+            case Ready(number) as phase, StateRead(of) if of == number:
+                return self._polled(phase, rank, reply, now)
+            case Holding(version) as phase, Held(of) if of == version:
+                return self._held(phase, rank, reply)
+            case Staging(version) as phase, Staged(of, step) if of == version:
+                return self._staged(phase, rank, step)
+            case Preparing(version) as phase, Prepared(of) if of == version:
+                return self._prepared(phase, rank)
+            case Committing(version) as phase, Committed(of) if of == version:
+                return self._committed(phase, rank)
+            case Aborting(version) as phase, Aborted(of) if of == version:
+                return self._aborted(phase, rank)
+        return None
+
+    def _refused(self, reply: Refused) -> Phase | None:
+        if reply.reason is RefusalReason.STALE_FENCE:
+            return Standby()
+        match self._phase:
+            case Holding(version) if version == reply.version:
+                # A rank has seen a higher version, so a newer coordinator is at work.
+                return Standby()
+            case Staging(version) | Preparing(version) if version == reply.version:
+                return Aborting(version, frozenset())
+            case Committing(version) if version == reply.version:
+                return self._commit_refused(reply.reason)
+        return None
+
+    def _commit_refused(self, reason: RefusalReason) -> Phase | None:
+        match reason:
+            case RefusalReason.NOT_PREPARED | RefusalReason.NOT_STAGED:
+                # The rank has restarted since it prepared: it must be told its map.
+                return self._hold()
+            case _:
+                return None
+
+    def _surveyed(self, phase: Surveying, rank: int, reply: StateRead) -> Phase:
+        answers = put(phase.answers, rank, reply)
+        known = [answer for answer in answers if answer is not None]
+        if not all(is_settled(answer, known[0].status.committed) for answer in known):
+            return self._hold()
+        if len(known) < self._ranks:
+            return replace(phase, answers=answers)
+        self._schedule = known[0].schedule
+        return self._ready()
+
+    def _polled(
+        self, phase: Ready, rank: int, reply: StateRead, now: float
+    ) -> Phase | None:
+        if self._schedule is None or not is_settled(reply, self._schedule.version):
+            return self._hold()
+        self._pace = self._pace.seen(reply.status.step, now)
+        return replace(phase, answers=put(phase.answers, rank, reply))
+
+    def _held(self, phase: Holding, rank: int, reply: Held) -> Phase:
+        answers = put(phase.answers, rank, reply)
+        if None in answers:
+            return replace(phase, answers=answers)
+        found = [answer.schedule for answer in answers if answer is not None]
+        schedule = restate(phase.version, found, self._initial)
+        return Committing(phase.version, schedule, True, frozenset())
+
+    def _staged(self, phase: Staging, rank: int, step: int) -> Phase:
+        acked = phase.acked | {rank}
+        highest = max(phase.step, step)
+        if len(acked) < self._ranks:
+            return replace(phase, acked=acked, step=highest)
+        step = highest + self._pace.ahead(self._timings.lead_s)
+        return Preparing(phase.version, phase.map, step, frozenset())
+
+    def _prepared(self, phase: Preparing, rank: int) -> Phase:
+        acked = phase.acked | {rank}
+        if len(acked) < self._ranks or self._schedule is None:
+            return replace(phase, acked=acked)
+        after = NamedMap(phase.version, phase.map)
+        schedule = Schedule(phase.version, self._schedule.after, after, phase.step)
+        return Committing(phase.version, schedule, False, frozenset())
+
+    def _committed(self, phase: Committing, rank: int) -> Phase:
+        acked = phase.acked | {rank}
+        if len(acked) < self._ranks:
+            return replace(phase, acked=acked)
+        self._schedule = phase.schedule
+        return self._ready()
+
+    def _aborted(self, phase: Aborting, rank: int) -> Phase:
+        acked = phase.acked | {rank}
+        if len(acked) < self._ranks:
+            return replace(phase, acked=acked)
+        return self._ready()
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/maps.py
@@ -0,0 +1,128 @@
+"""Expert maps: which rank holds which expert, layer by layer.
+
+A map lists for each layer and rank the experts in that rank's slots. An expert with
+several replicas has its load split evenly over them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import msgspec
+
+from kingcupwheel.expertmaps.exceptions import InvalidMapError
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.manifest.schema import ExpertLayout
+
+# Experts in the slots of each rank of one layer.
+LayerPlacement = tuple[tuple[int, ...], ...]
+# Load of each expert of one layer, in any unit of work.
+LayerLoad = tuple[float, ...]
+
+
+class MapVersion(NamedTuple):
+    """Names one change of a group's map; never used again.
+
+    ``fence`` is the coordinator's lease version, ``counter`` rises within it.
+    """
+
+    fence: int
+    counter: int
+
+    def next(self) -> MapVersion:
+        """Return the following version of the same coordinator."""
+        return MapVersion(self.fence, self.counter + 1)
+
+    def __str__(self) -> str:
+        return f"{self.fence}.{self.counter}"
+
+
+NO_VERSION = MapVersion(0, 0)
+
+
+class ExpertMap(msgspec.Struct, frozen=True, array_like=True):
+    """Placement of ``experts`` experts a layer on ranks of ``slots`` slots."""
+
+    experts: int
+    slots: int
+    layers: tuple[LayerPlacement, ...]
+
+    @property
+    def ranks(self) -> int:
+        """The number of ranks."""
+        return len(self.layers[0])
+
+    def check(self) -> None:
+        """Raise InvalidMapError if a rank is overfull or an expert has no place."""
+        for number, layer in enumerate(self.layers):
+            for rank, held in enumerate(layer):
+                if len(held) > self.slots or len(set(held)) != len(held):
+                    message = f"layer {number}: rank {rank} holds {held}"
+                    raise InvalidMapError(message)
+            placed = {expert for held in layer for expert in held}
+            if placed != set(range(self.experts)):
+                message = f"layer {number}: experts missing or unknown"
+                raise InvalidMapError(message)
+
+    def moves_to(self, target: ExpertMap) -> int:
+        """Return how many expert weights ranks must load to change to ``target``."""
+        return sum(
+            len(set(after) - set(before))
+            for old, new in zip(self.layers, target.layers, strict=True)
+            for before, after in zip(old, new, strict=True)
+        )
+
+
+def slots_per_rank(layout: ExpertLayout) -> int:
+    """Return the slots of a rank: as set, or just enough for one replica of each."""
+    return layout.slots or -(-layout.experts // layout.ranks)
+
+
+def even_map(layout: ExpertLayout) -> ExpertMap:
+    """Return the map of a group that has not run yet: experts dealt out in turn."""
+    layer = tuple(
+        tuple(range(rank, layout.experts, layout.ranks)) for rank in range(layout.ranks)
+    )
+    result = ExpertMap(layout.experts, slots_per_rank(layout), (layer,) * layout.layers)
+    result.check()
+    return result
+
+
+def replica_counts(layer: LayerPlacement, experts: int) -> list[int]:
+    """Return the number of replicas of each expert of a layer."""
+    counts = [0] * experts
+    for held in layer:
+        for expert in held:
+            counts[expert] += 1
+    return counts
+
+
+def rank_loads(layer: LayerPlacement, load: LayerLoad) -> list[float]:
+    """Return each rank's load, replicas sharing their expert's load evenly."""
+    counts = replica_counts(layer, len(load))
+    return [sum(load[expert] / counts[expert] for expert in held) for held in layer]
+
+
+def layer_skew(layer: LayerPlacement, load: LayerLoad) -> float:
+    """Return the step-time skew of a layer: max over mean rank load, at least 1."""
+    loads = rank_loads(layer, load)
+    mean = sum(loads) / len(loads)
+    return max(loads) / mean if mean > 0 else 1.0
+
+
+def map_skew(expert_map: ExpertMap, load: tuple[LayerLoad, ...]) -> float:
+    """Return the skew of a whole step.
+
+    Layers run one after another and each waits for its slowest rank, so a step takes
+    the sum of the layers' maxima; the mean is what it would take on even ranks.
+    """
+    slowest = 0.0
+    even = 0.0
+    for layer, layer_load in zip(expert_map.layers, load, strict=True):
+        loads = rank_loads(layer, layer_load)
+        slowest += max(loads)
+        even += sum(loads) / len(loads)
+    return slowest / even if even > 0 else 1.0
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/phases.py
@@ -0,0 +1,194 @@
+"""What a coordinator is doing: its phases, the events it takes, the orders it gives.
+
+Ranks are numbered from 0; tuples of answers are indexed by rank.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.expertmaps.protocol import Abort
+from kingcupwheel.expertmaps.protocol import Commit
+from kingcupwheel.expertmaps.protocol import Prepare
+from kingcupwheel.expertmaps.protocol import ReadState
+from kingcupwheel.expertmaps.protocol import Stage
+from kingcupwheel.expertmaps.protocol import Supersede
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.maps import ExpertMap
+    from kingcupwheel.expertmaps.maps import MapVersion
+    from kingcupwheel.expertmaps.protocol import AnyOrder
+    from kingcupwheel.expertmaps.protocol import AnyReply
+    from kingcupwheel.expertmaps.protocol import Held
+    from kingcupwheel.expertmaps.protocol import Schedule
+    from kingcupwheel.expertmaps.protocol import StateRead
+
+
+class LeaseTaken(NamedTuple):
+    """The process now holds the group's lease with ``fence``."""
+
+    fence: int
+    now: float
+
+
+class LeaseLost(NamedTuple):
+    """The lease is gone or may be."""
+
+
+class Proposed(NamedTuple):
+    """The planner wants ``map`` in force."""
+
+    map: ExpertMap
+    now: float
+
+
+class Replied(NamedTuple):
+    """The agent of ``rank`` passed on its answer."""
+
+    rank: int
+    reply: AnyReply
+    now: float
+
+
+class Ticked(NamedTuple):
+    """Time has passed; ``now`` is monotonic, in seconds."""
+
+    now: float
+
+
+Event = LeaseTaken | LeaseLost | Proposed | Replied | Ticked
+
+
+class Send(NamedTuple):
+    """Send ``order`` to the agent of ``rank``."""
+
+    rank: int
+    order: AnyOrder
+
+
+@dataclass(frozen=True)
+class Standby:
+    """Another process holds the lease."""
+
+
+@dataclass(frozen=True)
+class Surveying:
+    """Just took the lease: reads every rank before it holds any of them."""
+
+    round: int
+    answers: tuple[StateRead | None, ...]
+
+
+@dataclass(frozen=True)
+class Holding:
+    """Supersedes what a predecessor, or a change cut short, left open."""
+
+    version: MapVersion
+    answers: tuple[Held | None, ...]
+
+
+@dataclass(frozen=True)
+class Ready:
+    """All ranks have committed the same; they are read now and then."""
+
+    round: int
+    answers: tuple[StateRead | None, ...]
+
+
+@dataclass(frozen=True)
+class Staging:
+    """Ranks load the weights of the new map, each from its turn on.
+
+    ``due`` is when each rank's turn comes (monotonic), ``step`` the highest heard of.
+    """
+
+    version: MapVersion
+    map: ExpertMap
+    due: tuple[float, ...]
+    acked: frozenset[int]
+    step: int
+
+
+@dataclass(frozen=True)
+class Preparing:
+    """Waits for every rank to promise that it stops before ``step``."""
+
+    version: MapVersion
+    map: ExpertMap
+    step: int
+    acked: frozenset[int]
+
+
+@dataclass(frozen=True)
+class Committing:
+    """The outcome is decided; ``schedule`` is what each rank will have committed.
+
+    ``restated`` tells that it follows a hold, so that ranks have to be given it.
+    """
+
+    version: MapVersion
+    schedule: Schedule
+    restated: bool
+    acked: frozenset[int]
+
+
+@dataclass(frozen=True)
+class Aborting:
+    """Releases the ranks that may have prepared ``version``."""
+
+    version: MapVersion
+    acked: frozenset[int]
+
+
+Phase = (
+    Standby | Surveying | Holding | Ready | Staging | Preparing | Committing | Aborting
+)
+
+
+def label(phase: Phase) -> tuple[str, object]:
+    """Return what stays the same while ``phase`` only collects answers."""
+    name = type(phase).__name__
+    match phase:
+        case Standby():
+            return name, None
+        case Surveying(number, _) | Ready(number, _):
+            return name, number
+        case _:
+            return name, phase.version
+
+
+def answered(phase: Phase, rank: int) -> bool:
+    """Tell whether ``rank`` has answered what ``phase`` asks of it."""
+    match phase:
+        case Standby():
+            return True
+        case Surveying(_, answers) | Holding(_, answers) | Ready(_, answers):
+            return answers[rank] is not None
+        case _:
+            return rank in phase.acked
+
+
+def order_of(phase: Phase, rank: int, now: float) -> AnyOrder | None:
+    """Return what ``rank`` still has to be told in ``phase``, if anything."""
+    if answered(phase, rank):
+        return None
+    match phase:
+        case Surveying(number, _):
+            return ReadState(number, whole=True)
+        case Ready(number, _):
+            return ReadState(number)
+        case Holding(version, _):
+            return Supersede(version)
+        case Staging(version, expert_map, due):
+            return Stage(version, expert_map) if now >= due[rank] else None
+        case Preparing(version, _, step):
+            return Prepare(version, step)
+        case Committing(version, schedule, restated):
+            return Commit(version, schedule if restated else None)
+        case Aborting(version):
+            return Abort(version)
+        case Standby():
+            return None
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/protocol.py
@@ -0,0 +1,210 @@
+"""Orders of a group's coordinator to its ranks, and the ranks' replies.
+
+``Stage`` loads weights, ``Prepare`` holds a rank before a step, ``Commit`` or ``Abort``
+ends that. ``Supersede`` is the prepare of a successor: it ends every lower version that
+the rank has not committed, holds the rank at once, and asks what it has committed.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.expertmaps.exceptions import BadOrder
+from kingcupwheel.expertmaps.maps import NO_VERSION
+from kingcupwheel.expertmaps.maps import ExpertMap
+from kingcupwheel.expertmaps.maps import MapVersion
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class NamedMap(msgspec.Struct, frozen=True, array_like=True):
+    """A map and the version it was first staged under, which identifies it."""
+
+    origin: MapVersion
+    map: ExpertMap
+
+
+class Schedule(msgspec.Struct, frozen=True, array_like=True):
+    """What a rank has committed: ``before`` up to ``from_step``, then ``after``."""
+
+    version: MapVersion
+    before: NamedMap
+    after: NamedMap
+    from_step: int
+
+    def map_at(self, step: int) -> NamedMap:
+        """Return the map in force in ``step``."""
+        return self.before if step < self.from_step else self.after
+
+
+class Order(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of all orders."""
+
+
+class Stage(Order, frozen=True):
+    """Load the weights that ``map`` needs on this rank."""
+
+    version: MapVersion
+    map: ExpertMap
+
+
+class Prepare(Order, frozen=True):
+    """Run no step from ``step`` on until this version is committed or aborted."""
+
+    version: MapVersion
+    step: int
+
+
+class Supersede(Order, frozen=True):
+    """End lower versions not committed, run no step, say what is committed."""
+
+    version: MapVersion
+
+
+class Commit(Order, frozen=True):
+    """Make the prepared version final.
+
+    ``schedule`` is given after ``Supersede`` and takes the place of the rank's own; a
+    rank that has restarted loads its weights by it.
+    """
+
+    version: MapVersion
+    schedule: Schedule | None
+
+
+class Abort(Order, frozen=True):
+    """Give the version up; also when its ``Prepare`` has not arrived yet."""
+
+    version: MapVersion
+
+
+class ReadState(Order, frozen=True):
+    """Ask for the rank's state, ``whole`` with its maps; ``round`` pairs the reply."""
+
+    round: int
+    whole: bool = False
+
+
+class RankStatus(msgspec.Struct, frozen=True, array_like=True):
+    """A rank's state: ``step`` is the next to run, ``held`` a version not yet ended.
+
+    ``committed`` is None for a rank that has restarted and was not told its map.
+    """
+
+    step: int
+    committed: MapVersion | None
+    from_step: int
+    held: MapVersion | None
+
+
+class Reply(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of all replies."""
+
+
+class Staged(Reply, frozen=True):
+    """The weights of ``version`` are loaded; ``step`` is the next to run."""
+
+    version: MapVersion
+    step: int
+
+
+class Prepared(Reply, frozen=True):
+    """The rank will not run the step until told."""
+
+    version: MapVersion
+
+
+class Held(Reply, frozen=True):
+    """Answers ``Supersede``; ``schedule`` is None for a rank that has restarted."""
+
+    version: MapVersion
+    schedule: Schedule | None
+
+
+class Committed(Reply, frozen=True):
+    """The version is final on this rank."""
+
+    version: MapVersion
+
+
+class Aborted(Reply, frozen=True):
+    """The version will never be prepared or committed on this rank."""
+
+    version: MapVersion
+
+
+class StateRead(Reply, frozen=True):
+    """Answers ``ReadState``; ``schedule`` only if it was asked for."""
+
+    round: int
+    status: RankStatus
+    schedule: Schedule | None = None
+
+
+class RefusalReason(StrEnum):
+    """Why an order changed nothing."""
+
+    STALE_FENCE = "stale-fence"
+    STALE_VERSION = "stale-version"
+    RESTARTED = "restarted"
+    NOT_STAGED = "not-staged"
+    STEP_PASSED = "step-passed"
+    EARLIER_CHANGE = "earlier-change"
+    NOT_PREPARED = "not-prepared"
+    ALREADY_COMMITTED = "already-committed"
+    ENGINE = "engine"
+
+
+class Refused(Reply, frozen=True):
+    """The order that named ``version`` changed nothing."""
+
+    version: MapVersion
+    reason: RefusalReason
+
+
+AnyOrder = Stage | Prepare | Supersede | Commit | Abort | ReadState
+AnyReply = Staged | Prepared | Held | Committed | Aborted | StateRead | Refused
+
+_ENCODER = msgspec.msgpack.Encoder()
+_ORDERS: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(AnyOrder)
+_REPLIES: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(AnyReply)
+
+
+def version_of(order: AnyOrder) -> MapVersion:
+    """Return the version that ``order`` names; ``ReadState`` names none."""
+    match order:
+        case ReadState():
+            return NO_VERSION
+        case _:
+            return order.version
+
+
+def encode(item: AnyOrder | AnyReply) -> bytes:
+    """Return an order or reply as msgpack."""
+    return _ENCODER.encode(item)
+
+
+def _decode(decode: Callable[[bytes], Any], data: bytes) -> Result[Any, BadOrder]:
+    try:
+        return Ok(decode(data))
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Error(BadOrder(str(error)))
+
+
+def decode_order(data: bytes) -> Result[AnyOrder, BadOrder]:
+    """Return the order in ``data``."""
+    return _decode(_ORDERS.decode, data)
+
+
+def decode_reply(data: bytes) -> Result[AnyReply, BadOrder]:
+    """Return the reply in ``data``."""
+    return _decode(_REPLIES.decode, data)
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/rank.py
@@ -0,0 +1,170 @@
+"""The rules that a rank of a lock-step group keeps, as pure functions.
+
+The stand-in ranks and the proofs run them; a real engine keeps the same ones behind its
+own protocol. Versions order all changes: a rank takes part only in a version higher
+than every one it has seen, which an engine that ignores fences does too.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from kingcupwheel.expertmaps.maps import NO_VERSION
+from kingcupwheel.expertmaps.maps import MapVersion
+from kingcupwheel.expertmaps.protocol import Abort
+from kingcupwheel.expertmaps.protocol import Aborted
+from kingcupwheel.expertmaps.protocol import AnyOrder
+from kingcupwheel.expertmaps.protocol import AnyReply
+from kingcupwheel.expertmaps.protocol import Commit
+from kingcupwheel.expertmaps.protocol import Committed
+from kingcupwheel.expertmaps.protocol import Held
+from kingcupwheel.expertmaps.protocol import NamedMap
+from kingcupwheel.expertmaps.protocol import Prepare
+from kingcupwheel.expertmaps.protocol import Prepared
+from kingcupwheel.expertmaps.protocol import RankStatus
+from kingcupwheel.expertmaps.protocol import ReadState
+from kingcupwheel.expertmaps.protocol import RefusalReason
+from kingcupwheel.expertmaps.protocol import Refused
+from kingcupwheel.expertmaps.protocol import Schedule
+from kingcupwheel.expertmaps.protocol import Stage
+from kingcupwheel.expertmaps.protocol import Staged
+from kingcupwheel.expertmaps.protocol import StateRead
+from kingcupwheel.expertmaps.protocol import Supersede
+
+
+class Hold(NamedTuple):
+    """A version neither committed nor aborted; no step from ``step`` on is run."""
+
+    version: MapVersion
+    step: int
+
+
+class RankState(NamedTuple):
+    """What a rank remembers; all but ``step`` is lost when it restarts.
+
+    ``step`` is the next to run, ``highest`` the highest version ever taken or aborted.
+    """
+
+    step: int = 0
+    schedule: Schedule | None = None
+    staged: NamedMap | None = None
+    hold: Hold | None = None
+    highest: MapVersion = NO_VERSION
+
+    @property
+    def may_run(self) -> bool:
+        """Whether the rank may run its next step."""
+        if self.schedule is None:
+            # A restarted rank would otherwise run on whatever map it starts with.
+            return False
+        return self.hold is None or self.step < self.hold.step
+
+    @property
+    def map_in_force(self) -> NamedMap | None:
+        """The map that the next step would use."""
+        return self.schedule.map_at(self.step) if self.schedule else None
+
+    @property
+    def status(self) -> RankStatus:
+        """The state as told to a coordinator."""
+        return RankStatus(
+            self.step,
+            self.schedule.version if self.schedule else None,
+            self.schedule.from_step if self.schedule else 0,
+            self.hold.version if self.hold else None,
+        )
+
+
+Applied = tuple[RankState, AnyReply]
+
+
+def apply_order(state: RankState, order: AnyOrder) -> Applied:
+    """Return the rank's state after ``order`` and its reply; orders are idempotent."""
+    match order:
+        case Stage():
+            return _stage(state, order)
+        case Prepare():
+            return _prepare(state, order)
+        case Supersede():
+            return _supersede(state, order)
+        case Commit():
+            return _commit(state, order)
+        case Abort():
+            return _abort(state, order)
+        case ReadState(number, whole):
+            schedule = state.schedule if whole else None
+            return state, StateRead(number, state.status, schedule)
+
+
+def _refuse(state: RankState, version: MapVersion, reason: RefusalReason) -> Applied:
+    return state, Refused(version, reason)
+
+
+def _stage(state: RankState, order: Stage) -> Applied:
+    if state.schedule is None:
+        return _refuse(state, order.version, RefusalReason.RESTARTED)
+    if state.staged is not None and order.version < state.staged.origin:
+        return _refuse(state, order.version, RefusalReason.STALE_VERSION)
+    staged = NamedMap(order.version, order.map)
+    return state._replace(staged=staged), Staged(order.version, state.step)
+
+
+def _prepare(state: RankState, order: Prepare) -> Applied:
+    version = order.version
+    if state.hold is not None and state.hold.version == version:
+        return state, Prepared(version)
+    if state.schedule is None:
+        return _refuse(state, version, RefusalReason.RESTARTED)
+    if version <= state.highest:
+        return _refuse(state, version, RefusalReason.STALE_VERSION)
+    if state.staged is None or state.staged.origin != version:
+        return _refuse(state, version, RefusalReason.NOT_STAGED)
+    if order.step < state.step:
+        return _refuse(state, version, RefusalReason.STEP_PASSED)
+    if state.step < state.schedule.from_step:
+        # A schedule holds two maps; a third must wait until the first is over.
+        return _refuse(state, version, RefusalReason.EARLIER_CHANGE)
+    held = state._replace(hold=Hold(version, order.step), highest=version)
+    return held, Prepared(version)
+
+
+def _supersede(state: RankState, order: Supersede) -> Applied:
+    version = order.version
+    answer = Held(version, state.schedule)
+    if state.hold is not None and state.hold.version == version:
+        return state, answer
+    if version <= state.highest:
+        return _refuse(state, version, RefusalReason.STALE_VERSION)
+    return state._replace(hold=Hold(version, 0), highest=version), answer
+
+
+def _commit(state: RankState, order: Commit) -> Applied:
+    version = order.version
+    if state.schedule is not None and state.schedule.version == version:
+        return state, Committed(version)
+    if state.hold is None or state.hold.version != version:
+        return _refuse(state, version, RefusalReason.NOT_PREPARED)
+    schedule = order.schedule or _own_schedule(state, version)
+    if schedule is None:
+        return _refuse(state, version, RefusalReason.NOT_STAGED)
+    return state._replace(schedule=schedule, hold=None), Committed(version)
+
+
+def _own_schedule(state: RankState, version: MapVersion) -> Schedule | None:
+    if state.schedule is None or state.hold is None:
+        return None
+    if state.staged is None or state.staged.origin != version:
+        return None
+    return Schedule(version, state.schedule.after, state.staged, state.hold.step)
+
+
+def _abort(state: RankState, order: Abort) -> Applied:
+    version = order.version
+    if state.schedule is not None and state.schedule.version == version:
+        return _refuse(state, version, RefusalReason.ALREADY_COMMITTED)
+    # Remembering the aborted version is what keeps a prepare that its abort overtook
+    # from holding this rank, and with it the group, for ever.
+    highest = max(state.highest, version)
+    held = state.hold is not None and state.hold.version == version
+    hold = None if held else state.hold
+    return state._replace(hold=hold, highest=highest), Aborted(version)
--- /dev/null
+++ b/tests/expertmaps/model.py
@@ -0,0 +1,217 @@
+"""A group of ranks, its agents, the network and coordinators, all in one value.
+
+Messages stay in the network once sent, so that each may be lost, late, repeated or
+overtaken. Attributes hold immutable values: a shallow copy is a snapshot.
+"""
+
+from __future__ import annotations
+
+import copy
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import TypeVar
+
+from kingcupwheel.expertmaps.coordinator import Coordinator
+from kingcupwheel.expertmaps.coordinator import CoordinatorTimings
+from kingcupwheel.expertmaps.maps import MapVersion
+from kingcupwheel.expertmaps.phases import LeaseTaken
+from kingcupwheel.expertmaps.phases import Proposed
+from kingcupwheel.expertmaps.phases import Replied
+from kingcupwheel.expertmaps.phases import Ticked
+from kingcupwheel.expertmaps.protocol import RefusalReason
+from kingcupwheel.expertmaps.protocol import Refused
+from kingcupwheel.expertmaps.protocol import version_of
+from kingcupwheel.expertmaps.rank import RankState
+from kingcupwheel.expertmaps.rank import apply_order
+from tests.expertmaps.builders import first_map
+from tests.expertmaps.builders import rotated
+from tests.expertmaps.builders import schedule
+
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+    from kingcupwheel.expertmaps.phases import Event
+    from kingcupwheel.expertmaps.protocol import AnyOrder
+    from kingcupwheel.expertmaps.protocol import AnyReply
+
+TIMINGS = CoordinatorTimings(repeat_s=0, poll_s=1, lead_s=0.004, prepare_s=1, stage_s=1)
+FIRST = MapVersion(1, 1)
+
+
+class OrderSent(NamedTuple):
+    coordinator: int
+    rank: int
+    fence: int
+    order: AnyOrder
+
+
+class ReplySent(NamedTuple):
+    coordinator: int
+    rank: int
+    fence: int
+    reply: AnyReply
+
+
+class Run(NamedTuple):
+    """A rank ran ``step`` in a life of its group, which ends when a rank restarts."""
+
+    life: int
+    step: int
+    map: MapVersion
+
+
+class GroupModel:
+    def __init__(
+        self,
+        *,
+        ranks: int = 2,
+        ignore_fences: bool = True,
+        kind: type[Coordinator] = Coordinator,
+    ) -> None:
+        self.initial = first_map(ranks)
+        self.other = rotated(self.initial)
+        self.ignore_fences = ignore_fences
+        self.kind = kind
+        known = RankState(schedule=schedule(FIRST, self.initial), highest=FIRST)
+        self.ranks = (known,) * ranks
+        self.guards = (1,) * ranks
+        self.engine_fences = (1,) * ranks
+        self.unapplied: tuple[tuple[OrderSent, ...], ...] = ((),) * ranks
+        self.orders: tuple[OrderSent, ...] = ()
+        self.replies: tuple[ReplySent, ...] = ()
+        self.coordinators: tuple[Coordinator, ...] = ()
+        self.lease = 1
+        self.life = 0
+        self.runs: frozenset[Run] = frozenset()
+
+    def copy(self) -> GroupModel:
+        new = object.__new__(GroupModel)
+        new.__dict__.update(self.__dict__)
+        return new
+
+    @property
+    def key(self) -> Hashable:
+        coordinators = tuple(
+            (c.fence, c.phase, c.schedule, c._version) for c in self.coordinators
+        )
+        return (
+            self.ranks,
+            self.guards,
+            self.engine_fences,
+            tuple(frozenset(orders) for orders in self.unapplied),
+            frozenset(self.orders),
+            frozenset(self.replies),
+            coordinators,
+            self.runs,
+        )
+
+    @property
+    def mixed(self) -> tuple[Run, Run] | None:
+        """Two runs of one step on different maps, if there are any."""
+        first_by_step: dict[tuple[int, int], Run] = {}
+        for run in self.runs:
+            first = first_by_step.setdefault((run.life, run.step), run)
+            if first.map != run.map:
+                return first, run
+        return None
+
+    def take_over(self, now: float = 0) -> None:
+        """A new coordinator takes the lease; the old one goes on unaware."""
+        self.lease += 1
+        new = self.kind(ranks=len(self.ranks), initial=self.initial, timings=TIMINGS)
+        self.coordinators = (*self.coordinators, new)
+        self.coordinate(len(self.coordinators) - 1, LeaseTaken(self.lease, now))
+
+    def coordinate(self, number: int, event: Event) -> None:
+        coordinator = copy.copy(self.coordinators[number])
+        sends = coordinator.step(event)
+        self.coordinators = _put(self.coordinators, number, coordinator)
+        for send in sends:
+            sent = OrderSent(number, send.rank, coordinator.fence, send.order)
+            self.orders = _add(self.orders, sent)
+
+    def propose(self, number: int, now: float = 0) -> None:
+        current = self.coordinators[number].schedule
+        wanted = self.initial
+        if current is not None and current.after.map == self.initial:
+            wanted = self.other
+        self.coordinate(number, Proposed(wanted, now))
+
+    def tick(self, number: int, now: float) -> None:
+        self.coordinate(number, Ticked(now))
+
+    def hear(self, sent: ReplySent, now: float = 0) -> None:
+        if self.coordinators[sent.coordinator].fence == sent.fence:
+            self.coordinate(sent.coordinator, Replied(sent.rank, sent.reply, now))
+
+    def pass_on(self, sent: OrderSent) -> None:
+        """The agent lets the order through; the engine has yet to take it."""
+        rank = sent.rank
+        if sent.fence < self.guards[rank]:
+            self._answer(sent, Refused(version_of(sent.order), _STALE))
+            return
+        self.guards = _put(self.guards, rank, sent.fence)
+        unapplied = _add(self.unapplied[rank], sent)
+        self.unapplied = _put(self.unapplied, rank, unapplied)
+
+    def apply(self, sent: OrderSent, *, answered: bool = True) -> None:
+        """The engine takes an order; the reply is lost if the agent has gone."""
+        rank = sent.rank
+        unapplied = tuple(item for item in self.unapplied[rank] if item != sent)
+        self.unapplied = _put(self.unapplied, rank, unapplied)
+        if not self.ignore_fences and sent.fence < self.engine_fences[rank]:
+            return
+        self.engine_fences = _put(self.engine_fences, rank, sent.fence)
+        state, reply = apply_order(self.ranks[rank], sent.order)
+        self.ranks = _put(self.ranks, rank, state)
+        if answered:
+            self._answer(sent, reply)
+
+    def deliver(self, sent: OrderSent) -> None:
+        """Agent and engine take the order and answer."""
+        self.pass_on(sent)
+        if sent in self.unapplied[sent.rank]:
+            self.apply(sent)
+
+    def restart_agent(self, rank: int) -> None:
+        """The agent learns its fence from the lease; what it passed on stays there."""
+        self.guards = _put(self.guards, rank, self.lease)
+
+    def restart_rank(self, rank: int) -> None:
+        """The group forms anew and repeats the step that not all ranks had run.
+
+        What was on its way to the old engine process died with its connections.
+        """
+        self.life += 1
+        step = min(state.step for state in self.ranks)
+        ranks = tuple(state._replace(step=step) for state in self.ranks)
+        self.ranks = _put(ranks, rank, RankState(step=step))
+        self.unapplied = _put(self.unapplied, rank, ())
+        self.engine_fences = _put(self.engine_fences, rank, 0)
+
+    def can_run(self, rank: int) -> bool:
+        state = self.ranks[rank]
+        return state.may_run and state.step == min(s.step for s in self.ranks)
+
+    def run_step(self, rank: int) -> None:
+        state = self.ranks[rank]
+        assert state.map_in_force is not None
+        self.runs |= {Run(self.life, state.step, state.map_in_force.origin)}
+        self.ranks = _put(self.ranks, rank, state._replace(step=state.step + 1))
+
+    def _answer(self, sent: OrderSent, reply: AnyReply) -> None:
+        answer = ReplySent(sent.coordinator, sent.rank, sent.fence, reply)
+        self.replies = _add(self.replies, answer)
+
+
+T = TypeVar("T")
+_STALE = RefusalReason.STALE_FENCE
+
+
+def _put(items: tuple[T, ...], index: int, item: T) -> tuple[T, ...]:
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def _add(items: tuple[T, ...], item: T) -> tuple[T, ...]:
+    return items if item in items else (*items, item)
--- /dev/null
+++ b/tests/expertmaps/naive.py
@@ -0,0 +1,39 @@
+"""The successor that was ruled out: it reads the states, then commits or aborts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from kingcupwheel.expertmaps.conclusions import put
+from kingcupwheel.expertmaps.coordinator import Coordinator
+from kingcupwheel.expertmaps.phases import Aborting
+from kingcupwheel.expertmaps.phases import Committing
+from kingcupwheel.expertmaps.protocol import NamedMap
+from kingcupwheel.expertmaps.protocol import Schedule
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.phases import Phase
+    from kingcupwheel.expertmaps.phases import Surveying
+    from kingcupwheel.expertmaps.protocol import StateRead
+
+
+class NaiveCoordinator(Coordinator):
+    def _surveyed(self, phase: Surveying, rank: int, reply: StateRead) -> Phase:
+        answers = put(phase.answers, rank, reply)
+        if None in answers:
+            return replace(phase, answers=answers)
+        known = [answer for answer in answers if answer is not None]
+        held = {answer.status.held for answer in known}
+        committed = {answer.status.committed for answer in known}
+        self._schedule = known[0].schedule
+        open_versions = sorted(version for version in held if version is not None)
+        if not open_versions or self._schedule is None:
+            return self._ready()
+        version = open_versions[-1]
+        if version not in committed:
+            return Aborting(version, frozenset())
+        after = NamedMap(version, self._schedule.after.map)
+        schedule = Schedule(version, self._schedule.before, after, 0)
+        return Committing(version, schedule, False, frozenset())
--- /dev/null
+++ b/tests/expertmaps/test_takeover.py
@@ -0,0 +1,141 @@
+from __future__ import annotations
+
+import pytest
+
+from kingcupwheel.expertmaps.coordinator import Coordinator
+from kingcupwheel.expertmaps.phases import Ready
+from kingcupwheel.expertmaps.protocol import Abort
+from kingcupwheel.expertmaps.protocol import Commit
+from kingcupwheel.expertmaps.protocol import Prepare
+from tests.expertmaps.model import GroupModel
+from tests.expertmaps.model import OrderSent
+from tests.expertmaps.naive import NaiveCoordinator
+
+
+def exchange(model: GroupModel, number: int, *, skip: frozenset[OrderSent]) -> None:
+    """Deliver all but ``skip``, and the replies, until nothing new is said."""
+    while True:
+        before = model.key
+        for order in model.orders:
+            if order.coordinator == number and order not in skip:
+                model.deliver(order)
+        for reply in model.replies:
+            if reply.coordinator == number:
+                model.hear(reply)
+        if model.key == before:
+            return
+
+
+def prepared_everywhere(kind: type[Coordinator]) -> tuple[GroupModel, OrderSent]:
+    """Both ranks prepared; the commit to rank 0 is with its engine, not yet taken."""
+    model = GroupModel(kind=kind)
+    model.take_over()
+    exchange(model, 0, skip=frozenset())
+    model.propose(0)
+    while not any(isinstance(sent.order, Commit) for sent in model.orders):
+        for order in model.orders:
+            model.deliver(order)
+        for reply in model.replies:
+            model.hear(reply)
+    commit = next(
+        sent
+        for sent in model.orders
+        if isinstance(sent.order, Commit) and sent.rank == 0
+    )
+    model.pass_on(commit)
+    model.restart_agent(0)
+    return model, commit
+
+
+def run_on(model: GroupModel, steps: int) -> None:
+    for _ in range(steps):
+        for rank in range(len(model.ranks)):
+            if model.can_run(rank):
+                model.run_step(rank)
+
+
+def orphaned_commit_after_takeover(kind: type[Coordinator]) -> GroupModel:
+    model, orphan = prepared_everywhere(kind)
+    model.take_over()
+    old = frozenset(sent for sent in model.orders if sent.coordinator == 0)
+    for sent in model.orders:
+        if sent not in old:
+            model.deliver(sent)
+    for reply in [reply for reply in model.replies if reply.coordinator == 1]:
+        model.hear(reply)
+    model.apply(orphan, answered=False)
+    exchange(model, 1, skip=old)
+    run_on(model, 4)
+    return model
+
+
+def test_a_commit_that_takes_effect_after_the_takeover_does_not_mix_maps() -> None:
+    """Callers see one slow step, never an answer computed on two maps.
+
+    All ranks have prepared; the coordinator commits and dies. The agent of rank 0
+    passes the commit on and restarts before the engine takes it. The successor reads
+    "prepared" everywhere. Then the orphaned commit takes effect. The successor has
+    superseded the version on all ranks, so it learns of the commit or annuls it.
+    """
+    model = orphaned_commit_after_takeover(Coordinator)
+
+    assert model.mixed is None
+    assert isinstance(model.coordinators[1].phase, Ready)
+    assert min(state.step for state in model.ranks) == 4
+
+
+def test_the_same_trace_mixes_maps_under_a_successor_that_reads_and_decides() -> None:
+    """The trace is a real test: the design that was ruled out fails it."""
+    model = orphaned_commit_after_takeover(NaiveCoordinator)
+
+    assert model.mixed is not None
+
+
+def test_an_abort_that_overtakes_its_prepare_leaves_no_rank_held() -> None:
+    """Callers would see a group that stands still for ever.
+
+    Rank 1 stays silent, so the change is aborted; at rank 0 the abort arrives first and
+    the prepare after it. The rank remembers the abort and refuses the prepare.
+    """
+    model = GroupModel()
+    model.take_over()
+    exchange(model, 0, skip=frozenset())
+    model.propose(0)
+    while not any(isinstance(sent.order, Prepare) for sent in model.orders):
+        for order in model.orders:
+            model.deliver(order)
+        for reply in model.replies:
+            model.hear(reply)
+    model.tick(0, 10)
+    orders = {
+        type(sent.order): sent
+        for sent in model.orders
+        if sent.rank == 0 and isinstance(sent.order, Abort | Prepare)
+    }
+
+    model.deliver(orders[Abort])
+    model.deliver(orders[Prepare])
+
+    assert model.ranks[0].hold is None
+    run_on(model, 3)
+    assert model.ranks[0].step == 3
+
+
+@pytest.mark.parametrize("restarted", [0, 1])
+def test_a_rank_that_restarts_runs_no_step_until_it_is_told_its_map(
+    restarted: int,
+) -> None:
+    """The group waits for the rank; no step is run on the map a rank starts with.
+
+    The rank restarts between prepare and commit, so it refuses the commit. The
+    coordinator holds all ranks, learns what they have committed and tells it.
+    """
+    model, _ = prepared_everywhere(Coordinator)
+    model.restart_rank(restarted)
+    assert not model.can_run(restarted)
+
+    exchange(model, 0, skip=frozenset())
+    run_on(model, 4)
+
+    assert model.mixed is None
+    assert min(state.step for state in model.ranks) == 4
