--- a/src/kingcupwheel/agent/handler.py
+++ b/src/kingcupwheel/agent/handler.py
@@ -138,10 +138,11 @@
         with self._runner.lock:
             reason = self._runner.runs.refused(name)
             incarnation = self._runner.runs.incarnation
+            cancelled = self._runner.runs.is_cancelled(name)
         if reason is not None:
             self._send(link, NotRun(*name, reason))
         else:
-            self._send(link, Unseen(*name, incarnation))
+            self._send(link, Unseen(*name, incarnation, cancelled))
 
     def _known_key(self, name: AttemptKey, claim_id: str | None) -> AttemptKey:
         if claim_id is None or self._store.knows(name):
--- a/src/kingcupwheel/agent/runs.py
+++ b/src/kingcupwheel/agent/runs.py
@@ -115,6 +115,10 @@
         """Return why the attempt was refused, or None if it was not."""
         return self._tombstones.get(key)
 
+    def is_cancelled(self, key: AttemptKey) -> bool:
+        """Return whether a cancel of an attempt never seen is noted."""
+        return self._cancelled.get(key) is not None
+
     def dispatch(self, dispatch: Dispatch, *, now: float) -> Decision:
         """Decide about one dispatch; a refusal holds for all its copies."""
         self._forget(now)
--- a/src/kingcupwheel/entry/answering.py
+++ b/src/kingcupwheel/entry/answering.py
@@ -37,6 +37,7 @@
 # is no limit on the whole: an agent that says ``Running`` is alive, however slow.
 _WAIT_S = 1.0
 _EVENT_STREAM = "text/event-stream"
+_LEFT = Ended(Outcome.UNKNOWN, "the caller left")
 _DEFAULT_BYTES_PER_TOKEN = 4.0
 
 
@@ -160,7 +161,7 @@
         if self._plan.request.route.repeatable:
             self._reader.cancel()
         self._record(CallerLeft(self._reader.offset))
-        self._finish(Ended(Outcome.UNKNOWN, "the caller left"))
+        self._finish(_LEFT)
 
     def _finish(self, ended: Ended) -> None:
         request = self._plan.request
@@ -180,6 +181,7 @@
             status=self._status,
             first_byte_s=self._first_byte_s,
             gaps_s=self._gaps_s,
+            caller_left=ended is _LEFT,
         )
 
     def _judge_server(self, ended: Ended) -> None:
--- a/src/kingcupwheel/entry/attempting.py
+++ b/src/kingcupwheel/entry/attempting.py
@@ -138,6 +138,7 @@
             traced_as=request.request_id,
             server=place.server,
             claim_id=None if held is None else held.claim_id,
+            quiet_s=context.settings.timings.silence_s,
         )
 
     def _record(self, event: Queued | Placed | Dispatched) -> None:
--- a/src/kingcupwheel/entry/daemon.py
+++ b/src/kingcupwheel/entry/daemon.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import logging
+import time
 from threading import Event
 from time import monotonic
 from typing import TYPE_CHECKING
 
+from kingcupwheel.burn.counter import BurnCounter
+from kingcupwheel.burn.goals import BurnGoals
 from kingcupwheel.claims.store import ClaimStore
 from kingcupwheel.entry.application import Application
 from kingcupwheel.entry.callers import CallerPages
@@ -18,16 +21,20 @@
 from kingcupwheel.entry.inbox import Inboxes
 from kingcupwheel.entry.limits import Limits
 from kingcupwheel.entry.membership import Membership
-from kingcupwheel.entry.observing import NoObserver
+from kingcupwheel.entry.observing import Observer
 from kingcupwheel.entry.peers import PeerFetcher
 from kingcupwheel.entry.servers import ServerTable
 from kingcupwheel.link.hub import Hub
 from kingcupwheel.link.links import Outgoing
 from kingcupwheel.manifest.keeper import ManifestKeeper
+from kingcupwheel.manifest.schema import Goals
+from kingcupwheel.manifest.schema import Retention
 from kingcupwheel.messages.membership import InstancesWanted
+from kingcupwheel.metrics.client import Metrics
 from kingcupwheel.plugins.kernel import load_builtin
 from kingcupwheel.plugins.kernel import platform_clients
 from kingcupwheel.trace.recorder import Recorder
+from kingcupwheel.trace.shipper import BatchShipper
 
 
 if TYPE_CHECKING:
@@ -40,6 +47,7 @@
 
 # How often a stopping entry looks whether the requests in progress have ended.
 _DRAIN_CHECK_S = 0.1
+_HOUR_S = 3600.0
 
 
 class EntryDaemon:
@@ -51,6 +59,17 @@
         self._leaving = Event()
         client = platform_clients.get(settings.platform.client)(settings.platform)
         self._recorder = Recorder(settings.name, limit=settings.entry.traces)
+        self._burn = BurnCounter(
+            settings.name, BurnGoals(0, Goals(), {}, {}), now=time.time()
+        )
+        self._metrics = Metrics(settings.statsd, process=settings.name)
+        self._observer = Observer(self._burn, self._metrics)
+        self._shipper = BatchShipper(
+            self._recorder,
+            client,
+            period_s=settings.timings.trace_batch_s,
+            retention_s=self._trace_retention_s,
+        )
         self._hub = Hub(
             listen=settings.listen, on_message=self._on_message, on_tick=self._on_tick
         )
@@ -64,7 +83,7 @@
             limits=Limits(lambda one: self._membership.share_of(one, monotonic())),
             claims=ClaimStore(client),
             recorder=self._recorder,
-            observer=NoObserver(),
+            observer=self._observer,
             leaving=self._leaving,
         )
         fetcher = PeerFetcher(self._hub)
@@ -77,7 +96,9 @@
         self._membership = Membership(
             settings, client, servers, self._hub, ask_seeds=self._ask_seeds
         )
-        self._handler = Handler(self._context, self._membership, self._keeper, fetcher)
+        self._handler = Handler(
+            self._context, self._membership, self._keeper, fetcher, self._burn
+        )
         # Callers keep an answer for less than a leaving entry goes on accepting.
         pages = CallerPages(
             self._recorder, self._membership, keep_s=settings.timings.leave_s / 2
@@ -103,6 +124,7 @@
         self._hub.start()
         self._keeper.start()
         self._membership.start()
+        self._shipper.start()
         self._http.start()
         logger.info("Serving callers on port %d.", self.port)
 
@@ -121,7 +143,9 @@
         self._http.stop()
         self._membership.stop()
         self._keeper.stop()
+        self._shipper.stop()
         self._hub.stop()
+        self._metrics.close()
         logger.info("Stopped.")
 
     def _wait_for_callers(self) -> None:
@@ -138,6 +162,12 @@
     def _on_manifest(self, in_force: InForce) -> None:
         logger.info("Manifest version %d is in force.", in_force.version)
         self._context.limits.renew_shares()
+        self._observer.adopt(in_force)
+
+    def _trace_retention_s(self) -> float:
+        in_force = self._keeper.current
+        retention = Retention() if in_force is None else in_force.retention
+        return retention.traces_h * _HOUR_S
 
     def _ask_seeds(self) -> None:
         for address in self._settings.seeds:
--- a/src/kingcupwheel/entry/following.py
+++ b/src/kingcupwheel/entry/following.py
@@ -61,9 +61,13 @@
 
 
 class NeverSeen(NamedTuple):
-    """The agent's life ``incarnation`` never saw the attempt."""
+    """The agent's life ``incarnation`` never saw the attempt.
+
+    ``cancelled`` tells that it will not run there any more either.
+    """
 
     incarnation: str
+    cancelled: bool
 
 
 class ResumeAt(NamedTuple):
@@ -111,8 +115,8 @@
                 return self._on_end(length, outcome, detail)
             case NotRun(reason=reason):
                 return NotStarted(reason)
-            case Unseen(incarnation=incarnation):
-                return NeverSeen(incarnation)
+            case Unseen(incarnation=incarnation, cancelled=cancelled):
+                return NeverSeen(incarnation, cancelled)
         return Nothing()
 
     def link_replaced(self) -> ResumeAt:
--- a/src/kingcupwheel/entry/handling.py
+++ b/src/kingcupwheel/entry/handling.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,8 @@
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
 from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.messages.membership import StatusFound
+from kingcupwheel.messages.membership import StatusWanted
 from kingcupwheel.messages.runs import Accepted
 from kingcupwheel.messages.runs import Data
 from kingcupwheel.messages.runs import End
@@ -31,12 +34,13 @@
 from kingcupwheel.messages.runs import NotRun
 from kingcupwheel.messages.runs import Running
 from kingcupwheel.messages.runs import Unseen
-from kingcupwheel.messages.traces import TraceFound
+from kingcupwheel.messages.traces import BurnWanted
 from kingcupwheel.messages.traces import TraceWanted
 from kingcupwheel.platform.client import Instance
 
 
 if TYPE_CHECKING:
+    from kingcupwheel.burn.counter import BurnCounter
     from kingcupwheel.entry.context import EntryContext
     from kingcupwheel.entry.membership import Membership
     from kingcupwheel.entry.peers import PeerFetcher
@@ -57,11 +61,13 @@
         membership: Membership,
         keeper: ManifestKeeper,
         fetcher: PeerFetcher,
+        burn: BurnCounter,
     ) -> None:
         self._context = context
         self._membership = membership
         self._keeper = keeper
         self._fetcher = fetcher
+        self._burn = burn
         self._beat_at = 0.0
 
     def on_message(self, link: Link, message: Message) -> None:
@@ -101,7 +107,11 @@
             case ManifestObject():
                 self._fetcher.found(message)
             case TraceWanted(request_id):
-                send(link, self._trace_of(request_id))
+                send(link, self._context.recorder.found(request_id))
+            case BurnWanted():
+                send(link, self._burn.found(now=time.time()))
+            case StatusWanted():
+                send(link, self._status())
             case InstancesWanted():
                 send(link, self._instances())
             case InstancesFound(instances):
@@ -136,10 +146,15 @@
         infos = tuple(InstanceInfo(*one) for one in self._membership.instances)
         return InstancesFound(infos)
 
-    def _trace_of(self, request_id: str) -> TraceFound:
-        events = self._context.recorder.events(request_id)
-        name = self._context.settings.name
-        return TraceFound(request_id, name, msgspec.msgpack.encode(events), True)
+    def _status(self) -> StatusFound:
+        settings = self._context.settings
+        return StatusFound(
+            settings.name,
+            settings.role.value,
+            settings.data_centre,
+            self._keeper.version,
+            self._context.leaving.is_set(),
+        )
 
     def on_tick(self, now: float) -> None:
         """Look for silent links; send heartbeats when it is time."""
@@ -177,9 +192,7 @@
 
     def _send_beats(self) -> None:
         context = self._context
-        in_force = self._keeper.current
-        version = 0 if in_force is None else in_force.version
-        digest = "" if in_force is None else in_force.digest
+        version, digest = self._keeper.version, self._keeper.digest
         leaving = context.leaving.is_set()
         name, data_centre = context.settings.name, context.settings.data_centre
         hello = Hello(name, data_centre, version, digest, leaving)
--- a/src/kingcupwheel/entry/joining.py
+++ b/src/kingcupwheel/entry/joining.py
@@ -166,10 +166,11 @@
             traced_as=self._request.request_id,
             server=held.record.agent,
             claim_id=held.claim_id,
+            quiet_s=self._context.settings.timings.silence_s,
         )
         step = self._ask(reader)
         match step:
-            case NeverSeen(incarnation) if incarnation == held.record.incarnation:
+            case NeverSeen(incarnation, _) if incarnation == held.record.incarnation:
                 found = self._take_over(held, inbox)
             case NeverSeen():
                 found = self._lost(held, "the agent restarted after the claim")
--- a/src/kingcupwheel/entry/observing.py
+++ b/src/kingcupwheel/entry/observing.py
@@ -2,23 +2,56 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
-from typing import Protocol
+
+from kingcupwheel.burn.goals import BurnGoals
+from kingcupwheel.burn.goals import route_name
+from kingcupwheel.burn.observed import Observed
+from kingcupwheel.metrics.names import Count
+from kingcupwheel.metrics.names import Duration
 
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from kingcupwheel.burn.counter import BurnCounter
     from kingcupwheel.entry.refusals import Refusal
     from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.manifest.inforce import InForce
     from kingcupwheel.messages.runs import Outcome
+    from kingcupwheel.metrics.client import Metrics
+
+_CALLER_LEFT = "caller-left"
 
 
-class Observer(Protocol):
+class Observer:
     """Counts final outcomes; called on request threads, never blocks."""
 
+    def __init__(self, burn: BurnCounter, metrics: Metrics) -> None:
+        self._burn = burn
+        self._metrics = metrics
+
+    def adopt(self, in_force: InForce) -> None:
+        """Hold requests to the goals of this manifest from now on."""
+        self._burn.adopt(burn_goals(in_force))
+        self._metrics.count(Count.MANIFESTS_ADOPTED)
+
     def refused(self, request: CallerRequest, refusal: Refusal) -> None:
         """Count a request that got no answer of a backend server."""
+        self._metrics.count(Count.REFUSALS, by=refusal.limit)
+        self._observe(
+            Observed(
+                organisation=request.organisation.name,
+                route=route_name(request.route),
+                group=request.group.name,
+                server="",
+                outcome=refusal.outcome,
+                status=refusal.status,
+                reason=refusal.limit,
+                caller_left=refusal.limit == _CALLER_LEFT,
+            )
+        )
 
     def answered(
         self,
@@ -29,24 +62,40 @@
         status: int,
         first_byte_s: float | None,
         gaps_s: Sequence[float],
+        caller_left: bool,
     ) -> None:
         """Count an answer; ``gaps_s`` are the times between chunks in seconds."""
+        if first_byte_s is not None:
+            self._metrics.duration(Duration.FIRST_BYTE, first_byte_s)
+        self._observe(
+            Observed(
+                organisation=request.organisation.name,
+                route=route_name(request.route),
+                group=request.group.name,
+                server=server,
+                outcome=outcome,
+                status=status,
+                reason="answered",
+                first_byte_s=first_byte_s,
+                gaps_s=gaps_s,
+                caller_left=caller_left,
+            )
+        )
 
+    def _observe(self, observed: Observed) -> None:
+        self._metrics.count(Count.REQUESTS, by=observed.outcome.value)
+        if observed.caller_left:
+            self._metrics.count(Count.CALLERS_LEFT)
+        self._burn.observe(observed, now=time.time())
 
-class NoObserver:
-    """Counts nothing, for uses of the library without reports."""
 
-    def refused(self, request: CallerRequest, refusal: Refusal) -> None:
-        """Do nothing."""
-
-    def answered(
-        self,
-        request: CallerRequest,
-        *,
-        server: str,
-        outcome: Outcome,
-        status: int,
-        first_byte_s: float | None,
-        gaps_s: Sequence[float],
-    ) -> None:
-        """Do nothing."""
+def burn_goals(in_force: InForce) -> BurnGoals:
+    """Return the goals that the manifest in force sets."""
+    routes = in_force.assembly.core.routes
+    organisations = in_force.organisations_by_name.values()
+    return BurnGoals(
+        in_force.version,
+        in_force.goals,
+        {route_name(route): route.goals for route in routes if route.goals},
+        {item.name: item.goals for item in organisations if item.goals},
+    )
--- a/src/kingcupwheel/entry/reading.py
+++ b/src/kingcupwheel/entry/reading.py
@@ -48,6 +48,7 @@
         traced_as: str,
         server: str,
         claim_id: str | None,
+        quiet_s: float,
     ) -> None:
         self._inbox = inbox
         self._hub = hub
@@ -57,6 +58,8 @@
         self._claim_id = claim_id
         self._following = Following()
         self._acked = 0
+        self._quiet_s = quiet_s
+        self._heard_at = monotonic()
 
     @property
     def inbox(self) -> Inbox:
@@ -78,10 +81,28 @@
         until = monotonic() + timeout_s
         while True:
             item = self._inbox.get(until - monotonic())
+            self._resume_if_quiet(item)
             step = self._step(item)
             if not isinstance(step, Nothing):
                 return step
 
+    def _resume_if_quiet(
+        self, item: Message | LinkReplaced | AgentGone | Elapsed
+    ) -> None:
+        """Ask again where the agent has lost the way to this reader.
+
+        A connection that broke is made anew below this process, and heartbeats come
+        again, but the agent still sends the answer to the old one. Symptom: a link that
+        is alive and an attempt of which nothing is heard, not even ``Running``. Asking
+        again gives the agent the new way; asking needlessly does no harm.
+        """
+        now = monotonic()
+        if not isinstance(item, Elapsed):
+            self._heard_at = now
+        elif now - self._heard_at > self._quiet_s:
+            self._heard_at = now
+            self.resume(why="nothing was heard of it")
+
     def _step(
         self, item: Message | LinkReplaced | AgentGone | Elapsed
     ) -> Step | Elapsed:
--- a/src/kingcupwheel/entry/running.py
+++ b/src/kingcupwheel/entry/running.py
@@ -180,12 +180,15 @@
             match step:
                 case HeadKnown() | Ended() | NotStarted():
                     return step
-                case NeverSeen(incarnation):
+                case NeverSeen(incarnation, cancelled):
                     if incarnation != reader.inbox.incarnation:
                         return Ended(Outcome.UNKNOWN, "the agent restarted")
+                    if cancelled:
+                        return NotStarted(AgentRefusal.CANCELLED)
                     # The dispatch was lost, or is still on its way over an old link.
-                    # Cancelling leaves a tombstone, and the answer is a true NotRun.
+                    # Cancelling leaves a tombstone; asking again tells that it stands.
                     reader.cancel()
+                    reader.resume(why="the dispatch did not arrive")
                 case Started(now_running):
                     running = running or now_running
                     self._note_started(reader, now_running)
--- a/src/kingcupwheel/messages/runs.py
+++ b/src/kingcupwheel/messages/runs.py
@@ -191,8 +191,13 @@
 
 
 class Unseen(Message, frozen=True):
-    """Agent to entry: answers ``Resume``; this agent's life never saw the attempt."""
+    """Agent to entry: answers ``Resume``; this agent's life never saw the attempt.
+
+    ``cancelled`` tells that a ``Cancel`` was noted, so that a dispatch that comes
+    later is refused.
+    """
 
     request_id: str
     attempt: int
     incarnation: str
+    cancelled: bool
