--- a/src/kingcupwheel/messages/codec.py
+++ b/src/kingcupwheel/messages/codec.py
@@ -15,9 +15,13 @@
 from kingcupwheel.messages.expertmaps import MapReply
 from kingcupwheel.messages.membership import Beat
 from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.membership import InstancesFound
+from kingcupwheel.messages.membership import InstancesWanted
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
 from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.messages.membership import StatusFound
+from kingcupwheel.messages.membership import StatusWanted
 from kingcupwheel.messages.runs import Accepted
 from kingcupwheel.messages.runs import Ack
 from kingcupwheel.messages.runs import Cancel
@@ -31,6 +35,8 @@
 from kingcupwheel.messages.runs import Resume
 from kingcupwheel.messages.runs import Running
 from kingcupwheel.messages.runs import Unseen
+from kingcupwheel.messages.traces import BurnFound
+from kingcupwheel.messages.traces import BurnWanted
 from kingcupwheel.messages.traces import TraceFound
 from kingcupwheel.messages.traces import TraceWanted
 from kingcupwheel.plugins.kernel import codecs
@@ -59,8 +65,14 @@
     | PeerBeat
     | ManifestWanted
     | ManifestObject
+    | InstancesWanted
+    | InstancesFound
+    | StatusWanted
+    | StatusFound
     | TraceWanted
     | TraceFound
+    | BurnWanted
+    | BurnFound
     | MapOrder
     | MapReply
 )
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -80,3 +80,44 @@
     key: str
     version: int
     value: bytes | None
+
+
+class InstanceInfo(Message, frozen=True):
+    """One instance of the platform's list, as one entry tells another."""
+
+    name: str
+    role: str
+    group: str
+    data_centre: str
+    address: str
+    http: str
+    leaving: bool
+
+
+class InstancesWanted(Message, frozen=True):
+    """Entry to peer: which instances do you know? Asked when the platform is down."""
+
+    name: str
+
+
+class InstancesFound(Message, frozen=True):
+    """Answers ``InstancesWanted``."""
+
+    instances: tuple[InstanceInfo, ...]
+
+
+class StatusWanted(Message, frozen=True):
+    """To an entry or agent: say how you are."""
+
+
+class StatusFound(Message, frozen=True):
+    """Answers ``StatusWanted``; ``role`` is ``entry`` or ``agent``.
+
+    ``manifest_version`` is the version in force there, 0 before the first one.
+    """
+
+    name: str
+    role: str
+    data_centre: str
+    manifest_version: int
+    leaving: bool
