--- a/src/kingcupwheel/agent/answers.py
+++ b/src/kingcupwheel/agent/answers.py
@@ -55,14 +55,14 @@
         """Tell how it ended, without bytes.
 
         An entry that has fewer than ``length`` bytes knows by it that it lacks some, so
-        a freed answer never looks whole.
+        a freed answer never looks whole. It gets no head then: it can still refuse
+        instead of beginning an answer that it can't complete.
         """
         end = self.end
-        detail = end.detail if offset == end.length else NOT_HELD
-        messages: list[Message] = []
-        if self.head is not None:
-            messages.append(Head(*name, *self.head))
-        return [*messages, end.message(name, detail)]
+        if offset != end.length:
+            return [end.message(name, NOT_HELD)]
+        head = [] if self.head is None else [Head(*name, *self.head)]
+        return [*head, end.message(name, end.detail)]
 
 
 @dataclass(slots=True)
--- a/src/kingcupwheel/agent/peers.py
+++ b/src/kingcupwheel/agent/peers.py
@@ -27,6 +27,7 @@
         self._hello_s = hello_s
         self._gone_s = gone_s
         self._by_link: dict[Link, _Peer] = {}
+        self._looked_at: float | None = None
 
     def heard(self, link: Link, *, now: float) -> None:
         """Record a message on the link."""
@@ -60,7 +61,14 @@
         ]
 
     def drop_silent(self, *, now: float) -> list[Link]:
-        """Forget and return the links that were silent for too long."""
+        """Forget and return the links that were silent for too long.
+
+        Called about every heartbeat. When this process itself was paused, every link
+        seems silent at once, though their messages only wait to be read. The time not
+        lived is added to each last sign of life; otherwise the agent would wake and
+        cancel everything that runs for callers who are still there.
+        """
+        self._forgive_own_pause(now)
         silent = [
             link
             for link, peer in self._by_link.items()
@@ -69,3 +77,11 @@
         for link in silent:
             del self._by_link[link]
         return silent
+
+    def _forgive_own_pause(self, now: float) -> None:
+        last, self._looked_at = self._looked_at, now
+        if last is None or now - last <= self._hello_s:
+            return
+        for link, peer in self._by_link.items():
+            heard_at = peer.heard_at + (now - last)
+            self._by_link[link] = peer._replace(heard_at=min(now, heard_at))
--- a/src/kingcupwheel/agent/runs.py
+++ b/src/kingcupwheel/agent/runs.py
@@ -35,7 +35,8 @@
 _MEMORY_PER_TOKEN_LIFE = 2.0
 # What ran is remembered for longer. A stale copy of it must not be told ``not-run``; a
 # dispatch whose token is older than this memory may be one, and is told ``unknown``.
-_MEMORY_S = 120.0
+# An entry that was paused for less than this still learns how its attempts ended.
+_MEMORY_S = 600.0
 _NO_ATTEMPT = AttemptKey("", 0)
 
 
--- /dev/null
+++ b/tests/agent/test_peers.py
@@ -0,0 +1,46 @@
+from __future__ import annotations
+
+from kingcupwheel.agent.peers import Peers
+from kingcupwheel.link.links import Incoming
+
+
+FIRST, SECOND = Incoming(b"1"), Incoming(b"2")
+
+
+def test_heartbeats_go_to_links_that_said_hello_of_late() -> None:
+    peers = Peers(hello_s=5.0, gone_s=20.0)
+    peers.hello(FIRST, "entry-1", now=0.0)
+    peers.heard(SECOND, now=0.0)
+
+    assert peers.listening(now=5.0) == [FIRST]
+    assert peers.listening(now=5.1) == []
+
+
+def test_a_new_link_of_an_entry_replaces_its_older_ones_only() -> None:
+    peers = Peers(hello_s=5.0, gone_s=20.0)
+    peers.hello(FIRST, "entry-1", now=0.0)
+    peers.heard(SECOND, now=1.0)
+    assert peers.older_links(SECOND) == []
+
+    peers.hello(SECOND, "entry-1", now=1.0)
+    peers.hello(Incoming(b"3"), "entry-2", now=1.0)
+
+    assert peers.older_links(SECOND) == [FIRST]
+
+
+def test_a_pause_of_the_agent_itself_makes_no_entry_silent() -> None:
+    """The callers of everything that ran through the pause still get their answers.
+
+    The agent is paused for a minute. When it wakes, its clock says that no entry was
+    heard for long, but what they sent in the meantime is only waiting to be read.
+    """
+    peers = Peers(hello_s=5.0, gone_s=20.0)
+    peers.hello(FIRST, "entry-1", now=0.0)
+    assert peers.drop_silent(now=1.0) == []
+
+    assert peers.drop_silent(now=61.0) == []
+    peers.heard(FIRST, now=61.0)
+    silent = [peers.drop_silent(now=61.0 + second) for second in range(1, 25)]
+
+    assert [FIRST] in silent
+    assert silent.index([FIRST]) == 20
--- /dev/null
+++ b/tests/agent/test_store.py
@@ -0,0 +1,188 @@
+"""Buffered answers: what an entry puts together is whole or visibly short."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import hypothesis.strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from kingcupwheel.agent.adapters.cancellation import Cancellation
+from kingcupwheel.agent.answers import NOT_HELD
+from kingcupwheel.agent.answers import AnswerHead
+from kingcupwheel.agent.answers import Subscriber
+from kingcupwheel.agent.attempts import AttemptKey
+from kingcupwheel.agent.store import AnswerStore
+from kingcupwheel.link.links import Incoming
+from kingcupwheel.messages.runs import Data
+from kingcupwheel.messages.runs import End
+from kingcupwheel.messages.runs import Outcome
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+
+LIMIT = 1000
+KEY = AttemptKey("a", 1)
+HEAD = AnswerHead(200, ())
+
+
+class Reader:
+    """What an entry does: it takes the next offset only."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.body = b""
+        self.sent_until = 0
+        self.end: End | None = None
+
+    def take(self, message: Message) -> None:
+        match message:
+            case Data(offset=offset, data=data):
+                self.sent_until = max(self.sent_until, offset + len(data))
+                if offset == len(self.body):
+                    self.body += data
+            case End():
+                self.end = message
+
+    @property
+    def whole(self) -> bool:
+        ran = self.end is not None and self.end.outcome is Outcome.RAN
+        return ran and self.end is not None and self.end.length == len(self.body)
+
+
+class StoreMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.links = 0
+        self.lost = False
+        self.body = b""
+        self.ended = False
+        self.acked = 0
+        self.credit = 40
+        self.store = AnswerStore(limit_bytes=LIMIT, ended_s=60.0, send=self.deliver)
+        self.store.open(KEY, keep=False)
+        self.reader = Reader(self.new_link())
+        self.store.subscribe(KEY, self.subscriber(0))
+        self.store.head(KEY, HEAD)
+
+    def new_link(self) -> Link:
+        self.links += 1
+        return Incoming(b"%d" % self.links)
+
+    def subscriber(self, offset: int) -> Subscriber:
+        return Subscriber(KEY, self.reader.link, offset, offset, self.credit)
+
+    def deliver(self, link: Link, message: Message) -> None:
+        if link == self.reader.link and not self.lost:
+            self.reader.take(message)
+
+    @precondition(lambda self: not self.ended and len(self.body) < LIMIT // 8)
+    @rule(data=st.binary(min_size=1, max_size=30))
+    def append(self, data: bytes) -> None:
+        self.body += data
+        self.store.append(KEY, data, Cancellation())
+
+    @precondition(lambda self: not self.ended)
+    @rule()
+    def finish(self) -> None:
+        self.ended = True
+        self.store.finish(KEY, Outcome.RAN, "", now=0.0)
+
+    @rule()
+    def acknowledge(self) -> None:
+        self.acked = len(self.reader.body)
+        self.store.acknowledge(KEY, self.reader.link, self.acked)
+
+    @rule(lost=st.booleans())
+    def lose_frames(self, lost: bool) -> None:
+        self.lost = lost
+
+    @rule(credit=st.integers(1, 60))
+    def resume_on_a_new_link(self, credit: int) -> None:
+        older = self.reader.link
+        self.reader.link = self.new_link()
+        self.lost = False
+        self.credit = credit
+        self.acked = len(self.reader.body)
+        self.reader.sent_until = self.acked
+        known = self.store.subscribe(KEY, self.subscriber(self.acked), replaced=[older])
+        assert known
+
+    @invariant()
+    def the_answer_is_right_and_within_its_credit(self) -> None:
+        assert self.body.startswith(self.reader.body)
+        assert self.reader.sent_until <= self.acked + self.credit
+        if self.reader.whole:
+            assert self.ended
+            assert self.reader.body == self.body
+
+    def teardown(self) -> None:
+        if not self.ended:
+            self.finish()
+        self.resume_on_a_new_link(1)
+        for _ in range(len(self.body) + 1):
+            self.acknowledge()
+        assert self.reader.whole
+        assert self.store.held == 0
+        assert self.store.undelivered == 0
+
+
+TestStore = StoreMachine.TestCase
+
+
+def kept_answer(store: AnswerStore, name: str, size: int, *, ended_at: float) -> None:
+    key = AttemptKey(name, 1)
+    link = Incoming(name.encode())
+    store.open(key, keep=True)
+    store.subscribe(key, Subscriber(key, link, 0, 0, LIMIT))
+    store.append(key, b"x" * size, Cancellation())
+    store.finish(key, Outcome.RAN, "", now=ended_at)
+    store.acknowledge(key, link, size)
+
+
+def test_kept_answers_make_room_oldest_first_and_are_then_told_as_gone() -> None:
+    """The caller that sends its request again learns that the bytes are gone.
+
+    Answers of requests that may not be repeated are kept after they were delivered. A
+    new answer needs their memory; the oldest goes, the younger one is still whole.
+    """
+    sent: list[Message] = []
+    store = AnswerStore(
+        limit_bytes=LIMIT, ended_s=60.0, send=lambda _, message: sent.append(message)
+    )
+    kept_answer(store, "old", 240, ended_at=1.0)
+    kept_answer(store, "young", 240, ended_at=2.0)
+    assert store.held == 480
+
+    kept_answer(store, "newest", 240, ended_at=3.0)
+    kept_answer(store, "last", 240, ended_at=4.0)
+    kept_answer(store, "over", 240, ended_at=5.0)
+    sent.clear()
+    for name in ("old", "young"):
+        again = Subscriber(AttemptKey(name, 1), Incoming(b"again"), 0, 0, LIMIT)
+        assert store.subscribe(again.name, again)
+
+    assert store.held == 960
+    told = [message for message in sent if isinstance(message, End)]
+    assert [(end.request_id, end.length, end.detail) for end in told] == [
+        ("old", 240, NOT_HELD),
+        ("young", 240, ""),
+    ]
+    assert [m.request_id for m in sent if isinstance(m, Data)] == ["young"]
+
+
+def test_kept_answers_are_forgotten_after_their_time() -> None:
+    store = AnswerStore(limit_bytes=LIMIT, ended_s=60.0, send=lambda *_: None)
+    kept_answer(store, "a", 100, ended_at=0.0)
+
+    store.expire(now=3600.0)
+    assert store.held == 100
+    store.expire(now=3601.0)
+
+    assert store.held == 0
+    assert store.knows(AttemptKey("a", 1))
