--- a/tests/agent/processes.py
+++ b/tests/agent/processes.py
@@ -37,6 +37,10 @@
     def url(self) -> str:
         return f"http://{self.address}"
 
+    @property
+    def pid(self) -> int:
+        return self._popen.pid
+
     def signal(self, number: signal.Signals) -> None:
         self._popen.send_signal(number)
 
--- /dev/null
+++ b/tools/measure_agent.py
@@ -0,0 +1,134 @@
+"""Measures what an agent costs at several numbers of streams.
+
+``python -m tools.measure_agent [STREAMS ...]`` prints a table, by default for 0, 4, 8,
+16, 32 and 64 streams of one token each 32 ms, with the engine stand-in, the agent and
+the reading entry as processes on this machine. Processor time is the agent's alone.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import msgspec
+from tests.agent.builders import agent_settings
+from tests.agent.builders import completion
+from tests.agent.builders import dispatch_to
+from tests.agent.entry import Entry
+from tests.agent.processes import AgentProcess
+from tests.agent.processes import StandInProcess
+
+from kingcupwheel.messages.runs import Data
+from kingcupwheel.settings.schema import AgentLimits
+from kingcupwheel.settings.schema import ServerSettings
+from kingcupwheel.settings.schema import Timings
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.settings.schema import Settings
+
+DEFAULT_STREAMS = (0, 4, 8, 16, 32, 64)
+_STEP_MS = 32
+_MEASURED_S = 10.0
+_SETTLE_S = 2.0
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class Usage(NamedTuple):
+    """A process's processor time in seconds and resident memory in bytes."""
+
+    cpu_s: float
+    memory_bytes: int
+
+
+class Cost(NamedTuple):
+    """What was seen in the measured time."""
+
+    streams: int
+    frames: int
+    cpu_s: float
+    memory_bytes: int
+
+
+def usage_of(pid: int) -> Usage:
+    """Return the usage of a process so far."""
+    folder = Path("/proc") / str(pid)
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int((folder / "statm").read_text().split()[1])
+    return Usage(ticks / _TICKS_PER_S, pages * _PAGE_BYTES)
+
+
+def frames_of(entry: Entry) -> int:
+    """Return how many frames of answers the entry received, and forget them."""
+    received, entry.received = entry.received, []
+    return sum(isinstance(message, Data) for message in received)
+
+
+def settings_for(url: str, streams: int) -> Settings:
+    """Return settings with production timings and room for all streams."""
+    limits = AgentLimits(concurrency=max(1, streams))
+    return msgspec.structs.replace(
+        agent_settings(url, limits=limits),
+        server=ServerSettings(url=url),
+        timings=Timings(),
+    )
+
+
+def measure(streams: int, folder: Path) -> Cost:
+    """Run ``streams`` streams and return the agent's cost."""
+    engine = StandInProcess("engine", "--step-ms", str(_STEP_MS))
+    agent = AgentProcess(settings_for(engine.url, streams), folder)
+    entry = Entry(agent.address)
+    # An entry acknowledges every 128 KiB, which no stream here reaches.
+    entry.acknowledging.clear()
+    try:
+        beat = entry.beat()
+        tokens = int((2 * _SETTLE_S + _MEASURED_S) * 1000 / _STEP_MS) * 2
+        for number in range(streams):
+            body = completion(f"prompt {number}", tokens=tokens)
+            entry.send(dispatch_to(beat, f"r{number}", body=body))
+        time.sleep(_SETTLE_S)
+        frames_of(entry)
+        before = usage_of(agent.pid)
+        time.sleep(_MEASURED_S)
+        after = usage_of(agent.pid)
+        frames = frames_of(entry)
+        return Cost(streams, frames, after.cpu_s - before.cpu_s, after.memory_bytes)
+    finally:
+        entry.stop()
+        agent.kill()
+        engine.kill()
+
+
+def main() -> None:
+    """Print the table and the slope between the smallest and the largest size."""
+    sizes = tuple(int(text) for text in sys.argv[1:]) or DEFAULT_STREAMS
+    print("| streams | frames/s | core % | ms per 1,000 frames | memory MB |")
+    print("|---|---|---|---|---|")
+    costs = []
+    with tempfile.TemporaryDirectory() as folder:
+        for streams in sizes:
+            cost = measure(streams, Path(folder))
+            costs.append(cost)
+            per_1000 = 1e6 * cost.cpu_s / cost.frames if cost.frames else 0.0
+            print(
+                f"| {cost.streams} | {cost.frames / _MEASURED_S:.0f} "
+                f"| {100 * cost.cpu_s / _MEASURED_S:.1f} | {per_1000:.0f} "
+                f"| {cost.memory_bytes / 1e6:.0f} |",
+                flush=True,
+            )
+    first, last = costs[0], costs[-1]
+    if last.frames > first.frames:
+        slope = 1e6 * (last.cpu_s - first.cpu_s) / (last.frames - first.frames)
+        print(f"Slope: {slope:.0f} ms of processor time per 1,000 frames.")
+
+
+if __name__ == "__main__":
+    main()
