--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -9,31 +9,35 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from kingcupwheel.agent.crashes import CrashTable
 from kingcupwheel.agent.exceptions import NoServerError
 from kingcupwheel.agent.exceptions import NotAnAgentError
 from kingcupwheel.agent.handler import AttemptHandler
 from kingcupwheel.agent.heartbeat import Heartbeat
 from kingcupwheel.agent.heartbeat import ServerProbe
+from kingcupwheel.agent.manifest import AgentManifest
 from kingcupwheel.agent.peers import Peers
 from kingcupwheel.agent.runner import Runner
 from kingcupwheel.agent.runs import Runs
 from kingcupwheel.agent.store import AnswerStore
 from kingcupwheel.link.hub import Hub
 from kingcupwheel.messages.membership import Hello
-from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.messages.membership import ManifestObject
+from kingcupwheel.messages.membership import ManifestWanted
+from kingcupwheel.messages.membership import StatusFound
+from kingcupwheel.messages.membership import StatusWanted
 from kingcupwheel.messages.runs import Running
-from kingcupwheel.messages.traces import TraceFound
 from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.plugins.kernel import platform_clients
 from kingcupwheel.plugins.kernel import server_adapters
 from kingcupwheel.settings.schema import Role
 from kingcupwheel.trace.recorder import Recorder
+from kingcupwheel.trace.shipper import BatchShipper
 
 
 if TYPE_CHECKING:
     from kingcupwheel.link.links import Link
+    from kingcupwheel.manifest.schema import ServerGroup
     from kingcupwheel.messages.base import Message
     from kingcupwheel.settings.schema import Settings
 
@@ -95,7 +99,25 @@
             send=self._hub.send,
         )
         self._probe = ServerProbe(adapter, self._runner, period_s=timings.heartbeat_s)
-        self._heartbeat = Heartbeat(settings, self._runner, self._probe)
+        client = platform_clients.get(settings.platform.client)(settings.platform)
+        self._manifest = AgentManifest(
+            client,
+            group=settings.group,
+            send=self._hub.send,
+            on_group=self._on_group,
+        )
+        self._shipper = BatchShipper(
+            self._recorder,
+            client,
+            period_s=timings.trace_batch_s,
+            retention_s=lambda: self._manifest.traces_retention_s,
+        )
+        self._heartbeat = Heartbeat(
+            settings,
+            self._runner,
+            self._probe,
+            manifest_version=lambda: self._manifest.version,
+        )
         self._next_beat = 0.0
         self._leaving_at: float | None = None
         self._idle_since: float | None = None
@@ -116,6 +138,8 @@
     def start(self) -> None:
         """Start serving."""
         self._probe.start()
+        self._manifest.start()
+        self._shipper.start()
         self._hub.start()
         logger.info("Serving on port %d.", self.port)
 
@@ -137,6 +161,8 @@
     def stop(self) -> None:
         """Close the sockets; attempts still running are cut off."""
         self._probe.stop()
+        self._manifest.stop()
+        self._shipper.stop()
         self._hub.stop()
 
     def _on_message(self, link: Link, message: Message) -> None:
@@ -146,24 +172,35 @@
             case Hello():
                 self._hello(link, message, now)
             case TraceWanted(request_id):
-                self._tell_trace(link, request_id)
-            case Dispatch():
-                self._heartbeat.saw_manifest(message.manifest_version)
-                self._handler.handle(link, message)
+                self._hub.send(link, self._recorder.found(request_id))
+            case StatusWanted():
+                self._hub.send(link, self._status())
+            case ManifestWanted(key):
+                self._hub.send(link, self._manifest.object_for(key))
+            case ManifestObject():
+                self._manifest.found(message)
             case _:
                 self._handler.handle(link, message)
 
     def _hello(self, link: Link, hello: Hello, now: float) -> None:
         known = link in self._peers.listening(now=now)
         self._peers.hello(link, hello.name, now=now)
-        self._heartbeat.saw_manifest(hello.manifest_version)
+        self._manifest.heard(link, hello.manifest_version, hello.manifest_digest)
         if not known:
             self._hub.send(link, self._heartbeat.beat(now=now))
 
-    def _tell_trace(self, link: Link, request_id: str) -> None:
-        events = msgspec.msgpack.encode(self._recorder.events(request_id))
-        found = TraceFound(request_id, self._settings.name, events, complete=True)
-        self._hub.send(link, found)
+    def _status(self) -> StatusFound:
+        settings = self._settings
+        return StatusFound(
+            settings.name,
+            settings.role.value,
+            settings.data_centre,
+            self._manifest.version,
+            self._runner.runs.leaving,
+        )
+
+    def _on_group(self, group: ServerGroup) -> None:
+        self.set_concurrency(group.concurrency)
 
     def _on_tick(self, now: float) -> None:
         if self._leave_wanted.is_set() and self._leaving_at is None:
--- a/src/kingcupwheel/agent/heartbeat.py
+++ b/src/kingcupwheel/agent/heartbeat.py
@@ -13,6 +13,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from kingcupwheel.agent.adapters.base import ServerAdapter
     from kingcupwheel.agent.runner import Runner
     from kingcupwheel.settings.schema import Settings
@@ -77,15 +79,18 @@
 class Heartbeat:
     """Makes the ``Beat`` of this moment."""
 
-    def __init__(self, settings: Settings, runner: Runner, probe: ServerProbe) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        runner: Runner,
+        probe: ServerProbe,
+        *,
+        manifest_version: Callable[[], int],
+    ) -> None:
         self._settings = settings
         self._runner = runner
         self._probe = probe
-        self._manifest_version = 0
-
-    def saw_manifest(self, version: int) -> None:
-        """Note a manifest version that an entry named."""
-        self._manifest_version = max(self._manifest_version, version)
+        self._manifest_version = manifest_version
 
     def beat(self, *, now: float) -> Beat:
         """Return the message for every entry that listens."""
@@ -101,7 +106,7 @@
                 load=self._load(),
                 leaving=runs.leaving,
                 server_up=self._probe.state.up,
-                manifest_version=self._manifest_version,
+                manifest_version=self._manifest_version(),
                 crashed=self._runner.crashes.counts(now=now),
             )
 
--- /dev/null
+++ b/src/kingcupwheel/agent/manifest.py
@@ -0,0 +1,118 @@
+"""What an agent takes from the manifest: its own group, by way of its entries.
+
+An agent keeps no watch on the platform: with a thousand agents the waiting watches
+alone would use up what the platform allows. Work comes from entries only, and each of
+them names its manifest's version about every second, so that asking them is enough.
+"""
+
+from __future__ import annotations
+
+from queue import Empty
+from queue import SimpleQueue
+from threading import Lock
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.link.links import Incoming
+from kingcupwheel.manifest.keeper import ManifestKeeper
+from kingcupwheel.manifest.schema import Retention
+from kingcupwheel.messages.membership import ManifestWanted
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.manifest.inforce import InForce
+    from kingcupwheel.manifest.schema import ServerGroup
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.messages.membership import ManifestObject
+    from kingcupwheel.platform.client import PlatformClient
+
+_ENTRY_TIMEOUT_S = 1.5
+_HOUR_S = 3600.0
+
+
+class AgentManifest:
+    """The manifest as an agent sees it; ``on_group`` gets each change of its group."""
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        *,
+        group: str,
+        send: Callable[[Link, Message], None],
+        on_group: Callable[[ServerGroup], None],
+    ) -> None:
+        self._group = group
+        self._send = send
+        self._on_group = on_group
+        self._told: ServerGroup | None = None
+        self._found: SimpleQueue[ManifestObject] = SimpleQueue()
+        self._asking = Lock()
+        self._keeper = ManifestKeeper(
+            client,
+            fetch_from_peer=self._fetch,
+            on_change=self._on_change,
+            with_organisations=False,
+            watches_platform=False,
+        )
+
+    @property
+    def version(self) -> int:
+        """The version in force here, 0 before the first one."""
+        return self._keeper.version
+
+    @property
+    def traces_retention_s(self) -> float:
+        """How long the platform keeps traces, in seconds."""
+        in_force = self._keeper.current
+        retention = Retention() if in_force is None else in_force.retention
+        return retention.traces_h * _HOUR_S
+
+    def start(self) -> None:
+        """Follow the entries."""
+        self._keeper.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._keeper.stop()
+
+    def heard(self, link: Link, version: int, digest: str) -> None:
+        """Note the version that an entry names on ``link``; never blocks."""
+        if isinstance(link, Incoming):
+            self._keeper.heard(version, digest, link.identity.hex())
+
+    def object_for(self, key: str) -> ManifestObject:
+        """Return what to answer an entry that asks for an object."""
+        return self._keeper.object_for(key)
+
+    def found(self, message: ManifestObject) -> None:
+        """Take an entry's answer; called on the hub's thread."""
+        self._found.put(message)
+
+    def _fetch(self, address: str, key: str) -> Result[ManifestObject | None, str]:
+        link = Incoming(bytes.fromhex(address))
+        with self._asking:
+            self._send(link, ManifestWanted(key))
+            return self._wait(key)
+
+    def _wait(self, key: str) -> Result[ManifestObject | None, str]:
+        until = monotonic() + _ENTRY_TIMEOUT_S
+        while True:
+            try:
+                answer = self._found.get(timeout=max(0.0, until - monotonic()))
+            except Empty:
+                return Error(f"no answer in {_ENTRY_TIMEOUT_S} s")
+            if answer.key == key:
+                return Ok(answer)
+
+    def _on_change(self, in_force: InForce) -> None:
+        group = in_force.groups_by_name.get(self._group)
+        if group is not None and group != self._told:
+            self._told = group
+            self._on_group(group)
--- a/src/kingcupwheel/entry/limits.py
+++ b/src/kingcupwheel/entry/limits.py
@@ -80,7 +80,7 @@
             )
             decision = self._admission.admit(organisation.name, work, now)
             if isinstance(decision, Refuse):
-                message = f"The organisation's allowance is used up: {decision.detail}."
+                message = f"The organisation's allowance is used up: {decision.detail}"
                 return Refusal(429, decision.limit, message, decision.retry_after_s)
             self._budget(request.group.name).first(now)
         return work
--- a/src/kingcupwheel/manifest/keeper.py
+++ b/src/kingcupwheel/manifest/keeper.py
@@ -70,7 +70,8 @@
 
     ``fetch_from_peer(address, key)`` may block; it is called on the keeper's threads.
     ``on_change`` is called as by ``subscribe``. ``with_organisations=False`` keeps
-    groups and routes only, which is all an agent needs. ``watch_s`` is how long one
+    groups and routes only, which is all an agent needs; ``watches_platform=False``
+    leaves ``heard`` as the only way. ``watch_s`` is how long one
     watch waits, ``spread_s`` the longest random delay before shards are read.
     """
 
@@ -81,6 +82,7 @@
         fetch_from_peer: FetchFromPeer,
         on_change: ChangeListener,
         with_organisations: bool = True,
+        watches_platform: bool = True,
         watch_s: float = 20.0,
         spread_s: float = DEFAULT_SPREAD_S,
         random: Random | None = None,
@@ -97,9 +99,11 @@
         self._hinted = Condition()
         self._hints_by_address: dict[str, _Hint] = {}
         self._stopping = Event()
-        self._threads = (
-            Thread(target=self._follow_platform, name="manifest-watch", daemon=True),
-            Thread(target=self._follow_peers, name="manifest-peers", daemon=True),
+        targets = [self._follow_peers]
+        if watches_platform:
+            targets.append(self._follow_platform)
+        self._threads = tuple(
+            Thread(target=target, name="manifest", daemon=True) for target in targets
         )
 
     @property
