--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,85 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+
+  Scenario: Two operators race
+    # Both saw the same version; one submission is accepted, the other operator is told
+    # that another one came first, and nothing of the loser's is in force.
+    Given a fleet of 2 entries, 1 engines and 0 services
+    When two operators submit different manifests for the version they both saw
+    Then one is accepted and the other is told that it lost the race
+    And every process is on the accepted version within 7 s
+
+  Scenario: The confirmation of a submission is lost
+    # The index was written and the answer did not come; the command reads it back and
+    # says that the manifest was accepted.
+    Given a fleet of 1 entries, 1 engines and 0 services
+    And the platform loses the answers of the next 3 writes
+    When an operator submits a manifest in which "/v1/new" leads to the engines
+    Then the submission is accepted
+    And every process is on the accepted version within 7 s
+
+  Scenario: A paused entry wakes after two changes
+    # It has missed both. Whatever it hears first, it ends on the latest and a request at
+    # the new path is answered there.
+    Given a fleet of 2 entries, 1 engines and 0 services
+    When entry entry-1 is paused
+    And an operator submits a manifest in which "/v1/one" leads to the engines
+    And an operator submits a manifest in which "/v1/two" leads to the engines
+    And entry entry-1 is woken
+    Then every process is on the accepted version within 7 s
+    And only path "/v1/two" is served by entry-1, not "/v1/one"
+
+  Scenario: Reads are stale after the platform comes back
+    # The platform answers an old version for a while; nobody goes back to it.
+    Given a fleet of 2 entries, 1 engines and 0 services
+    When an operator submits a manifest in which "/v1/new" leads to the engines
+    Then every process is on the accepted version within 7 s
+    When the platform is down
+    And 1 s pass
+    And the platform's reads are 1 versions behind
+    And the platform is up
+    And 3 s pass
+    Then path "/v1/new" is served by entry-1
+    And path "/v1/new" is served by entry-2
+    When the platform's reads are 0 versions behind
+    Then every process is on the accepted version within 7 s
+
+  Scenario: An entry that lost the platform follows its peer
+    # Only its connection to the platform is cut. It hears the newer version in a peer's
+    # heartbeat and copies the objects from there.
+    Given a fleet of 1 entries, 1 engines and 0 services
+    And an entry that reaches the platform through a relay
+    When the relay to the platform is set to cut
+    And an operator submits a manifest in which "/v1/new" leads to the engines
+    Then path "/v1/new" is served by entry-relayed
+
+  Scenario: A fresh entry starts in an outage
+    # The platform is down; the new entry asks the addresses in its settings for the list
+    # of instances and copies the manifest from peers.
+    Given a fleet of 2 entries, 1 engines and 0 services
+    And the platform is down
+    When a fresh entry starts with entry-1 and entry-2 as seeds
+    Then path "/v1/completions" is served by entry-fresh
+
+  Scenario: A request in progress ends under the manifest it was admitted with
+    # The organisation is removed while its answer streams; nobody is cut off, and the
+    # next request is refused.
+    Given a fleet of 1 entries, 1 engines and 0 services
+    And engine engine-1 takes 50 ms for each step
+    When "under way" streams 60 tokens from entry-1
+    And engine-1 has 2 runs
+    And an operator submits a manifest without the organisation
+    Then every process is on the accepted version within 7 s
+    And "under way" gets its 60 tokens
+    When "too late" streams 5 tokens from entry-1
+    Then "too late" is told 401 with outcome not-run
+
+  Scenario: The platform goes down during a change and an entry is paused
+    # Two failures at once: the index is accepted, then the platform is gone and one entry
+    # sleeps. It wakes in the outage and gets the change from its peer.
+    Given a fleet of 2 entries, 1 engines and 0 services
+    When entry entry-1 is paused
+    And an operator submits a manifest in which "/v1/new" leads to the engines
+    And entry-2 already serves path "/v1/new"
+    And the platform is down
+    And entry entry-1 is woken
+    Then path "/v1/new" is served by entry-1
--- /dev/null
+++ b/features/steps/configuration.py
@@ -0,0 +1,140 @@
+"""Steps in which operators change the configuration."""
+
+from __future__ import annotations
+
+import copy
+import json
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from features.world import KEY
+from features.world import World
+from features.world import manifest
+from tools.caller import Caller
+from tools.caller import Reply
+from tools.processes import wait_until
+
+
+IN_FORCE_S = 7.0
+SERVED_TIMEOUT_S = 15.0
+CONFLICT = 4
+
+
+def _with_path(path: str) -> dict[str, Any]:
+    changed = copy.deepcopy(manifest())
+    changed["routes"].append({"path": path, "group": "parts-model"})
+    return changed
+
+
+def _status(world: World) -> dict[str, Any]:
+    platform = f"http://{world.fleet.platform}"
+    told = world.fleet.command("manifest", "status", "--platform", platform, "--json")
+    found: dict[str, Any] = json.loads(told.stdout)
+    return found
+
+
+@when("two operators submit different manifests for the version they both saw")
+def race(context: Any) -> None:
+    """Submit twice at once, both for the version in force."""
+    world = context.world
+    seen = str(_status(world)["version"])
+    with ThreadPoolExecutor(2) as pool:
+        context.submissions = list(
+            pool.map(
+                lambda path: world.fleet.submit(_with_path(path), "--expect", seen),
+                ("/v1/red", "/v1/blue"),
+            )
+        )
+
+
+@then("one is accepted and the other is told that it lost the race")
+def check_race(context: Any) -> None:
+    """Check the exit codes and that the loser is told why."""
+    codes = sorted(one.returncode for one in context.submissions)
+    assert codes == [0, CONFLICT], context.submissions
+    loser = next(one for one in context.submissions if one.returncode)
+    assert "version" in loser.stderr, loser
+
+
+@when('an operator submits a manifest in which "{path}" leads to the engines')
+def submit_path(context: Any, path: str) -> None:
+    """Submit the scenarios' manifest with one more route."""
+    context.submitted = context.world.fleet.submit(_with_path(path))
+
+
+@when("an operator submits a manifest without the organisation")
+def submit_without(context: Any) -> None:
+    """Submit the scenarios' manifest without the callers' organisation."""
+    changed = manifest()
+    del changed["organisations"][0]
+    context.submitted = context.world.fleet.submit(changed)
+
+
+@then("the submission is accepted")
+def check_accepted(context: Any) -> None:
+    """Check the exit code."""
+    assert context.submitted.returncode == 0, context.submitted
+
+
+@then("every process is on the accepted version within 7 s")
+def check_in_force(context: Any) -> None:
+    """Ask every process for its version by the command line."""
+    fleet = context.world.fleet
+    arguments = ("manifest", "status", "--platform", f"http://{fleet.platform}")
+    wait_until(
+        lambda: fleet.command(*arguments).returncode == 0,
+        "every process on the accepted version",
+        IN_FORCE_S,
+    )
+
+
+@then('path "{path}" is served by {entry}')
+@when('{entry} already serves path "{path}"')
+def check_served(context: Any, path: str, entry: str) -> None:
+    """Wait until a request at the path is answered."""
+    world = context.world
+    wait_until(
+        lambda: _status_at(world, entry, path) == 200,
+        f"{path} at {entry}",
+        SERVED_TIMEOUT_S,
+    )
+
+
+@then('only path "{path}" is served by {entry}, not "{other}"')
+def check_served_only(context: Any, path: str, entry: str, other: str) -> None:
+    """Check that the latest manifest is in force whole."""
+    check_served(context, path, entry)
+    assert _status_at(context.world, entry, other) == 404
+
+
+def _status_at(world: World, entry: str, path: str) -> int:
+    body = {"prompt": "hello", "max_tokens": 1}
+    reply = Caller(KEY).call(world.http(entry), path, body)
+    return reply.status if isinstance(reply, Reply) else 0
+
+
+@given("an entry that reaches the platform through a relay")
+def add_relayed_entry(context: Any) -> None:
+    """Start one more entry whose platform address is a relay's."""
+    world = context.world
+    control, address = world.fleet.add_relay("platform-relay", world.fleet.platform)
+    context.platform_relay = control
+    world.fleet.add_entry("entry-relayed", platform=address)
+    check_served(context, "/v1/completions", "entry-relayed")
+
+
+@when("the relay to the platform is set to {mode}")
+def set_platform_relay(context: Any, mode: str) -> None:
+    """Cut or freeze the entry's way to the platform."""
+    context.world.fleet.set_relay(context.platform_relay, mode)
+
+
+@when("a fresh entry starts with {first} and {second} as seeds")
+def add_fresh_entry(context: Any, first: str, second: str) -> None:
+    """Start one more entry that knows two addresses."""
+    fleet = context.world.fleet
+    seeds = (fleet.entries[first].address, fleet.entries[second].address)
+    fleet.add_entry("entry-fresh", seeds=seeds)
--- /dev/null
+++ b/features/steps/crashing.py
@@ -0,0 +1,90 @@
+"""Steps about a request that crashes servers."""
+
+from __future__ import annotations
+
+import threading
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from features.world import COMPLETIONS
+from features.world import World
+from tools.caller import Reply
+
+
+_LOOK_S = 0.1
+
+
+class Restarter:
+    """Starts each dead backend server again, as the platform would."""
+
+    def __init__(self, world: World, marker: str) -> None:
+        self._world = world
+        self._options = ("--crash-on", marker)
+        self._stopping = threading.Event()
+        self.deaths = 0
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(_LOOK_S):
+            for name, agent in list(self._world.fleet.agents.items()):
+                if not agent.server.alive:
+                    self.deaths += 1
+                    self._world.fleet.restart_server(name, self._options)
+
+    def stop(self) -> None:
+        """Start no more servers."""
+        self._stopping.set()
+        self._thread.join()
+
+
+@given('every engine dies of "{marker}" and is started again')
+def make_engines_mortal(context: Any, marker: str) -> None:
+    """Let a body with the marker kill the engine that runs it."""
+    world = context.world
+    for name in world.fleet.agents:
+        world.fleet.set_faults(name, crash_on=marker)
+    context.restarter = Restarter(world, marker)
+
+
+@when('"{prompt}" is sent up to {times:d} times under new keys at all entries')
+def send_again(context: Any, prompt: str, times: int) -> None:
+    """Send the same body again and again, as a stubborn caller would."""
+    world = context.world
+    entries = list(world.fleet.entries.values())
+    body = {"prompt": prompt, "max_tokens": 5}
+    context.sends = []
+    for turn in range(times):
+        http = entries[turn % len(entries)].http
+        key = f"send-{turn}"
+        reply = world.caller.call(http, COMPLETIONS, body, idempotency_key=key)
+        context.sends.append(reply)
+
+
+@then("at most {most:d} servers have died")
+def check_deaths(context: Any, most: int) -> None:
+    """Count the servers that had to be started again."""
+    context.restarter.stop()
+    assert 0 < context.restarter.deaths <= most, context.restarter.deaths
+
+
+@then("the last send is refused as quarantined, not-run")
+def check_quarantined(context: Any) -> None:
+    """Check the refusal's reason and outcome."""
+    last = context.sends[-1]
+    assert isinstance(last, Reply), last
+    assert last.json["error"]["reason"] == "quarantined", last
+    assert last.outcome == "not-run", last
+
+
+@then("no load call was refused as quarantined")
+def check_not_blamed(context: Any) -> None:
+    """Check that bystanders were not blamed."""
+    blamed = [
+        reply
+        for reply, _ in context.world.load.results
+        if isinstance(reply, Reply) and b"quarantined" in reply.body
+    ]
+    assert not blamed, blamed
--- a/src/kingcupwheel/entry/handling.py
+++ b/src/kingcupwheel/entry/handling.py
@@ -15,6 +15,7 @@
 from kingcupwheel.entry.servers import Gone
 from kingcupwheel.entry.servers import Restarted
 from kingcupwheel.entry.servers import Silent
+from kingcupwheel.link.links import Incoming
 from kingcupwheel.link.links import Outgoing
 from kingcupwheel.messages.membership import Beat
 from kingcupwheel.messages.membership import Hello
@@ -101,7 +102,7 @@
         send = self._context.hub.send
         match message:
             case PeerBeat():
-                self._on_peer_beat(message)
+                self._on_peer_beat(link, message)
             case ManifestWanted(key):
                 send(link, self._keeper.object_for(key))
             case ManifestObject():
@@ -130,12 +131,19 @@
         self._keeper.heard(beat.manifest_version, "", address)
         self._context.dispatchers.pump(beat.group)
 
-    def _on_peer_beat(self, beat: PeerBeat) -> None:
+    def _on_peer_beat(self, link: Link, beat: PeerBeat) -> None:
         self._membership.heard(beat, monotonic())
         if beat.crashed:
             self._context.limits.heard_from_peer(beat.name, beat.crashed)
-        address = self._membership.address_of(beat.name)
+        if isinstance(link, Outgoing):
+            address = link.address
+        else:
+            address = self._membership.address_of(beat.name)
         self._keeper.heard(beat.manifest_version, beat.manifest_digest, address)
+        # An entry that started in an outage is on nobody's list, so nobody sends it
+        # heartbeats; without an answer it would never hear of the manifest.
+        if isinstance(link, Incoming) and beat.manifest_version < self._keeper.version:
+            self._context.hub.send(link, self._peer_beat())
 
     def _on_instances(self, infos: tuple[InstanceInfo, ...]) -> None:
         if not self._membership.instances:
@@ -198,11 +206,21 @@
         hello = Hello(name, data_centre, version, digest, leaving)
         for address in context.servers.addresses:
             context.hub.send(Outgoing(address, 0), hello)
-        crashed = context.limits.crashed
-        beat = PeerBeat(name, data_centre, version, digest, leaving, crashed)
+        beat = self._peer_beat()
         for peer in self._membership.peers:
             context.hub.send(Outgoing(peer.address, 0), beat)
 
+    def _peer_beat(self) -> PeerBeat:
+        context = self._context
+        return PeerBeat(
+            context.settings.name,
+            context.settings.data_centre,
+            self._keeper.version,
+            self._keeper.digest,
+            context.leaving.is_set(),
+            context.limits.crashed,
+        )
+
     def say_leaving(self) -> None:
         """Tell agents and peers at once that this entry leaves."""
         self._beat_at = 0.0
