--- a/src/kingcupwheel/manifest/keeper.py
+++ b/src/kingcupwheel/manifest/keeper.py
@@ -19,8 +19,8 @@
 from kingcupwheel.manifest.assembly import assemble
 from kingcupwheel.manifest.exceptions import BadObject
 from kingcupwheel.manifest.holder import Holder
+from kingcupwheel.manifest.patience import describe
 from kingcupwheel.manifest.shards import INDEX_KEY
-from kingcupwheel.manifest.store import describe
 from kingcupwheel.manifest.store import read_object
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.utils.backoff import Backoff
--- a/src/kingcupwheel/manifest/shards.py
+++ b/src/kingcupwheel/manifest/shards.py
@@ -48,6 +48,9 @@
 # Submissions that an index remembers of those before it, so that a submitter whose
 # confirmation was lost learns that it won even if others have won since.
 _EARLIER_SUBMISSIONS = 32
+# Submissions for which replaced shards are kept. A process that read an index just
+# before it was replaced still finds its shards; at 720 changes a day that is 30 min.
+_KEPT_SUBMISSIONS = 16
 
 
 class Index(Record, frozen=True):
@@ -55,18 +58,25 @@
 
     ``submission`` names the submission, ``earlier`` those before it, latest first.
     ``core`` is the shard of groups, routes and the rest; ``organisations`` are those of
-    the buckets, whose number is a power of two. Shards are named by SHA-256 digest.
+    the buckets, whose number is a power of two. ``retired`` are the shards that each of
+    the last submissions replaced, latest first. Shards are named by SHA-256 digest.
     """
 
     submission: str
     core: str
     organisations: tuple[str, ...]
     earlier: tuple[str, ...] = ()
+    retired: tuple[tuple[str, ...], ...] = ()
+
+    @property
+    def digests(self) -> tuple[str, ...]:
+        """The digests of all shards, the core's first."""
+        return (self.core, *self.organisations)
 
     @property
     def shard_keys(self) -> tuple[str, ...]:
         """The keys of all shards, the core's first."""
-        return tuple(shard_key(each) for each in (self.core, *self.organisations))
+        return tuple(shard_key(each) for each in self.digests)
 
 
 class Core(Record, frozen=True):
@@ -108,11 +118,13 @@
     )
     core_value = _pack(core)
     values = [_pack(_sorted(each)) for each in organisations_by_bucket]
+    digests = tuple(_digest(value) for value in values)
     index = Index(
         submission=submission,
         core=_digest(core_value),
-        organisations=tuple(_digest(value) for value in values),
+        organisations=digests,
         earlier=_earlier(previous),
+        retired=_retired(previous, {_digest(core_value), *digests}),
     )
     shards_by_key = {
         shard_key(_digest(value)): value for value in (core_value, *values)
@@ -120,6 +132,13 @@
     return _checked(Sharded(index, shards_by_key))
 
 
+def expiring_keys(previous: Index | None) -> tuple[str, ...]:
+    """Return the retired shards that an index which follows ``previous`` forgets."""
+    if previous is None or len(previous.retired) < _KEPT_SUBMISSIONS:
+        return ()
+    return tuple(shard_key(digest) for digest in previous.retired[-1])
+
+
 def join(core: Core, buckets: Iterable[tuple[Organisation, ...]]) -> Manifest:
     """Return the manifest that was cut; its organisations come sorted by name."""
     organisations = [each for bucket in buckets for each in bucket]
@@ -188,6 +207,17 @@
     return (previous.submission, *previous.earlier)[:_EARLIER_SUBMISSIONS]
 
 
+def _retired(previous: Index | None, used: set[str]) -> tuple[tuple[str, ...], ...]:
+    if previous is None:
+        return ()
+    replaced = tuple(sorted(set(previous.digests) - used))
+    before = [
+        tuple(digest for digest in digests if digest not in used)
+        for digests in previous.retired
+    ]
+    return (replaced, *before)[:_KEPT_SUBMISSIONS]
+
+
 def _checked(sharded: Sharded) -> Result[Sharded, TooLarge]:
     values_by_key = {
         INDEX_KEY: encode_index(sharded.index_object),
