--- a/src/kingcupwheel/agent/handler.py
+++ b/src/kingcupwheel/agent/handler.py
@@ -7,6 +7,7 @@
 
 from kingcupwheel.agent.answers import Subscriber
 from kingcupwheel.agent.attempts import AttemptKey
+from kingcupwheel.agent.attempts import Forgotten
 from kingcupwheel.agent.attempts import Ignore
 from kingcupwheel.agent.attempts import Join
 from kingcupwheel.agent.attempts import Refuse
@@ -18,8 +19,10 @@
 from kingcupwheel.messages.runs import Ack
 from kingcupwheel.messages.runs import Cancel
 from kingcupwheel.messages.runs import Dispatch
+from kingcupwheel.messages.runs import End
 from kingcupwheel.messages.runs import Entomb
 from kingcupwheel.messages.runs import NotRun
+from kingcupwheel.messages.runs import Outcome
 from kingcupwheel.messages.runs import Resume
 from kingcupwheel.messages.runs import Unseen
 from kingcupwheel.trace.events import Noted
@@ -97,6 +100,8 @@
                     self._accept(link, dispatch, running=False)
                 case Join(key):
                     self._join(link, dispatch, key)
+                case Forgotten():
+                    self._send(link, _unknown(name))
                 case Refuse(_, reason):
                     note = Noted(f"Not run: {reason.value}.")
                     self._recorder.record(name.request_id, note)
@@ -106,7 +111,7 @@
         name = key_of(dispatch)
         self._store.open(name, keep=dispatch.claim is not None)
         self._send(link, Accepted(*name, running))
-        self._subscribe(link, name, name, offset=0, credit=dispatch.credit)
+        self._store.subscribe(name, Subscriber(name, link, 0, 0, dispatch.credit))
 
     def _join(self, link: Link, dispatch: Dispatch, key: AttemptKey) -> None:
         name = key_of(dispatch)
@@ -114,24 +119,30 @@
             name.request_id, Noted(f"Joined to attempt {key.attempt} of {key[0]}.")
         )
         self._send(link, Accepted(*name, True))
-        self._subscribe(link, name, key, offset=0, credit=dispatch.credit)
+        subscriber = Subscriber(name, link, 0, 0, dispatch.credit)
+        replaced = self._peers.older_links(link)
+        if not self._store.subscribe(key, subscriber, replaced=replaced, go_on=True):
+            self._send(link, _unknown(name))
 
     def _resume(self, link: Link, message: Resume) -> None:
         name = AttemptKey(message.request_id, message.attempt)
         key = self._known_key(name, message.claim_id)
-        if self._subscribe(
-            link, name, key, offset=message.offset, credit=message.credit
-        ):
+        subscriber = Subscriber(
+            name, link, message.offset, message.offset, message.credit
+        )
+        replaced = self._peers.older_links(link)
+        if self._store.subscribe(key, subscriber, replaced=replaced):
             event = Resumed(self._name, name.attempt, message.offset, "new link")
             self._recorder.record(name.request_id, event)
             return
         with self._runner.lock:
             reason = self._runner.runs.refused(name)
             incarnation = self._runner.runs.incarnation
+            cancelled = self._runner.runs.is_cancelled(name)
         if reason is not None:
             self._send(link, NotRun(*name, reason))
         else:
-            self._send(link, Unseen(*name, incarnation))
+            self._send(link, Unseen(*name, incarnation, cancelled))
 
     def _known_key(self, name: AttemptKey, claim_id: str | None) -> AttemptKey:
         if claim_id is None or self._store.knows(name):
@@ -139,13 +150,6 @@
         with self._runner.lock:
             return self._runner.runs.accepted_for(claim_id) or name
 
-    def _subscribe(
-        self, link: Link, name: AttemptKey, key: AttemptKey, *, offset: int, credit: int
-    ) -> bool:
-        subscriber = Subscriber(name, link, offset, offset, credit)
-        replaced = self._peers.older_links(link)
-        return self._store.subscribe(key, subscriber, replaced=replaced)
-
     def _cancel(self, link: Link, message: Cancel) -> None:
         name = AttemptKey(message.request_id, message.attempt)
         key = self._store.key_at(name, link) or name
@@ -167,3 +171,8 @@
             case Ignore():
                 pass
         return None
+
+
+def _unknown(name: AttemptKey) -> End:
+    detail = "older than this agent's memory"
+    return End(name.request_id, name.attempt, 0, Outcome.UNKNOWN, detail)
