--- /dev/null
+++ b/src/kingcupwheel/manifest/hints.py
@@ -0,0 +1,86 @@
+"""Where to look for a later version of the manifest that others have named."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+# Peers remembered as ahead. One is enough to copy from, further ones stand in for it.
+_MAX_PEERS = 8
+# How long this process is behind before it reads the platform on the word of a process
+# that holds no manifest to copy. Ordinary changes arrive by the watch well within it;
+# a watch that has gone silent is noticed in time for the 7 seconds of a change.
+_PATIENCE_S = 2.5
+# The least time between such reads: heartbeats name the version many times a second,
+# and in an outage the reads would add to what the platform has to refuse.
+_READ_EVERY_S = 1.0
+
+
+class AskPeer(NamedTuple):
+    """Copy ``version`` or a later one from the peer at ``address``."""
+
+    address: str
+    version: int
+
+
+class ReadPlatform(NamedTuple):
+    """Read the index from the platform; it is at ``version`` or a later one."""
+
+    version: int
+
+
+Hint = AskPeer | ReadPlatform
+
+
+class Hints:
+    """Decides where to look; ``now`` is monotonic, in seconds.
+
+    Made for a change heard of from tens of processes a second: each peer is asked once
+    for each time that it is heard, and the platform at most once a second.
+    """
+
+    def __init__(self) -> None:
+        self._version_by_peer: dict[str, int] = {}
+        self._behind_since: float | None = None
+        self._named = 0
+        self._read_at = float("-inf")
+
+    @property
+    def behind(self) -> bool:
+        """Whether a version was named that was not in force at the last look."""
+        return self._behind_since is not None
+
+    def note(self, version: int, *, peer: str | None, now: float) -> None:
+        """Note a later version; ``peer`` is an address that can be copied from."""
+        self._named = max(self._named, version)
+        if self._behind_since is None:
+            self._behind_since = now
+        if peer is not None:
+            full = len(self._version_by_peer) >= _MAX_PEERS
+            if peer in self._version_by_peer or not full:
+                self._version_by_peer[peer] = version
+
+    def take(self, in_force: int, *, now: float) -> Hint | None:
+        """Return where to look next, if anywhere; peers with later versions first.
+
+        A failed look needs no undoing: the next heartbeat brings the hint again.
+        """
+        self._forget(in_force)
+        if self._version_by_peer:
+            address = max(self._version_by_peer, key=self._version_by_peer.__getitem__)
+            return AskPeer(address, self._version_by_peer.pop(address))
+        if self._behind_since is None or now - self._behind_since < _PATIENCE_S:
+            return None
+        if now - self._read_at < _READ_EVERY_S:
+            return None
+        self._read_at = now
+        return ReadPlatform(self._named)
+
+    def _forget(self, in_force: int) -> None:
+        self._version_by_peer = {
+            peer: version
+            for peer, version in self._version_by_peer.items()
+            if version > in_force
+        }
+        if self._named <= in_force:
+            self._behind_since = None
--- a/src/kingcupwheel/manifest/keeper.py
+++ b/src/kingcupwheel/manifest/keeper.py
@@ -10,7 +10,6 @@
 from threading import Thread
 from time import monotonic
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from expression import Ok
 from expression import Result
@@ -18,6 +17,10 @@
 from kingcupwheel.manifest.assembly import FetchedObjects
 from kingcupwheel.manifest.assembly import assemble
 from kingcupwheel.manifest.exceptions import BadObject
+from kingcupwheel.manifest.hints import AskPeer
+from kingcupwheel.manifest.hints import Hint
+from kingcupwheel.manifest.hints import Hints
+from kingcupwheel.manifest.hints import ReadPlatform
 from kingcupwheel.manifest.holder import Holder
 from kingcupwheel.manifest.patience import describe
 from kingcupwheel.manifest.shards import INDEX_KEY
@@ -49,15 +52,8 @@
 _MOST_PAUSE_S = 4.0
 # A watch that ends without news sooner than this has not waited; the next one does.
 _LEAST_WATCH_S = 0.2
-# Peers remembered as ahead. One is enough to copy from, further ones stand in for it.
-_HINTS = 8
-
-
-class _Hint(NamedTuple):
-    """A peer that named a later version than the one in force here."""
-
-    address: str
-    version: int
+# How often a process that is behind looks whether there is a new hint.
+_LOOK_EVERY_S = 0.5
 
 
 class ManifestKeeper:
@@ -95,7 +91,7 @@
         self._holder.subscribe(on_change)
         self._fetched = FetchedObjects()
         self._hinted = Condition()
-        self._hints_by_address: dict[str, _Hint] = {}
+        self._hints = Hints()
         self._stopping = Event()
         self._threads = (
             Thread(target=self._follow_platform, name="manifest-watch", daemon=True),
@@ -147,22 +143,17 @@
     def heard(self, version: int, digest: str, address: str) -> None:
         """Note that the process at ``address`` names this version; never blocks.
 
-        ``digest`` may be empty where a message names the version only.
+        ``digest`` is empty if that process holds no manifest itself (an agent): it is
+        not asked for objects, and its word leads to the platform.
         """
         current = self._holder.current
-        in_force = 0 if current is None else current.version
-        if (
-            current is not None
-            and version == in_force
-            and digest not in ("", current.digest)
-        ):
-            logger.error("Peer %s has another version %d.", address, version)
-        if version <= in_force:
+        if current is not None and version <= current.version:
+            _warn_of_twin(current, version, digest, address)
             return
-        with self._hinted:
-            hints = self._hints_by_address
-            if address in hints or len(hints) < _HINTS:
-                hints[address] = _Hint(address, version)
+        if version > 0:
+            with self._hinted:
+                peer = address if digest else None
+                self._hints.note(version, peer=peer, now=monotonic())
                 self._hinted.notify_all()
 
     def _follow_platform(self) -> None:
@@ -198,41 +189,39 @@
 
     def _follow_peers(self) -> None:
         while not self._stopping.is_set():
-            hint = self._next_hint()
-            if hint is not None:
-                self._adopt_from_peer(hint)
-
-    def _next_hint(self) -> _Hint | None:
-        """Wait for a peer that is ahead; None when stopping."""
+            match self._next_hint():
+                case AskPeer(address, _):
+                    self._adopt_from_peer(address)
+                case ReadPlatform():
+                    self._read_platform()
+
+    def _next_hint(self) -> Hint | None:
+        """Wait for a hint for a while; None if there is none or when stopping."""
         with self._hinted:
-            self._hinted.wait_for(
-                lambda: self._hints_by_address or self._stopping.is_set()
-            )
-            if self._stopping.is_set():
-                return None
-            address = max(
-                self._hints_by_address,
-                key=lambda each: self._hints_by_address[each].version,
-            )
-            return self._hints_by_address.pop(address)
-
-    def _adopt_from_peer(self, hint: _Hint) -> None:
-        # A failed hint is dropped: the peer's next heartbeat brings another.
-        if hint.version <= self.version:
-            return
-        found = self._fetch_from_peer(hint.address, INDEX_KEY)
+            hint = self._hints.take(self.version, now=monotonic())
+            if hint is None and not self._stopping.is_set():
+                self._hinted.wait(_LOOK_EVERY_S if self._hints.behind else None)
+            return hint
+
+    def _adopt_from_peer(self, address: str) -> None:
+        found = self._fetch_from_peer(address, INDEX_KEY)
         if found.is_error():
-            logger.warning("Peer %s did not answer: %s.", hint.address, found.error)
+            logger.warning("Peer %s did not answer: %s.", address, found.error)
             return
         index = found.ok
         if index is None or index.value is None or index.version <= self.version:
             return
 
         def from_peer(key: str) -> Result[bytes, FetchError]:
-            return self._from_peer(hint.address, key)
+            return self._from_peer(address, key)
 
         self._adopt(index.version, index.value, from_peer)
 
+    def _read_platform(self) -> None:
+        found = self._client.read(INDEX_KEY)
+        if found.is_ok() and found.ok is not None and found.ok.version > self.version:
+            self._adopt(found.ok.version, found.ok.value, self._from_platform)
+
     def _adopt(self, version: int, index_value: bytes, source: ObjectSource) -> bool:
         current = self._holder.current
         assembly = assemble(
--- /dev/null
+++ b/tests/manifest/test_hints.py
@@ -0,0 +1,36 @@
+from __future__ import annotations
+
+from kingcupwheel.manifest.hints import AskPeer
+from kingcupwheel.manifest.hints import Hints
+from kingcupwheel.manifest.hints import ReadPlatform
+
+
+def test_peers_that_hold_the_later_version_come_first() -> None:
+    hints = Hints()
+    hints.note(5, peer=None, now=0.0)
+    hints.note(6, peer="b", now=0.0)
+    hints.note(5, peer="a", now=0.0)
+
+    assert hints.take(4, now=9.0) == AskPeer("b", 6)
+    assert hints.take(5, now=9.0) == ReadPlatform(6)
+    assert hints.take(6, now=99.0) is None
+    assert not hints.behind
+
+
+def test_a_flood_of_heartbeats_costs_the_platform_one_read_a_second() -> None:
+    """A change is heard of from 24 agents ten times a second for 60 seconds.
+
+    The platform is in an outage, so the process stays behind. It first gives the watch
+    its time, and then reads the platform once a second, not for each heartbeat.
+    """
+    hints = Hints()
+    reads = []
+    for tenth in range(600):
+        now = tenth / 10
+        for _ in range(24):
+            hints.note(2, peer=None, now=now)
+        if hints.take(1, now=now) is not None:
+            reads.append(now)
+
+    assert reads[0] >= 2.0
+    assert 50 <= len(reads) <= 60
