--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -31,10 +31,9 @@
 
     ``running``, ``queued``, ``capacity``, ``work`` (tokens) and ``rate`` (tokens per
     second) are from its agent's last report, ``heard_age_s`` old. ``own_in_flight``
-    counts this entry's attempts on it now, ``own_since_report`` those of them that the
-    report cannot include yet, and ``own_work_since_report`` their predicted tokens.
-    ``started_age_s`` is how long its server has been up, ``suspects_running`` how many
-    suspects this entry knows to run on it.
+    counts this entry's attempts on it now, ``own_at_report`` those it had when the
+    report came. ``started_age_s`` is how long its server has been up,
+    ``suspects_running`` how many suspects this entry knows to run on it.
     """
 
     name: str
@@ -48,15 +47,22 @@
     heard_age_s: float = 0.0
     started_age_s: float = 3600.0
     state: ServerState = ServerState.HEALTHY
-    own_since_report: int = 0
-    own_work_since_report: float = 0.0
+    own_at_report: int = 0
     suspects_running: int = 0
 
     @property
-    def held(self) -> int:
-        """Attempts on the server, as far as the entry can know."""
-        reported = self.running + self.queued + self.own_since_report
-        return max(reported, self.own_in_flight)
+    def held(self) -> float:
+        """Attempts on the server now, as far as the entry can know.
+
+        Load: several entries hand over to a server between two of its reports. Harm
+        prevented: each counts only its own, and together they send it many times what
+        it has places for, to wait there past their deadlines. What this entry did since
+        the report is therefore scaled by its part of what the report held.
+        """
+        reported = self.running + self.queued
+        scale = (reported + 1) / (self.own_at_report + 1)
+        change = (self.own_in_flight - self.own_at_report) * max(1.0, scale)
+        return max(reported + change, float(self.own_in_flight))
 
     @property
     def room(self) -> float:
--- a/src/kingcupwheel/decisions/group_health.py
+++ b/src/kingcupwheel/decisions/group_health.py
@@ -26,7 +26,7 @@
     """What a server holds: attempts running or queued, and how many it can run."""
 
     name: str
-    held: int
+    held: float
     capacity: int
 
 
