--- a/tools/entry_model.py
+++ b/tools/entry_model.py
@@ -16,6 +16,7 @@
 from kingcupwheel.decisions.candidates import Placed
 from kingcupwheel.decisions.group_health import GroupHealth
 from kingcupwheel.decisions.group_health import ServerLoad
+from kingcupwheel.decisions.latency import LatencyBound
 from kingcupwheel.decisions.queueing import FairQueue
 from kingcupwheel.decisions.queueing import Waiting
 from kingcupwheel.decisions.retries import RetryBudget
@@ -97,6 +98,7 @@
         self.policy = placement_policies.get(model.setup.policy)()
         self.health = GroupHealth()
         self.retries = RetryBudget()
+        self.first_token = LatencyBound()
         self.predictor = WorkPredictor()
         self.report_by_server: dict[str, Report] = {}
         self.attempts_by_server: dict[str, set[Attempt]] = {
@@ -126,7 +128,7 @@
             request.organisation,
             5,
             work,
-            request.at + request.deadline_s,
+            request.at + request.deadline_s - self.first_token.bound_s,
             now,
         )
         self._push(request, waiting, frozenset(), now)
@@ -202,6 +204,7 @@
         request.end = "answered"
         request.first_at = attempt.first_at
         begun_at = attempt.first_at or now
+        self.first_token.saw(begun_at - attempt.sent_at)
         request.gap_s = (now - begun_at) / request.answer
         health.succeeded((now - attempt.sent_at) / request.answer, now)
         self.predictor.learn(
