--- a/src/kingcupwheel/decisions/drain.py
+++ b/src/kingcupwheel/decisions/drain.py
@@ -32,13 +32,15 @@
         """Note that the queue is no longer empty."""
         self._since = now
 
-    def took(self, work: float, now: float, *, empty: bool) -> None:
-        """Count work taken at ``now``; ``empty`` tells that nothing waits any more."""
-        waited_s = 0.0 if self._since is None else max(0.0, now - self._since)
-        kept = exp(-waited_s / TIME_CONSTANT_S)
-        self._work = self._work * kept + work
-        self._busy_s = self._busy_s * kept + waited_s
-        self._since = None if empty else now
+    def stop(self, now: float) -> None:
+        """Note that the queue is empty."""
+        self._wait(now)
+        self._since = None
+
+    def took(self, work: float, now: float) -> None:
+        """Count work that had to wait and was taken at ``now``."""
+        self._wait(now)
+        self._work += work
 
     def seconds(self, work: float, now: float) -> float:
         """Return how long ``work`` takes to drain; 0 while no rate is known."""
@@ -49,3 +51,13 @@
         if self._work <= 0.0:
             return busy_s if work > 0.0 else 0.0
         return work * busy_s / self._work
+
+    def _wait(self, now: float) -> None:
+        """Count the time since the last change as time with a backlog."""
+        if self._since is None:
+            return
+        waited_s = max(0.0, now - self._since)
+        kept = exp(-waited_s / TIME_CONSTANT_S)
+        self._work *= kept
+        self._busy_s = self._busy_s * kept + waited_s
+        self._since = now
--- a/src/kingcupwheel/decisions/queueing.py
+++ b/src/kingcupwheel/decisions/queueing.py
@@ -145,10 +145,13 @@
         flow.backlog -= waiting.work
         del self._waiting_by_id[waiting.request_id]
         self._drop_if_empty(key, flow)
-        self._drain.took(waiting.work, now, empty=not self._waiting_by_id)
+        # What finds a place at once says nothing about how fast a backlog drains.
+        if now > waiting.queued_at:
+            self._drain.took(waiting.work, now)
+        self._note_if_empty(now)
         return waiting
 
-    def remove(self, request_id: str) -> Waiting | None:
+    def remove(self, request_id: str, now: float) -> Waiting | None:
         """Take a request out, for instance when its caller has left."""
         waiting = self._waiting_by_id.pop(request_id, None)
         if waiting is None:
@@ -158,6 +161,7 @@
         flow.requests.remove(waiting)
         flow.backlog -= waiting.work
         self._drop_if_empty(key, flow)
+        self._note_if_empty(now)
         return waiting
 
     def expired(self, now: float) -> list[Waiting]:
@@ -196,12 +200,16 @@
         del self._flow_by_key[key]
         self._turns.remove(key)
 
+    def _note_if_empty(self, now: float) -> None:
+        if not self._waiting_by_id:
+            self._drain.stop(now)
+
     def _drop_expired(self, now: float) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
             _, request_id = heappop(self._deadlines)
             waiting = self._waiting_by_id.get(request_id)
             if waiting is not None and waiting.deadline_at <= now:
-                self.remove(request_id)
+                self.remove(request_id, now)
                 self._expired.append(waiting)
 
     def _predicted_wait(self, own: _Flow, work: float, now: float) -> float:
