--- a/src/kingcupwheel/decisions/latency.py
+++ b/src/kingcupwheel/decisions/latency.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 
-# Gains and factor of TCP's retransmission timer (RFC 6298): a mean that follows within
-# some ten samples, and a bound that nearly all samples keep.
+# Gains of TCP's retransmission timer (RFC 6298): a mean that follows within some ten
+# samples. Its four deviations would leave no time to wait in the queue; with one and a
+# half most samples are within the bound.
 _MEAN_GAIN = 1 / 8
 _DEVIATION_GAIN = 1 / 4
-_DEVIATIONS = 2.0
+_DEVIATIONS = 1.5
 
 
 class LatencyBound:
--- a/src/kingcupwheel/decisions/queueing.py
+++ b/src/kingcupwheel/decisions/queueing.py
@@ -24,6 +24,10 @@
 # organisation.
 FREE_PLACES_FACTOR = 2
 
+# The predicted wait is taken this much longer: a wait is as often above its prediction
+# as below, and one that is above ends in a refusal after the wait.
+WAIT_MARGIN = 1.2
+
 # Weight of priority p is (p + 1): priority 9 gets ten times the work of priority 0, and
 # none is given nothing, so that no priority starves another.
 _WEIGHT_OF_LOWEST = 1.0
@@ -215,15 +219,15 @@
     def _predicted_wait(self, own: _Flow, work: float, now: float) -> float:
         """Return the seconds until a new request of ``own`` would be taken.
 
-        Until then every other flow is served at most its weight's part of what ``own``
-        is, or all that it has.
+        Until then every other flow is served its weight's part of what ``own`` is. That
+        is also so for one with a short backlog: under load it is filled up again.
         """
         mine = own.backlog + work
         before = own.backlog
         for flow in self._flow_by_key.values():
             if flow is not own:
-                before += min(flow.backlog, mine * flow.weight / own.weight)
-        return self._drain.seconds(before, now)
+                before += mine * flow.weight / own.weight
+        return WAIT_MARGIN * self._drain.seconds(before, now)
 
 
 def _refuse(limit: str, detail: str, wait_s: float, waiting: Waiting) -> Refuse:
@@ -233,6 +237,6 @@
     that come back together meet a full queue together. The spread depends on the
     request's id alone, so that a trace can be worked out again.
     """
-    base_s = max(MIN_RETRY_AFTER_S, wait_s)
+    base_s = min(max(MIN_RETRY_AFTER_S, wait_s), MAX_RETRY_AFTER_S / 2)
     after_s = base_s * (1.0 + stable_fraction(waiting.request_id))
-    return Refuse(limit, detail, min(MAX_RETRY_AFTER_S, after_s))
+    return Refuse(limit, detail, after_s)
