--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -81,6 +81,11 @@
         """Attempts held per place to count on; 1 is full."""
         return self.held / self.room
 
+    @property
+    def load_after(self) -> float:
+        """The load with one more attempt, which tells idle servers of unequal room."""
+        return (self.held + 1) / self.room
+
     @property
     def is_full(self) -> bool:
         """Whether a further attempt would have to wait at the server."""
--- a/src/kingcupwheel/decisions/group_health.py
+++ b/src/kingcupwheel/decisions/group_health.py
@@ -16,8 +16,9 @@
 
 
 # Ejected servers are at most this share of a group. Reason: when more fail, the cause
-# lies with the requests, the link or the entry itself, and the rest would be overrun.
-MAX_EJECTED_SHARE = 1 / 3
+# lies with the requests, the link or the entry itself. Those kept are given only what
+# the others have no room for.
+MAX_EJECTED_SHARE = 1 / 2
 
 _OUT_OF_SERVICE = (ServerState.EJECTED, ServerState.PROBING)
 
--- a/src/kingcupwheel/decisions/health.py
+++ b/src/kingcupwheel/decisions/health.py
@@ -11,6 +11,11 @@
 # retry, more would cost callers while a dead server answers at once and looks idle.
 FAILURES_IN_A_ROW = 3
 
+# How long one failure makes a server the last choice. At ten requests a second over 16
+# servers an entry takes five seconds to see three failures of one; until then it would
+# go on to give it its part, and more, since what fails at once looks idle.
+LAST_CHOICE_S = 5.0
+
 # Share of recent attempts that may fail, and the least number that says anything.
 FAILED_SHARE = 0.5
 LEAST_ATTEMPTS = 6.0
@@ -39,12 +44,14 @@
 class ServerState(StrEnum):
     """What a server may be given.
 
-    ``HEALTHY`` its part, ``SLOW`` less, ``PROBING`` single repeatable requests,
-    ``EJECTED`` nothing, ``LEAVING`` nothing ever again.
+    ``HEALTHY`` its part, ``SLOW`` less, ``FAILING`` what the others have no room for
+    (it failed just now, or too many are ejected already), ``PROBING`` single repeatable
+    requests, ``EJECTED`` nothing, ``LEAVING`` nothing ever again.
     """
 
     HEALTHY = "healthy"
     SLOW = "slow"
+    FAILING = "failing"
     PROBING = "probing"
     EJECTED = "ejected"
     LEAVING = "leaving"
@@ -61,6 +68,7 @@
         self._attempts = DecayingSum(OUTCOMES_S)
         self._failures = DecayingSum(OUTCOMES_S)
         self._failed_in_a_row = 0
+        self._failed_at = 0.0
         self._good_probes = 0
         self._ejections = 0
         self._ejected_until: float | None = None
@@ -100,6 +108,7 @@
         self._attempts.add(1.0, now)
         self._failures.add(1.0, now)
         self._failed_in_a_row += 1
+        self._failed_at = now
         self._good_probes = 0
         if self._ejected_until is not None and now >= self._ejected_until:
             self._eject(now)
@@ -119,6 +128,9 @@
         if self._ejected_until is not None:
             waits = now < self._ejected_until
             return ServerState.EJECTED if waits else ServerState.PROBING
+        has_just_failed = now - self._failed_at < LAST_CHOICE_S
+        if (self._failed_in_a_row and has_just_failed) or self.wants_ejection(now):
+            return ServerState.FAILING
         if self.is_measured and median_s > 0.0:
             factor = RECOVERED_FACTOR if self._is_slow else SLOW_FACTOR
             self._is_slow = self.latency_s > factor * median_s
--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -36,6 +36,11 @@
 # each way, so the own data centre is left only when it is clearly fuller.
 DISTANCE_LOAD = 0.15
 
+# A server that fails and may not be ejected counts as this much fuller. Without, it is
+# the emptiest of all, since it fails at once, and draws most requests; so it gets what
+# the others have hardly room for, and the guard against mass ejection still holds.
+FAILING_LOAD = 0.8
+
 # The home of a prefix may be this much fuller than the mean: a cached prefix saves the
 # prompt's work, which a longer wait soon eats up.
 AFFINITY_SLACK = 0.25
@@ -114,7 +119,10 @@
         """
         if not ask.prefix_key or ask.suspect:
             return None
-        home = max(proven, key=lambda one: stable_hash(ask.prefix_key, one.name))
+        sound = [one for one in proven if one.state is not ServerState.FAILING]
+        if not sound:
+            return None
+        home = max(sound, key=lambda one: stable_hash(ask.prefix_key, one.name))
         mean = sum(candidate.load for candidate in proven) / len(proven)
         if home.load > min(AFFINITY_MAX_LOAD, mean + AFFINITY_SLACK):
             return None
@@ -144,8 +152,12 @@
 
 
 def _cost(candidate: Candidate, ask: Ask) -> float:
-    distance = 0.0 if candidate.data_centre == ask.data_centre else DISTANCE_LOAD
-    return candidate.load + distance
+    cost = candidate.load_after
+    if candidate.data_centre != ask.data_centre:
+        cost += DISTANCE_LOAD
+    if candidate.state is ServerState.FAILING:
+        cost += FAILING_LOAD
+    return cost
 
 
 def _weigh(candidates: Sequence[Candidate]) -> tuple[Weighed, ...]:
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -123,6 +123,20 @@
     assert place(servers, ask._replace(suspect=True), 1000)["server-0"] == 0
 
 
+def test_a_failing_server_gets_only_what_the_others_have_no_room_for() -> None:
+    """Too many servers fail for all to be ejected, and those that are kept look idle.
+
+    Callers would get most of their errors from the emptiest servers.
+    """
+    failing = replace(candidates(1)[0], state=ServerState.FAILING)
+    others = [replace(BUSY, name=one.name) for one in candidates(4)[1:]]
+    ask = Ask(data_centre="heredia")
+    assert place([failing, *others], ask)["server-0"] == 0
+
+    full = [replace(one, running=15) for one in others]
+    assert place([failing, *full], ask)["server-0"] > 100
+
+
 def test_the_own_data_centre_comes_first_and_spills_over_when_fuller() -> None:
     near = candidates(3)
     far = [
