--- a/src/kingcupwheel/trace/batches.py
+++ b/src/kingcupwheel/trace/batches.py
@@ -126,11 +126,6 @@
     return Ok(tuple(event for event in events if event.request_id == request_id))
 
 
-def expired(name: BatchName, *, now: float, retention_s: float) -> bool:
-    """Tell whether the batch is past its retention."""
-    return name.until + retention_s < now
-
-
 _BATCH_DECODER: msgspec.msgpack.Decoder[Batch] = msgspec.msgpack.Decoder(Batch)
 
 
--- a/src/kingcupwheel/trace/outbox.py
+++ b/src/kingcupwheel/trace/outbox.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import heapq
 import zlib
 from collections import deque
 from typing import TYPE_CHECKING
@@ -19,11 +20,12 @@
 from kingcupwheel.trace.batches import BatchName
 from kingcupwheel.trace.batches import Loss
 from kingcupwheel.trace.batches import encode_batch
-from kingcupwheel.trace.batches import expired
 from kingcupwheel.trace.batches import make_parts
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from kingcupwheel.trace.recorder import Drained
 
 # One batch, the deletion of one expired batch, and one more to catch up after an
@@ -32,7 +34,8 @@
 # Batches that wait for the platform, compressed, plus events not yet compressed. An
 # hour at the target rate of an entry has to fit, in a small share of its 256 MB.
 OUTBOX_BYTES = 16_000_000
-# Keys of written batches that are remembered for deletion: three days of 30 s periods.
+# Batches remembered for deletion: three days of 30 s periods. What finds no room is
+# listed again at a later sweep.
 _REMEMBERED = 10_000
 _PHASES = 1000
 
@@ -56,8 +59,9 @@
     batch: Batch
 
 
-class _Written(NamedTuple):
-    name: BatchName
+class _Expiring(NamedTuple):
+    until: int
+    key: str
     version: int
 
 
@@ -85,7 +89,8 @@
         self._waiting: deque[_Waiting] = deque()
         self._waiting_bytes = 0
         self._losses: list[Loss] = []
-        self._written: deque[_Written] = deque(maxlen=_REMEMBERED)
+        self._expiring: list[_Expiring] = []
+        self._expiring_keys: set[str] = set()
 
     @property
     def waiting_bytes(self) -> int:
@@ -110,10 +115,10 @@
                 oldest.since, oldest.until, oldest.events, "platform out of reach"
             )
 
-    def remember(self, names: tuple[BatchName, ...]) -> None:
-        """Take over deletion of batches that earlier lives wrote, oldest first."""
-        earlier = [name for name in names if name.life != self._life]
-        self._written.extendleft(_Written(name, 0) for name in reversed(earlier))
+    def remember(self, names: Iterable[BatchName]) -> None:
+        """Take over deletion of batches that other lives or processes wrote."""
+        for name in names:
+            self._remember(name, version=0)
 
     def call(
         self, *, now: float, at: float, retention_s: float
@@ -128,10 +133,9 @@
             self._seal()
         if self._waiting:
             return self._write()
-        if self._written and expired(
-            self._written[0].name, now=at, retention_s=retention_s
-        ):
-            return DeleteBatch(self._written[0].name.key, self._written[0].version)
+        oldest = self._expiring[0] if self._expiring else None
+        if oldest and oldest.until + retention_s < at:
+            return DeleteBatch(oldest.key, oldest.version)
         return None
 
     def flush(self) -> WriteBatch | None:
@@ -144,7 +148,7 @@
         """Note that the batch of the last call is on the platform."""
         done = self._waiting.popleft()
         self._waiting_bytes -= len(done.batch.packed)
-        self._written.append(_Written(done.name, version))
+        self._remember(done.name, version=version)
         self._losses = []
         self._pause(now)
         if not self._waiting:
@@ -159,12 +163,14 @@
 
     def deleted(self, *, now: float) -> None:
         """Note that the batch of the last call is gone."""
-        self._written.popleft()
+        gone = heapq.heappop(self._expiring)
+        self._expiring_keys.discard(gone.key)
         self._pause(now)
 
     def found(self, *, version: int, now: float) -> None:
         """Note the version of the batch to delete, which the refusal told."""
-        self._written[0] = _Written(self._written[0].name, version)
+        oldest = self._expiring[0]
+        heapq.heapreplace(self._expiring, oldest._replace(version=version))
         self._pause(now)
 
     def failed(self, *, now: float, wait_s: float = 0.0) -> None:
@@ -172,6 +178,12 @@
         self._pause(now)
         self._next_call = max(self._next_call, now + wait_s)
 
+    def _remember(self, name: BatchName, *, version: int) -> None:
+        if name.key in self._expiring_keys or len(self._expiring) >= _REMEMBERED:
+            return
+        self._expiring_keys.add(name.key)
+        heapq.heappush(self._expiring, _Expiring(name.until, name.key, version))
+
     def _pause(self, now: float) -> None:
         self._next_call = now + self._gap_s
 
--- a/src/kingcupwheel/trace/shipper.py
+++ b/src/kingcupwheel/trace/shipper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import secrets
 import time
 from threading import Event
@@ -14,11 +15,10 @@
 from kingcupwheel.platform.errors import Rejected
 from kingcupwheel.platform.errors import Unavailable
 from kingcupwheel.trace.batches import MAX_PERIOD_S
-from kingcupwheel.trace.batches import PREFIX
-from kingcupwheel.trace.batches import parse_key
 from kingcupwheel.trace.outbox import DeleteBatch
 from kingcupwheel.trace.outbox import Outbox
 from kingcupwheel.trace.outbox import WriteBatch
+from kingcupwheel.trace.sweeping import Sweeper
 
 
 if TYPE_CHECKING:
@@ -31,6 +31,10 @@
 
 _LIFE_BYTES = 4
 _TICK_S = 0.5
+# Expired batches that their writers have forgotten wait this long for deletion. 1,370
+# processes then sweep every 16 s together, with about five calls each.
+_SWEEP_S = 6 * 3600.0
+_FIRST_SWEEP_S = 1800.0
 # A graceful stop must not hang on a platform that is down: what is not written by then
 # is left to the story, which says that the batch is missing.
 _STOP_S = 3.0
@@ -60,7 +64,10 @@
             now=time.monotonic(),
         )
         self._stopping = Event()
-        self._adopted = False
+        self._sweeper = Sweeper(client, recorder.process)
+        self._marked = False
+        # Processes that start together, as after an outage, must not sweep together.
+        self._next_sweep = time.monotonic() + random.uniform(0, _FIRST_SWEEP_S)
         self._thread = Thread(target=self._run, name="trace-batches", daemon=True)
 
     def start(self) -> None:
@@ -93,9 +100,15 @@
             case DeleteBatch():
                 self._delete(call)
             case None:
-                self._adopt(now)
+                self._sweep(now)
 
     def _write(self, call: WriteBatch) -> bool:
+        # Before the first batch: one without a mark would never be swept. A failed mark
+        # is a failed call, so that an outage is met by one call at a time.
+        self._marked = self._marked or self._sweeper.mark()
+        if not self._marked:
+            self._outbox.failed(now=time.monotonic())
+            return False
         result = self._client.create(call.key, call.value)
         now = time.monotonic()
         if result.is_ok():
@@ -132,16 +145,11 @@
             case Unavailable() | Rejected():
                 self._outbox.failed(now=now)
 
-    def _adopt(self, now: float) -> None:
-        if self._adopted or now < self._outbox.next_call:
+    def _sweep(self, now: float) -> None:
+        if now < self._next_sweep:
             return
-        listed = self._client.keys(f"{PREFIX}{self._recorder.process}/")
-        if listed.is_error():
-            self._outbox.failed(now=now)
-            return
-        names = tuple(name for key in listed.ok if (name := parse_key(key)))
-        self._outbox.remember(tuple(sorted(names, key=lambda name: name.since)))
-        self._adopted = True
+        self._outbox.remember(self._sweeper.sweep())
+        self._next_sweep = now + _SWEEP_S * random.uniform(0.8, 1.2)
 
     def _flush(self) -> None:
         self._outbox.add(self._recorder.drain())
--- a/tests/trace/test_finding.py
+++ b/tests/trace/test_finding.py
@@ -9,6 +9,7 @@
 from kingcupwheel.trace.story import Source
 from kingcupwheel.trace.story import State
 from kingcupwheel.trace.story import Story
+from kingcupwheel.trace.sweeping import Sweeper
 from tests.trace.builders import AGENT
 from tests.trace.builders import AGENT_EVENTS
 from tests.trace.builders import ENTRY
@@ -60,10 +61,14 @@
     scene = Scene()
     live, _ = scene.find(entry=scene.entry, agent=scene.agent)
     scene.ship(scene.entry)
+    Sweeper(scene.platform, AGENT).mark()
     scene.platform.lose_next = True
     scene.ship(scene.agent)
     story, _ = scene.find()
 
+    assert {f"trace-writers/{ENTRY}", f"trace-writers/{AGENT}"} < {
+        *scene.platform.objects
+    }
     assert [part.source for part in story.parts] == [Source.BATCHES, Source.BATCHES]
     assert story.whole
     assert story.lines == live.lines
--- /dev/null
+++ b/tests/trace/test_sweeping.py
@@ -0,0 +1,61 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.platform.client import Versioned
+from kingcupwheel.trace.batches import BatchName
+from kingcupwheel.trace.sweeping import MARKS
+from kingcupwheel.trace.sweeping import Sweeper
+from kingcupwheel.trace.sweeping import heir
+from tests.trace.builders import AGENT
+from tests.trace.builders import ENTRY
+from tests.trace.builders import START
+from tests.trace.builders import MemoryPlatform
+
+
+GONE = BatchName("entry-7", int(START), int(START) + 30, "ffff", 1)
+
+
+def put(platform: MemoryPlatform, key: str) -> None:
+    platform.objects[key] = Versioned(key, 1, b"")
+
+
+def sweep_all(platform: MemoryPlatform) -> list[BatchName]:
+    swept = [Sweeper(platform, name).sweep() for name in (ENTRY, AGENT)]
+    return [batch for batches in swept for batch in batches]
+
+
+def test_batches_of_a_name_that_never_comes_back_fall_to_exactly_one_process() -> None:
+    """Without this the platform would keep them for ever.
+
+    An entry is replaced by one of another name. Of the two processes left exactly one
+    takes its batches over; once they are deleted, its mark goes too.
+    """
+    platform = MemoryPlatform(ENTRY, AGENT)
+    put(platform, GONE.key)
+    put(platform, f"{MARKS}entry-7")
+
+    assert sweep_all(platform) == [GONE]
+    del platform.objects[GONE.key]
+    assert sweep_all(platform) == []
+    assert platform.objects == {}
+
+
+def test_an_outage_or_an_empty_list_makes_nobody_seem_gone() -> None:
+    platform = MemoryPlatform()
+    put(platform, GONE.key)
+    put(platform, f"{MARKS}entry-7")
+
+    assert sweep_all(platform) == []
+    platform.down = True
+    assert sweep_all(platform) == []
+
+
+@given(st.lists(st.text(min_size=1), min_size=2, unique=True))
+def test_a_heir_stays_the_same_while_it_lives(live: list[str]) -> None:
+    chosen = heir("gone", live)
+
+    assert heir("gone", reversed(live)) == chosen
+    others = [name for name in live if name == chosen or name < chosen]
+    assert heir("gone", others) == chosen
--- /dev/null
+++ b/tools/capacity_crowd.py
@@ -0,0 +1,103 @@
+"""Many stand-ins for the other end of a process's links, in one process.
+
+Run as ``python -m tools.capacity_crowd agents 24`` or ``... entries 24 IP:PORT``. It
+prints its addresses first, then a line of its traffic so far every second.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import click
+
+from kingcupwheel.link.hub import Hub
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.link.links import Traffic
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.membership import Load
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+
+_LISTEN = "127.0.0.1:0"
+_BEAT_S = 1.0
+
+
+class AgentStandIn:
+    """Answers each Hello with a heartbeat."""
+
+    def __init__(self, name: str, group: str) -> None:
+        self._beat = Beat(
+            name,
+            group,
+            "dc-1",
+            f"incarnation-{name}",
+            1,
+            Load(0, 0, 16, 0.0, 0.0, 0.1),
+            False,
+            True,
+            0,
+            (),
+        )
+        self.hub = Hub(
+            listen=_LISTEN, on_message=self._on_message, on_tick=lambda _: None
+        )
+        self.hub.start()
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        if isinstance(message, Hello):
+            self.hub.send(link, self._beat)
+
+
+class EntryStandIn:
+    """Says Hello to an agent every second."""
+
+    def __init__(self, name: str, address: str) -> None:
+        self._hello = Hello(name, "dc-1", 0, "", False)
+        self._link = Outgoing(address, 0)
+        self._next_beat = 0.0
+        self.hub = Hub(
+            listen=_LISTEN, on_message=lambda *_: None, on_tick=self._on_tick
+        )
+        self.hub.start()
+
+    def _on_tick(self, now: float) -> None:
+        if now >= self._next_beat:
+            self._next_beat = now + _BEAT_S
+            self.hub.send(self._link, self._hello)
+
+
+def traffic_of(hubs: list[Hub]) -> Traffic:
+    """Return what passed all hubs together."""
+    seen = [hub.traffic for hub in hubs]
+    return Traffic(
+        sum(one.messages_in for one in seen),
+        sum(one.messages_out for one in seen),
+        sum(one.bytes_in for one in seen),
+        sum(one.bytes_out for one in seen),
+    )
+
+
+@click.command()
+@click.argument("role", type=click.Choice(["agents", "entries"]))
+@click.argument("count", type=int)
+@click.argument("address", default="")
+def main(role: str, count: int, address: str) -> None:
+    """Run until the process is ended."""
+    names = [f"{role}-{number}" for number in range(count)]
+    if role == "agents":
+        hubs = [AgentStandIn(name, "group").hub for name in names]
+    else:
+        hubs = [EntryStandIn(name, address).hub for name in names]
+    click.echo(" ".join(f"127.0.0.1:{hub.port}" for hub in hubs))
+    while True:
+        click.echo(" ".join(map(str, traffic_of(hubs))))
+        time.sleep(_BEAT_S)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/capacity_probes.py
@@ -0,0 +1,245 @@
+"""Measurements of single parts of the library, inside one process."""
+
+from __future__ import annotations
+
+import gc
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from kingcupwheel.burn.counter import BurnCounter
+from kingcupwheel.burn.goals import BurnGoals
+from kingcupwheel.manifest.schema import Goals
+from kingcupwheel.manifest.schema import Organisation
+from kingcupwheel.messages.codec import MsgpackCodec
+from kingcupwheel.messages.expertmaps import MapReply
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.membership import Load
+from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.platform.client import Instance
+from kingcupwheel.trace.batches import make_parts
+from kingcupwheel.trace.recorder import Recorder
+from tools.capacity_samples import PROCESS
+from tools.capacity_samples import TOKENS
+from tools.capacity_samples import burn_counter
+from tools.capacity_samples import cut_manifest
+from tools.capacity_samples import instance_list
+from tools.capacity_samples import observed_request
+from tools.capacity_samples import organisation
+from tools.capacity_samples import record_requests
+from tools.capacity_samples import suspects
+from tools.capacity_slopes import Point
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.burn.observed import Observed
+    from kingcupwheel.messages.base import Message
+
+_DIGEST = "0" * 64
+_MICROSECONDS = 1e6
+_ORGANISATIONS = (1000, 10_000, 43_000)
+
+
+def beat_bytes() -> list[Point]:
+    """Return the size of a heartbeat by the number of suspects it names."""
+    load = Load(12, 3, 16, 5400.5, 2300.25, 0.75)
+    return [
+        Point(
+            count,
+            _size(
+                Beat(
+                    PROCESS,
+                    "parts-model",
+                    "curitiba-north",
+                    "a1b2c3d4e5f60718",
+                    123456,
+                    load,
+                    False,
+                    True,
+                    720,
+                    suspects(count),
+                )
+            ),
+        )
+        for count in (0, 1, 8)
+    ]
+
+
+def hello_bytes() -> list[Point]:
+    """Return the size of a Hello, which names nothing that varies."""
+    hello = Hello(PROCESS, "curitiba-north", 720, _DIGEST, False)
+    return [Point(size, _size(hello)) for size in (0, 1)]
+
+
+def peer_beat_bytes() -> list[Point]:
+    """Return the size of a peer's heartbeat by the suspects it names."""
+    return [
+        Point(
+            count,
+            _size(
+                PeerBeat(
+                    PROCESS, "curitiba-north", 720, _DIGEST, False, suspects(count)
+                )
+            ),
+        )
+        for count in (0, 1, 8)
+    ]
+
+
+def instance_bytes() -> list[Point]:
+    """Return the size of the platform's list by its instances."""
+    return [Point(n, len(instance_list(n))) for n in (100, 400, 1370)]
+
+
+def instance_cpu() -> list[Point]:
+    """Return the milliseconds of decoding the platform's list by its instances."""
+    points = []
+    for count in (100, 400, 1370):
+        encoded = instance_list(count)
+        points.append(Point(count, 1e3 * _cpu_s(lambda e=encoded: _decode(e), 20)))  # type: ignore[misc]
+    return points
+
+
+def recorder_bytes(process: str) -> list[Point]:
+    """Return the memory of a recorder by the requests it holds."""
+    points = []
+    for count in (2000, 10_000):
+        gc.collect()
+        tracemalloc.start()
+        recorder = Recorder(PROCESS, limit=count)
+        record_requests(recorder, process, count)
+        recorder.drain()
+        points.append(Point(count, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        del recorder
+    return points
+
+
+def trace_cpu(process: str) -> list[Point]:
+    """Return the milliseconds to record, drain and pack by requests."""
+    points = []
+    for count in (100, 300, 1000):
+
+        def run(count: int = count) -> None:
+            recorder = Recorder(PROCESS, limit=count)
+            record_requests(recorder, process, count)
+            make_parts(recorder.drain().encoded)
+
+        points.append(Point(count, 1e3 * _cpu_s(run, 5)))
+    return points
+
+
+def batch_bytes(process: str) -> list[Point]:
+    """Return the compressed size of a batch by the requests in it."""
+    points = []
+    for count in (100, 300, 1000):
+        recorder = Recorder(PROCESS, limit=count)
+        record_requests(recorder, process, count)
+        parts = make_parts(recorder.drain().encoded)
+        points.append(Point(count, sum(len(part.packed) for part in parts)))
+    return points
+
+
+def burn_cpu() -> list[Point]:
+    """Return the microseconds to count one request by its gaps between tokens."""
+    points = []
+    for gaps in (0, TOKENS, 2 * TOKENS):
+        counter = BurnCounter(PROCESS, BurnGoals(1, Goals(), {}, {}), now=0.0)
+        observed = observed_request(
+            tuple(0.025 + index % 20 / 1e3 for index in range(gaps))
+        )
+
+        def run(counter: BurnCounter = counter, observed: Observed = observed) -> None:
+            counter.observe(observed, now=1.0)
+
+        points.append(Point(gaps, _MICROSECONDS * _cpu_s(run, 300)))
+    return points
+
+
+def burn_part_bytes() -> list[Point]:
+    """Return the size of one entry's answer by organisations with own goals."""
+    return [Point(n, len(burn_counter(n).found(now=1.0).part)) for n in (1, 20, 100)]
+
+
+def burn_memory() -> list[Point]:
+    """Return the memory of the counts by organisations with own goals."""
+    points = []
+    for count in (1, 20, 100):
+        gc.collect()
+        tracemalloc.start()
+        counter = burn_counter(count)
+        points.append(Point(count, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        del counter
+    return points
+
+
+def organisation_memory() -> list[Point]:
+    """Return the memory of decoded organisations by their number."""
+    points = []
+    for count in _ORGANISATIONS:
+        encoded = msgspec.json.encode(tuple(organisation(n) for n in range(count)))
+        gc.collect()
+        tracemalloc.start()
+        decoded = msgspec.json.decode(encoded, type=tuple[Organisation, ...])
+        points.append(Point(count, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        del decoded
+    return points
+
+
+def shard_bytes() -> list[Point]:
+    """Return the bytes of the index and one shard, by organisations."""
+    points = []
+    for count in _ORGANISATIONS:
+        index, shards = cut_manifest(count)
+        points.append(Point(count, index + max(shards)))
+    return points
+
+
+def manifest_bytes() -> list[Point]:
+    """Return the bytes of the index and all shards, by organisations."""
+    points = []
+    for count in _ORGANISATIONS:
+        index, shards = cut_manifest(count)
+        points.append(Point(count, index + sum(shards)))
+    return points
+
+
+def map_reply_bytes() -> list[Point]:
+    """Return the size of a rank's answer by the experts of its map."""
+    return [
+        Point(
+            experts,
+            _size(
+                MapReply("parts-model", 41, 7, PROCESS, "a1b2c3d4", bytes(2 * experts))
+            ),
+        )
+        for experts in (32, 128)
+    ]
+
+
+def _decode(encoded: bytes) -> Any:
+    rows = msgspec.json.decode(encoded, type=list[dict[str, Any]])
+    return tuple(Instance(**row) for row in rows)
+
+
+def _size(message: Message) -> int:
+    return len(MsgpackCodec().encode(message))
+
+
+def _cpu_s(run: Callable[[], object], repeat: int) -> float:
+    """Return the least processor time of three rounds, for one run."""
+    rounds = []
+    for _ in range(3):
+        started = time.process_time()
+        for _ in range(repeat):
+            run()
+        rounds.append((time.process_time() - started) / repeat)
+    return min(rounds)
--- /dev/null
+++ b/tools/capacity_processes.py
@@ -0,0 +1,122 @@
+"""What whole processes spend when nobody calls, by the number of their links."""
+
+from __future__ import annotations
+
+import os
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.link.links import Traffic
+from tools.capacity_slopes import Point
+from tools.fleet import Fleet
+from tools.processes import Process
+from tools.processes import wait_until
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+# Fields of /proc/PID/stat after the command's closing bracket, see proc(5).
+_UTIME, _STIME, _RSS = 11, 12, 21
+_WINDOW_S = 15.0
+_SETTLE_S = 5.0
+_START_S = 30.0
+# A line that took longer than this to come was not waiting in the pipe.
+_FRESH_S = 0.05
+
+
+class Use(NamedTuple):
+    """Processor time spent so far in seconds, and resident memory in bytes."""
+
+    cpu_s: float
+    rss_bytes: int
+
+
+class Idle(NamedTuple):
+    """What a process spends on ``links`` links while nobody calls.
+
+    ``cpu_share`` is a share of one core; rates are per second over all links, as
+    payload of the messages.
+    """
+
+    links: int
+    cpu_share: float
+    rss_bytes: int
+    messages_in: float
+    messages_out: float
+    bytes_in: float
+    bytes_out: float
+
+
+def use_of(pid: int) -> Use:
+    """Return what the process with ``pid`` has used; for own children only."""
+    text = Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[_UTIME]) + int(fields[_STIME])
+    return Use(ticks / _TICKS_PER_S, int(fields[_RSS]) * _PAGE_BYTES)
+
+
+def entry_idle(links: int) -> Idle:
+    """Measure an entry that keeps links to ``links`` stand-ins of agents."""
+    with Fleet() as fleet:
+        crowd = _crowd(fleet, "agents", str(links))
+        addresses = crowd.first_line().split()
+        entry = fleet.add_entry("entry-1", limits={"subset": links})
+        for number, address in enumerate(addresses):
+            fleet.list_instance(f"agents-{number}", "agent", "group", "dc-1", address)
+        return _measure(entry.process, crowd, links)
+
+
+def agent_idle(links: int) -> Idle:
+    """Measure an agent that ``links`` stand-ins of entries talk to."""
+    with Fleet() as fleet:
+        agent = fleet.add_agent("agent-1", "group")
+        crowd = _crowd(fleet, "entries", str(links), agent.address)
+        crowd.first_line()
+        return _measure(agent.process, crowd, links)
+
+
+def points(idles: list[Idle], value: Callable[[Idle], float]) -> tuple[Point, ...]:
+    """Return one figure of each measurement by its links."""
+    return tuple(Point(idle.links, value(idle)) for idle in idles)
+
+
+def _crowd(fleet: Fleet, *arguments: str) -> Process:
+    log = fleet.folder / "crowd.log"
+    crowd = Process("crowd", ("tools.capacity_crowd", *arguments), log)
+    fleet.stand_ins["crowd"] = crowd
+    return crowd
+
+
+def _measure(process: Process, crowd: Process, links: int) -> Idle:
+    wait_until(lambda: _traffic(crowd).messages_in >= 2 * links, "heartbeats", _START_S)
+    time.sleep(_SETTLE_S)
+    first, seen, start = use_of(process.pid), _latest(crowd), time.monotonic()
+    time.sleep(_WINDOW_S)
+    last, later, took_s = use_of(process.pid), _latest(crowd), time.monotonic() - start
+    return Idle(
+        links,
+        (last.cpu_s - first.cpu_s) / took_s,
+        last.rss_bytes,
+        (later.messages_out - seen.messages_out) / took_s,
+        (later.messages_in - seen.messages_in) / took_s,
+        (later.bytes_out - seen.bytes_out) / took_s,
+        (later.bytes_in - seen.bytes_in) / took_s,
+    )
+
+
+def _traffic(crowd: Process) -> Traffic:
+    return Traffic(*map(int, crowd.first_line().split()))
+
+
+def _latest(crowd: Process) -> Traffic:
+    """Return the newest line: older ones come at once, the next within a second."""
+    while True:
+        asked = time.monotonic()
+        traffic = _traffic(crowd)
+        if time.monotonic() - asked > _FRESH_S:
+            return traffic
--- /dev/null
+++ b/tools/capacity_samples.py
@@ -0,0 +1,149 @@
+"""Data of the kind and size that the fleet would hold, for measurements."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from kingcupwheel.burn.counter import BurnCounter
+from kingcupwheel.burn.goals import BurnGoals
+from kingcupwheel.burn.observed import Observed
+from kingcupwheel.manifest.schema import Goals
+from kingcupwheel.manifest.schema import Manifest
+from kingcupwheel.manifest.schema import Organisation
+from kingcupwheel.manifest.schema import Route
+from kingcupwheel.manifest.schema import ServerGroup
+from kingcupwheel.manifest.shards import cut
+from kingcupwheel.manifest.shards import encode_index
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.platform.client import Instance
+from kingcupwheel.trace.events import Admitted
+from kingcupwheel.trace.events import Alternative
+from kingcupwheel.trace.events import Dispatched
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import FirstByte
+from kingcupwheel.trace.events import Placed
+from kingcupwheel.trace.events import Received
+from kingcupwheel.trace.events import Started
+from kingcupwheel.utils.request_ids import new_request_id
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.trace.events import AnyEvent
+    from kingcupwheel.trace.recorder import Recorder
+
+PROCESS = "entry-curitiba-north-017"
+TOKENS = 270
+
+
+def record_requests(recorder: Recorder, process: str, count: int) -> None:
+    """Record the events of ``count`` requests of a ``process``: entry or agent."""
+    # Names and numbers vary as they would: equal ones would compress too well.
+    random = Random(7)
+    for number in range(count):
+        wanted = str(new_request_id(PROCESS, now=1_800_000_000 + number / 9))
+        server = f"agent-curitiba-north-{random.randrange(1000):04d}"
+        agent = _agent_events(server, random)
+        for event in _entry_events(server, random) if process == "entry" else agent:
+            recorder.record(wanted, event)
+
+
+def _entry_events(server: str, random: Random) -> tuple[AnyEvent, ...]:
+    other = f"agent-ponta-grossa-{random.randrange(1000):04d}"
+    weighed = (
+        Alternative(server, random.random()),
+        Alternative(other, random.random()),
+    )
+    organisation = f"organisation-{random.randrange(43_000)}"
+    path = "/v1/completions"
+    body_bytes = random.randrange(20_000)
+    return (
+        Received(
+            "POST", path, body_bytes, organisation, f"*{path}", "parts-model", 720, True
+        ),
+        Admitted(random.random() * 2000),
+        Placed(server, 1, random.random(), "less loaded of two", weighed),
+        Dispatched(server, 1),
+        Started(server, 1),
+        FirstByte(server, 1),
+        Finished("ran", 200, random.randrange(20_000), "whole"),
+    )
+
+
+def _agent_events(server: str, random: Random) -> tuple[AnyEvent, ...]:
+    return (
+        Started(server, 1),
+        FirstByte(server, 1),
+        Finished("ran", 200, random.randrange(20_000), "whole"),
+    )
+
+
+def observed_request(gaps_s: tuple[float, ...]) -> Observed:
+    """Return an answered request with these gaps between tokens."""
+    return Observed(
+        organisation="organisation-31415",
+        route="*/v1/completions",
+        group="parts-model",
+        server="agent-curitiba-north-0417",
+        outcome=Outcome.RAN,
+        status=200,
+        reason="whole",
+        first_byte_s=0.4,
+        gaps_s=gaps_s,
+    )
+
+
+def burn_counter(organisations: int) -> BurnCounter:
+    """Return counts of as many organisations with goals of their own."""
+    own = {f"organisation-{number}": Goals() for number in range(organisations)}
+    counter = BurnCounter(PROCESS, BurnGoals(1, Goals(), {}, own), now=0.0)
+    gaps_s = tuple(0.025 + index % 20 / 1e3 for index in range(TOKENS))
+    for number in range(organisations):
+        observed = observed_request(gaps_s)._replace(
+            organisation=f"organisation-{number}"
+        )
+        counter.observe(observed, now=1.0)
+    return counter
+
+
+def organisation(number: int) -> Organisation:
+    """Return an organisation with two keys."""
+    return Organisation(
+        name=f"organisation-{number}", key_digests=(f"{number:064x}", f"{number:064d}")
+    )
+
+
+def instance_list(count: int) -> bytes:
+    """Return the platform's list as it travels."""
+    instances = [
+        Instance(
+            f"agent-curitiba-north-{number:04d}",
+            "agent",
+            "parts-model",
+            "curitiba-north",
+            f"10.11.{number // 256}.{number % 256}:7400",
+            "",
+            False,
+        )._asdict()
+        for number in range(count)
+    ]
+    return msgspec.json.encode(instances)
+
+
+def suspects(count: int) -> tuple[tuple[str, int], ...]:
+    """Return fingerprints with their deaths."""
+    return tuple((f"{number:032x}", 1) for number in range(count))
+
+
+def cut_manifest(organisations: int) -> tuple[int, list[int]]:
+    """Return the bytes of the index and of each shard."""
+    manifest = Manifest(
+        organisations=tuple(organisation(n) for n in range(organisations)),
+        groups=(ServerGroup(name="parts-model"),),
+        routes=(Route(path="/v1/completions", group="parts-model"),),
+    )
+    sharded = cut(manifest, submission="0" * 32, previous=None).ok
+    shards = [len(value) for value in sharded.shards_by_key.values()]
+    return len(encode_index(sharded.index_object)), shards
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -90,6 +90,11 @@
         agents = [agent.process for agent in self.agents.values()]
         return (*entries, *agents, *self.stand_ins.values())
 
+    @property
+    def folder(self) -> Path:
+        """Where the fleet keeps its settings and logs."""
+        return self._path
+
     def log(self, name: str) -> str:
         """Return what a process logged."""
         return (self._path / f"{name}.log").read_text()
--- /dev/null
+++ b/tools/measure_capacity.py
@@ -0,0 +1,179 @@
+"""Measure the slopes that ``tools.capacity`` works the capacity page out from.
+
+``python -m tools.measure_capacity`` measures all of them and writes
+``tools/capacity_slopes.json``; ``--only parts`` or ``--only processes`` keeps the
+others. It takes a few minutes and starts up to a few dozen processes.
+"""
+
+from __future__ import annotations
+
+import platform
+import subprocess
+from datetime import UTC
+from datetime import datetime
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import click
+
+from tools import capacity_probes as probes
+from tools.capacity_processes import Idle
+from tools.capacity_processes import agent_idle
+from tools.capacity_processes import entry_idle
+from tools.capacity_processes import points
+from tools.capacity_slopes import SLOPES_PATH
+from tools.capacity_slopes import Point
+from tools.capacity_slopes import Slope
+from tools.capacity_slopes import Slopes
+from tools.capacity_slopes import load_slopes
+from tools.capacity_slopes import save_slopes
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LINKS = (12, 24, 48, 96)
+_COMMAND = "python -m tools.measure_capacity"
+_PARTS = f"{_COMMAND} --only parts"
+_PROCESSES = f"{_COMMAND} --only processes"
+
+
+class Probe(NamedTuple):
+    """A measurement of a part of the library."""
+
+    name: str
+    unit: str
+    size_unit: str
+    run: Callable[[], list[Point]]
+
+
+PROBES = (
+    Probe("beat_bytes", "bytes", "suspects named", probes.beat_bytes),
+    Probe("hello_bytes", "bytes", "none", probes.hello_bytes),
+    Probe("peer_beat_bytes", "bytes", "suspects named", probes.peer_beat_bytes),
+    Probe("instance_list_bytes", "bytes", "instances", probes.instance_bytes),
+    Probe("instance_list_cpu", "ms", "instances", probes.instance_cpu),
+    Probe(
+        "entry_recorder_bytes",
+        "bytes",
+        "requests held",
+        lambda: probes.recorder_bytes("entry"),
+    ),
+    Probe(
+        "agent_recorder_bytes",
+        "bytes",
+        "requests held",
+        lambda: probes.recorder_bytes("agent"),
+    ),
+    Probe("entry_trace_cpu", "ms", "requests", lambda: probes.trace_cpu("entry")),
+    Probe("agent_trace_cpu", "ms", "requests", lambda: probes.trace_cpu("agent")),
+    Probe(
+        "entry_batch_bytes",
+        "bytes",
+        "requests in a batch",
+        lambda: probes.batch_bytes("entry"),
+    ),
+    Probe(
+        "agent_batch_bytes",
+        "bytes",
+        "requests in a batch",
+        lambda: probes.batch_bytes("agent"),
+    ),
+    Probe("burn_cpu", "us", "gaps between tokens in a request", probes.burn_cpu),
+    Probe("burn_part_bytes", "bytes", "organisations", probes.burn_part_bytes),
+    Probe("burn_bytes", "bytes", "organisations", probes.burn_memory),
+    Probe("organisations_bytes", "bytes", "organisations", probes.organisation_memory),
+    Probe("shard_bytes", "bytes", "organisations", probes.shard_bytes),
+    Probe("manifest_bytes", "bytes", "organisations", probes.manifest_bytes),
+    Probe("map_reply_bytes", "bytes", "experts", probes.map_reply_bytes),
+)
+
+
+class IdleFigure(NamedTuple):
+    """One figure of a whole process that idles on its links."""
+
+    name: str
+    unit: str
+    value: Callable[[Idle], float]
+
+
+IDLE_FIGURES = (
+    IdleFigure("cpu", "share of a core", lambda idle: idle.cpu_share),
+    IdleFigure("rss", "bytes", lambda idle: idle.rss_bytes),
+    IdleFigure("messages_in", "a second", lambda idle: idle.messages_in),
+    IdleFigure("messages_out", "a second", lambda idle: idle.messages_out),
+    IdleFigure("bytes_in", "bytes a second", lambda idle: idle.bytes_in),
+    IdleFigure("bytes_out", "bytes a second", lambda idle: idle.bytes_out),
+)
+
+# Slopes of the data path, from runs under load; without points until they are measured.
+LATER = (
+    Slope("entry_token_cpu", "us", "tokens", "make measure"),
+    Slope("agent_token_cpu", "us", "tokens", "make measure"),
+    Slope("entry_stream_bytes", "bytes", "open streams", "make measure"),
+)
+
+
+def measure_parts() -> list[Slope]:
+    """Measure parts of the library."""
+    slopes = []
+    for probe in PROBES:
+        click.echo(f"  {probe.name}")
+        found = tuple(probe.run())
+        slopes.append(Slope(probe.name, probe.unit, probe.size_unit, _PARTS, found))
+    return slopes
+
+
+def measure_processes() -> list[Slope]:
+    """Measure whole idle processes, one at a time."""
+    slopes = []
+    for role, measure in (("entry", entry_idle), ("agent", agent_idle)):
+        idles = []
+        for links in LINKS:
+            idles.append(measure(links))
+            click.echo(f"  {role}: {idles[-1]}")
+        slopes += [
+            Slope(
+                f"{role}_idle_{figure.name}",
+                figure.unit,
+                "links",
+                _PROCESSES,
+                points(idles, figure.value),
+            )
+            for figure in IDLE_FIGURES
+        ]
+    return slopes
+
+
+@click.command()
+@click.option("--only", type=click.Choice(["parts", "processes"]))
+def main(only: str | None) -> None:
+    """Measure and write the slopes."""
+    held = load_slopes().by_name if SLOPES_PATH.exists() else {}
+    found = {slope.name: slope for slope in LATER} | held
+    if only != "processes":
+        found |= {slope.name: slope for slope in measure_parts()}
+    if only != "parts":
+        found |= {slope.name: slope for slope in measure_processes()}
+    save_slopes(
+        Slopes(
+            machine=f"{platform.machine()}, Python {platform.python_version()}",
+            commit=_commit(),
+            measured_at=datetime.now(tz=UTC).strftime("%Y-%m-%d %H:%M UTC"),
+            by_name=found,
+        )
+    )
+
+
+def _commit() -> str:
+    described = subprocess.run(
+        ["git", "describe", "--always", "--dirty"],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return described.stdout.strip()
+
+
+if __name__ == "__main__":
+    main()
