--- a/tests/tools/test_capacity.py
+++ b/tests/tools/test_capacity.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import pytest
-
 from tools.capacity import PAGE
 from tools.capacity import fill
 from tools.capacity_model import Model
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -40,13 +40,18 @@
 STRETCHED = Design(
     "proposed",
     server_groups=TARGET.models,
-    heartbeat_s=4.0,
+    heartbeat_s=6.0,
     instances_s=5.0,
     changed_only=True,
+    poll_s=6.0,
 )
+# The sizes of today, each entry as busy as at the target.
+SMALL_TARGET = Target(
+    entries=7, servers=19, requests=60.0, tokens=16_000.0, organisations=10, ranks=16
+)
+SMALL = Design("as it is, today's sizes", server_groups=2)
 DESIGNS = (TODAY, RANKED, STRETCHED)
-# Of the expert map's coordinator, as designed: neither is a measurement.
-_POLL_S = 2.0
+# Of the expert map's coordinator, as designed; not a measurement.
 _RENEW_S = 3.0
 _MB = 1e6
 _KB = 1e3
@@ -79,10 +84,8 @@
     return _PART.sub(replaced, page)
 
 
-def _holder(slopes: Slopes, design: Design) -> Role:
-    size = slopes.by_name["map_reply_bytes"].at(128)
-    model = Model(slopes, design, TARGET)
-    return model.holder(poll_s=_POLL_S, renew_s=_RENEW_S, message_bytes=size)
+def _holder(slopes: Slopes, design: Design, target: Target = TARGET) -> Role:
+    return Model(slopes, design, target).holder(renew_s=_RENEW_S)
 
 
 def _slopes(slopes: Slopes) -> str:
@@ -158,9 +161,10 @@
 
 def _verdicts(slopes: Slopes) -> str:
     rows = []
-    for design in DESIGNS:
-        model = Model(slopes, design, TARGET)
-        for role in (model.entry(), model.agent(), _holder(slopes, design)):
+    sizes = [(SMALL, SMALL_TARGET), *((design, TARGET) for design in DESIGNS)]
+    for design, target in sizes:
+        model = Model(slopes, design, target)
+        for role in (model.entry(), model.agent(), _holder(slopes, design, target)):
             total = role.total
             rows.append(
                 (
@@ -177,7 +181,7 @@
                     ),
                 )
             )
-    head = ("Design", "Role", "Core (2.2%)", "MB (256)", "KB/s, busier way (11)")
+    head = ("Design", "Role", "Core (2.2%)", "MB (256)", "KB/s, both ways (11)")
     return _table(head, rows)
 
 
@@ -192,10 +196,19 @@
         rows += _entry_breaks(model, design)
         load = platform_load(slopes, design, TARGET, renew_s=_RENEW_S)
         reads = LIMITS.reads_s / load.reads * TARGET.processes
+        at_change = LIMITS.reads_s / load.change_reads * TARGET.processes
         left = LIMITS.writes_s - load.writes
         rows.append(
             (design.name, "platform", "2,000 reads/s", f"at {reads:.0f} processes")
         )
+        rows.append(
+            (
+                design.name,
+                "platform",
+                "2,000 reads/s, at a change",
+                f"at {at_change:.0f} processes; there are {TARGET.processes}",
+            )
+        )
         rows.append(
             (
                 design.name,
@@ -215,7 +228,11 @@
     total = role.total
     found: list[tuple[str, ...]] = []
     for limit, value, beat in (
-        ("11 KB/s", total.bytes_in, beats.bytes_in),
+        (
+            "11 KB/s",
+            role.control_bytes,
+            beats.bytes_in + beats.bytes_out,
+        ),
         ("2.2% of a core", total.cpu, beats.cpu),
     ):
         bound = LIMITS.bytes_s if limit == "11 KB/s" else LIMITS.cpu_share
--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -58,9 +58,9 @@
 
     @property
     def control_bytes(self) -> float:
-        """Bytes a second in the busier direction."""
+        """Bytes a second, both ways together."""
         total = self.total
-        return max(total.bytes_in, total.bytes_out)
+        return total.bytes_in + total.bytes_out
 
 
 class Model:
@@ -105,10 +105,11 @@
         )
         return Role("agent", costs)
 
-    def holder(self, *, poll_s: float, renew_s: float, message_bytes: float) -> Role:
+    def holder(self, *, renew_s: float) -> Role:
         """Return the costs of an agent that coordinates its group's expert map."""
-        rate = self._target.ranks / poll_s
-        size = rate * (message_bytes + _WIRE_BYTES)
+        rate = self._target.ranks / self._design.poll_s
+        reply = self._at("map_reply_bytes", self._target.experts)
+        size = rate * (reply + _WIRE_BYTES)
         coordinating = Cost(
             "expert map of its group",
             "reads its ranks and renews its lease",
--- a/tools/capacity_target.py
+++ b/tools/capacity_target.py
@@ -18,6 +18,7 @@
     organisations: int = 43_000
     models: int = 5
     ranks: int = 32
+    experts: int = 128
     data_centres: int = 8
     changes_a_day: int = 720
     restarts_a_day: int = 79
@@ -36,7 +37,7 @@
 class Limits(NamedTuple):
     """The budget of a node for control, and the platform's rates.
 
-    "Several hundred" writes are read as 300.
+    "Several hundred" writes are read as 300, bytes a second as both ways together.
     """
 
     cpu_share: float = 0.022
@@ -50,7 +51,8 @@
     """The settings that decide control traffic; the defaults are those of today.
 
     ``server_groups`` is how many groups an entry keeps a subset of. ``changed_only``
-    tells that the list of instances is only sent when it has changed.
+    tells that the list of instances is only sent when it has changed. ``poll_s`` is how
+    often the holder of a group's lease reads its ranks.
     """
 
     name: str
@@ -62,3 +64,4 @@
     trace_batch_s: float = Timings().trace_batch_s
     traces: int = EntryLimits().traces
     changed_only: bool = False
+    poll_s: float = 2.0
