--- a/src/kingcupwheel/burn/counter.py
+++ b/src/kingcupwheel/burn/counter.py
@@ -72,11 +72,14 @@
         with self._lock:
             self._goals = goals
 
-    def observe(self, observed: Observed, *, now: float) -> None:
-        """Count a finished request; ``now`` is Unix seconds."""
+    def observe(self, observed: Observed, *, now: float) -> dict[Indicator, Count]:
+        """Count a finished request and return how it met its own goals.
+
+        ``now`` is Unix seconds.
+        """
         with self._lock:
-            self._count(observed, now)
             self._time(observed, now)
+            return self._count(observed, now)
 
     def found(self, *, now: float) -> BurnFound:
         """Answer ``BurnWanted``."""
@@ -96,8 +99,9 @@
                 self._uncounted,
             )
 
-    def _count(self, observed: Observed, now: float) -> None:
+    def _count(self, observed: Observed, now: float) -> dict[Indicator, Count]:
         minute = int(now // MINUTE_S)
+        own: dict[Indicator, Count] = {}
         held = self._goals.held(
             route=observed.route, organisation=observed.organisation
         )
@@ -111,6 +115,8 @@
                 tally.add(minute, indicator, total=count.total, bad=count.bad)
             if scope == OVERALL:
                 self._blame(observed, counts, now)
+                own = counts
+        return own
 
     def _tally(self, scope: Scope) -> Tally | None:
         tally = self._tally_by_scope.get(scope)
--- a/tests/burn/builders.py
+++ b/tests/burn/builders.py
@@ -7,6 +7,7 @@
 from kingcupwheel.burn.counter import BurnCounter
 from kingcupwheel.burn.goals import goals_of
 from kingcupwheel.burn.observed import Observed
+from kingcupwheel.entry.requests import CallerRequest
 from kingcupwheel.manifest.schema import Goals
 from kingcupwheel.manifest.schema import Manifest
 from kingcupwheel.manifest.schema import Organisation
@@ -53,6 +54,29 @@
     return usual._replace(**changes)
 
 
+def caller_request() -> CallerRequest:
+    return CallerRequest(
+        request_id="entry-1.1.aa",
+        organisation=MANIFEST.organisations[0],
+        route=MANIFEST.routes[0],
+        group=MANIFEST.groups[0],
+        method="POST",
+        path="/v1/completions",
+        headers=(),
+        body=b"",
+        body_digest="",
+        fingerprint="",
+        prefix_key="",
+        idempotency_key="",
+        streamed=True,
+        max_tokens=None,
+        received_at=0.0,
+        deadline_s=30.0,
+        own_deadline=False,
+        manifest_version=3,
+    )
+
+
 def unknown(**changes: Any) -> Observed:
     lost = observed(
         outcome=Outcome.UNKNOWN,
--- /dev/null
+++ b/tests/burn/test_observer.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+import socket
+import time
+from typing import TYPE_CHECKING
+
+from kingcupwheel.burn.goals import Indicator
+from kingcupwheel.burn.observer import OutcomeObserver
+from kingcupwheel.burn.tallies import Count
+from kingcupwheel.entry.refusals import BAD_KEY
+from kingcupwheel.entry.refusals import BUSY
+from kingcupwheel.entry.refusals import CALLER_LEFT
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.metrics.client import Metrics
+from kingcupwheel.settings.schema import StatsdSettings
+from tests.burn.builders import caller_request
+from tests.burn.builders import counter
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.observing import Observer
+
+
+def test_the_entrys_outcomes_become_burn_and_metrics() -> None:
+    """The operator sees the entry's own refusals burn, the callers' doing not.
+
+    A late answer, one cut short, one whose caller left, and refusals for a busy entry,
+    a bad key and a caller that left before it was placed.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+        udp.bind(("127.0.0.1", 0))
+        udp.settimeout(10)
+        settings = StatsdSettings(host="127.0.0.1", port=udp.getsockname()[1])
+        counts = counter(now=time.time())
+        observer = OutcomeObserver(counts, Metrics(settings, process="entry-1"))
+        served: Observer = observer
+        request = caller_request()
+        served.answered(
+            request,
+            server="agent-1",
+            outcome=Outcome.RAN,
+            status=200,
+            first_byte_s=2.0,
+            gaps_s=(0.02, 0.05),
+        )
+        for caller_left in (False, True):
+            observer.answered(
+                request,
+                server="agent-1",
+                outcome=Outcome.UNKNOWN,
+                status=200,
+                first_byte_s=None,
+                gaps_s=(),
+                caller_left=caller_left,
+            )
+        for refusal in (BUSY, BAD_KEY, CALLER_LEFT):
+            served.refused(request, refusal)
+        sent = [udp.recv(512).decode() for _ in range(15)]
+
+    windows = {
+        counts.indicator: Count(*counts.windows[0])
+        for counts in counts.part(now=time.time()).scopes[0].indicators
+    }
+    assert windows[Indicator.AVAILABILITY] == Count(3, 2)
+    assert windows[Indicator.FIRST_TOKEN] == Count(1, 1)
+    assert windows[Indicator.TOKEN_GAP] == Count(2, 1)
+    names = [line.removeprefix("kingcupwheel.entry-1.") for line in sent]
+    assert names.count("requests.not-run:1|c") == 3
+    assert names.count("goal_misses.availability:1|c") == 2
+    assert "refusals.entry-busy:1|c" in names
