--- a/src/kingcupwheel/trace/sentences.py
+++ b/src/kingcupwheel/trace/sentences.py
@@ -136,4 +136,4 @@
 
 
 def _after(detail: str) -> str:
-    return f": {detail}" if detail else ""
+    return f": {detail.rstrip('.')}" if detail else ""
