--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -16,6 +16,7 @@
 from kingcupwheel.decisions.candidates import Weighed
 from kingcupwheel.decisions.hashing import stable_hash
 from kingcupwheel.decisions.health import ServerState
+from kingcupwheel.decisions.reports import corrected
 from kingcupwheel.plugins.kernel import placement_policies
 
 
@@ -93,7 +94,7 @@
         self, candidates: Sequence[Candidate], ask: Ask, now: float, draw: Random
     ) -> Placed | NoPlace:
         """Choose a server; ``now`` is not needed, since ages are in the candidates."""
-        able = usable(candidates, ask)
+        able = usable(corrected(candidates), ask)
         if isinstance(able, NoPlace):
             return able
         proven, probed = _parted(able)
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -113,6 +113,18 @@
     assert replace(server, running=2).held == 4.0
 
 
+def test_a_server_that_always_reports_idle_gets_no_more_than_the_others() -> None:
+    """A server's report is wrong: it says it is idle whatever it holds.
+
+    Every entry would prefer it, and the callers sent there would wait while the other
+    servers have room. The entry's own attempts show that the report cannot be right.
+    """
+    liar = replace(BUSY, running=0, own_in_flight=3, own_at_report=3)
+    others = [replace(BUSY, name=one.name) for one in candidates(6)[1:]]
+
+    assert place([liar, *others], Ask(data_centre="heredia"))["server-0"] == 0
+
+
 def test_a_probed_server_gets_single_repeatable_requests() -> None:
     servers = candidates(4)
     servers[0] = replace(servers[0], state=ServerState.PROBING)
