--- a/src/kingcupwheel/decisions/shares.py
+++ b/src/kingcupwheel/decisions/shares.py
@@ -39,6 +39,11 @@
 # to another entry is served there before the share has followed it.
 FLOOR = 0.1
 
+# Part of what no entry wants that goes where the demand is; the rest is split equally.
+# Bursts come where callers are already, so all of it split equally refuses them; all of
+# it by demand refuses the caller that moves to a quiet entry.
+SPARE_BY_DEMAND = 0.5
+
 # Demands below this are noise.
 _LEAST_DEMAND = 1e-6
 
@@ -113,7 +118,8 @@
     if total < _LEAST_DEMAND:
         return equal
     if total <= 1.0:
-        return demand + (1.0 - total) * equal
+        busy = SPARE_BY_DEMAND * demand / total
+        return demand + (1.0 - total) * (busy + (1.0 - SPARE_BY_DEMAND) * equal)
     return demand / total
 
 
