--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -28,6 +28,9 @@
 from kingcupwheel.messages.membership import StatusWanted
 from kingcupwheel.messages.runs import Running
 from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.metrics.client import Metrics
+from kingcupwheel.metrics.events import EventMetrics
+from kingcupwheel.metrics.platform import MeteredPlatformClient
 from kingcupwheel.plugins.kernel import platform_clients
 from kingcupwheel.plugins.kernel import server_adapters
 from kingcupwheel.settings.schema import Role
@@ -65,7 +68,12 @@
             raise NoServerError
         timings = settings.timings
         self._settings = settings
-        self._recorder = Recorder(settings.name, limit=settings.agent.traces)
+        self._metrics = Metrics(settings.statsd, process=settings.name)
+        self._recorder = Recorder(
+            settings.name,
+            limit=settings.agent.traces,
+            listener=EventMetrics(self._metrics, settings.role),
+        )
         self._peers = Peers(hello_s=timings.gone_s, gone_s=timings.give_up_s)
         self._hub = Hub(
             listen=settings.listen, on_message=self._on_message, on_tick=self._on_tick
@@ -99,7 +107,10 @@
             send=self._hub.send,
         )
         self._probe = ServerProbe(adapter, self._runner, period_s=timings.heartbeat_s)
-        client = platform_clients.get(settings.platform.client)(settings.platform)
+        client = MeteredPlatformClient(
+            platform_clients.get(settings.platform.client)(settings.platform),
+            self._metrics,
+        )
         self._manifest = AgentManifest(
             client,
             group=settings.group,
@@ -111,6 +122,7 @@
             client,
             period_s=timings.trace_batch_s,
             retention_s=lambda: self._manifest.traces_retention_s,
+            metrics=self._metrics,
         )
         self._heartbeat = Heartbeat(
             settings,
@@ -164,6 +176,7 @@
         self._manifest.stop()
         self._shipper.stop()
         self._hub.stop()
+        self._metrics.close()
 
     def _on_message(self, link: Link, message: Message) -> None:
         now = monotonic()
--- a/src/kingcupwheel/entry/daemon.py
+++ b/src/kingcupwheel/entry/daemon.py
@@ -31,6 +31,8 @@
 from kingcupwheel.manifest.schema import Retention
 from kingcupwheel.messages.membership import InstancesWanted
 from kingcupwheel.metrics.client import Metrics
+from kingcupwheel.metrics.events import EventMetrics
+from kingcupwheel.metrics.platform import MeteredPlatformClient
 from kingcupwheel.plugins.kernel import load_builtin
 from kingcupwheel.plugins.kernel import platform_clients
 from kingcupwheel.trace.recorder import Recorder
@@ -57,18 +59,26 @@
         load_builtin()
         self._settings = settings
         self._leaving = Event()
-        client = platform_clients.get(settings.platform.client)(settings.platform)
-        self._recorder = Recorder(settings.name, limit=settings.entry.traces)
+        self._metrics = Metrics(settings.statsd, process=settings.name)
+        client = MeteredPlatformClient(
+            platform_clients.get(settings.platform.client)(settings.platform),
+            self._metrics,
+        )
+        self._recorder = Recorder(
+            settings.name,
+            limit=settings.entry.traces,
+            listener=EventMetrics(self._metrics, settings.role),
+        )
         self._burn = BurnCounter(
             settings.name, BurnGoals(0, Goals(), {}, {}), now=time.time()
         )
-        self._metrics = Metrics(settings.statsd, process=settings.name)
         self._observer = Observer(self._burn, self._metrics)
         self._shipper = BatchShipper(
             self._recorder,
             client,
             period_s=settings.timings.trace_batch_s,
             retention_s=self._trace_retention_s,
+            metrics=self._metrics,
         )
         self._hub = Hub(
             listen=settings.listen, on_message=self._on_message, on_tick=self._on_tick
--- a/src/kingcupwheel/entry/observing.py
+++ b/src/kingcupwheel/entry/observing.py
@@ -10,6 +10,7 @@
 from kingcupwheel.burn.observed import Observed
 from kingcupwheel.metrics.names import Count
 from kingcupwheel.metrics.names import Duration
+from kingcupwheel.metrics.names import Level
 
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         """Hold requests to the goals of this manifest from now on."""
         self._burn.adopt(burn_goals(in_force))
         self._metrics.count(Count.MANIFESTS_ADOPTED)
+        self._metrics.level(Level.MANIFEST_VERSION, in_force.version)
 
     def refused(self, request: CallerRequest, refusal: Refusal) -> None:
         """Count a request that got no answer of a backend server."""
@@ -67,6 +69,8 @@
         """Count an answer; ``gaps_s`` are the times between chunks in seconds."""
         if first_byte_s is not None:
             self._metrics.duration(Duration.FIRST_BYTE, first_byte_s)
+        if gaps_s:
+            self._metrics.duration(Duration.TOKEN_GAP, max(gaps_s))
         self._observe(
             Observed(
                 organisation=request.organisation.name,
@@ -75,7 +79,7 @@
                 server=server,
                 outcome=outcome,
                 status=status,
-                reason="answered",
+                reason=outcome.value,
                 first_byte_s=first_byte_s,
                 gaps_s=gaps_s,
                 caller_left=caller_left,
@@ -86,7 +90,11 @@
         self._metrics.count(Count.REQUESTS, by=observed.outcome.value)
         if observed.caller_left:
             self._metrics.count(Count.CALLERS_LEFT)
-        self._burn.observe(observed, now=time.time())
+        judged = self._burn.observe(observed, now=time.time())
+        for indicator, count in judged.items():
+            if count.bad:
+                by = indicator.value
+                self._metrics.count(Count.GOAL_MISSES, by=by, number=count.bad)
 
 
 def burn_goals(in_force: InForce) -> BurnGoals:
--- /dev/null
+++ b/src/kingcupwheel/metrics/platform.py
@@ -0,0 +1,86 @@
+"""A platform client that counts and times its calls."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from kingcupwheel.metrics.names import Count
+from kingcupwheel.metrics.names import Duration
+from kingcupwheel.platform.errors import Conflict
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from expression import Result
+
+    from kingcupwheel.metrics.client import Metrics
+    from kingcupwheel.platform.client import Instance
+    from kingcupwheel.platform.client import PlatformClient
+    from kingcupwheel.platform.client import Versioned
+    from kingcupwheel.platform.errors import PlatformError
+
+T = TypeVar("T")
+
+
+class MeteredPlatformClient:
+    """Passes calls on to another client; see ``PlatformClient`` for what they do."""
+
+    def __init__(self, client: PlatformClient, metrics: Metrics) -> None:
+        self._client = client
+        self._metrics = metrics
+
+    def read(self, key: str) -> Result[Versioned | None, PlatformError]:
+        """Return the object, or None if it does not exist."""
+        return self._metered("read", lambda: self._client.read(key))
+
+    def create(self, key: str, value: bytes) -> Result[int, PlatformError]:
+        """Create the object if absent."""
+        return self._metered("create", lambda: self._client.create(key, value))
+
+    def update(
+        self, key: str, value: bytes, *, version: int
+    ) -> Result[int, PlatformError]:
+        """Replace the object if it is at ``version``."""
+        return self._metered(
+            "update", lambda: self._client.update(key, value, version=version)
+        )
+
+    def delete(self, key: str, *, version: int) -> Result[None, PlatformError]:
+        """Remove the object if it is at ``version``."""
+        return self._metered(
+            "delete", lambda: self._client.delete(key, version=version)
+        )
+
+    def keys(self, prefix: str) -> Result[tuple[str, ...], PlatformError]:
+        """Return the keys that start with ``prefix``, sorted."""
+        return self._metered("keys", lambda: self._client.keys(prefix))
+
+    def watch(
+        self, key: str, *, after: int, timeout_s: float
+    ) -> Result[Versioned | None, PlatformError]:
+        """Wait for the object to pass version ``after``; its time is not a metric."""
+        found = self._client.watch(key, after=after, timeout_s=timeout_s)
+        self._count("watch", found)
+        return found
+
+    def instances(self) -> Result[tuple[Instance, ...], PlatformError]:
+        """Return the platform's lagging list of live and leaving instances."""
+        return self._metered("instances", self._client.instances)
+
+    def _metered(
+        self, kind: str, call: Callable[[], Result[T, PlatformError]]
+    ) -> Result[T, PlatformError]:
+        started = monotonic()
+        found = call()
+        self._metrics.duration(Duration.PLATFORM_CALL, monotonic() - started)
+        self._count(kind, found)
+        return found
+
+    def _count(self, kind: str, found: Result[T, PlatformError]) -> None:
+        self._metrics.count(Count.PLATFORM_CALLS, by=kind)
+        # A conflict is an answer; someone else was first.
+        if found.is_error() and not isinstance(found.error, Conflict):
+            self._metrics.count(Count.PLATFORM_ERRORS, by=kind)
--- a/src/kingcupwheel/trace/finding.py
+++ b/src/kingcupwheel/trace/finding.py
@@ -46,6 +46,9 @@
 # Agents asked when the entry left nothing that names them. It covers every agent of
 # today's deployments; of a larger fleet the rest is named as not asked.
 MAX_GUESSED = 128
+# Processes whose batches are read in that case, each with some four calls to the
+# platform.
+MAX_GUESSED_WRITERS = 32
 
 
 class _Directory(NamedTuple):
@@ -96,9 +99,10 @@
         directory = self._directory()
         entry = self._parts((parsed.entry,), request_id, parsed, directory)[0]
         servers = dict.fromkeys((*servers_named(entry.events), *self._agents))
-        agents = self._parts(tuple(servers), request_id, parsed, directory)
+        told_at = _told_at(entry.events)
+        agents = self._parts(tuple(servers), request_id, parsed, directory, told_at)
         if not entry.events and not any(part.events for part in agents):
-            agents = (*agents, *self._guess(request_id, directory))
+            agents = (*agents, *self._guess(request_id, parsed, directory))
         parts = (entry, *agents)
         if directory.trouble and any(part.gaps for part in parts):
             gaps = (directory.trouble, *entry.gaps)
@@ -120,10 +124,13 @@
         request_id: str,
         parsed: RequestId,
         directory: _Directory,
+        told_at: float | None = None,
     ) -> tuple[Part, ...]:
         found_by_process = self._ask(processes, request_id, directory)
         return tuple(
-            self._part(process, found_by_process.get(process), request_id, parsed)
+            self._part(
+                process, found_by_process.get(process), request_id, parsed, told_at
+            )
             for process in processes
         )
 
@@ -143,6 +150,7 @@
         found: TraceFound | None,
         request_id: str,
         parsed: RequestId,
+        told_at: float | None,
     ) -> Part:
         live = _decode(found)
         if found is not None and found.complete:
@@ -152,11 +160,13 @@
         events = _union(live, stored.events)
         source = Source.BATCHES if stored.events else Source.NOWHERE
         source = Source.LIVE if live else source
-        gaps = _gaps(process, parsed.entry, found, events, stored)
+        gaps = _gaps(process, parsed.entry, found, events, stored, told_at)
         return Part(process, source, events, gaps)
 
-    def _guess(self, request_id: str, directory: _Directory) -> tuple[Part, ...]:
-        """Ask agents at large: the entry is gone and left nothing."""
+    def _guess(
+        self, request_id: str, parsed: RequestId, directory: _Directory
+    ) -> tuple[Part, ...]:
+        """Look at large: the entry is gone and left nothing that names an agent."""
         asked = directory.agents[:MAX_GUESSED]
         found_by_process = self._ask(asked, request_id, directory)
         parts = tuple(
@@ -164,16 +174,26 @@
             for process, found in found_by_process.items()
             if (events := _decode(found))
         )
-        silent = [process for process in asked if process not in found_by_process]
-        unasked = len(directory.agents) - len(asked)
-        gaps = []
-        if silent and not parts:
-            gaps.append(f"No answer came from {', '.join(silent)}.")
-        if unasked and not parts:
-            gaps.append(f"{unasked} more agents were not asked.")
-        if gaps:
-            parts = (*parts, Part("agents", Source.NOWHERE, (), tuple(gaps)))
-        return parts
+        if parts:
+            return parts
+        whole = {name for name, found in found_by_process.items() if found.complete}
+        writers = self._reader.writers()
+        left = [name for name in writers if name not in whole | {parsed.entry}]
+        parts = self._guess_batches(left[:MAX_GUESSED_WRITERS], request_id, parsed)
+        unasked = max(0, len(directory.agents) - len(asked))
+        unread = max(0, len(left) - MAX_GUESSED_WRITERS)
+        if parts or not (unasked or unread):
+            return parts
+        gap = (
+            f"{unasked} agents were not asked and {unread} processes' batches not read."
+        )
+        return (Part("agents", Source.NOWHERE, (), (gap,)),)
+
+    def _guess_batches(
+        self, writers: list[str], request_id: str, parsed: RequestId
+    ) -> tuple[Part, ...]:
+        parts = (self._part(name, None, request_id, parsed, None) for name in writers)
+        return tuple(part for part in parts if part.events)
 
 
 def _decode(found: TraceFound | None) -> tuple[TraceEvent, ...]:
@@ -199,13 +219,18 @@
     found: TraceFound | None,
     events: tuple[TraceEvent, ...],
     stored: BatchEvents,
+    told_at: float | None,
 ) -> tuple[str, ...]:
+    # An agent's batches that reach past the end of the request, without a loss, hold
+    # all that it recorded, even if that is nothing: a dispatch may never have come.
+    if told_at and stored.until > told_at and not (stored.losses or stored.trouble):
+        return ()
     if _ended(events, whole_from_start=process == entry):
         return ()
     if found is None:
         why = f"{process} does not answer"
     else:
-        why = f"{process} no longer holds all of it (restarted, or it is too long ago)"
+        why = f"{process} does not hold all of it (restarted, or it is too long ago)"
     if stored.trouble:
         batches = stored.trouble
     elif stored.until:
@@ -220,6 +245,11 @@
     return (f"Part of {process}'s account may be missing: {why}, and {batches}.", *lost)
 
 
+def _told_at(events: tuple[TraceEvent, ...]) -> float | None:
+    ends = [event.at for event in events if isinstance(event.event, Finished)]
+    return ends[-1] if ends else None
+
+
 def _ended(events: tuple[TraceEvent, ...], *, whole_from_start: bool) -> bool:
     """Tell whether the events run to the end of the request at that process."""
     ended = any(isinstance(event.event, Finished | Refused) for event in events)
--- a/src/kingcupwheel/trace/outbox.py
+++ b/src/kingcupwheel/trace/outbox.py
@@ -102,18 +102,24 @@
         """The earliest monotonic time of the next call."""
         return self._next_call
 
-    def add(self, drained: Drained) -> None:
-        """Take events from the recorder; the oldest batch makes room, counted."""
-        if drained.lost:
-            self._lose(drained.since, drained.until, drained.lost, "no room in memory")
+    def add(self, drained: Drained) -> int:
+        """Take events from the recorder; return how many were lost for want of room.
+
+        The oldest batch makes room; the loss is told in the next batch written.
+        """
+        lost = drained.lost
+        if lost:
+            self._lose(drained.since, drained.until, lost, "no room in memory")
         if drained.encoded:
             self._take(drained)
         while self.waiting_bytes > OUTBOX_BYTES and self._waiting:
             oldest = self._waiting.popleft().batch
             self._waiting_bytes -= len(oldest.packed)
+            lost += oldest.events
             self._lose(
                 oldest.since, oldest.until, oldest.events, "platform out of reach"
             )
+        return lost
 
     def remember(self, names: Iterable[BatchName]) -> None:
         """Take over deletion of batches that other lives or processes wrote."""
--- a/src/kingcupwheel/trace/reading.py
+++ b/src/kingcupwheel/trace/reading.py
@@ -16,6 +16,7 @@
 from kingcupwheel.trace.batches import hour_prefix
 from kingcupwheel.trace.batches import parse_key
 from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.sweeping import MARKS
 
 
 if TYPE_CHECKING:
@@ -82,6 +83,12 @@
         relevant = tuple(loss for loss in losses if loss.until >= since)
         return BatchEvents(tuple(events), until, relevant, trouble)
 
+    def writers(self) -> tuple[str, ...]:
+        """Return the processes that left batches, gone ones as well."""
+        listed = self._client.keys(MARKS)
+        keys = listed.ok if listed.is_ok() else ()
+        return tuple(key.removeprefix(MARKS) for key in keys)
+
     def _names(self, process: str, since: float) -> tuple[list[BatchName], str]:
         first = int(since - MAX_PERIOD_S) // HOUR_S
         last = int(since) // HOUR_S + 1
--- a/src/kingcupwheel/trace/recorder.py
+++ b/src/kingcupwheel/trace/recorder.py
@@ -23,6 +23,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from kingcupwheel.trace.events import AnyEvent
 
 # Events kept for one request. A request on a flapping link may be resumed without end;
@@ -56,11 +58,21 @@
 
 
 class Recorder:
-    """Keeps the events of the latest ``limit`` requests; safe from any thread."""
+    """Keeps the events of the latest ``limit`` requests; safe from any thread.
+
+    ``listener`` is called with each event, on the thread that records it.
+    """
 
-    def __init__(self, process: str, *, limit: int) -> None:
+    def __init__(
+        self,
+        process: str,
+        *,
+        limit: int,
+        listener: Callable[[AnyEvent], None] | None = None,
+    ) -> None:
         self._process = process
         self._limit = limit
+        self._listener = listener
         self._started = time.time()
         self._forgotten_ms = 0
         self._stories_by_request_id: OrderedDict[str, _Story] = OrderedDict()
@@ -84,6 +96,8 @@
             encoded = self._encoder.encode(entry)
             self._keep(request_id, encoded, final=isinstance(event, Finished))
             self._queue(encoded, at)
+        if self._listener is not None:
+            self._listener(event)
 
     def events(self, request_id: str) -> tuple[TraceEvent, ...]:
         """Return what is held of the request, in order of recording."""
--- a/src/kingcupwheel/trace/shipper.py
+++ b/src/kingcupwheel/trace/shipper.py
@@ -10,6 +10,8 @@
 from threading import Thread
 from typing import TYPE_CHECKING
 
+from kingcupwheel.metrics.names import Count
+from kingcupwheel.metrics.names import Level
 from kingcupwheel.platform.errors import Conflict
 from kingcupwheel.platform.errors import RateLimited
 from kingcupwheel.platform.errors import Rejected
@@ -24,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from kingcupwheel.metrics.client import Metrics
     from kingcupwheel.platform.client import PlatformClient
     from kingcupwheel.trace.recorder import Recorder
 
@@ -53,10 +56,12 @@
         *,
         period_s: float,
         retention_s: Callable[[], float],
+        metrics: Metrics | None = None,
     ) -> None:
         self._recorder = recorder
         self._client = client
         self._retention_s = retention_s
+        self._metrics = metrics
         self._outbox = Outbox(
             recorder.process,
             life=secrets.token_hex(_LIFE_BYTES),
@@ -89,7 +94,7 @@
                 logger.exception("Batch failed.")
 
     def _turn(self) -> None:
-        self._outbox.add(self._recorder.drain())
+        self._collect()
         now = time.monotonic()
         call = self._outbox.call(
             now=now, at=time.time(), retention_s=self._retention_s()
@@ -151,8 +156,15 @@
         self._outbox.remember(self._sweeper.sweep())
         self._next_sweep = now + _SWEEP_S * random.uniform(0.8, 1.2)
 
+    def _collect(self) -> None:
+        lost = self._outbox.add(self._recorder.drain())
+        if self._metrics is not None:
+            self._metrics.level(Level.TRACE_BYTES_WAITING, self._outbox.waiting_bytes)
+            if lost:
+                self._metrics.count(Count.TRACE_EVENTS_LOST, number=lost)
+
     def _flush(self) -> None:
-        self._outbox.add(self._recorder.drain())
+        self._collect()
         end = time.monotonic() + _STOP_S
         while time.monotonic() < end and (call := self._outbox.flush()):
             if not self._write(call):
--- /dev/null
+++ b/tests/metrics/test_events.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from kingcupwheel.metrics.client import Metrics
+from kingcupwheel.metrics.events import EventMetrics
+from kingcupwheel.metrics.names import Count
+from kingcupwheel.metrics.names import Duration
+from kingcupwheel.metrics.platform import MeteredPlatformClient
+from kingcupwheel.settings.schema import Role
+from kingcupwheel.settings.schema import StatsdSettings
+from kingcupwheel.trace.events import Retried
+from kingcupwheel.trace.recorder import Recorder
+from tests.trace.builders import AGENT_EVENTS
+from tests.trace.builders import ENTRY_EVENTS
+from tests.trace.builders import MemoryPlatform
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.trace.events import AnyEvent
+
+
+class SeenMetrics(Metrics):
+    """Keeps what would be sent."""
+
+    def __init__(self) -> None:
+        super().__init__(StatsdSettings(), process="entry-1")
+        self.counts: list[tuple[Count, str]] = []
+        self.durations: list[Duration] = []
+
+    def count(self, name: Count, *, by: str = "", number: int = 1) -> None:
+        self.counts.append((name, by))
+
+    def duration(self, name: Duration, seconds: float) -> None:
+        self.durations.append(name)
+
+
+@pytest.mark.parametrize(
+    ("role", "recorded", "counted"),
+    [
+        (Role.ENTRY, (*ENTRY_EVENTS, Retried(1, "full")), [(Count.RETRIES, "")]),
+        (Role.AGENT, AGENT_EVENTS, [(Count.RUNS, "ran")]),
+    ],
+)
+def test_what_a_story_tells_is_counted_once(
+    role: Role, recorded: tuple[AnyEvent, ...], counted: list[tuple[Count, str]]
+) -> None:
+    metrics = SeenMetrics()
+    recorder = Recorder("a", limit=10, listener=EventMetrics(metrics, role))
+    for event in recorded:
+        recorder.record("entry-1.1.aa", event)
+
+    assert metrics.counts == counted
+    assert metrics.durations == [Duration.QUEUE_WAIT] * (role is Role.ENTRY)
+
+
+def test_calls_to_the_platform_are_counted_and_a_conflict_is_no_error() -> None:
+    metrics = SeenMetrics()
+    platform = MemoryPlatform()
+    client = MeteredPlatformClient(platform, metrics)
+
+    assert client.create("a", b"1").ok == 1
+    assert client.create("a", b"2").is_error()
+    platform.down = True
+    assert client.read("a").is_error()
+
+    calls = [(Count.PLATFORM_CALLS, kind) for kind in ("create", "create", "read")]
+    assert metrics.counts == [*calls, (Count.PLATFORM_ERRORS, "read")]
+    assert metrics.durations == [Duration.PLATFORM_CALL] * 3
--- a/tests/trace/test_finding.py
+++ b/tests/trace/test_finding.py
@@ -1,7 +1,13 @@
 from __future__ import annotations
 
 import time
+from datetime import UTC
+from datetime import datetime
+from datetime import timedelta
 
+from freezegun import freeze_time
+
+from kingcupwheel.trace.events import Finished
 from kingcupwheel.trace.exceptions import BadRequestId
 from kingcupwheel.trace.finding import Finder
 from kingcupwheel.trace.recorder import Recorder
@@ -89,6 +95,34 @@
     assert asker.asked == [ENTRY, AGENT, "agent-9"]
 
 
+def test_an_entry_killed_and_an_agent_replaced_still_leave_the_agents_batch() -> None:
+    """The engineer reads what the agent wrote before it was replaced.
+
+    The entry's events are lost, the agent stopped gracefully and is off the list. Its
+    mark on the platform leads to its batches.
+    """
+    scene = Scene()
+    scene.ship(scene.agent)
+    scene.platform.names = (ENTRY, "agent-9")
+    story, _ = scene.find()
+
+    assert story.state is State.OUTCOME_MISSING
+    batch = next(part for part in story.parts if part.events)
+    assert (batch.process, batch.source) == (AGENT, Source.BATCHES)
+
+
+def test_batches_past_the_end_of_a_request_show_that_an_agent_never_saw_it() -> None:
+    scene = Scene()
+    other = Recorder(AGENT, limit=10)
+    with freeze_time(datetime.now(tz=UTC) + timedelta(seconds=5)):
+        other.record("another", Finished("ran", 200, 1, "whole"))
+        scene.ship(other)
+    story, _ = scene.find(entry=scene.entry)
+
+    assert story.whole
+    assert story.parts[1].events == ()
+
+
 def test_an_outage_of_the_platform_leaves_what_addresses_given_by_hand_answer() -> None:
     """The engineer gives the addresses; the list and the batches are out of reach."""
     scene = Scene()
