--- a/src/kingcupwheel/entry/daemon.py
+++ b/src/kingcupwheel/entry/daemon.py
@@ -5,7 +5,6 @@
 import logging
 import time
 from threading import Event
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from kingcupwheel.burn.counter import BurnCounter
@@ -24,6 +23,7 @@
 from kingcupwheel.entry.observing import Observer
 from kingcupwheel.entry.peers import PeerFetcher
 from kingcupwheel.entry.servers import ServerTable
+from kingcupwheel.entry.sharing import Sharing
 from kingcupwheel.link.hub import Hub
 from kingcupwheel.link.links import Outgoing
 from kingcupwheel.manifest.keeper import ManifestKeeper
@@ -42,6 +42,7 @@
 if TYPE_CHECKING:
     from kingcupwheel.link.links import Link
     from kingcupwheel.manifest.inforce import InForce
+    from kingcupwheel.manifest.schema import Organisation
     from kingcupwheel.messages.base import Message
     from kingcupwheel.settings.schema import Settings
 
@@ -84,13 +85,14 @@
             listen=settings.listen, on_message=self._on_message, on_tick=self._on_tick
         )
         servers = ServerTable(settings.timings)
+        limits = Limits(lambda one: self._sharing.first_share(one))
         self._context = EntryContext(
             settings=settings,
             hub=self._hub,
             servers=servers,
             inboxes=Inboxes(),
             dispatchers=Dispatchers(servers, data_centre=settings.data_centre),
-            limits=Limits(lambda one: self._membership.share_of(one, monotonic())),
+            limits=limits,
             claims=ClaimStore(client),
             recorder=self._recorder,
             observer=self._observer,
@@ -106,8 +108,20 @@
         self._membership = Membership(
             settings, client, servers, self._hub, ask_seeds=self._ask_seeds
         )
+        self._sharing = Sharing(
+            settings.name,
+            limits,
+            self._membership,
+            send=self._hub.send,
+            organisation_named=self._organisation_named,
+        )
         self._handler = Handler(
-            self._context, self._membership, self._keeper, fetcher, self._burn
+            self._context,
+            self._membership,
+            self._keeper,
+            fetcher,
+            self._burn,
+            self._sharing,
         )
         # Callers keep an answer for less than a leaving entry goes on accepting.
         pages = CallerPages(
@@ -171,9 +185,12 @@
 
     def _on_manifest(self, in_force: InForce) -> None:
         logger.info("Manifest version %d is in force.", in_force.version)
-        self._context.limits.renew_shares()
         self._observer.adopt(in_force)
 
+    def _organisation_named(self, name: str) -> Organisation | None:
+        in_force = self._keeper.current
+        return None if in_force is None else in_force.organisations_by_name.get(name)
+
     def _trace_retention_s(self) -> float:
         in_force = self._keeper.current
         retention = Retention() if in_force is None else in_force.retention
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -150,7 +150,7 @@
         request_id = ticket.waiting.request_id
         if self._tickets_by_request_id.get(request_id) is ticket:
             del self._tickets_by_request_id[request_id]
-        self._queue.remove(request_id)
+        self._queue.remove(request_id, monotonic())
         if self._held is ticket:
             self._held = None
         if ticket in self._aside:
@@ -252,8 +252,6 @@
     beat = server.known_beat
     server.in_flight += 1
     server.suspects += ticket.ask.suspect
-    server.sent_since_beat += 1
-    server.work_since_beat += ticket.waiting.work
     return Place(
         server=server.name,
         address=server.instance.address,
@@ -279,7 +277,6 @@
         own_in_flight=server.in_flight,
         heard_age_s=now - server.heard_at,
         started_age_s=now - server.first_heard_at,
-        own_since_report=server.sent_since_beat,
-        own_work_since_report=server.work_since_beat,
+        own_at_report=server.in_flight_at_beat,
         suspects_running=server.suspects,
     )
--- a/src/kingcupwheel/entry/handling.py
+++ b/src/kingcupwheel/entry/handling.py
@@ -25,6 +25,7 @@
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
 from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.messages.membership import ShareBeat
 from kingcupwheel.messages.membership import StatusFound
 from kingcupwheel.messages.membership import StatusWanted
 from kingcupwheel.messages.runs import Accepted
@@ -46,6 +47,7 @@
     from kingcupwheel.entry.membership import Membership
     from kingcupwheel.entry.peers import PeerFetcher
     from kingcupwheel.entry.servers import Finding
+    from kingcupwheel.entry.sharing import Sharing
     from kingcupwheel.link.links import Link
     from kingcupwheel.manifest.keeper import ManifestKeeper
     from kingcupwheel.messages.base import Message
@@ -63,12 +65,14 @@
         keeper: ManifestKeeper,
         fetcher: PeerFetcher,
         burn: BurnCounter,
+        sharing: Sharing,
     ) -> None:
         self._context = context
         self._membership = membership
         self._keeper = keeper
         self._fetcher = fetcher
         self._burn = burn
+        self._sharing = sharing
         self._beat_at = 0.0
 
     def on_message(self, link: Link, message: Message) -> None:
@@ -117,6 +121,8 @@
                 send(link, self._instances())
             case InstancesFound(instances):
                 self._on_instances(instances)
+            case ShareBeat():
+                self._sharing.heard(message, monotonic())
             case Hello():
                 pass
             case _:
@@ -170,6 +176,7 @@
             self._on_finding(finding)
         if now - self._beat_at >= self._context.settings.timings.heartbeat_s:
             self._beat_at = now
+            self._sharing.renew(now)
             self._send_beats()
 
     def _on_finding(self, finding: Finding) -> None:
--- a/src/kingcupwheel/entry/limits.py
+++ b/src/kingcupwheel/entry/limits.py
@@ -92,14 +92,34 @@
             self._configured[organisation.name] = (organisation, share)
             self._admission.configure(organisation.name, organisation.allowance, share)
 
-    def renew_shares(self) -> None:
-        """Look up anew which part of each allowance is this entry's to use."""
+    def know(self, organisation: Organisation) -> None:
+        """Take part in the organisation's allowance without a request of its own."""
         with self._lock:
-            for name, (organisation, before) in tuple(self._configured.items()):
-                share = self._share_of(organisation)
-                if share != before:
-                    self._configured[name] = (organisation, share)
-                    self._admission.configure(name, organisation.allowance, share)
+            if organisation.name not in self._configured:
+                self._configure(organisation)
+
+    def set_share(self, organisation: Organisation, share: float) -> None:
+        """Use this part (0 to 1) of the organisation's allowance from now on."""
+        with self._lock:
+            known = self._configured.get(organisation.name)
+            if known is not None and known[1] != share:
+                self._configured[organisation.name] = (known[0], share)
+                allowance = known[0].allowance
+                self._admission.configure(organisation.name, allowance, share)
+
+    def demands(self, now: float) -> list[tuple[Organisation, float]]:
+        """Return the organisations seen here and their demand on the allowance."""
+        with self._lock:
+            return [
+                (organisation, self._admission.demand(name, now))
+                for name, (organisation, _) in self._configured.items()
+            ]
+
+    def forget(self, organisation: Organisation) -> None:
+        """Drop an organisation that has not been seen for a while."""
+        with self._lock:
+            self._configured.pop(organisation.name, None)
+            self._admission.forget(organisation.name)
 
     def finish(self, request: CallerRequest, predicted: float, tokens: float) -> None:
         """Settle an admitted request that took ``tokens`` of answer."""
--- a/src/kingcupwheel/entry/membership.py
+++ b/src/kingcupwheel/entry/membership.py
@@ -18,6 +18,7 @@
 
     from kingcupwheel.entry.servers import ServerTable
     from kingcupwheel.link.hub import Hub
+    from kingcupwheel.manifest.schema import Allowance
     from kingcupwheel.manifest.schema import Organisation
     from kingcupwheel.messages.membership import PeerBeat
     from kingcupwheel.platform.client import Instance
@@ -29,6 +30,9 @@
 # Peers an entry exchanges heartbeats with: with four of each, news passes through 370
 # entries in about five rounds, at four messages a second.
 _PEERS = 4
+# How long a list of live entries is used: less than a heartbeat, so that a leaving
+# entry drops out of what callers are told at once.
+_LIVE_FOR_S = 0.2
 
 
 class Membership:
@@ -55,6 +59,11 @@
         self._instances: tuple[Instance, ...] = ()
         self._peer_heard_at: dict[str, float] = {}
         self._leaving_peers: set[str] = set()
+        self._live: tuple[subsets.Instance, ...] = ()
+        self._live_at = float("-inf")
+        self._members_by_organisation: dict[
+            tuple[str, Allowance], tuple[str, ...]
+        ] = {}
         self._lock = Lock()
         self._stopping = Event()
         self._thread = Thread(target=self._run, name="membership", daemon=True)
@@ -152,14 +161,9 @@
 
         A leaving entry drops out at once, whether the list says so or its heartbeat.
         """
-        live = {one.name: one for one in self._instances if self._is_live(one, now)}
-        chosen = subsets.entries_for(
-            organisation.name,
-            [subsets.Instance(one.name, one.data_centre) for one in live.values()],
-            organisation.allowance,
-            self._settings.data_centre,
-        )
-        return tuple(live[name].http for name in chosen)
+        http_by_name = {one.name: one.http for one in self._instances}
+        members = self.members_for(organisation, now)
+        return tuple(http_by_name[name] for name in members)
 
     def _is_live(self, one: Instance, now: float) -> bool:
         if not _is_entry(one) or one.leaving or one.name in self._leaving_peers:
@@ -167,13 +171,38 @@
         heard_at = self._peer_heard_at.get(one.name)
         return heard_at is None or now - heard_at < self._settings.timings.gone_s
 
-    def share_of(self, organisation: Organisation, now: float) -> float:
-        """Return this entry's part of the organisation's allowance, 0 to 1.
+    def members_for(self, organisation: Organisation, now: float) -> tuple[str, ...]:
+        """Return the names of the entries that share an organisation's allowance.
 
-        An entry outside the set still admits a little: a caller may hold an old answer.
+        Worked out anew only when the live entries change: ranking 370 entries for each
+        of some hundred organisations every second would use up the budget for control.
         """
-        members = self.entries_for(organisation, now)
-        return 1.0 / max(1, len(members))
+        live = self._live_entries(now)
+        key = (organisation.name, organisation.allowance)
+        members = self._members_by_organisation.get(key)
+        if members is None:
+            members = subsets.entries_for(
+                organisation.name,
+                live,
+                organisation.allowance,
+                self._settings.data_centre,
+            )
+            self._members_by_organisation[key] = members
+        return members
+
+    def _live_entries(self, now: float) -> tuple[subsets.Instance, ...]:
+        if now - self._live_at < _LIVE_FOR_S:
+            return self._live
+        live = tuple(
+            subsets.Instance(one.name, one.data_centre)
+            for one in self._instances
+            if self._is_live(one, now)
+        )
+        self._live_at = now
+        if live != self._live:
+            self._live = live
+            self._members_by_organisation = {}
+        return live
 
 
 def _is_entry(one: Instance) -> bool:
--- a/src/kingcupwheel/entry/servers.py
+++ b/src/kingcupwheel/entry/servers.py
@@ -45,8 +45,7 @@
         self.first_heard_at = 0.0
         self.replaced_at = 0.0
         self.in_flight = 0
-        self.sent_since_beat = 0
-        self.work_since_beat = 0.0
+        self.in_flight_at_beat = 0
         self.suspects = 0
         self.gone = False
 
@@ -142,8 +141,7 @@
                 return None
             before = server.beat
             server.beat = beat
-            server.sent_since_beat = 0
-            server.work_since_beat = 0.0
+            server.in_flight_at_beat = server.in_flight
             restarted = before is not None and before.incarnation != beat.incarnation
             if before is None or restarted:
                 server.first_heard_at = now
--- /dev/null
+++ b/src/kingcupwheel/entry/sharing.py
@@ -0,0 +1,179 @@
+"""Splits each organisation's allowance over its entries by what they see of it.
+
+The arithmetic is ``decisions.shares``; this module exchanges demands and shares with the
+other entries of each organisation's set, about every heartbeat, for organisations in use.
+"""
+
+from __future__ import annotations
+
+from threading import Lock
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.decisions.shares import PeerShare
+from kingcupwheel.decisions.shares import Share
+from kingcupwheel.decisions.shares import next_share
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.membership import ShareBeat
+from kingcupwheel.messages.membership import ShareTold
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.entry.limits import Limits
+    from kingcupwheel.entry.membership import Membership
+    from kingcupwheel.manifest.schema import Organisation
+    from kingcupwheel.messages.base import Message
+
+# An organisation without demand for so long is forgotten, here and in what is told to
+# others: 43,000 of them, each on two entries, would otherwise ride on every heartbeat.
+_IDLE_S = 60.0
+_NO_DEMAND = 1e-6
+
+
+class _Peer:
+    """What another entry told last, and which of this entry's beats it has had."""
+
+    def __init__(self, now: float) -> None:
+        self.echoed_at = now
+        self.sent_at = -1.0
+        self.told_by_organisation: dict[str, ShareTold] = {}
+
+
+class Sharing:
+    """This entry's shares; safe from any thread."""
+
+    def __init__(
+        self,
+        name: str,
+        limits: Limits,
+        membership: Membership,
+        *,
+        send: Callable[[Outgoing, Message], None],
+        organisation_named: Callable[[str], Organisation | None],
+    ) -> None:
+        self._name = name
+        self._limits = limits
+        self._membership = membership
+        self._send = send
+        self._organisation_named = organisation_named
+        self._share_by_organisation: dict[str, Share] = {}
+        self._used_at: dict[str, float] = {}
+        self._peer_by_name: dict[str, _Peer] = {}
+        self._lock = Lock()
+
+    def first_share(self, organisation: Organisation) -> float:
+        """Return the share to begin with: an equal part.
+
+        Nothing is lent before there is demand, so that equal parts add up to the whole;
+        an entry that has just started may add one such part until its peers have heard
+        of it. Beginning with nothing would refuse the first burst of every organisation.
+        """
+        now = monotonic()
+        members = self._membership.members_for(organisation, now)
+        with self._lock:
+            share = self._share(organisation.name, len(members), now)
+            self._used_at[organisation.name] = now
+        return share.usable(max(1, len(members)))
+
+    def _share(self, organisation: str, members: int, now: float) -> Share:
+        known = self._share_by_organisation.get(organisation)
+        if known is None:
+            known = Share(held=1.0 / max(1, members))
+            self._share_by_organisation[organisation] = known
+        return known
+
+    def heard(self, beat: ShareBeat, now: float) -> None:
+        """Take in what another entry tells; called on the hub's thread.
+
+        An organisation not in use here takes part as well: its share is lent only by
+        telling how little is wanted.
+        """
+        for told in beat.shares:
+            organisation = self._organisation_named(told.organisation)
+            if organisation is not None and told.demand > _NO_DEMAND:
+                self._limits.know(organisation)
+        with self._lock:
+            peer = self._peer_by_name.setdefault(beat.name, _Peer(now))
+            peer.sent_at = beat.sent_at
+            if beat.echo >= 0:
+                peer.echoed_at = max(peer.echoed_at, beat.echo)
+            peer.told_by_organisation = {one.organisation: one for one in beat.shares}
+
+    def renew(self, now: float) -> None:
+        """Work out every share anew and tell the others; about every heartbeat."""
+        told_by_peer: dict[str, list[ShareTold]] = {}
+        for organisation, demand in self._limits.demands(now):
+            members = self._membership.members_for(organisation, now)
+            if self._is_idle(organisation.name, demand, now):
+                self._forget(organisation)
+                continue
+            told = self._renew_one(organisation, demand, members, now)
+            for member in members:
+                if member != self._name:
+                    told_by_peer.setdefault(member, []).append(told)
+        for peer, shares in told_by_peer.items():
+            self._tell(peer, tuple(shares), now)
+
+    def _is_idle(self, organisation: str, demand: float, now: float) -> bool:
+        if demand > _NO_DEMAND or self._told_by_others(organisation):
+            self._used_at[organisation] = now
+        return now - self._used_at.get(organisation, now) > _IDLE_S
+
+    def _told_by_others(self, organisation: str) -> bool:
+        with self._lock:
+            told = (
+                peer.told_by_organisation.get(organisation)
+                for peer in self._peer_by_name.values()
+            )
+            return any(one is not None and one.demand > _NO_DEMAND for one in told)
+
+    def _forget(self, organisation: Organisation) -> None:
+        self._limits.forget(organisation)
+        with self._lock:
+            self._share_by_organisation.pop(organisation.name, None)
+            self._used_at.pop(organisation.name, None)
+
+    def _renew_one(
+        self,
+        organisation: Organisation,
+        demand: float,
+        members: tuple[str, ...],
+        now: float,
+    ) -> ShareTold:
+        name = organisation.name
+        with self._lock:
+            before = self._share(name, len(members), now)
+            if self._name in members:
+                peers = [
+                    self._peer_share(member, name, len(members), now)
+                    for member in members
+                    if member != self._name
+                ]
+                share = next_share(before, demand, peers, now)
+            else:
+                # Left out of the set: the members count on this part being free.
+                share = before._replace(held=0.0, wants_since=None)
+            self._share_by_organisation[name] = share
+        self._limits.set_share(organisation, share.usable(max(1, len(members))))
+        return ShareTold(name, demand, share.held, share.wants)
+
+    def _peer_share(
+        self, member: str, organisation: str, members: int, now: float
+    ) -> PeerShare:
+        peer = self._peer_by_name.setdefault(member, _Peer(now))
+        told = peer.told_by_organisation.get(organisation)
+        age_s = now - peer.echoed_at
+        if told is None:
+            # Not in use there: it begins with an equal part as soon as it is.
+            return PeerShare(0.0, 1.0 / max(1, members), False, age_s)
+        return PeerShare(told.demand, told.held, told.wants, age_s)
+
+    def _tell(self, member: str, shares: tuple[ShareTold, ...], now: float) -> None:
+        address = self._membership.address_of(member)
+        if not address:
+            return
+        with self._lock:
+            echo = self._peer_by_name.setdefault(member, _Peer(now)).sent_at
+        self._send(Outgoing(address, 0), ShareBeat(self._name, now, echo, shares))
--- a/src/kingcupwheel/messages/codec.py
+++ b/src/kingcupwheel/messages/codec.py
@@ -20,6 +20,7 @@
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
 from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.messages.membership import ShareBeat
 from kingcupwheel.messages.membership import StatusFound
 from kingcupwheel.messages.membership import StatusWanted
 from kingcupwheel.messages.runs import Accepted
@@ -66,6 +67,7 @@
     | ManifestWanted
     | ManifestObject
     | InstancesWanted
+    | ShareBeat
     | InstancesFound
     | StatusWanted
     | StatusFound
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -121,3 +121,28 @@
     data_centre: str
     manifest_version: int
     leaving: bool
+
+
+class ShareTold(Message, frozen=True):
+    """An entry's demand on an organisation's allowance, and the share it holds.
+
+    Both are fractions of the whole allowance; ``wants`` tells that it would hold more.
+    """
+
+    organisation: str
+    demand: float
+    held: float
+    wants: bool
+
+
+class ShareBeat(Message, frozen=True):
+    """Entry to entry, about every second while they share an organisation in use.
+
+    ``sent_at`` is the sender's own monotonic clock; ``echo`` the newest ``sent_at`` that
+    the sender has had from the receiver, negative before the first.
+    """
+
+    name: str
+    sent_at: float
+    echo: float
+    shares: tuple[ShareTold, ...]
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -86,6 +86,25 @@
             return Unanswered(str(error))
         return _read(response, started)
 
+    def gaps(self, address: str, path: str, body: Any) -> list[float]:
+        """Return the times in seconds between the chunks of a streamed answer."""
+        response = self._pool.request(
+            "POST",
+            f"http://{address}{path}",
+            body=msgspec.json.encode(body),
+            headers={"Authorization": f"Bearer {self._key}"},
+            preload_content=False,
+        )
+        gaps: list[float] = []
+        last = 0.0
+        for _ in _parts(response):
+            now = time.monotonic()
+            if last:
+                gaps.append(now - last)
+            last = now
+        response.release_conn()
+        return gaps
+
 
 def _read(response: urllib3.BaseHTTPResponse, started: float) -> Reply:
     parts: list[bytes] = []
--- /dev/null
+++ b/tools/measure_path.py
@@ -0,0 +1,222 @@
+"""Measures the whole path: latency added, tokens a second, memory, idle traffic.
+
+Every figure comes from real processes on the loopback address: the engine stand-in
+called directly and through entry and agent in the same run, as a ratio. Bounded in time
+and load.
+"""
+
+from __future__ import annotations
+
+import os
+import statistics
+import time
+from concurrent.futures import ProcessPoolExecutor
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+from typing import NamedTuple
+
+import click
+
+from tools.caller import Caller
+from tools.caller import Reply
+from tools.fleet import Fleet
+from tools.fleet import key_digest
+
+
+_KEY = "measure-key"
+_PATH = "/v1/completions"
+_SERVERS = 2
+_CALLS = 400
+_CALLERS = 8
+_CALLER_PROCESSES = 4
+_STEP_MS = 32
+_TOKENS = 200
+_IDLE_S = 10.0
+_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Usage(NamedTuple):
+    """Processor seconds and resident megabytes of a process."""
+
+    cpu_s: float
+    rss_mb: float
+
+
+class Latencies(NamedTuple):
+    """Requests a second, and milliseconds a request."""
+
+    per_s: float
+    median_ms: float
+    p99_ms: float
+
+
+class Streams(NamedTuple):
+    """One run of concurrent streams."""
+
+    streams: int
+    tokens_per_s: float
+    gap_p95_ms: float
+    entry_cpu_share: float
+    agent_cpu_share: float
+    entry_cpu_us_a_token: float
+    agent_cpu_us_a_token: float
+    entry_rss_mb: float
+
+
+def usage(pid: int) -> Usage:
+    """Return what the kernel says of a process started by this tool."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / _TICKS
+    status = Path(f"/proc/{pid}/status").read_text()
+    rss_kb = int(status.partition("VmRSS:")[2].split()[0])
+    return Usage(cpu_s, rss_kb / 1024)
+
+
+def manifest() -> dict[str, Any]:
+    """Return a manifest that limits nothing."""
+    allowance = {"work_per_s": 1e9, "burst": 1e9, "concurrency": 10_000}
+    return {
+        "organisations": [
+            {
+                "name": "load",
+                "key_digests": [key_digest(_KEY)],
+                "allowance": allowance,
+            }
+        ],
+        "groups": [{"name": "model", "concurrency": 256, "queue": 1024}],
+        "routes": [{"path": _PATH, "group": "model"}],
+    }
+
+
+def start(fleet: Fleet, step_ms: float) -> None:
+    """Start one entry before some servers."""
+    for number in range(_SERVERS):
+        fleet.add_agent(
+            f"server-{number}",
+            "model",
+            options=("--step-ms", str(step_ms)),
+            limits={"concurrency": 256},
+        )
+    fleet.add_entry("entry", limits={"threads": 400})
+    submitted = fleet.submit(manifest())
+    assert submitted.returncode == 0, submitted.stderr
+    fleet.wait_ready(_KEY, _PATH, {"prompt": "ready", "max_tokens": 1})
+
+
+def measure_calls(address: str) -> Latencies:
+    """Call for one token each, from some callers at once."""
+    caller = Caller(_KEY)
+    body = {"prompt": "short", "max_tokens": 1}
+
+    def call(_: int) -> float:
+        reply = caller.call(address, _PATH, body)
+        assert isinstance(reply, Reply) and reply.status == 200, reply
+        return reply.took_s * 1000
+
+    began = time.monotonic()
+    with ThreadPoolExecutor(_CALLERS) as pool:
+        times_ms = sorted(pool.map(call, range(_CALLS)))
+    took_s = time.monotonic() - began
+    p99 = times_ms[int(len(times_ms) * 0.99) - 1]
+    return Latencies(_CALLS / took_s, statistics.median(times_ms), p99)
+
+
+def measure_streams(fleet: Fleet, streams: int) -> Streams:
+    """Stream many answers at once at the engine's pace."""
+    entry = fleet.entries["entry"]
+    pids = [agent.process.pid for agent in fleet.agents.values()]
+    before = usage(entry.process.pid), [usage(pid) for pid in pids]
+    began = time.monotonic()
+    with ProcessPoolExecutor(_CALLER_PROCESSES) as pool:
+        parts = [range(n, streams, _CALLER_PROCESSES) for n in range(_CALLER_PROCESSES)]
+        gaps = list(pool.map(_streams, [entry.http] * len(parts), parts))
+    took_s = time.monotonic() - began
+    after = usage(entry.process.pid), [usage(pid) for pid in pids]
+    entry_cpu_s = after[0].cpu_s - before[0].cpu_s
+    agent_cpu_s = sum(
+        new.cpu_s - old.cpu_s for new, old in zip(after[1], before[1], strict=True)
+    )
+    tokens = streams * _TOKENS
+    flat = sorted(gap for some in gaps for gap in some)
+    return Streams(
+        streams,
+        tokens / took_s,
+        flat[int(len(flat) * 0.95)] * 1000,
+        entry_cpu_s / took_s,
+        agent_cpu_s / took_s / len(pids),
+        entry_cpu_s / tokens * 1e6,
+        agent_cpu_s / tokens * 1e6,
+        after[0].rss_mb,
+    )
+
+
+def _streams(address: str, numbers: range) -> list[float]:
+    """Stream from one process of its own, so that callers don't slow each other."""
+    with ThreadPoolExecutor(len(numbers)) as pool:
+        gaps = pool.map(lambda number: _stream(address, number), numbers)
+        return [gap for some in gaps for gap in some]
+
+
+def _stream(address: str, number: int) -> list[float]:
+    """Return the times between the chunks of one streamed answer, in seconds."""
+    body = {"prompt": f"stream {number}", "max_tokens": _TOKENS, "stream": True}
+    return Caller(_KEY).gaps(address, _PATH, body)
+
+
+def measure_idle(fleet: Fleet) -> dict[str, float]:
+    """Return the processor share of idle processes over some seconds."""
+    processes = {"entry": fleet.entries["entry"].process}
+    processes["agent"] = fleet.agents["server-0"].process
+    before = {name: usage(one.pid) for name, one in processes.items()}
+    time.sleep(_IDLE_S)
+    return {
+        name: (usage(one.pid).cpu_s - before[name].cpu_s) / _IDLE_S
+        for name, one in processes.items()
+    }
+
+
+def main() -> None:
+    """Print all figures of the path as Markdown."""
+    with Fleet() as fleet:
+        start(fleet, step_ms=1)
+        direct = measure_calls(fleet.agents["server-0"].server_address)
+        through = measure_calls(fleet.entries["entry"].http)
+    _print_latencies(direct, through)
+    with Fleet() as fleet:
+        start(fleet, step_ms=_STEP_MS)
+        idle = measure_idle(fleet)
+        runs = [measure_streams(fleet, streams) for streams in (25, 75, 150, 300)]
+    _print_streams(runs)
+    for name, share in idle.items():
+        click.echo(f"\nIdle {name}: {share * 100:.2f}% of a core.")
+
+
+def _print_latencies(direct: Latencies, through: Latencies) -> None:
+    click.echo(f"| one token, {_CALLERS} callers | requests/s | median ms | p99 ms |")
+    click.echo("| --- | --- | --- | --- |")
+    for name, one in (("engine directly", direct), ("entry and agent", through)):
+        row = f"{one.per_s:.0f} | {one.median_ms:.1f} | {one.p99_ms:.1f}"
+        click.echo(f"| {name} | {row} |")
+    pairs = zip(through, direct, strict=True)
+    ratios = " | ".join(f"{one / other:.2f}" for one, other in pairs)
+    click.echo(f"| ratio | {ratios} |")
+
+
+def _print_streams(runs: list[Streams]) -> None:
+    click.echo(
+        f"\n| streams at {_STEP_MS} ms | tokens/s | gap p95 ms | entry core share "
+        "| agent core share | entry us/token | agent us/token | entry MB |"
+    )
+    click.echo("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for one in runs:
+        click.echo(
+            f"| {one.streams} | {one.tokens_per_s:.0f} | {one.gap_p95_ms:.1f} "
+            f"| {one.entry_cpu_share:.2f} | {one.agent_cpu_share:.2f} "
+            f"| {one.entry_cpu_us_a_token:.0f} | {one.agent_cpu_us_a_token:.0f} "
+            f"| {one.entry_rss_mb:.0f} |"
+        )
+
+
+if __name__ == "__main__":
+    main()
