--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -28,6 +28,7 @@
 from kingcupwheel.messages.membership import StatusWanted
 from kingcupwheel.messages.runs import Running
 from kingcupwheel.messages.traces import TraceWanted
+from kingcupwheel.plugins.kernel import load_builtin
 from kingcupwheel.plugins.kernel import platform_clients
 from kingcupwheel.plugins.kernel import server_adapters
 from kingcupwheel.settings.schema import Role
@@ -56,9 +57,10 @@
 
 
 class AgentDaemon:
-    """One agent; ``start`` it, ``leave`` for a planned stop, ``stop`` at once."""
+    """One agent; ``stop`` is a planned stop, ``close`` cuts off what runs."""
 
     def __init__(self, settings: Settings) -> None:
+        load_builtin()
         if settings.role is not Role.AGENT:
             raise NotAnAgentError(settings.role.value)
         if settings.server is None:
@@ -159,7 +161,17 @@
         return self._drained.wait(timeout_s)
 
     def stop(self) -> None:
-        """Close the sockets; attempts still running are cut off."""
+        """Stop gracefully: return once what ran has ended and was delivered.
+
+        Nothing bounds the wait but the progress of what runs.
+        """
+        self.leave()
+        self._drained.wait()
+        self.close()
+        logger.info("Stopped.")
+
+    def close(self) -> None:
+        """Close the sockets at once; attempts still running are cut off."""
         self._probe.stop()
         self._manifest.stop()
         self._shipper.stop()
--- a/src/kingcupwheel/console/daemons.py
+++ b/src/kingcupwheel/console/daemons.py
@@ -4,7 +4,7 @@
 
 import signal
 import sys
-from threading import Event
+import time
 from typing import TYPE_CHECKING
 from typing import NoReturn
 from typing import Protocol
@@ -24,6 +24,31 @@
     from kingcupwheel.settings.schema import Settings
 
 
+_LOOK_AGAIN_S = 0.1
+
+
+class _StopSignals:
+    """Notes that a planned stop was asked for; a second signal changes nothing.
+
+    The handler only sets a flag. It runs between any two steps of the main thread, and
+    an ``Event`` whose lock that thread holds just then would wait for itself: the
+    symptom is a process that a quick second SIGTERM leaves hanging.
+    """
+
+    def __init__(self) -> None:
+        self._told = False
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._note)
+
+    def wait(self) -> None:
+        """Return once a stop was asked for."""
+        while not self._told:
+            time.sleep(_LOOK_AGAIN_S)
+
+    def _note(self, *_: object) -> None:
+        self._told = True
+
+
 class Daemon(Protocol):
     """What can be started and stopped gracefully."""
 
@@ -41,9 +66,7 @@
     """
     settings = _settings(path, role)
     configure_logs(settings.name, settings.log_level.value)
-    told = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: told.set())
+    told = _StopSignals()
     try:
         daemon = make(settings)
         daemon.start()
