--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -3,7 +3,7 @@
   Scenario: One key sent to two entries at once
     # Two callers' devices send the same reservation at the same moment. Both see the one
     # answer of the one run: the platform lets one claim through, the other entry joins.
-    Given a fleet of 2 entries, 0 engines and 2 services
+    Given a fleet of 2 entries and 2 services, one of each in a data centre
     And service service-1 takes 500 ms for each call
     And service service-2 takes 500 ms for each call
     When "first" reserves part "PN-1" at entry-1 with key "twice"
@@ -29,7 +29,7 @@
   Scenario: The entry is paused between claim and dispatch
     # The claim stands, the dispatch was never sent. The resend at the other entry raises
     # the fence at the agent and runs; the paused entry wakes and only joins that run.
-    Given a fleet of 2 entries, 0 engines and 2 services
+    Given a fleet of 2 entries and 2 services, one of each in a data centre
     When the platform answers writes 1.5 s late
     And "first" reserves part "PN-3" at entry-1 with key "paused"
     And the claim of key "paused" exists
@@ -54,7 +54,7 @@
   Scenario: The agent dies while the request runs
     # Nobody can know whether the run took effect: the caller is told unknown, and so is
     # every resend, also after the agent has come back.
-    Given a fleet of 2 entries, 0 engines and 1 services
+    Given a fleet of 2 entries and 2 services, one of each in a data centre
     And service service-1 takes 1500 ms for each call
     When "first" reserves part "PN-5" at entry-1 with key "agent-dies"
     And the run of key "agent-dies" has begun
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -13,7 +13,7 @@
     # says that the manifest was accepted.
     Given a fleet of 1 entries, 1 engines and 0 services
     And the platform loses the answers of the next 3 writes
-    When an operator submits a manifest in which "/v1/new" leads to the engines
+    When an operator submits a manifest for the version seen, with path "/v1/new"
     Then the submission is accepted
     And every process is on the accepted version within 7 s
 
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -6,7 +6,7 @@
     # sends ran. Other callers' requests are answered and never blamed.
     Given a fleet of 2 entries, 4 engines and 0 services
     And every engine dies of "poison" and is started again
-    And 4 callers stream without pause
+    And 4 callers stream 20 tokens each without pause
     When "poison pill" is sent up to 8 times under new keys at all entries
     And the callers stop
     Then at most 3 servers have died
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -2,9 +2,12 @@
 
   Scenario: Every agent and every entry is replaced under load
     # Callers stream without pause while one process after the other is told to stop and
-    # a new one takes its place. No stream is cut, lost or doubled.
+    # a new one takes its place. Each stream lasts longer than a leaving entry accepts
+    # new ones, so every stop meets some in progress. None is cut, lost or doubled.
     Given a fleet of 2 entries, 2 engines and 0 services
-    And 6 callers stream without pause
+    And engine engine-1 takes 50 ms for each step
+    And engine engine-2 takes 50 ms for each step
+    And 6 callers stream 60 tokens each without pause
     When each agent is replaced in turn
     And each entry is replaced in turn
     And the callers stop
@@ -21,15 +24,22 @@
     And agent engine-1 is paused
     And 8 streams "around" of 10 tokens are spread over the entries
     Then all 8 streams "around" get their 10 tokens
+    And none of 8 streams "around" was placed on engine-1
 
   Scenario: A leaving agent is heard though the platform is down
-    # The list can't be read; the agent says itself that it leaves.
+    # The list can't be read; the agent says itself that it leaves, and from then on
+    # nothing is placed there.
     Given a fleet of 1 entries, 2 engines and 0 services
-    And the platform is down
-    And 4 callers stream without pause
-    When agent engine-2 is told to stop
-    And agent engine-2 has ended
-    And 1 s pass
-    And the callers stop
+    And engine engine-1 takes 50 ms for each step
+    And engine engine-2 takes 50 ms for each step
+    And 4 callers stream 20 tokens each without pause
+    When the platform is down
+    And agent engine-2 is told to stop
+    And 0.5 s pass
+    And 8 streams "around" of 10 tokens are spread over the entries
+    Then all 8 streams "around" get their 10 tokens
+    When the callers stop
     Then every load answer is whole or a true not-run
     And at least 90 in 100 load calls are answered
+    When the platform is up
+    Then none of 8 streams "around" was placed on engine-2
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -65,6 +65,14 @@
     context.submitted = context.world.fleet.submit(_with_path(path))
 
 
+@when('an operator submits a manifest for the version seen, with path "{path}"')
+def submit_expecting(context: Any, path: str) -> None:
+    """Submit so that a later version than the one seen would refuse it."""
+    world = context.world
+    seen = str(_status(world)["version"])
+    context.submitted = world.fleet.submit(_with_path(path), "--expect", seen)
+
+
 @when("an operator submits a manifest without the organisation")
 def submit_without(context: Any) -> None:
     """Submit the scenarios' manifest without the callers' organisation."""
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -34,6 +34,25 @@
     _start(context, entries, engines, services, relayed=True)
 
 
+@given(
+    "a fleet of {entries:d} entries and {services:d} services, "
+    "one of each in a data centre"
+)
+def start_spread_fleet(context: Any, entries: int, services: int) -> None:
+    """Start entry-N and service-N in data centre N: each prefers its own."""
+    world = World()
+    context.world = world
+    for number in range(1, services + 1):
+        world.fleet.add_agent(
+            f"service-{number}", "portal", kind="service", data_centre=f"dc-{number}"
+        )
+    for number in range(1, entries + 1):
+        world.fleet.add_entry(f"entry-{number}", data_centre=f"dc-{number}")
+    submitted = world.fleet.submit(manifest())
+    assert submitted.returncode == 0, submitted.stderr
+    time.sleep(2)
+
+
 def _start(
     context: Any, entries: int, engines: int, services: int, *, relayed: bool
 ) -> None:
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -41,7 +41,7 @@
     And engine-1 has 2 runs
     And 0.5 s pass
     And agent engine-1 is killed
-    Then "cut" is cut off and not told that its answer is whole
+    Then "cut" is cut off and told outcome unknown
 
   Scenario: The server answers under another request's id
     # A crossed answer is never passed on, even if that costs the request.
--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -99,6 +99,7 @@
             adapter=adapter,
             crashes=CrashTable(),
             recorder=self._recorder,
+            tell_death=self._tell_death,
         )
         self._handler = AttemptHandler(
             name=settings.name,
@@ -246,6 +247,12 @@
         for link, names in self._store.alive().items():
             self._hub.send(link, Running(tuple(names)))
 
+    def _tell_death(self) -> None:
+        now = monotonic()
+        beat = self._heartbeat.beat(now=now)
+        for link in self._peers.listening(now=now):
+            self._hub.send(link, beat)
+
     def _begin_leaving(self, now: float) -> None:
         self._leaving_at = now
         with self._runner.lock:
--- a/src/kingcupwheel/agent/peers.py
+++ b/src/kingcupwheel/agent/peers.py
@@ -42,10 +42,10 @@
         self._by_link[link] = _Peer(name, now, now)
 
     def listening(self, *, now: float) -> list[Link]:
-        """Return the links that heartbeats go to."""
+        """Return the links that heartbeats go to; safe from any thread."""
         return [
             link
-            for link, peer in self._by_link.items()
+            for link, peer in tuple(self._by_link.items())
             if peer.hello_at is not None and now - peer.hello_at <= self._hello_s
         ]
 
--- a/src/kingcupwheel/agent/runner.py
+++ b/src/kingcupwheel/agent/runner.py
@@ -24,6 +24,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from kingcupwheel.agent.adapters.base import AdapterError
@@ -43,6 +44,8 @@
     """Carries out what ``runs`` decides; no method blocks, all are thread-safe.
 
     ``lock`` guards ``runs`` and ``crashes``; hold it while using them.
+    ``tell_death`` is called as soon as a death of the server is counted, and must not
+    block.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         adapter: ServerAdapter,
         crashes: CrashTable,
         recorder: Recorder,
+        tell_death: Callable[[], None],
     ) -> None:
         self.lock = RLock()
         self.runs = runs
@@ -62,6 +66,7 @@
         self._store = store
         self._adapter = adapter
         self._recorder = recorder
+        self._tell_death = tell_death
         self._cancellations_by_key: dict[AttemptKey, Cancellation] = {}
         # Counts deaths of the server; a run belongs to the life it started in.
         self._generation = 0
@@ -117,6 +122,9 @@
             running = self.runs.running
             fingerprints = [dispatch.fingerprint for dispatch in running]
             self.crashes.died(fingerprints, now=monotonic())
+            # Told before the attempts end: an entry that repeats one of them, or gets
+            # the same request again, must know by then, or it costs one more server.
+            self._tell_death()
             for dispatch in running:
                 deaths = self.crashes.count(dispatch.fingerprint)
                 event = ServerDied(self._name, dispatch.fingerprint, deaths)
--- a/src/kingcupwheel/entry/attempting.py
+++ b/src/kingcupwheel/entry/attempting.py
@@ -60,9 +60,11 @@
         """Attempts placed so far."""
         return self._count
 
-    def avoid(self, server: str) -> None:
-        """Don't place a further attempt on ``server``."""
+    def avoid(self, server: str, *, suspect: bool = False) -> None:
+        """Don't place a further attempt on ``server``; ``suspect`` as in ``Plan``."""
         self._avoid |= {server}
+        if suspect:
+            self._plan = self._plan._replace(suspect=True)
 
     def place(self) -> Place | Refusal:
         """Wait for a place; raises CallerGoneError if the caller leaves meanwhile."""
--- a/src/kingcupwheel/entry/handling.py
+++ b/src/kingcupwheel/entry/handling.py
@@ -111,6 +111,18 @@
                 send(link, self._keeper.object_for(key))
             case ManifestObject():
                 self._fetcher.found(message)
+            case InstancesFound(instances):
+                self._on_instances(instances)
+            case ShareBeat():
+                self._sharing.heard(message, monotonic())
+            case Hello():
+                pass
+            case _:
+                self._on_question(link, message)
+
+    def _on_question(self, link: Link, message: Message) -> None:
+        send = self._context.hub.send
+        match message:
             case TraceWanted(request_id):
                 send(link, self._context.recorder.found(request_id))
             case BurnWanted():
@@ -119,12 +131,6 @@
                 send(link, self._status())
             case InstancesWanted():
                 send(link, self._instances())
-            case InstancesFound(instances):
-                self._on_instances(instances)
-            case ShareBeat():
-                self._sharing.heard(message, monotonic())
-            case Hello():
-                pass
             case _:
                 logger.warning("Message %s not expected.", type(message).__name__)
 
--- a/src/kingcupwheel/entry/membership.py
+++ b/src/kingcupwheel/entry/membership.py
@@ -61,9 +61,7 @@
         self._leaving_peers: set[str] = set()
         self._live: tuple[subsets.Instance, ...] = ()
         self._live_at = float("-inf")
-        self._members_by_organisation: dict[
-            tuple[str, Allowance], tuple[str, ...]
-        ] = {}
+        self._members_by_organisation: dict[tuple[str, Allowance], tuple[str, ...]] = {}
         self._lock = Lock()
         self._stopping = Event()
         self._thread = Thread(target=self._run, name="membership", daemon=True)
--- a/src/kingcupwheel/entry/running.py
+++ b/src/kingcupwheel/entry/running.py
@@ -263,7 +263,17 @@
             status = 504 if late else 502
             message = f"It was given to a server and its answer is lost: {detail}."
             return Refusal(status, "answer-lost", message, 0.0, outcome)
-        attempts.avoid(place.server)
+        return self._repeat_elsewhere(detail, attempts, place)
+
+    def _repeat_elsewhere(
+        self, detail: str, attempts: Attempts, place: Place
+    ) -> Refusal | None:
+        # The server may have died of this very request: the verdict of when it came is
+        # not the verdict of now.
+        verdict = self._context.limits.verdict(self._request)
+        if isinstance(verdict, Refusal):
+            return verdict._replace(outcome=Outcome.UNKNOWN)
+        attempts.avoid(place.server, suspect=verdict.suspect)
         self._record(Retried(attempts.count, detail))
         return None
 
--- a/src/kingcupwheel/entry/sharing.py
+++ b/src/kingcupwheel/entry/sharing.py
@@ -1,7 +1,8 @@
 """Splits each organisation's allowance over its entries by what they see of it.
 
-The arithmetic is ``decisions.shares``; this module exchanges demands and shares with the
-other entries of each organisation's set, about every heartbeat, for organisations in use.
+The arithmetic is ``decisions.shares``; this module exchanges demands and shares with
+the other entries of each organisation's set, about every heartbeat, for organisations
+in use.
 """
 
 from __future__ import annotations
@@ -42,7 +43,7 @@
 
 
 class Sharing:
-    """This entry's shares; safe from any thread."""
+    """The shares of one entry; safe from any thread."""
 
     def __init__(
         self,
@@ -68,7 +69,7 @@
 
         Nothing is lent before there is demand, so that equal parts add up to the whole;
         an entry that has just started may add one such part until its peers have heard
-        of it. Beginning with nothing would refuse the first burst of every organisation.
+        of it. Beginning with nothing would refuse every organisation's first burst.
         """
         now = monotonic()
         members = self._membership.members_for(organisation, now)
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -138,8 +138,8 @@
 class ShareBeat(Message, frozen=True):
     """Entry to entry, about every second while they share an organisation in use.
 
-    ``sent_at`` is the sender's own monotonic clock; ``echo`` the newest ``sent_at`` that
-    the sender has had from the receiver, negative before the first.
+    ``sent_at`` is the sender's own monotonic clock; ``echo`` the newest ``sent_at``
+    that the sender has had from the receiver, negative before the first.
     """
 
     name: str
