--- a/src/kingcupwheel/console/platform.py
+++ b/src/kingcupwheel/console/platform.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+import click
+
 from kingcupwheel.plugins.kernel import load_builtin
 from kingcupwheel.plugins.kernel import platform_clients
 from kingcupwheel.settings.schema import PlatformSettings
+from kingcupwheel.utils.urls import is_http_url
 
 
 if TYPE_CHECKING:
@@ -14,6 +17,12 @@
 
 
 def open_platform(url: str, *, client: str = "http") -> PlatformClient:
-    """Return a client of the platform's service at ``url``."""
+    """Return a client of the platform's service at ``url``.
+
+    Raises click.BadParameter if that is no address.
+    """
+    if not is_http_url(url):
+        message = f"{url!r} is no http:// or https:// address."
+        raise click.BadParameter(message, param_hint="--platform")
     load_builtin()
     return platform_clients.get(client)(PlatformSettings(url=url, client=client))
--- a/src/kingcupwheel/manifest/assembly.py
+++ b/src/kingcupwheel/manifest/assembly.py
@@ -62,15 +62,19 @@
 
     Failure: one read of many is refused by the platform's rate limit. Symptom: each try
     starts with the first shard again, which keeps the platform at its limit when many
-    processes start at once. What was read is kept until a try succeeds; keys are
-    digests, so it can't be out of date.
+    processes start at once. What was read for one index is kept until a try succeeds or
+    another index comes; keys are digests, so it can't be out of date.
     """
 
     def __init__(self) -> None:
+        self._index_value = b""
         self._values_by_key: dict[str, bytes] = {}
 
-    def over(self, source: ObjectSource) -> ObjectSource:
-        """Return ``source`` with what was fetched before."""
+    def over(self, source: ObjectSource, index_value: bytes) -> ObjectSource:
+        """Return ``source`` with what was fetched before for this index."""
+        if index_value != self._index_value:
+            self.forget()
+            self._index_value = index_value
 
         def read(key: str) -> Result[bytes, FetchError]:
             known = self._values_by_key.get(key)
--- a/src/kingcupwheel/manifest/keeper.py
+++ b/src/kingcupwheel/manifest/keeper.py
@@ -67,8 +67,8 @@
     ``fetch_from_peer(address, key)`` may block; it is called on the keeper's threads.
     ``on_change`` is called as by ``subscribe``. ``with_organisations=False`` keeps
     groups and routes only, which is all an agent needs; ``watches_platform=False``
-    leaves ``heard`` as the only way. ``watch_s`` is how long one
-    watch waits, ``spread_s`` the longest random delay before shards are read.
+    leaves ``heard`` as the only way. ``watch_s`` is how long one watch waits,
+    ``spread_s`` the longest random delay before shards are read.
     """
 
     def __init__(
@@ -230,7 +230,7 @@
         current = self._holder.current
         assembly = assemble(
             index_value,
-            self._fetched.over(source),
+            self._fetched.over(source, index_value),
             reuse=None if current is None else current.assembly,
             with_organisations=self._with_organisations,
         )
--- a/src/kingcupwheel/manifest/status.py
+++ b/src/kingcupwheel/manifest/status.py
@@ -55,12 +55,16 @@
     """Return the answers of live processes by instance name.
 
     Each batch of 400 processes takes ``timeout_s`` at most; who does not answer in that
-    time is left out.
+    time, or is listed without an address, is left out.
     """
     asker = Asker(timeout_s=timeout_s)
     found: dict[str, StatusFound] = {}
     for batch in _batches(instances):
-        address_by_process = {instance.name: instance.address for instance in batch}
+        address_by_process = {
+            instance.name: instance.address
+            for instance in batch
+            if instance.address.rpartition(":")[2].isdecimal()
+        }
         found |= asker.ask(address_by_process, StatusWanted(), StatusFound)
     return found
 
--- a/src/kingcupwheel/settings/checks.py
+++ b/src/kingcupwheel/settings/checks.py
@@ -4,7 +4,6 @@
 
 from ipaddress import ip_address
 from typing import TYPE_CHECKING
-from urllib.parse import urlsplit
 
 import msgspec
 
@@ -16,6 +15,7 @@
 from kingcupwheel.settings.schema import Role
 from kingcupwheel.utils.problems import Problem
 from kingcupwheel.utils.ranges import Ranges
+from kingcupwheel.utils.urls import is_http_url
 
 
 if TYPE_CHECKING:
@@ -71,13 +71,7 @@
 
 
 def _url(text: str, path: str) -> Iterator[Problem]:
-    try:
-        url = urlsplit(text)
-        usable = url.scheme in ("http", "https") and bool(url.hostname)
-        usable = usable and url.port != 0
-    except ValueError:
-        usable = False
-    if not usable:
+    if not is_http_url(text):
         yield Problem(path, f"must be an http:// or https:// address, not {text!r}")
 
 
--- a/src/kingcupwheel/utils/shapes.py
+++ b/src/kingcupwheel/utils/shapes.py
@@ -50,8 +50,7 @@
         for index, item in enumerate(data):
             yield from _problems(item, item_kind, f"{path}[{index}]")
     else:
-        detail = str(error).replace("`", "").replace("object", "mapping")
-        yield Problem(path, detail[:1].lower() + detail[1:])
+        yield Problem(path, _in_words_of_yaml(str(error)))
 
 
 def _record_problems(
@@ -69,6 +68,13 @@
             yield Problem(where, "missing")
 
 
+def _in_words_of_yaml(message: str) -> str:
+    plain = message.replace("`", "")
+    for theirs, ours in (("object", "mapping"), ("array", "list"), ("null", "nothing")):
+        plain = plain.replace(theirs, ours)
+    return plain[:1].lower() + plain[1:]
+
+
 def _is_record(kind: Any) -> bool:
     return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
 
--- /dev/null
+++ b/src/kingcupwheel/utils/urls.py
@@ -0,0 +1,14 @@
+"""Checks of addresses that an operator wrote."""
+
+from __future__ import annotations
+
+from urllib.parse import urlsplit
+
+
+def is_http_url(text: str) -> bool:
+    """Return whether ``text`` is an http or https address with a host."""
+    try:
+        url = urlsplit(text)
+        return url.scheme in ("http", "https") and bool(url.hostname) and url.port != 0
+    except ValueError:
+        return False
--- a/tests/manifest/test_keeper.py
+++ b/tests/manifest/test_keeper.py
@@ -244,6 +244,23 @@
     assert entry.wait(second, _WAIT_S)
 
 
+def test_a_start_under_the_platforms_rate_limit_gets_on_with_each_try(
+    platform: PlatformStandIn, store: ManifestStore, peers: Peers
+) -> None:
+    """The platform takes three reads a second; the manifest has five shards.
+
+    Every try is refused half-way. What it has read is kept, so that a later try is
+    complete and callers are served, instead of all starting over for ever.
+    """
+    manifest = build_manifest(organisations=12_000)
+    version = store.submit(manifest, submission="a").ok.version
+    platform.state.switch(reads_per_s=3)
+
+    assert peers.start("entry").wait(version, 2 * _WAIT_S)
+
+    assert platform.state.calls["refused"] > 0
+
+
 def test_a_watch_that_went_silent_is_made_up_for_by_any_message(
     store: ManifestStore, client: HttpPlatformClient
 ) -> None:
