--- a/src/kingcupwheel/agent/adapters/calls.py
+++ b/src/kingcupwheel/agent/adapters/calls.py
@@ -16,6 +16,7 @@
 from expression import Error
 from expression import Ok
 from expression import Result
+from urllib3 import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import ReadTimeoutError
@@ -26,6 +27,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from urllib3.response import HTTPResponse
 
     from kingcupwheel.agent.adapters.cancellation import Cancellation
@@ -80,17 +83,16 @@
 
     method: str
     path: str
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     body: bytes | None
 
 
 def request_of(dispatch: Dispatch) -> Request:
     """Return the request to send for the dispatch, named by its attempt."""
-    headers = {
-        name: value
-        for name, value in dispatch.headers
-        if name.lower() not in _REQUEST_HEADERS_DROPPED
-    }
+    headers = HTTPHeaderDict()
+    for name, value in dispatch.headers:
+        if name.lower() not in _REQUEST_HEADERS_DROPPED:
+            headers.add(name, value)
     headers[REQUEST_ID_HEADER] = run_id(dispatch)
     headers["Connection"] = "close"
     return Request(dispatch.method, dispatch.path, headers, dispatch.body)
--- a/src/kingcupwheel/agent/adapters/engine.py
+++ b/src/kingcupwheel/agent/adapters/engine.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import msgspec
 from expression import Error
@@ -45,12 +46,11 @@
 # connection and trying on would only load the engine.
 _RESUMES_WITHOUT_PROGRESS = 5
 _PAUSE_S = 0.2
-# A whole engine that says nothing on new connections either is stalled, not slow to
-# answer one request; it gets this many questions, each ``silence_s`` long.
-_QUESTIONS = 3
-# A probe of the state is given up sooner than an answer, so that the heartbeat's load
-# does not age.
-_PROBE_SHARE = 0.5
+# An engine that says nothing on new connections either is stalled as a whole, not slow
+# with one request. It is asked so often before the answer is called lost; a question
+# gets this share of ``silence_s``, so that the loss is known after twice ``silence_s``.
+_QUESTIONS = 2
+_QUESTION_SHARE = 0.5
 
 
 class EngineState(msgspec.Struct, frozen=True):
@@ -61,6 +61,10 @@
     rate: float
 
 
+class _StillRuns(NamedTuple):
+    """The engine runs the request and has nothing to send yet."""
+
+
 _STATE_DECODER = msgspec.json.Decoder(EngineState)
 
 
@@ -162,9 +166,7 @@
 
     def state(self) -> ServerState:
         """Ask the engine for its state on a new connection."""
-        asked = self._ask(
-            Cancellation(), silence_s=self._server.silence_s * _PROBE_SHARE
-        )
+        asked = self._ask(Cancellation())
         if asked.is_error():
             return ServerState(up=False, life="", running=0, rate=0.0)
         state = asked.ok
@@ -188,30 +190,46 @@
 
         ``life`` is the engine's life that the run began in, empty if not known.
         """
-        lost = ServerLost("server silent", died=False)
-        for _ in range(_QUESTIONS):
+        silences = 0
+        while silences < _QUESTIONS:
             if cancellation.wait(_PAUSE_S):
                 return Error(ServerLost("cancelled", died=False))
-            asked = self._ask(cancellation, silence_s=self._server.silence_s)
-            if asked.is_error():
-                if isinstance(asked.error, ServerLost):
-                    return Error(asked.error)
-                continue
-            if life and asked.ok.life != life:
-                return Error(ServerLost("server restarted", died=True))
-            opened = self._reopen(name, offset, cancellation)
-            if opened.is_ok() or isinstance(opened.error, ServerLost):
-                return opened.map_error(lambda error: _as_lost(error, lost))
-        return Error(lost)
+            resumed = self._try_resume(name, offset, life, cancellation)
+            if resumed.is_ok():
+                return Ok(resumed.ok)
+            match resumed.error:
+                case ServerLost() as lost:
+                    return Error(lost)
+                case Silent():
+                    silences += 1
+                case _StillRuns():
+                    silences = 0
+        return Error(ServerLost("server silent", died=False))
+
+    def _try_resume(
+        self, name: str, offset: int, life: str, cancellation: Cancellation
+    ) -> Result[Call, ServerLost | Silent | _StillRuns]:
+        asked = self._ask(cancellation)
+        if asked.is_error():
+            return Error(asked.error)
+        if life and asked.ok.life != life:
+            return Error(ServerLost("server restarted", died=True))
+        opened = self._reopen(name, offset, cancellation)
+        if opened.is_ok():
+            return Ok(opened.ok)
+        if isinstance(opened.error, Silent) and name in asked.ok.running:
+            return Error(_StillRuns())
+        return Error(opened.error)
 
     def _ask(
-        self, cancellation: Cancellation, *, silence_s: float
+        self, cancellation: Cancellation
     ) -> Result[EngineState, ServerLost | Silent]:
         connected = connect(self._server, cancellation)
         if connected.is_error():
             return Error(_lost_or_silent(connected.error))
         call = connected.ok
         try:
+            silence_s = self._server.silence_s * _QUESTION_SHARE
             sent = call.send(get(_STATE_PATH), silence_s=silence_s)
             if sent.is_error():
                 return Error(sent.error)
@@ -256,7 +274,3 @@
 
 def _lost_or_silent(down: ServerDown) -> ServerLost | Silent:
     return ServerLost(down.detail, died=True) if down.refused else Silent()
-
-
-def _as_lost(error: ServerLost | Silent, lost: ServerLost) -> ServerLost:
-    return lost if isinstance(error, Silent) else error
--- a/src/kingcupwheel/agent/adapters/service.py
+++ b/src/kingcupwheel/agent/adapters/service.py
@@ -106,4 +106,8 @@
         """Return why an answer was lost, and whether the service died with it."""
         if isinstance(error, Silent):
             return ServerLost("server silent", died=False)
-        return error._replace(died=not self.state().up)
+        connected = connect(self._server, Cancellation())
+        if connected.is_error():
+            return error._replace(died=connected.error.refused)
+        connected.ok.close()
+        return error
--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -51,9 +51,6 @@
 # How an answer ended is known for longer than that its attempt ran: a late copy of the
 # dispatch is joined to it.
 _ENDED_PER_MEMORY = 1.5
-# After the last frame of the last answer a leaving agent waits this long for its
-# acknowledgement, so that an entry which just replaced its link can still resume.
-_LINGER_S = 5.0
 # A leaving agent stays at least so many heartbeats: a dispatch sent before the entry
 # heard of the leaving still gets its ``not-run`` instead of silence.
 _LEAVING_BEATS = 3.0
@@ -263,4 +260,7 @@
         stay_s = _LEAVING_BEATS * self._settings.timings.heartbeat_s
         if now - leaving_at < stay_s:
             return False
-        return not self._store.undelivered or now - self._idle_since > _LINGER_S
+        # The last frames may lie on a link that went silent; an entry that still wants
+        # them has replaced it and resumed by the time it would give up.
+        linger_s = self._settings.timings.give_up_s
+        return not self._store.undelivered or now - self._idle_since > linger_s
--- a/tests/agent/test_failures.py
+++ b/tests/agent/test_failures.py
@@ -333,3 +333,52 @@
     assert entry.body("runs") == streamed_answer("runs", 200)
     assert agent.wait_drained(10.0)
     assert engine.counters.report()["by_request_id"] == {"runs": 1}
+
+
+def test_a_server_that_is_silent_on_every_connection_is_given_up(bench: Bench) -> None:
+    """The caller is told unknown after a bounded time, and new work still flows.
+
+    Every connection to the engine, open and new, goes silent. The agent asks on new
+    ones a few times; then the answer is called lost.
+    """
+    engine = bench.engine(step_ms=20.0)
+    relay = bench.relay(engine.address)
+    entry = bench.entry(bench.agent(relay.url))
+    entry.send(dispatch_to(entry.beat(), "a", body=completion("a", tokens=1000)))
+    entry.wait_for_bytes("a", 200)
+
+    relay.set_mode(Mode.FREEZE_ALL)
+    end = entry.end("a")
+    relay.set_mode(Mode.PASS)
+    entry.send(dispatch_to(entry.beat(), "b"))
+
+    assert (end.outcome, end.detail) == (Outcome.UNKNOWN, "server silent")
+    assert end.length == len(entry.body("a"))
+    assert entry.end("b").outcome is Outcome.RAN
+
+
+def test_a_leaving_agent_waits_for_an_entry_whose_link_went_silent(
+    bench: Bench,
+) -> None:
+    """The caller sees the whole answer though its agent stops.
+
+    The link goes silent, the agent is told to leave, and its last frames go down the
+    dead link. It stays until the entry has resumed over a new one.
+    """
+    engine = bench.engine()
+    agent = bench.agent(engine.url)
+    relay = bench.relay(f"127.0.0.1:{agent.port}")
+    entry = bench.entry(relay)
+    entry.send(dispatch_to(entry.beat(), "a", body=completion("a", tokens=60)))
+    entry.wait_for_bytes("a", 200)
+
+    relay.set_mode(Mode.FREEZE_OPEN)
+    agent.leave()
+    wait_until(lambda: not engine.state()["running"], "the engine to finish")
+    assert not agent.wait_drained(2.0)
+    entry.replace_link()
+    entry.resume("a", credit=1_000_000)
+
+    assert entry.end("a").outcome is Outcome.RAN
+    assert entry.body("a") == streamed_answer("a", 60)
+    assert agent.wait_drained(5.0)
