--- /dev/null
+++ b/tools/decision_costs.py
@@ -0,0 +1,193 @@
+"""Processor time of each decision, and memory of what grows with organisations."""
+
+from __future__ import annotations
+
+import tracemalloc
+from dataclasses import replace
+from random import Random
+from time import process_time
+from typing import TYPE_CHECKING
+
+from kingcupwheel.decisions.admission import Admission
+from kingcupwheel.decisions.candidates import Ask
+from kingcupwheel.decisions.candidates import Candidate
+from kingcupwheel.decisions.group_health import GroupHealth
+from kingcupwheel.decisions.group_health import ServerLoad
+from kingcupwheel.decisions.placement import TwoChoices
+from kingcupwheel.decisions.queueing import FairQueue
+from kingcupwheel.decisions.queueing import Waiting
+from kingcupwheel.decisions.shares import PeerShare
+from kingcupwheel.decisions.shares import Share
+from kingcupwheel.decisions.shares import next_share
+from kingcupwheel.decisions.subsets import Instance
+from kingcupwheel.decisions.subsets import entries_for
+from kingcupwheel.decisions.subsets import subset
+from kingcupwheel.decisions.work import WorkPredictor
+from kingcupwheel.manifest.schema import Allowance
+from tools.tables import Table
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+CANDIDATES = 24
+ORGANISATIONS = (4_300, 43_000)
+REPEATS = 2_000
+
+
+def cost_tables() -> list[Table]:
+    """Return the tables of processor time and memory."""
+    return [_time_table(), _memory_table()]
+
+
+def _time_table() -> Table:
+    entries = tuple(Instance(f"entry-{n}", f"dc-{n % 8}") for n in range(370))
+    servers = tuple(Instance(f"server-{n}", f"dc-{n % 8}") for n in range(1_000))
+    allowance = Allowance()
+    rows = [
+        ("admit and finish", _microseconds(_admission())),
+        ("predict and learn", _microseconds(_prediction())),
+        ("push and pop, 200 waiting of 50 organisations", _microseconds(_queue())),
+        (f"place, {CANDIDATES} candidates", _microseconds(_placement(""))),
+        (f"place by prefix, {CANDIDATES} candidates", _microseconds(_placement("p"))),
+        (f"states of {CANDIDATES} servers", _microseconds(_health())),
+        ("next share, 2 peers", _microseconds(_share())),
+        (
+            "entries for an organisation, 370 entries",
+            _microseconds(lambda: entries_for("o", entries, allowance, "dc-1"), 50),
+        ),
+        (
+            "subset, 370 entries, 1,000 servers, 8 data centres",
+            _microseconds(lambda: subset("entry-1", entries, servers, 24), 5),
+        ),
+    ]
+    shown = [(name, f"{cost:,.1f}") for name, cost in rows]
+    return Table("Processor time of a decision", ("decision", "microseconds"), shown)
+
+
+def _microseconds(work: Callable[[], object], repeats: int = REPEATS) -> float:
+    began = process_time()
+    for _ in range(repeats):
+        work()
+    return (process_time() - began) / repeats * 1e6
+
+
+def _admission() -> Callable[[], object]:
+    admission = Admission()
+    admission.configure("o", Allowance(), 0.5)
+    ticks = iter(range(10**9))
+
+    def decide() -> None:
+        now = next(ticks) / 10
+        admission.admit("o", 100.0, now)
+        admission.finish("o", 100.0, 90.0, now)
+
+    return decide
+
+
+def _prediction() -> Callable[[], object]:
+    predictor = WorkPredictor()
+
+    def decide() -> None:
+        predictor.predict("o", "/v1", 1_600, 500)
+        predictor.learn("o", "/v1", 400, 270, body_bytes=1_600)
+
+    return decide
+
+
+def _queue() -> Callable[[], object]:
+    queue = FairQueue(512)
+    serial = iter(range(10**9))
+
+    def push() -> None:
+        number = next(serial)
+        name = f"organisation-{number % 50}"
+        queue.push(Waiting(f"{number}", name, 5, 600.0, 1e9, 0.0), number / 100)
+
+    for _ in range(200):
+        push()
+
+    def decide() -> None:
+        push()
+        queue.pop(0.0)
+
+    return decide
+
+
+def _placement(prefix: str) -> Callable[[], object]:
+    plain = Candidate("", "dc-0", 16, 8, 0, own_in_flight=2, own_at_report=1)
+    candidates = [
+        replace(plain, name=f"server-{number}", running=4 + number % 8)
+        for number in range(CANDIDATES)
+    ]
+    draw = Random(1)
+    policy = TwoChoices()
+    ask = Ask(prefix_key=prefix, work=600.0, data_centre="dc-0")
+    return lambda: policy.place(candidates, ask, 0.0, draw)
+
+
+def _health() -> Callable[[], object]:
+    group = GroupHealth()
+    loads = [ServerLoad(f"server-{number}", 8, 16) for number in range(CANDIDATES)]
+    for load in loads:
+        for _ in range(10):
+            group.of(load.name).succeeded(0.02, 0.0)
+    return lambda: group.states(loads, 1.0)
+
+
+def _share() -> Callable[[], object]:
+    peers = [PeerShare(0.2, 0.3, wants=False, age_s=1.0)] * 2
+    return lambda: next_share(Share(0.3), 0.4, peers, 5.0)
+
+
+def _memory_table() -> Table:
+    sizes = [(count, _admission_bytes(count)) for count in ORGANISATIONS]
+    histories = [(count, _predictor_bytes(count)) for count in ORGANISATIONS]
+    rows = [
+        _memory_row("admission", sizes),
+        _memory_row("prediction", histories),
+    ]
+    sized = [f"{count:,} organisations, MB" for count in ORGANISATIONS]
+    return Table("Memory by organisations", ("", *sized, "bytes each"), rows)
+
+
+def _memory_row(name: str, sizes: list[tuple[int, int]]) -> tuple[str, ...]:
+    (small, small_bytes), (large, large_bytes) = sizes
+    slope = (large_bytes - small_bytes) / (large - small)
+    shown = (f"{size / 1e6:.1f}" for size in (small_bytes, large_bytes))
+    return (name, *shown, f"{slope:.0f}")
+
+
+def _admission_bytes(count: int) -> int:
+    def build() -> object:
+        admission = Admission()
+        allowance = Allowance()
+        for number in range(count):
+            name = f"organisation-{number}"
+            admission.configure(name, allowance, 0.5)
+            admission.admit(name, 100.0 + number, 1.0 + number)
+        return admission
+
+    return _bytes(build)
+
+
+def _predictor_bytes(count: int) -> int:
+    def build() -> object:
+        predictor = WorkPredictor()
+        for number in range(count):
+            name = f"organisation-{number}"
+            answer = 270 + number % 7
+            predictor.learn(name, "/v1", 400, answer, body_bytes=1_600 + number)
+        return predictor
+
+    return _bytes(build)
+
+
+def _bytes(build: Callable[[], object]) -> int:
+    tracemalloc.start()
+    built = build()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del built
+    return size
--- /dev/null
+++ b/tools/measure_decisions.py
@@ -0,0 +1,117 @@
+"""Measures the decisions: outcomes for callers, costs, coverage of subsets.
+
+``python -m tools.measure_decisions [FILE]`` prints Markdown tables and writes them to
+FILE as well. All loads are seeded; only the costs depend on the machine. Plots go to
+``out/`` when matplotlib is there.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from statistics import mean
+from typing import TYPE_CHECKING
+
+from tools.decision_costs import cost_tables
+from tools.entry_model import Setup
+from tools.load_scenarios import SCENARIOS
+from tools.load_scenarios import Outcome
+from tools.load_scenarios import play
+from tools.subset_coverage import coverage_table
+from tools.tables import Table
+
+
+if TYPE_CHECKING:
+    from tools.load_scenarios import Scenario
+
+
+SEEDS = (1, 2)
+SETUP_BY_NAME = {
+    "kingcupwheel": Setup(),
+    "least in flight": Setup(policy="least-in-flight"),
+    "round robin": Setup(policy="round-robin"),
+    "random": Setup(policy="random"),
+    "equal split": Setup(lends=False),
+    "no admission": Setup(admission=False, queue=False),
+}
+COLUMNS = {
+    "met": "calls met",
+    "others_met": "others met",
+    "goodput": "goodput tok/s",
+    "fairness": "fairness",
+    "first_p95_s": "first token p95 s",
+    "gap_p95_ms": "gap p95 ms",
+    "refused": "refused",
+    "told_late": "told late",
+    "retries": "retries",
+}
+OUT = Path("out")
+
+
+def main() -> None:
+    """Print every table, and write them to the file named on the command line."""
+    outcomes = {scenario: measure(scenario) for scenario in SCENARIOS}
+    tables = [outcome_table(scenario, rows) for scenario, rows in outcomes.items()]
+    tables += [coverage_table(), *cost_tables()]
+    text = "\n".join(table.markdown() for table in tables)
+    print(text)
+    if len(sys.argv) > 1:
+        Path(sys.argv[1]).write_text(text)
+    draw(outcomes)
+
+
+def measure(scenario: Scenario) -> dict[str, Outcome]:
+    """Return the mean outcome over the seeds for each setup."""
+    return {
+        name: _mean([play(scenario, setup, seed) for seed in SEEDS])
+        for name, setup in SETUP_BY_NAME.items()
+    }
+
+
+def outcome_table(scenario: Scenario, outcome_by_name: dict[str, Outcome]) -> Table:
+    """Return one scenario's table, a row for each setup."""
+    rows = [
+        (name, *(_shown(field, getattr(outcome, field)) for field in COLUMNS))
+        for name, outcome in outcome_by_name.items()
+    ]
+    return Table(f"Load: {scenario.name}", ("", *COLUMNS.values()), rows)
+
+
+def draw(outcomes: dict[Scenario, dict[str, Outcome]]) -> None:
+    """Draw the share of calls met, if matplotlib is installed."""
+    try:
+        from matplotlib import pyplot
+    except ImportError:
+        print("No plot: matplotlib is not installed.")
+        return
+    figure, axes = pyplot.subplots(figsize=(11, 6))
+    height = 0.8 / len(SETUP_BY_NAME)
+    for number, name in enumerate(SETUP_BY_NAME):
+        places = [row + number * height for row in range(len(outcomes))]
+        values = [100 * by_name[name].met for by_name in outcomes.values()]
+        axes.barh(places, values, height, label=name)
+    middle = 0.4 - height / 2
+    axes.set_yticks([row + middle for row in range(len(outcomes))])
+    axes.set_yticklabels([scenario.name for scenario in outcomes])
+    axes.invert_yaxis()
+    axes.set_xlabel("calls answered with the first token in time, %")
+    axes.legend(loc="lower left", fontsize=8)
+    figure.tight_layout()
+    OUT.mkdir(exist_ok=True)
+    figure.savefig(OUT / "decisions.png", dpi=110)
+
+
+def _mean(outcomes: list[Outcome]) -> Outcome:
+    return Outcome(*(mean(values) for values in zip(*outcomes, strict=True)))
+
+
+def _shown(field: str, value: float) -> str:
+    if field in ("goodput", "retries"):
+        return f"{value:,.0f}"
+    if field in ("met", "others_met", "refused", "told_late"):
+        return f"{100 * value:.1f}%"
+    return f"{value:.3f}" if field == "fairness" else f"{value:.2f}"
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/subset_coverage.py
@@ -0,0 +1,110 @@
+"""Coverage of the servers by the entries' subsets, and what a departure changes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from statistics import mean
+from statistics import pstdev
+from typing import NamedTuple
+
+from kingcupwheel.decisions import subsets as subsets_module
+from kingcupwheel.decisions.matching import match_evenly
+from kingcupwheel.decisions.subsets import Instance
+from kingcupwheel.decisions.subsets import subset
+from tools.tables import Table
+
+
+ENTRIES = 370
+SERVERS = 1_000
+SIZE = 24
+DEPARTURES = 4
+DATA_CENTRES = (1, 8)
+
+
+class Fleet(NamedTuple):
+    """Entries and servers; ``subsets`` works out all of the entries' at once."""
+
+    entries: tuple[Instance, ...]
+    servers: tuple[Instance, ...]
+
+    def subsets(self) -> dict[str, set[str]]:
+        """Return each entry's servers; the matching is shared, not repeated."""
+        matched: dict[tuple[str, ...], dict[str, tuple[str, ...]]] = {}
+
+        def match_once(
+            choosers: list[str], options: list[str], wanted: int
+        ) -> dict[str, tuple[str, ...]]:
+            key = tuple(options)
+            if key not in matched:
+                matched[key] = match_evenly(choosers, options, wanted)
+            return matched[key]
+
+        subsets_module.match_evenly = match_once  # type: ignore[assignment]
+        try:
+            return {
+                entry.name: set(subset(entry.name, self.entries, self.servers, SIZE))
+                for entry in self.entries
+            }
+        finally:
+            subsets_module.match_evenly = match_evenly
+
+
+def coverage_table() -> Table:
+    """Return coverage at the target size, in one and in eight data centres."""
+    rows = [_row(count) for count in DATA_CENTRES]
+    columns = (
+        "data centres",
+        "links",
+        "entries a server: min",
+        "mean",
+        "max",
+        "deviation",
+        "new links when an entry leaves",
+        "new links when a server leaves",
+    )
+    title = f"Subsets of {SIZE}: {ENTRIES} entries before {SERVERS} servers"
+    return Table(title, columns, rows)
+
+
+def _row(data_centres: int) -> tuple[str, ...]:
+    fleet = Fleet(
+        _instances("entry", ENTRIES, data_centres),
+        _instances("server", SERVERS, data_centres),
+    )
+    before = fleet.subsets()
+    count_by_server = Counter(name for names in before.values() for name in names)
+    counts = [count_by_server[server.name] for server in fleet.servers]
+    entry_moves = [
+        _moved(before, fleet._replace(entries=_without(fleet.entries, number)))
+        for number in range(DEPARTURES)
+    ]
+    server_moves = [
+        _moved(before, fleet._replace(servers=_without(fleet.servers, number)))
+        for number in range(DEPARTURES)
+    ]
+    return (
+        str(data_centres),
+        str(sum(counts)),
+        str(min(counts)),
+        f"{mean(counts):.2f}",
+        str(max(counts)),
+        f"{pstdev(counts):.2f}",
+        f"{mean(entry_moves):.0f}",
+        f"{mean(server_moves):.0f}",
+    )
+
+
+def _instances(prefix: str, count: int, data_centres: int) -> tuple[Instance, ...]:
+    return tuple(
+        Instance(f"{prefix}-{number}", f"dc-{number % data_centres}")
+        for number in range(count)
+    )
+
+
+def _without(instances: tuple[Instance, ...], number: int) -> tuple[Instance, ...]:
+    return instances[:number] + instances[number + 1 :]
+
+
+def _moved(before: dict[str, set[str]], fleet: Fleet) -> int:
+    after = fleet.subsets()
+    return sum(len(names - before[name]) for name, names in after.items())
