--- a/src/kingcupwheel/decisions/subsets.py
+++ b/src/kingcupwheel/decisions/subsets.py
@@ -55,18 +55,25 @@
     ``spill_part`` lies in other data centres; a data centre short of servers is made up
     for by the others. Own data centre first; ``entry`` has to be among ``entries``.
     """
-    if len(servers) <= size:
-        return _nearest_first(entry, entries, servers)
     home = next(one.data_centre for one in entries if one.name == entry)
-    near = [one.name for one in servers if one.data_centre == home]
-    far = [one.name for one in servers if one.data_centre != home]
-    beside = [one.name for one in entries if one.data_centre == home]
-    wanted = size if not far else size - int(size * spill_part)
-    own = near
-    if len(near) > wanted:
-        own = list(match_evenly(beside, near, wanted)[entry])
-    ranked = sorted(far, key=lambda name: stable_hash("spill", entry, name))
-    return (*own, *ranked[: size - len(own)])
+    near = _near_subsets(home, entries, servers, size, spill_part)
+    return _with_spill(entry, home, near[entry], servers, size)
+
+
+def subsets(
+    entries: Sequence[Instance],
+    servers: Sequence[Instance],
+    size: int,
+    *,
+    spill_part: float = SPILL_PART,
+) -> dict[str, tuple[str, ...]]:
+    """Return the subset of every entry by its name, to see how servers are covered."""
+    by_name: dict[str, tuple[str, ...]] = {}
+    for home in {one.data_centre for one in entries}:
+        near = _near_subsets(home, entries, servers, size, spill_part)
+        for entry, own in near.items():
+            by_name[entry] = _with_spill(entry, home, own, servers, size)
+    return by_name
 
 
 def entries_for(
@@ -109,9 +116,31 @@
     return max(LEAST_ENTRIES, wanted)
 
 
-def _nearest_first(
-    entry: str, entries: Sequence[Instance], servers: Sequence[Instance]
+def _near_subsets(
+    home: str,
+    entries: Sequence[Instance],
+    servers: Sequence[Instance],
+    size: int,
+    spill_part: float,
+) -> dict[str, tuple[str, ...]]:
+    """Return, for each entry of the data centre ``home``, its servers there."""
+    near = [one.name for one in servers if one.data_centre == home]
+    beside = [one.name for one in entries if one.data_centre == home]
+    far = len(servers) - len(near)
+    wanted = max(size - int(size * spill_part), size - far)
+    if len(near) <= wanted:
+        return dict.fromkeys(beside, tuple(near))
+    return match_evenly(beside, near, wanted)
+
+
+def _with_spill(
+    entry: str,
+    home: str,
+    near: tuple[str, ...],
+    servers: Sequence[Instance],
+    size: int,
 ) -> tuple[str, ...]:
-    home = next((one.data_centre for one in entries if one.name == entry), "")
-    ranked = sorted(servers, key=lambda one: (one.data_centre != home, one.name))
-    return tuple(one.name for one in ranked)
+    """Make ``near`` up to ``size`` with servers of other data centres."""
+    far = [one.name for one in servers if one.data_centre != home]
+    far.sort(key=lambda name: stable_hash("spill", entry, name))
+    return (*near, *far[: size - len(near)])
--- a/tools/subset_coverage.py
+++ b/tools/subset_coverage.py
@@ -7,10 +7,8 @@
 from statistics import pstdev
 from typing import NamedTuple
 
-from kingcupwheel.decisions import subsets as subsets_module
-from kingcupwheel.decisions.matching import match_evenly
 from kingcupwheel.decisions.subsets import Instance
-from kingcupwheel.decisions.subsets import subset
+from kingcupwheel.decisions.subsets import subsets
 from tools.tables import Table
 
 
@@ -22,31 +20,15 @@
 
 
 class Fleet(NamedTuple):
-    """Entries and servers; ``subsets`` works out all of the entries' at once."""
+    """Entries and servers."""
 
     entries: tuple[Instance, ...]
     servers: tuple[Instance, ...]
 
     def subsets(self) -> dict[str, set[str]]:
-        """Return each entry's servers; the matching is shared, not repeated."""
-        matched: dict[tuple[str, ...], dict[str, tuple[str, ...]]] = {}
-
-        def match_once(
-            choosers: list[str], options: list[str], wanted: int
-        ) -> dict[str, tuple[str, ...]]:
-            key = tuple(options)
-            if key not in matched:
-                matched[key] = match_evenly(choosers, options, wanted)
-            return matched[key]
-
-        subsets_module.match_evenly = match_once  # type: ignore[assignment]
-        try:
-            return {
-                entry.name: set(subset(entry.name, self.entries, self.servers, SIZE))
-                for entry in self.entries
-            }
-        finally:
-            subsets_module.match_evenly = match_evenly
+        """Return each entry's servers."""
+        by_name = subsets(self.entries, self.servers, SIZE)
+        return {name: set(servers) for name, servers in by_name.items()}
 
 
 def coverage_table() -> Table:
