--- a/src/kingcupwheel/decisions/decay.py
+++ b/src/kingcupwheel/decisions/decay.py
@@ -25,8 +25,9 @@
 
     def value(self, now: float) -> float:
         """Return what is left of the sum at ``now``."""
-        age_s = max(0.0, now - self._at)
-        return self._value * exp(-age_s / self._time_constant_s)
+        if self._value == 0.0 or now <= self._at:
+            return self._value
+        return self._value * exp((self._at - now) / self._time_constant_s)
 
     def rate(self, now: float) -> float:
         """Return the recent amount per second."""
--- a/src/kingcupwheel/decisions/group_health.py
+++ b/src/kingcupwheel/decisions/group_health.py
@@ -45,7 +45,10 @@
 
     def of(self, server: str) -> ServerHealth:
         """Return the health of ``server``, new if it was never seen."""
-        return self._by_name.setdefault(server, ServerHealth())
+        health = self._by_name.get(server)
+        if health is None:
+            health = self._by_name[server] = ServerHealth()
+        return health
 
     def restarted(self, server: str) -> None:
         """Forget what is known of ``server``: a new life of it has come up."""
