--- a/src/kingcupwheel/decisions/queueing.py
+++ b/src/kingcupwheel/decisions/queueing.py
@@ -96,6 +96,7 @@
         self._deadlines: list[tuple[float, str]] = []
         self._expired: list[Waiting] = []
         self._drain = DrainRate()
+        self._next_return_at = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting_by_id)
@@ -112,12 +113,12 @@
         flow = self._flow_by_key.get(key) or _Flow(waiting.priority)
         if len(flow.requests) >= FREE_PLACES_FACTOR * (self._limit - ahead):
             wait_s = self._drain.seconds(self.work, now)
-            return _refuse("queue", f"{ahead} requests wait", wait_s, waiting)
+            return self._refuse("queue", f"{ahead} requests wait", wait_s, waiting, now)
         wait_s = self._predicted_wait(flow, waiting.work, now)
         left_s = waiting.deadline_at - now
         if wait_s > left_s:
             detail = f"predicted wait {wait_s:.1f} s, deadline in {left_s:.1f} s"
-            return _refuse("deadline", detail, wait_s - max(0.0, left_s), waiting)
+            return self._refuse("deadline", detail, wait_s - left_s, waiting, now)
         if not self._waiting_by_id:
             self._drain.start(now)
         self._add(key, flow, waiting)
@@ -229,14 +230,19 @@
                 before += mine * flow.weight / own.weight
         return WAIT_MARGIN * self._drain.seconds(before, now)
 
+    def _refuse(
+        self, limit: str, detail: str, wait_s: float, waiting: Waiting, now: float
+    ) -> Refuse:
+        """Refuse with a time to come back at which there may be room.
 
-def _refuse(limit: str, detail: str, wait_s: float, waiting: Waiting) -> Refuse:
-    """Refuse with Retry-After spread over as long again as the wait.
-
-    Load: some hundreds of requests refused in the same second. Harm prevented: callers
-    that come back together meet a full queue together. The spread depends on the
-    request's id alone, so that a trace can be worked out again.
-    """
-    base_s = min(max(MIN_RETRY_AFTER_S, wait_s), MAX_RETRY_AFTER_S / 2)
-    after_s = base_s * (1.0 + stable_fraction(waiting.request_id))
-    return Refuse(limit, detail, after_s)
+        Load: hundreds of requests refused, for a second or for a minute. Harm
+        prevented: callers told the same short time come back together, into the same
+        overload, and are refused until they give up. Each refusal therefore takes the
+        next turn at the pace at which the queue drains, and is spread by its request's
+        id, so that a trace can be worked out again.
+        """
+        turn_at = max(now + wait_s, self._next_return_at)
+        base_s = min(max(MIN_RETRY_AFTER_S, turn_at - now), MAX_RETRY_AFTER_S / 2)
+        self._next_return_at = now + base_s + self._drain.seconds(waiting.work, now)
+        after_s = base_s * (1.0 + stable_fraction(waiting.request_id))
+        return Refuse(limit, detail, after_s)
