--- a/src/kingcupwheel/decisions/queueing.py
+++ b/src/kingcupwheel/decisions/queueing.py
@@ -24,9 +24,10 @@
 # organisation.
 FREE_PLACES_FACTOR = 2
 
-# The predicted wait is taken this much longer: a wait is as often above its prediction
-# as below, and one that is above ends in a refusal after the wait.
-WAIT_MARGIN = 1.2
+# A request is queued if twice its predicted wait is within its deadline: a wait is as
+# often above its prediction as below, and one far above ends in a refusal after the
+# wait. The servers stay as busy with the shorter queue.
+WAIT_MARGIN = 2.0
 
 # Weight of priority p is (p + 1): priority 9 gets ten times the work of priority 0, and
 # none is given nothing, so that no priority starves another.
