--- a/src/kingcupwheel/decisions/latency.py
+++ b/src/kingcupwheel/decisions/latency.py
@@ -1,44 +1,55 @@
-"""Bounds a latency from those seen before."""
+"""Bounds the time to the first byte from those seen before."""
 
 from __future__ import annotations
 
 
-# Gains of TCP's retransmission timer (RFC 6298): a mean that follows within some ten
-# samples. Its four deviations would leave no time to wait in the queue; with one and a
-# half most samples are within the bound.
-_MEAN_GAIN = 1 / 8
-_DEVIATION_GAIN = 1 / 4
-_DEVIATIONS = 1.5
+# A sample counts as a fiftieth: about six seconds of an entry's requests at the peak.
+_GAIN = 1 / 50
+
+# A bound of one deviation above the line. Two kept nearly all samples, but with prompts
+# of very different lengths left no time to wait in the queue.
+_DEVIATIONS = 1.0
 
 
 class LatencyBound:
-    """Mean and deviation of the time between a handover and its first byte.
+    """A line through the times to the first byte by the size of the prompt.
 
     Load: prompts of very different lengths at a busy group. Harm prevented: a request
     that leaves the queue just before its deadline is run in vain, since its first byte
-    still takes as long as the prompt. An entry takes ``bound_s`` off each deadline
-    before it queues the request.
+    still takes as long as its prompt. An entry takes ``bound_s`` off each deadline
+    before it queues the request. Sizes are in any unit, the same for all calls.
     """
 
-    __slots__ = ("_deviation_s", "_mean_s")
+    __slots__ = ("_count", "_deviation_s", "_size", "_size2", "_time", "_time_size")
 
     def __init__(self) -> None:
-        self._mean_s: float | None = None
+        self._count = 0
+        self._size = 0.0
+        self._time = 0.0
+        self._size2 = 0.0
+        self._time_size = 0.0
         self._deviation_s = 0.0
 
-    @property
-    def bound_s(self) -> float:
-        """Seconds that most are below; 0 until one was seen."""
-        if self._mean_s is None:
+    def bound_s(self, size: float) -> float:
+        """Return the seconds that most of that size are below; 0 until one was seen."""
+        if self._count == 0:
             return 0.0
-        return self._mean_s + _DEVIATIONS * self._deviation_s
-
-    def saw(self, seconds: float) -> None:
-        """Take a latency into account."""
-        if self._mean_s is None:
-            self._mean_s = seconds
-            self._deviation_s = seconds / 2
-            return
-        error_s = seconds - self._mean_s
-        self._deviation_s += (abs(error_s) - self._deviation_s) * _DEVIATION_GAIN
-        self._mean_s += error_s * _MEAN_GAIN
+        return self._line(size) + _DEVIATIONS * self._deviation_s
+
+    def saw(self, seconds: float, size: float) -> None:
+        """Take the time to a first byte into account."""
+        error_s = abs(seconds - self._line(size)) if self._count else seconds / 2
+        self._count += 1
+        gain = max(_GAIN, 1 / self._count)
+        self._deviation_s += (error_s - self._deviation_s) * gain
+        self._size += (size - self._size) * gain
+        self._time += (seconds - self._time) * gain
+        self._size2 += (size * size - self._size2) * gain
+        self._time_size += (seconds * size - self._time_size) * gain
+
+    def _line(self, size: float) -> float:
+        variance = self._size2 - self._size * self._size
+        slope = 0.0
+        if variance > 0.0:
+            slope = (self._time_size - self._time * self._size) / variance
+        return max(0.0, self._time + slope * (size - self._size))
