--- /dev/null
+++ b/src/kingcupwheel/expertmaps/planner.py
@@ -0,0 +1,128 @@
+"""Plans a new expert map of few moves from the experts' decayed load.
+
+Load: expert popularity drifts with the season or jumps with a fleet-wide inspection,
+and all ranks advance in lock-step. Harm: one overloaded rank slows every step of the
+group; but each expert moved loads weights from a rate-limited store, and moving back
+and forth with noise costs that for nothing. So a change is made only where its gain
+outweighs its cost for the group's own weighting.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.expertmaps.edits import Change
+from kingcupwheel.expertmaps.edits import LayerEditor
+from kingcupwheel.expertmaps.maps import ExpertMap
+from kingcupwheel.expertmaps.maps import map_skew
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.loads import MapLoad
+    from kingcupwheel.expertmaps.maps import LayerLoad
+    from kingcupwheel.expertmaps.maps import LayerPlacement
+
+# How many periods a move is expected to pay off for. Longer moves more for the same
+# skew, shorter waits longer while a rank is slow.
+_PAYBACK_PERIODS = 4.0
+# A plan has to gain this many times its cost. Below 1 noise in the loads makes the plan
+# of one period undo that of the one before.
+_HYSTERESIS = 1.5
+# Changes looked at for one layer in one plan. It bounds the planner's time; what is
+# left over is planned a period later.
+_LAYER_CHANGES = 12
+# Ranks that may take load from the hottest one. The coolest few hold a good partner
+# nearly always, and looking at all of 32 takes four times as long.
+_COOL_RANKS = 8
+
+
+class PlanWeights(NamedTuple):
+    """How a group weighs skew against moves.
+
+    ``move_cost`` is what moving every place of the map once would cost; ``skew_weight``
+    what one period at a skew of 2 instead of 1 costs.
+    """
+
+    skew_weight: float
+    move_cost: float
+    payback_periods: float = _PAYBACK_PERIODS
+    hysteresis: float = _HYSTERESIS
+
+
+class Plan(NamedTuple):
+    """A map to propose, the moves it takes and the skew predicted without and with."""
+
+    map: ExpertMap
+    moves: int
+    skew_before: float
+    skew_after: float
+
+
+class _LayerPlan(NamedTuple):
+    placement: LayerPlacement
+    worth: float
+
+
+def plan(current: ExpertMap, load: MapLoad, weights: PlanWeights) -> Plan | None:
+    """Return a better map than ``current`` under ``load``, or None to stay."""
+    places = sum(len(held) for layer in current.layers for held in layer)
+    cost = weights.move_cost * weights.hysteresis / places
+    even = sum(sum(layer) for layer in load) / current.ranks
+    if even <= 0:
+        return None
+    gain = weights.skew_weight * weights.payback_periods / even
+    layers = tuple(
+        _plan_layer(layer, layer_load, slots=current.slots, gain=gain, cost=cost)
+        for layer, layer_load in zip(current.layers, load, strict=True)
+    )
+    wanted = ExpertMap(
+        current.experts, current.slots, tuple(layer.placement for layer in layers)
+    )
+    moves = current.moves_to(wanted)
+    if not moves:
+        return None
+    return Plan(wanted, moves, map_skew(current, load), map_skew(wanted, load))
+
+
+def _plan_layer(
+    layer: LayerPlacement, load: LayerLoad, *, slots: int, gain: float, cost: float
+) -> _LayerPlan:
+    """Return the layer after the run of changes that is worth most.
+
+    ``gain`` is the worth of one unit less load on the slowest rank, ``cost`` that of
+    one move. A single change often only shifts which rank is slowest, so a whole run is
+    tried and cut where its worth was highest.
+    """
+    editor = LayerEditor(layer, load, slots=slots)
+    before = editor.slowest
+    best = _LayerPlan(layer, 0.0)
+    moves = 0
+    for _ in range(_LAYER_CHANGES):
+        change = _best_change(editor)
+        if change is None:
+            break
+        editor.make(change)
+        moves += change.moves
+        worth = gain * (before - editor.slowest) - cost * moves
+        if worth > best.worth:
+            best = _LayerPlan(editor.placement, worth)
+    return best
+
+
+def _best_change(editor: LayerEditor) -> Change | None:
+    """Return the change that takes most load a move off the hottest rank."""
+    order = editor.order()
+    hot = order[0]
+    slowest = editor.slowest
+    best: Change | None = None
+    most = 0.0
+    for cool in order[: -_COOL_RANKS - 1 : -1]:
+        if cool == hot:
+            continue
+        for change in editor.changes(hot, cool):
+            relief = (slowest - editor.slowest_after(change)) / change.moves
+            if relief > most:
+                best = change
+                most = relief
+    return best
--- /dev/null
+++ b/tools/map_baselines.py
@@ -0,0 +1,75 @@
+"""Planners that the product's own is measured against."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kingcupwheel.expertmaps.maps import ExpertMap
+from kingcupwheel.expertmaps.maps import LayerLoad
+from kingcupwheel.expertmaps.maps import LayerPlacement
+from kingcupwheel.expertmaps.maps import map_skew
+from kingcupwheel.expertmaps.planner import PlanWeights
+from kingcupwheel.expertmaps.planner import plan
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.loads import MapLoad
+
+# Plain hysteresis starts to move above the first skew and goes on to the second.
+_HIGH_SKEW = 1.25
+_LOW_SKEW = 1.10
+
+
+def longest_first(current: ExpertMap, load: MapLoad) -> ExpertMap:
+    """Return the longest-processing-time-first map, whatever it takes to get there."""
+    layers = tuple(_place(_replicas(layer, current), layer, current) for layer in load)
+    result = ExpertMap(current.experts, current.slots, layers)
+    result.check()
+    return result
+
+
+def _replicas(load: LayerLoad, shape: ExpertMap) -> list[int]:
+    """Return replica counts: spare places go to the highest load a replica."""
+    counts = [1] * len(load)
+    for _ in range(shape.ranks * shape.slots - len(load)):
+        open_experts = (e for e in range(len(load)) if counts[e] < shape.ranks)
+        counts[max(open_experts, key=lambda e: load[e] / counts[e])] += 1
+    return counts
+
+
+def _place(counts: list[int], load: LayerLoad, shape: ExpertMap) -> LayerPlacement:
+    held: list[list[int]] = [[] for _ in range(shape.ranks)]
+    loads = [0.0] * shape.ranks
+    shares = [
+        (load[expert] / count, expert)
+        for expert, count in enumerate(counts)
+        for _ in range(count)
+    ]
+    # A first copy always finds a rank; a further one is left out where none is free.
+    for share, expert in sorted(shares, reverse=True):
+        free = [
+            rank
+            for rank in range(shape.ranks)
+            if len(held[rank]) < shape.slots and expert not in held[rank]
+        ]
+        if free:
+            rank = min(free, key=loads.__getitem__)
+            held[rank].append(expert)
+            loads[rank] += share
+    return tuple(tuple(sorted(experts)) for experts in held)
+
+
+class PlainHysteresis:
+    """Moves without regard to cost once skew is high, until it is low."""
+
+    def __init__(self) -> None:
+        self._moving = False
+
+    def __call__(self, current: ExpertMap, load: MapLoad) -> ExpertMap:
+        """Return the map for the next period."""
+        skew = map_skew(current, load)
+        self._moving = skew > (_LOW_SKEW if self._moving else _HIGH_SKEW)
+        if not self._moving:
+            return current
+        found = plan(current, load, PlanWeights(1.0, 0.0))
+        return found.map if found else current
--- /dev/null
+++ b/tools/measure_maps.py
@@ -0,0 +1,177 @@
+"""Measures the map planner against baselines on drifting popularity.
+
+``python -m tools.measure_maps --output FILE`` writes Markdown tables; seeded.
+"""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import click
+
+from kingcupwheel.expertmaps.loads import DecayedLoad
+from kingcupwheel.expertmaps.maps import even_map
+from kingcupwheel.expertmaps.maps import map_skew
+from kingcupwheel.expertmaps.planner import PlanWeights
+from kingcupwheel.expertmaps.planner import plan
+from kingcupwheel.manifest.schema import ExpertLayout
+from tools.map_baselines import PlainHysteresis
+from tools.map_baselines import longest_first
+from tools.map_popularity import Scenario
+from tools.map_popularity import Shape
+from tools.map_popularity import popularity
+from tools.map_trial import ConfidentPlanner
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from kingcupwheel.expertmaps.loads import MapLoad
+    from kingcupwheel.expertmaps.maps import ExpertMap
+
+    Planner = Callable[[ExpertMap, MapLoad], ExpertMap]
+
+SHAPE = Shape(ranks=32, experts=128, layers=4, slots=5, periods=90)
+SEEDS = (11, 12)
+# Weight of one expert of one layer, for the column of bytes.
+EXPERT_BYTES = 20_000_000
+
+
+class User(NamedTuple):
+    """A deployment of the brief and how it weighs skew against moves."""
+
+    name: str
+    weights: PlanWeights
+
+
+AGENCY = User("agency", PlanWeights(skew_weight=4.0, move_cost=1.0))
+RETAZO = User("Retazo", PlanWeights(skew_weight=1.0, move_cost=4.0))
+
+
+class Figures(NamedTuple):
+    """What one planner came to; skews and milliseconds over all periods."""
+
+    skews: tuple[float, ...]
+    moves: int
+    plan_ms: tuple[float, ...]
+
+    @property
+    def mean_skew(self) -> float:
+        """Mean step-time skew."""
+        return sum(self.skews) / len(self.skews)
+
+    def weighted(self, weights: PlanWeights) -> float:
+        """Return the user's own cost of a period: weighted skew plus moves."""
+        places = SHAPE.layers * SHAPE.experts
+        moved = self.moves / len(self.skews) / places
+        return weights.skew_weight * (self.mean_skew - 1) + weights.move_cost * moved
+
+
+def stay(current: ExpertMap, load: MapLoad) -> ExpertMap:
+    """Never move."""
+    del load
+    return current
+
+
+class OwnPlanner:
+    """The product's planner with a user's weights."""
+
+    def __init__(self, weights: PlanWeights) -> None:
+        self._weights = weights
+
+    def __call__(self, current: ExpertMap, load: MapLoad) -> ExpertMap:
+        """Return the map for the next period."""
+        found = plan(current, load, self._weights)
+        return found.map if found else current
+
+
+def planners() -> dict[str, Callable[[], Planner]]:
+    """Return a fresh planner of each kind by name."""
+    return {
+        "never move": lambda: stay,
+        "longest first": lambda: longest_first,
+        "plain hysteresis": PlainHysteresis,
+        "own, agency": lambda: OwnPlanner(AGENCY.weights),
+        "own, Retazo": lambda: OwnPlanner(RETAZO.weights),
+        "confident, agency": lambda: ConfidentPlanner(AGENCY.weights),
+        "confident, Retazo": lambda: ConfidentPlanner(RETAZO.weights),
+    }
+
+
+def run(make: Callable[[], Planner], scenario: Scenario) -> Figures:
+    """Plan after each period for the next one; the skew is the next one's own."""
+    skews: list[float] = []
+    plan_ms: list[float] = []
+    moves = 0
+    layout = ExpertLayout(
+        ranks=SHAPE.ranks, experts=SHAPE.experts, layers=SHAPE.layers, slots=SHAPE.slots
+    )
+    for seed in SEEDS:
+        current = even_map(layout)
+        planner = make()
+        estimate = DecayedLoad()
+        for counted in popularity(scenario, SHAPE, seed=seed):
+            skews.append(map_skew(current, counted))
+            estimate = estimate.after(counted)
+            assert estimate.load is not None
+            started = time.perf_counter()
+            wanted = planner(current, estimate.load)
+            plan_ms.append((time.perf_counter() - started) * 1000)
+            moves += current.moves_to(wanted)
+            wanted.check()
+            current = wanted
+    return Figures(tuple(skews), moves, tuple(plan_ms))
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the value that ``share`` of ``values`` do not exceed."""
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
+
+
+def table(scenario: Scenario) -> str:
+    """Return one scenario's table."""
+    lines = [
+        f"### {scenario.value.capitalize()}",
+        "",
+        "| planner | mean skew | 95th skew | moves | GB loaded | plan ms (mean, max) "
+        "| agency's cost | Retazo's cost |",
+        "|---|---|---|---|---|---|---|---|",
+    ]
+    for name, make in planners().items():
+        figures = run(make, scenario)
+        mean_ms = sum(figures.plan_ms) / len(figures.plan_ms)
+        cells = (
+            name,
+            f"{figures.mean_skew:.3f}",
+            f"{percentile(figures.skews, 0.95):.3f}",
+            str(figures.moves),
+            f"{figures.moves * EXPERT_BYTES / 1e9:.1f}",
+            f"{mean_ms:.1f}, {max(figures.plan_ms):.1f}",
+            f"{figures.weighted(AGENCY.weights):.3f}",
+            f"{figures.weighted(RETAZO.weights):.3f}",
+        )
+        lines.append(f"| {' | '.join(cells)} |")
+    return "\n".join(lines)
+
+
+@click.command()
+@click.option("--output", type=click.Path(path_type=Path), required=True)
+def main(output: Path) -> None:
+    """Write the tables to OUTPUT."""
+    intro = (
+        f"{SHAPE.ranks} ranks, {SHAPE.experts} experts a layer, {SHAPE.layers} layers, "
+        f"{SHAPE.slots} slots a rank, {SHAPE.periods} periods, seeds {SEEDS}. "
+        "A user's cost is skew_weight * (mean skew - 1) + move_cost * share of experts "
+        "moved a period; agency weighs 4 to 1, Retazo 1 to 4."
+    )
+    parts = [intro, *(table(scenario) for scenario in Scenario)]
+    output.parent.mkdir(parents=True, exist_ok=True)
+    output.write_text("\n\n".join(parts) + "\n")
+
+
+if __name__ == "__main__":
+    main()
