--- a/src/kingcupwheel/expertmaps/edits.py
+++ b/src/kingcupwheel/expertmaps/edits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -33,11 +34,33 @@
         return sum(edit.gained is not None for edit in self.edits)
 
 
+# Standard deviations by which the slowest of some tens of ranks lies above its mean.
+_SLOWEST_DEVIATIONS = 2.0
+
+
+class Deltas(NamedTuple):
+    """What a change adds to a rank: load, and squares of its experts' loads."""
+
+    load: float = 0.0
+    squares: float = 0.0
+
+
+_NOTHING = Deltas()
+
+
 class LayerEditor:
-    """Keeps a layer's rank loads while replicas move; capacity is never broken."""
+    """Keeps a layer's rank loads while replicas move; capacity is never broken.
+
+    A rank's load counts with a margin for its scatter, which is less the more replicas
+    carry the load: two halves of a hot expert on two ranks seldom peak together with
+    the rest there. ``scatter`` is the relative deviation of one expert's load.
+    """
 
-    def __init__(self, layer: LayerPlacement, load: LayerLoad, *, slots: int) -> None:
+    def __init__(
+        self, layer: LayerPlacement, load: LayerLoad, *, slots: int, scatter: float
+    ) -> None:
         self._slots = slots
+        self._margin = _SLOWEST_DEVIATIONS * scatter
         self._load = load
         self._held = [set(experts) for experts in layer]
         self._ranks_by_expert: list[set[int]] = [set() for _ in load]
@@ -47,6 +70,9 @@
         self._loads = [
             sum(self._share(expert) for expert in experts) for experts in layer
         ]
+        self._squares = [
+            sum(self._share(expert) ** 2 for expert in experts) for experts in layer
+        ]
 
     @property
     def placement(self) -> LayerPlacement:
@@ -55,12 +81,12 @@
 
     @property
     def slowest(self) -> float:
-        """The highest rank load."""
-        return max(self._loads)
+        """The highest rank load with its margin."""
+        return max(self._peak(rank) for rank in range(len(self._loads)))
 
     def order(self) -> list[int]:
         """Return the ranks, most loaded first."""
-        return sorted(range(len(self._loads)), key=lambda rank: -self._loads[rank])
+        return sorted(range(len(self._loads)), key=self._peak, reverse=True)
 
     def changes(self, hot: int, cool: int) -> Iterator[Change]:
         """Yield the changes that could take load from ``hot`` to ``cool``."""
@@ -77,14 +103,14 @@
 
     def slowest_after(self, change: Change) -> float:
         """Return the highest load among the ranks that ``change`` touches."""
-        return max(
-            self._loads[rank] + delta for rank, delta in self._deltas(change).items()
-        )
+        deltas = self._deltas(change).items()
+        return max(self._peak(rank, delta) for rank, delta in deltas)
 
     def make(self, change: Change) -> None:
         """Carry ``change`` out."""
         for rank, delta in self._deltas(change).items():
-            self._loads[rank] += delta
+            self._loads[rank] += delta.load
+            self._squares[rank] += delta.squares
         for edit in change.edits:
             if edit.lost is not None:
                 self._held[edit.rank].discard(edit.lost)
@@ -96,6 +122,10 @@
     def _share(self, expert: int) -> float:
         return self._load[expert] / len(self._ranks_by_expert[expert])
 
+    def _peak(self, rank: int, delta: Deltas = _NOTHING) -> float:
+        squares = max(0.0, self._squares[rank] + delta.squares)
+        return self._loads[rank] + delta.load + self._margin * math.sqrt(squares)
+
     def _places(self, rank: int) -> Iterator[int | None]:
         """Yield what could make way on ``rank``: nothing, or a spare replica."""
         if len(self._held[rank]) < self._slots:
@@ -105,22 +135,25 @@
             if len(self._ranks_by_expert[expert]) > 1:
                 yield expert
 
-    def _deltas(self, change: Change) -> dict[int, float]:
+    def _deltas(self, change: Change) -> dict[int, Deltas]:
         after_by_expert: dict[int, set[int]] = {}
         for edit in change.edits:
             if edit.lost is not None:
                 self._after(after_by_expert, edit.lost).discard(edit.rank)
             if edit.gained is not None:
                 self._after(after_by_expert, edit.gained).add(edit.rank)
-        deltas: dict[int, float] = defaultdict(float)
+        load: dict[int, float] = defaultdict(float)
+        squares: dict[int, float] = defaultdict(float)
         for expert, after in after_by_expert.items():
             share = self._share(expert)
             for rank in self._ranks_by_expert[expert]:
-                deltas[rank] -= share
+                load[rank] -= share
+                squares[rank] -= share * share
             share = self._load[expert] / len(after)
             for rank in after:
-                deltas[rank] += share
-        return deltas
+                load[rank] += share
+                squares[rank] += share * share
+        return {rank: Deltas(load[rank], squares[rank]) for rank in load}
 
     def _after(self, after_by_expert: dict[int, set[int]], expert: int) -> set[int]:
         if expert not in after_by_expert:
--- a/src/kingcupwheel/expertmaps/loads.py
+++ b/src/kingcupwheel/expertmaps/loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from kingcupwheel.expertmaps.maps import LayerLoad
@@ -17,9 +18,19 @@
 
 
 class DecayedLoad(NamedTuple):
-    """An estimate of each expert's share of its layer's load; None before a reading."""
+    """An estimate of each expert's share of its layer's load; None before a reading.
+
+    ``variance`` is how far counts lie from the estimate: the mean square of an expert's
+    relative deviation, weighted by load.
+    """
 
     load: MapLoad | None = None
+    variance: float = 0.0
+
+    @property
+    def scatter(self) -> float:
+        """Standard deviation of one period's counts, relative to an expert's load."""
+        return math.sqrt(self.variance)
 
     def after(self, counted: MapLoad, *, new_share: float = NEW_SHARE) -> DecayedLoad:
         """Return the estimate after one more period's counts, in any unit.
@@ -27,26 +38,34 @@
         Layers are scaled to a sum of 1 first, so that a busy period weighs no more than
         a quiet one; a layer without any load keeps its estimate.
         """
+        old_load = self.load or tuple((1 / len(c),) * len(c) for c in counted)
+        shares = tuple(map(_shares, counted, old_load))
         if self.load is None:
-            return DecayedLoad(tuple(_shares(layer) for layer in counted))
-        layers = (
-            _mixed(old, layer, new_share)
-            for old, layer in zip(self.load, counted, strict=True)
-        )
-        return DecayedLoad(tuple(layers))
+            return DecayedLoad(shares)
+        pairs = list(zip(self.load, shares, strict=True))
+        layers = tuple(_mixed(old, now, new_share) for old, now in pairs)
+        deviation = sum(_deviation(old, now) for old, now in pairs) / len(pairs)
+        variance = self.variance + new_share * (deviation - self.variance)
+        return DecayedLoad(layers, variance)
 
 
-def _shares(layer: LayerLoad) -> LayerLoad:
-    total = sum(layer)
+def _shares(counted: LayerLoad, otherwise: LayerLoad) -> LayerLoad:
+    total = sum(counted)
     if total <= 0:
-        return tuple(1 / len(layer) for _ in layer)
-    return tuple(load / total for load in layer)
+        return otherwise
+    return tuple(load / total for load in counted)
 
 
-def _mixed(old: LayerLoad, counted: LayerLoad, new_share: float) -> LayerLoad:
-    if sum(counted) <= 0:
-        return old
+def _mixed(old: LayerLoad, now: LayerLoad, new_share: float) -> LayerLoad:
     return tuple(
-        before + new_share * (now - before)
-        for before, now in zip(old, _shares(counted), strict=True)
+        before + new_share * (after - before)
+        for before, after in zip(old, now, strict=True)
+    )
+
+
+def _deviation(old: LayerLoad, now: LayerLoad) -> float:
+    return sum(
+        (after - before) ** 2 / before
+        for before, after in zip(old, now, strict=True)
+        if before > 0
     )
--- a/src/kingcupwheel/expertmaps/planner.py
+++ b/src/kingcupwheel/expertmaps/planner.py
@@ -19,8 +19,7 @@
 
 
 if TYPE_CHECKING:
-    from kingcupwheel.expertmaps.loads import MapLoad
-    from kingcupwheel.expertmaps.maps import LayerLoad
+    from kingcupwheel.expertmaps.loads import DecayedLoad
     from kingcupwheel.expertmaps.maps import LayerPlacement
 
 # How many periods a move is expected to pay off for. Longer moves more for the same
@@ -59,44 +58,39 @@
     skew_after: float
 
 
-class _LayerPlan(NamedTuple):
-    placement: LayerPlacement
-    worth: float
-
-
-def plan(current: ExpertMap, load: MapLoad, weights: PlanWeights) -> Plan | None:
-    """Return a better map than ``current`` under ``load``, or None to stay."""
+def plan(
+    current: ExpertMap, estimate: DecayedLoad, weights: PlanWeights
+) -> Plan | None:
+    """Return a better map than ``current`` for the load expected, or None to stay."""
+    load = estimate.load
+    if load is None:
+        return None
     places = sum(len(held) for layer in current.layers for held in layer)
     cost = weights.move_cost * weights.hysteresis / places
     even = sum(sum(layer) for layer in load) / current.ranks
-    if even <= 0:
-        return None
     gain = weights.skew_weight * weights.payback_periods / even
-    layers = tuple(
-        _plan_layer(layer, layer_load, slots=current.slots, gain=gain, cost=cost)
+    editors = (
+        LayerEditor(layer, layer_load, slots=current.slots, scatter=estimate.scatter)
         for layer, layer_load in zip(current.layers, load, strict=True)
     )
-    wanted = ExpertMap(
-        current.experts, current.slots, tuple(layer.placement for layer in layers)
-    )
+    layers = tuple(_plan_layer(editor, gain=gain, cost=cost) for editor in editors)
+    wanted = ExpertMap(current.experts, current.slots, layers)
     moves = current.moves_to(wanted)
     if not moves:
         return None
     return Plan(wanted, moves, map_skew(current, load), map_skew(wanted, load))
 
 
-def _plan_layer(
-    layer: LayerPlacement, load: LayerLoad, *, slots: int, gain: float, cost: float
-) -> _LayerPlan:
+def _plan_layer(editor: LayerEditor, *, gain: float, cost: float) -> LayerPlacement:
     """Return the layer after the run of changes that is worth most.
 
     ``gain`` is the worth of one unit less load on the slowest rank, ``cost`` that of
     one move. A single change often only shifts which rank is slowest, so a whole run is
     tried and cut where its worth was highest.
     """
-    editor = LayerEditor(layer, load, slots=slots)
     before = editor.slowest
-    best = _LayerPlan(layer, 0.0)
+    best = editor.placement
+    most = 0.0
     moves = 0
     for _ in range(_LAYER_CHANGES):
         change = _best_change(editor)
@@ -105,8 +99,9 @@
         editor.make(change)
         moves += change.moves
         worth = gain * (before - editor.slowest) - cost * moves
-        if worth > best.worth:
-            best = _LayerPlan(editor.placement, worth)
+        if worth > most:
+            best = editor.placement
+            most = worth
     return best
 
 
--- /dev/null
+++ b/tests/expertmaps/test_planner.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.expertmaps.edits import LayerEditor
+from kingcupwheel.expertmaps.exceptions import InvalidMapError
+from kingcupwheel.expertmaps.loads import DecayedLoad
+from kingcupwheel.expertmaps.maps import ExpertMap
+from kingcupwheel.expertmaps.maps import even_map
+from kingcupwheel.expertmaps.maps import map_skew
+from kingcupwheel.expertmaps.maps import rank_loads
+from kingcupwheel.expertmaps.planner import PlanWeights
+from kingcupwheel.expertmaps.planner import plan
+from kingcupwheel.manifest.schema import ExpertLayout
+
+
+SKEW_FIRST = PlanWeights(skew_weight=4.0, move_cost=1.0)
+COST_FIRST = PlanWeights(skew_weight=1.0, move_cost=4.0)
+LAYOUT = ExpertLayout(ranks=4, experts=12, layers=2, slots=4)
+LAYER_LOADS = st.lists(
+    st.floats(min_value=0, max_value=100), min_size=12, max_size=12
+).map(tuple)
+LOADS = st.tuples(LAYER_LOADS, LAYER_LOADS)
+
+
+def skewed(hot: tuple[int, ...], factor: float = 6.0) -> tuple[float, ...]:
+    return tuple(factor if expert in hot else 1.0 for expert in range(12))
+
+
+@given(counted=st.lists(LOADS, min_size=1, max_size=6), cost=st.floats(0, 5))
+def test_no_plan_breaks_a_ranks_capacity_or_drops_an_expert(
+    counted: list[tuple[tuple[float, ...], ...]], cost: float
+) -> None:
+    current = even_map(LAYOUT)
+    estimate = DecayedLoad()
+    for load in counted:
+        estimate = estimate.after(load)
+        found = plan(current, estimate, PlanWeights(1.0, cost))
+        if found is not None:
+            found.map.check()
+            assert found.moves == current.moves_to(found.map) > 0
+            current = found.map
+
+
+@given(load=LAYER_LOADS, picks=st.lists(st.integers(0, 1000), max_size=12))
+def test_loads_kept_through_changes_are_those_of_the_placement(
+    load: tuple[float, ...], picks: list[int]
+) -> None:
+    editor = LayerEditor(even_map(LAYOUT).layers[0], load, slots=4, scatter=0.0)
+    for pick in picks:
+        order = editor.order()
+        changes = list(editor.changes(order[0], order[-1]))
+        if changes:
+            editor.make(changes[pick % len(changes)])
+    ExpertMap(12, 4, (editor.placement,)).check()
+    assert editor.slowest == pytest.approx(max(rank_loads(editor.placement, load)))
+
+
+def test_skew_after_an_inspection_is_gone_within_a_few_periods() -> None:
+    """A mechanic waits on the slowest rank: four experts of one rank become popular."""
+    current = even_map(LAYOUT)
+    estimate = DecayedLoad().after((skewed(()),) * 2)
+    hot = skewed((0, 4, 8))
+    before = map_skew(current, (hot, hot))
+
+    for _ in range(6):
+        estimate = estimate.after((hot, hot))
+        found = plan(current, estimate, SKEW_FIRST)
+        current = found.map if found else current
+
+    assert before > 2
+    assert map_skew(current, (hot, hot)) < 1.2
+
+
+def test_cost_first_moves_less_than_skew_first_and_neither_moves_without_load() -> None:
+    estimate = DecayedLoad().after((skewed((0, 4), 3.0), skewed((1, 2), 3.0)))
+    current = even_map(LAYOUT)
+
+    eager = plan(current, estimate, SKEW_FIRST)
+    frugal = plan(current, estimate, COST_FIRST)
+
+    assert eager is not None
+    assert (frugal.moves if frugal else 0) < eager.moves
+    assert eager.skew_after < eager.skew_before
+    assert plan(current, DecayedLoad(), SKEW_FIRST) is None
+    idle = DecayedLoad().after(((0.0,) * 12,) * 2)
+    assert plan(current, idle, SKEW_FIRST) is None
+
+
+def test_a_map_that_overfills_a_rank_or_lacks_an_expert_is_refused() -> None:
+    with pytest.raises(InvalidMapError, match="rank 0"):
+        ExpertMap(3, 2, (((0, 1, 2), ()),)).check()
+    with pytest.raises(InvalidMapError, match="missing"):
+        ExpertMap(3, 2, (((0, 1), ()),)).check()
--- a/tools/map_baselines.py
+++ b/tools/map_baselines.py
@@ -13,16 +13,20 @@
 
 
 if TYPE_CHECKING:
-    from kingcupwheel.expertmaps.loads import MapLoad
+    from kingcupwheel.expertmaps.loads import DecayedLoad
 
 # Plain hysteresis starts to move above the first skew and goes on to the second.
 _HIGH_SKEW = 1.25
 _LOW_SKEW = 1.10
 
 
-def longest_first(current: ExpertMap, load: MapLoad) -> ExpertMap:
+def longest_first(current: ExpertMap, estimate: DecayedLoad) -> ExpertMap:
     """Return the longest-processing-time-first map, whatever it takes to get there."""
-    layers = tuple(_place(_replicas(layer, current), layer, current) for layer in load)
+    if estimate.load is None:
+        return current
+    layers = tuple(
+        _place(_replicas(layer, current), layer, current) for layer in estimate.load
+    )
     result = ExpertMap(current.experts, current.slots, layers)
     result.check()
     return result
@@ -65,11 +69,11 @@
     def __init__(self) -> None:
         self._moving = False
 
-    def __call__(self, current: ExpertMap, load: MapLoad) -> ExpertMap:
+    def __call__(self, current: ExpertMap, estimate: DecayedLoad) -> ExpertMap:
         """Return the map for the next period."""
-        skew = map_skew(current, load)
+        skew = map_skew(current, estimate.load) if estimate.load else 1.0
         self._moving = skew > (_LOW_SKEW if self._moving else _HIGH_SKEW)
         if not self._moving:
             return current
-        found = plan(current, load, PlanWeights(1.0, 0.0))
+        found = plan(current, estimate, PlanWeights(1.0, 0.0))
         return found.map if found else current
--- a/tools/map_trial.py
+++ b/tools/map_trial.py
@@ -18,6 +18,7 @@
 
 
 if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.loads import DecayedLoad
     from kingcupwheel.expertmaps.loads import MapLoad
 
 # The paper's exploration parameter; it has to exceed one half.
@@ -34,11 +35,12 @@
         self._loads: deque[MapLoad] = deque(maxlen=_WINDOW)
         self._periods = 0
 
-    def __call__(self, current: ExpertMap, load: MapLoad) -> ExpertMap:
+    def __call__(self, current: ExpertMap, estimate: DecayedLoad) -> ExpertMap:
         """Return the map for the next period."""
         self._periods += 1
-        self._loads.append(load)
-        found = plan(current, load, self._weights)
+        if estimate.load is not None:
+            self._loads.append(estimate.load)
+        found = plan(current, estimate, self._weights)
         if found is None:
             return current
         gains = [
