--- a/src/kingcupwheel/expertmaps/coordinator.py
+++ b/src/kingcupwheel/expertmaps/coordinator.py
@@ -52,7 +52,7 @@
 
 if TYPE_CHECKING:
     from kingcupwheel.expertmaps.maps import ExpertMap
-    from kingcupwheel.expertmaps.protocol import AnyReply
+    from kingcupwheel.expertmaps.protocol import RankReply
 
 
 class CoordinatorTimings(NamedTuple):
@@ -191,7 +191,7 @@
         self._version = self._version.next()
         return Holding(self._version, (None,) * self._ranks)
 
-    def _reply(self, rank: int, reply: AnyReply, now: float) -> Phase | None:
+    def _reply(self, rank: int, reply: RankReply, now: float) -> Phase | None:
         """Return the phase that follows, or None if the reply changes nothing."""
         if isinstance(reply, Refused):
             return self._refused(reply)
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/leader.py
@@ -0,0 +1,191 @@
+"""The coordinator's side of a group while this agent holds the lease.
+
+Runs on the hub's thread: finds which agent speaks for which rank, feeds the state
+machine and sends its orders.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from kingcupwheel.expertmaps.coordinator import Coordinator
+from kingcupwheel.expertmaps.maps import even_map
+from kingcupwheel.expertmaps.phases import LeaseLost
+from kingcupwheel.expertmaps.phases import LeaseTaken
+from kingcupwheel.expertmaps.phases import Proposed
+from kingcupwheel.expertmaps.phases import Ready
+from kingcupwheel.expertmaps.phases import Replied
+from kingcupwheel.expertmaps.phases import Send
+from kingcupwheel.expertmaps.phases import Standby
+from kingcupwheel.expertmaps.phases import Ticked
+from kingcupwheel.expertmaps.phases import label
+from kingcupwheel.expertmaps.protocol import LoadsRead
+from kingcupwheel.expertmaps.protocol import ReadState
+from kingcupwheel.expertmaps.protocol import decode_reply
+from kingcupwheel.expertmaps.protocol import encode
+from kingcupwheel.expertmaps.rebalancer import Rebalancer
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.expertmaps import MapOrder
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.coordinator import CoordinatorTimings
+    from kingcupwheel.expertmaps.phases import Event
+    from kingcupwheel.expertmaps.phases import Phase
+    from kingcupwheel.expertmaps.protocol import AnyOrder
+    from kingcupwheel.link.hub import Hub
+    from kingcupwheel.manifest.schema import ExpertLayout
+    from kingcupwheel.messages.expertmaps import MapReply
+
+logger = logging.getLogger("kingcupwheel.expertmaps")
+
+# A state machine's rounds start at 1, so answers to this one are for the leader alone.
+_PROBE = ReadState(0)
+# How often agents that have not said which rank they speak for are asked.
+_PROBE_S = 1.0
+
+
+class Leader:
+    """Leads a group under one fence at a time; ``stop`` it when the lease is lost."""
+
+    def __init__(
+        self,
+        *,
+        hub: Hub,
+        group: str,
+        name: str,
+        layout: ExpertLayout,
+        timings: CoordinatorTimings,
+    ) -> None:
+        self._hub = hub
+        self._group = group
+        self._name = name
+        self._ranks = layout.ranks
+        self._rebalancer = Rebalancer(layout)
+        self._coordinator = Coordinator(
+            ranks=layout.ranks,
+            initial=even_map(layout),
+            expert_bytes=layout.expert_bytes,
+            timings=timings,
+        )
+        self._address_by_rank: dict[int, str] = {}
+        self._fence = 0
+        self._serial = 0
+        self._probed = 0.0
+        self._started = False
+
+    @property
+    def phase(self) -> Phase:
+        """What the coordinator is doing."""
+        return self._coordinator.phase
+
+    @property
+    def leads(self) -> bool:
+        """Whether a fence is in hand."""
+        return self._fence > 0
+
+    @property
+    def deposed(self) -> bool:
+        """Whether a rank has told of a newer coordinator."""
+        return self._started and isinstance(self.phase, Standby)
+
+    def open(self) -> None:
+        """Start the planning thread."""
+        self._rebalancer.start()
+
+    def close(self) -> None:
+        """End the planning thread."""
+        self._rebalancer.stop()
+
+    def start(self, fence: int) -> None:
+        """Lead under ``fence`` once the agents of all ranks are known."""
+        logger.info("Leads group %s under fence %d.", self._group, fence)
+        self._fence = fence
+        self._probed = 0.0
+        self._started = False
+        self._address_by_rank.clear()
+
+    def stop(self) -> None:
+        """Send no more orders."""
+        if self.leads:
+            logger.info("Leads group %s no longer.", self._group)
+        self._fence = 0
+        self._started = False
+        self._coordinator.step(LeaseLost())
+
+    def take(self, address: str, message: MapReply, now: float) -> None:
+        """Take an agent's answer."""
+        if not self.leads or message.fence != self._fence:
+            return
+        decoded = decode_reply(message.reply)
+        if decoded.is_error() or not 0 <= message.rank < self._ranks:
+            logger.warning("Bad reply from %s.", message.agent)
+            return
+        # A replaced agent speaks from another address for the same rank.
+        self._address_by_rank[message.rank] = address
+        if not self._started and len(self._address_by_rank) == self._ranks:
+            self._started = True
+            self._step(LeaseTaken(self._fence, now))
+        match decoded.ok:
+            case LoadsRead() as loads:
+                self._take_loads(message.rank, loads)
+            case reply:
+                self._step(Replied(message.rank, reply, now))
+
+    def tick(self, now: float, members: frozenset[str]) -> None:
+        """Repeat what is unanswered and plan when it is time.
+
+        ``members`` are the addresses of the group's agents.
+        """
+        if now - self._probed >= _PROBE_S:
+            self._probed = now
+            self._probe(members)
+        if not self._started:
+            return
+        self._step(Ticked(now))
+        if not isinstance(self.phase, Ready):
+            return
+        question = self._rebalancer.tick(now)
+        if question is not None:
+            for address in self._address_by_rank.values():
+                self._post(address, question)
+        found = self._rebalancer.offer()
+        if found is not None:
+            logger.info(
+                "Proposes %d moves, skew %.3f to %.3f.",
+                found.moves,
+                found.skew_before,
+                found.skew_after,
+            )
+            self._step(Proposed(found.map, now))
+
+    def _probe(self, members: frozenset[str]) -> None:
+        """Ask agents that no rank is known of which rank they speak for."""
+        for address in sorted(members - set(self._address_by_rank.values())):
+            self._post(address, _PROBE)
+
+    def _take_loads(self, rank: int, loads: LoadsRead) -> None:
+        schedule = self._coordinator.schedule
+        if schedule is not None:
+            self._rebalancer.take(rank, loads, schedule.after.map)
+
+    def _step(self, event: Event) -> None:
+        before = self.phase
+        sends = self._coordinator.step(event)
+        if label(self.phase) != label(before) and not isinstance(self.phase, Ready):
+            logger.info("Phase %s %s.", *label(self.phase))
+        self._send(sends)
+
+    def _send(self, sends: list[Send]) -> None:
+        for send in sends:
+            address = self._address_by_rank.get(send.rank)
+            if address is not None:
+                self._post(address, send.order)
+
+    def _post(self, address: str, order: AnyOrder) -> None:
+        self._serial += 1
+        message = MapOrder(
+            self._group, self._fence, self._serial, self._name, encode(order)
+        )
+        self._hub.send(Outgoing(address, 0), message)
--- a/src/kingcupwheel/expertmaps/phases.py
+++ b/src/kingcupwheel/expertmaps/phases.py
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from kingcupwheel.expertmaps.maps import ExpertMap
     from kingcupwheel.expertmaps.maps import MapVersion
-    from kingcupwheel.expertmaps.protocol import AnyOrder
-    from kingcupwheel.expertmaps.protocol import AnyReply
     from kingcupwheel.expertmaps.protocol import Held
+    from kingcupwheel.expertmaps.protocol import RankOrder
+    from kingcupwheel.expertmaps.protocol import RankReply
     from kingcupwheel.expertmaps.protocol import Schedule
     from kingcupwheel.expertmaps.protocol import StateRead
 
@@ -49,7 +49,7 @@
     """The agent of ``rank`` passed on its answer."""
 
     rank: int
-    reply: AnyReply
+    reply: RankReply
     now: float
 
 
@@ -66,7 +66,7 @@
     """Send ``order`` to the agent of ``rank``."""
 
     rank: int
-    order: AnyOrder
+    order: RankOrder
 
 
 @dataclass(frozen=True)
@@ -171,7 +171,7 @@
             return rank in phase.acked
 
 
-def order_of(phase: Phase, rank: int, now: float) -> AnyOrder | None:
+def order_of(phase: Phase, rank: int, now: float) -> RankOrder | None:
     """Return what ``rank`` still has to be told in ``phase``, if anything."""
     if answered(phase, rank):
         return None
--- a/src/kingcupwheel/expertmaps/protocol.py
+++ b/src/kingcupwheel/expertmaps/protocol.py
@@ -19,6 +19,7 @@
 from kingcupwheel.expertmaps.exceptions import BadOrder
 from kingcupwheel.expertmaps.maps import NO_VERSION
 from kingcupwheel.expertmaps.maps import ExpertMap
+from kingcupwheel.expertmaps.maps import LayerLoad
 from kingcupwheel.expertmaps.maps import MapVersion
 
 
@@ -94,6 +95,12 @@
     whole: bool = False
 
 
+class ReadLoads(Order, frozen=True):
+    """Ask how much work each expert had since the last asking."""
+
+    round: int
+
+
 class RankStatus(msgspec.Struct, frozen=True, array_like=True):
     """A rank's state: ``step`` is the next to run, ``held`` a version not yet ended.
 
@@ -150,6 +157,17 @@
     schedule: Schedule | None = None
 
 
+class LoadsRead(Reply, frozen=True):
+    """Answers ``ReadLoads``.
+
+    ``counts`` are tokens this rank sent through each expert of each layer; those of all
+    ranks add up to the experts' load.
+    """
+
+    round: int
+    counts: tuple[LayerLoad, ...]
+
+
 class RefusalReason(StrEnum):
     """Why an order changed nothing."""
 
@@ -171,8 +189,10 @@
     reason: RefusalReason
 
 
-AnyOrder = Stage | Prepare | Supersede | Commit | Abort | ReadState
-AnyReply = Staged | Prepared | Held | Committed | Aborted | StateRead | Refused
+RankOrder = Stage | Prepare | Supersede | Commit | Abort | ReadState
+AnyOrder = RankOrder | ReadLoads
+RankReply = Staged | Prepared | Held | Committed | Aborted | StateRead | Refused
+AnyReply = RankReply | LoadsRead
 
 _ENCODER = msgspec.msgpack.Encoder()
 _ORDERS: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(AnyOrder)
@@ -182,7 +202,7 @@
 def version_of(order: AnyOrder) -> MapVersion:
     """Return the version that ``order`` names; ``ReadState`` names none."""
     match order:
-        case ReadState():
+        case ReadState() | ReadLoads():
             return NO_VERSION
         case _:
             return order.version
--- a/src/kingcupwheel/expertmaps/rank.py
+++ b/src/kingcupwheel/expertmaps/rank.py
@@ -13,14 +13,14 @@
 from kingcupwheel.expertmaps.maps import MapVersion
 from kingcupwheel.expertmaps.protocol import Abort
 from kingcupwheel.expertmaps.protocol import Aborted
-from kingcupwheel.expertmaps.protocol import AnyOrder
-from kingcupwheel.expertmaps.protocol import AnyReply
 from kingcupwheel.expertmaps.protocol import Commit
 from kingcupwheel.expertmaps.protocol import Committed
 from kingcupwheel.expertmaps.protocol import Held
 from kingcupwheel.expertmaps.protocol import NamedMap
 from kingcupwheel.expertmaps.protocol import Prepare
 from kingcupwheel.expertmaps.protocol import Prepared
+from kingcupwheel.expertmaps.protocol import RankOrder
+from kingcupwheel.expertmaps.protocol import RankReply
 from kingcupwheel.expertmaps.protocol import RankStatus
 from kingcupwheel.expertmaps.protocol import ReadState
 from kingcupwheel.expertmaps.protocol import RefusalReason
@@ -75,10 +75,10 @@
         )
 
 
-Applied = tuple[RankState, AnyReply]
+Applied = tuple[RankState, RankReply]
 
 
-def apply_order(state: RankState, order: AnyOrder) -> Applied:
+def apply_order(state: RankState, order: RankOrder) -> Applied:
     """Return the rank's state after ``order`` and its reply; orders are idempotent."""
     match order:
         case Stage():
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/rank_api.py
@@ -0,0 +1,108 @@
+"""How an agent gives its rank an order, whatever the rank's protocol.
+
+The HTTP plug-in is the assumed protocol: JSON over ``POST /rank/stage``, ``prepare``
+(without a step: supersede), ``commit``, ``abort`` and ``GET /rank/state``, ``loads``.
+Each call names the fence; the answer's body is the reply.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+import msgspec
+import urllib3
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.expertmaps.exceptions import RankUnreachable
+from kingcupwheel.expertmaps.protocol import Abort
+from kingcupwheel.expertmaps.protocol import AnyReply
+from kingcupwheel.expertmaps.protocol import Commit
+from kingcupwheel.expertmaps.protocol import Prepare
+from kingcupwheel.expertmaps.protocol import ReadLoads
+from kingcupwheel.expertmaps.protocol import ReadState
+from kingcupwheel.expertmaps.protocol import Stage
+from kingcupwheel.expertmaps.protocol import Supersede
+from kingcupwheel.plugins.kernel import rank_apis
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.protocol import AnyOrder
+
+# The longest answer that is read: a schedule of two maps of the largest group.
+_ANSWER_BYTES = 4_000_000
+_REPLIES: msgspec.json.Decoder[Any] = msgspec.json.Decoder(AnyReply)
+
+
+class RankApi(Protocol):
+    """A plug-in for one kind of rank; calls block for a bounded time."""
+
+    def give(self, order: AnyOrder, *, fence: int) -> Result[AnyReply, RankUnreachable]:
+        """Have the rank take ``order``; an engine may check ``fence`` or ignore it."""
+
+
+class RankCall(msgspec.Struct, frozen=True):
+    """The body of a call: an order under a fence."""
+
+    fence: int
+    order: Any
+
+
+class _Endpoint(NamedTuple):
+    method: str
+    path: str
+
+
+def endpoint_of(order: AnyOrder) -> _Endpoint:
+    """Return where ``order`` goes."""
+    match order:
+        case Stage():
+            return _Endpoint("POST", "/rank/stage")
+        case Prepare() | Supersede():
+            return _Endpoint("POST", "/rank/prepare")
+        case Commit():
+            return _Endpoint("POST", "/rank/commit")
+        case Abort():
+            return _Endpoint("POST", "/rank/abort")
+        case ReadState(number, whole):
+            return _Endpoint("GET", f"/rank/state?round={number}&whole={int(whole)}")
+        case ReadLoads(number):
+            return _Endpoint("GET", f"/rank/loads?round={number}")
+
+
+@rank_apis.register("http")
+class HttpRankApi:
+    """Speaks to the rank at ``url``; each call takes ``timeout_s`` at most."""
+
+    def __init__(self, url: str, *, timeout_s: float) -> None:
+        self._url = url.rstrip("/")
+        timeout = urllib3.Timeout(total=timeout_s)
+        self._pool = urllib3.PoolManager(maxsize=2, timeout=timeout, retries=False)
+
+    def give(self, order: AnyOrder, *, fence: int) -> Result[AnyReply, RankUnreachable]:
+        """Have the rank take ``order``."""
+        method, path = endpoint_of(order)
+        body = None
+        if method == "POST":
+            body = msgspec.json.encode(RankCall(fence, order))
+        try:
+            response = self._pool.request(method, self._url + path, body=body)
+        except urllib3.exceptions.NewConnectionError as error:
+            return Error(RankUnreachable(str(error), sent=False))
+        except urllib3.exceptions.HTTPError as error:
+            return Error(RankUnreachable(str(error), sent=True))
+        return _reply(response)
+
+
+def _reply(response: urllib3.BaseHTTPResponse) -> Result[AnyReply, RankUnreachable]:
+    if response.status != 200 or len(response.data) > _ANSWER_BYTES:
+        detail = f"status {response.status}, {len(response.data)} bytes"
+        return Error(RankUnreachable(detail, sent=True))
+    try:
+        return Ok(_REPLIES.decode(response.data))
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Error(RankUnreachable(str(error), sent=True))
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/rebalancer.py
@@ -0,0 +1,103 @@
+"""Gathers the ranks' loads for the coordinator and plans on a thread of its own."""
+
+from __future__ import annotations
+
+import logging
+import queue
+from threading import Thread
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.expertmaps.loads import DecayedLoad
+from kingcupwheel.expertmaps.planner import PlanWeights
+from kingcupwheel.expertmaps.planner import plan
+from kingcupwheel.expertmaps.protocol import ReadLoads
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.loads import MapLoad
+    from kingcupwheel.expertmaps.maps import ExpertMap
+    from kingcupwheel.expertmaps.planner import Plan
+    from kingcupwheel.expertmaps.protocol import LoadsRead
+    from kingcupwheel.manifest.schema import ExpertLayout
+
+logger = logging.getLogger("kingcupwheel.expertmaps")
+
+
+class _Question(NamedTuple):
+    current: ExpertMap
+    estimate: DecayedLoad
+    weights: PlanWeights
+
+
+class Rebalancer:
+    """Asks for loads every period and offers a plan when there is one.
+
+    All but the planning itself runs on the caller's thread. A rank that does not answer
+    leaves its period without a plan: half the loads would make a map for half the work.
+    """
+
+    def __init__(self, layout: ExpertLayout) -> None:
+        self._layout = layout
+        self._weights = PlanWeights(layout.skew_weight, layout.move_cost)
+        self._estimate = DecayedLoad()
+        self._round = 0
+        self._asked = 0.0
+        self._counts_by_rank: dict[int, MapLoad] = {}
+        self._questions: queue.Queue[_Question | None] = queue.Queue(1)
+        self._plan: Plan | None = None
+        self._thread = Thread(target=self._run, name="planner", daemon=True)
+
+    def start(self) -> None:
+        """Start the planning thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the planning thread."""
+        self._questions.put(None)
+        self._thread.join()
+
+    def tick(self, now: float) -> ReadLoads | None:
+        """Return what to ask all ranks when a period is over."""
+        if now - self._asked < self._layout.rebalance_every_s:
+            return None
+        self._asked = now
+        self._round += 1
+        self._counts_by_rank.clear()
+        return ReadLoads(self._round)
+
+    def take(self, rank: int, reply: LoadsRead, current: ExpertMap) -> None:
+        """Add a rank's counts; with the last one, start to plan from ``current``."""
+        if reply.round != self._round or len(reply.counts) != len(current.layers):
+            return
+        self._counts_by_rank[rank] = reply.counts
+        if len(self._counts_by_rank) < self._layout.ranks:
+            return
+        self._estimate = self._estimate.after(
+            _summed(list(self._counts_by_rank.values()))
+        )
+        self._counts_by_rank.clear()
+        try:
+            question = _Question(current, self._estimate, self._weights)
+            self._questions.put_nowait(question)
+        except queue.Full:
+            logger.warning("Planner is behind.")
+
+    def offer(self) -> Plan | None:
+        """Return a plan once it is there, and forget it."""
+        found, self._plan = self._plan, None
+        return found
+
+    def _run(self) -> None:
+        while (question := self._questions.get()) is not None:
+            try:
+                self._plan = plan(question.current, question.estimate, question.weights)
+            except Exception:
+                logger.exception("Planning failed.")
+
+
+def _summed(counts: list[MapLoad]) -> MapLoad:
+    return tuple(
+        tuple(map(sum, zip(*layers, strict=True)))
+        for layers in zip(*counts, strict=True)
+    )
--- /dev/null
+++ b/src/kingcupwheel/expertmaps/service.py
@@ -0,0 +1,199 @@
+"""Expert maps on an agent: its rank's orders, the group's lease, and coordination.
+
+The agent daemon calls ``on_message`` and ``on_tick`` on the hub's thread; neither
+blocks. The platform and the rank are spoken to by threads of the service's own.
+"""
+
+from __future__ import annotations
+
+import logging
+from threading import Event
+from threading import Thread
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.expertmaps.coordinator import DEFAULT_TIMINGS
+from kingcupwheel.expertmaps.coordinator import CoordinatorTimings
+from kingcupwheel.expertmaps.leader import Leader
+from kingcupwheel.expertmaps.lease import Lease
+from kingcupwheel.expertmaps.lease import fence_of
+from kingcupwheel.expertmaps.lease import lease_key
+from kingcupwheel.expertmaps.rank_worker import RankWorker
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.messages.expertmaps import MapOrder
+from kingcupwheel.messages.expertmaps import MapReply
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.rank_api import RankApi
+    from kingcupwheel.link.hub import Hub
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.manifest.schema import ExpertLayout
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.platform.client import PlatformClient
+
+logger = logging.getLogger("kingcupwheel.expertmaps")
+
+# Ranks beyond the first few look at the lease no later than this many turns: a long
+# wait for each rank in turn would leave a group of 32 without a coordinator.
+_TURNS = 3
+
+
+class MapTimings(NamedTuple):
+    """Times in seconds.
+
+    A lease runs ``ttl_s`` and is renewed every ``renew_s``: at 128 groups that is some
+    100 writes a second on the platform, which takes several hundred. An agent that has
+    heard of no coordinator for ``patience_s`` plus ``turn_s`` for each rank before its
+    own reads the lease; so nobody reads it while a coordinator is at work. The list of
+    instances is read every ``members_s``.
+    """
+
+    ttl_s: float = 4.0
+    renew_s: float = 1.3
+    patience_s: float = 3.0
+    turn_s: float = 0.5
+    members_s: float = 5.0
+    coordinator: CoordinatorTimings = DEFAULT_TIMINGS
+
+
+DEFAULT_MAP_TIMINGS = MapTimings()
+
+
+class MapService:
+    """Expert maps for one agent of ``group``, which speaks for ``rank``."""
+
+    def __init__(
+        self,
+        *,
+        hub: Hub,
+        platform: PlatformClient,
+        rank_api: RankApi,
+        name: str,
+        group: str,
+        rank: int,
+        layout: ExpertLayout,
+        timings: MapTimings = DEFAULT_MAP_TIMINGS,
+    ) -> None:
+        self._platform = platform
+        self._group = group
+        self._rank = rank
+        self._timings = timings
+        self._worker = RankWorker(
+            hub=hub,
+            rank_api=rank_api,
+            learn_fence=self._learn_fence,
+            agent=name,
+            rank=rank,
+        )
+        self._leader = Leader(
+            hub=hub,
+            group=group,
+            name=name,
+            layout=layout,
+            timings=timings.coordinator,
+        )
+        self._lease = Lease(platform, group=group, holder=name, ttl_s=timings.ttl_s)
+        self._led_fence = 0
+        self._members: frozenset[str] = frozenset()
+        self._heard = monotonic() - timings.patience_s
+        self._resigning = Event()
+        self._stopping = Event()
+        self._thread = Thread(target=self._keep_lease, name="lease", daemon=True)
+
+    @property
+    def leads(self) -> bool:
+        """Whether this agent coordinates its group."""
+        return self._leader.leads
+
+    @property
+    def leader(self) -> Leader:
+        """The coordinator's side."""
+        return self._leader
+
+    def start(self) -> None:
+        """Start the threads."""
+        self._worker.start()
+        self._leader.open()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Give the lease back, so that another agent takes over at once, and end."""
+        self._stopping.set()
+        self._thread.join()
+        self._leader.close()
+        self._worker.stop()
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Take a message of this service; others are ignored."""
+        match message, link:
+            case MapOrder(), _ if message.group == self._group:
+                if message.fence >= (self._worker.fence or 0):
+                    self._heard = monotonic()
+                self._worker.take(link, message)
+            case MapReply(), Outgoing(address) if message.group == self._group:
+                now = monotonic()
+                # A holder that was paused finds answers waiting before its next tick.
+                if self._lease.holding(now) is not None:
+                    self._leader.take(address, message, now)
+
+    def on_tick(self, now: float) -> None:
+        """Follow the lease, then do what is due."""
+        holding = self._lease.holding(now)
+        if holding is None or self._stopping.is_set():
+            if self._leader.leads:
+                self._leader.stop()
+                self._led_fence = 0
+            return
+        if holding.fence != self._led_fence:
+            self._led_fence = holding.fence
+            self._leader.start(holding.fence)
+        if self._leader.deposed:
+            # A higher fence exists, so ranks refuse this one: take the lease anew.
+            self._resigning.set()
+        self._leader.tick(now, self._members)
+
+    def _learn_fence(self) -> int | None:
+        result = self._platform.read(lease_key(self._group))
+        if result.is_error():
+            return None
+        return fence_of(result.ok)
+
+    def _keep_lease(self) -> None:
+        members_read = 0.0
+        while not self._stopping.wait(self._timings.renew_s):
+            now = monotonic()
+            try:
+                self._follow_lease(now)
+                due = now - members_read >= self._timings.members_s
+                if self._lease.holding(now) is not None and due:
+                    self._read_members()
+                    members_read = now
+            except Exception:
+                logger.exception("Lease could not be followed.")
+        self._lease.release()
+
+    def _follow_lease(self, now: float) -> None:
+        if self._resigning.is_set():
+            self._resigning.clear()
+            self._lease.release()
+        elif self._lease.holding(now) is not None:
+            self._lease.renew()
+        elif now - self._heard >= self._patience_s:
+            self._lease.observe()
+
+    @property
+    def _patience_s(self) -> float:
+        turn = min(self._rank, _TURNS)
+        return self._timings.patience_s + turn * self._timings.turn_s
+
+    def _read_members(self) -> None:
+        result = self._platform.instances()
+        if result.is_error():
+            return
+        self._members = frozenset(
+            instance.address
+            for instance in result.ok
+            if instance.role == "agent" and instance.group == self._group
+        )
--- a/src/kingcupwheel/messages/expertmaps.py
+++ b/src/kingcupwheel/messages/expertmaps.py
@@ -23,11 +23,14 @@
 
 
 class MapReply(Message, frozen=True):
-    """Agent to coordinator: the rank's answer to the order with that ``serial``."""
+    """Agent to coordinator: the answer of ``rank`` to the order with that ``serial``.
+
+    ``fence`` is that of the order, so that an answer to a former holder is told apart.
+    """
 
     group: str
     fence: int
     serial: int
     agent: str
-    incarnation: str
+    rank: int
     reply: bytes
--- a/src/kingcupwheel/plugins/kernel.py
+++ b/src/kingcupwheel/plugins/kernel.py
@@ -17,17 +17,20 @@
     from collections.abc import Callable
 
     from kingcupwheel.agent.adapters.base import ServerAdapter
+    from kingcupwheel.expertmaps.rank_api import RankApi
     from kingcupwheel.platform.client import PlatformClient
 
 
 platform_clients: Registry[Callable[..., PlatformClient]] = Registry("platform client")
 server_adapters: Registry[Callable[..., ServerAdapter]] = Registry("server adapter")
+rank_apis: Registry[Callable[..., RankApi]] = Registry("rank API")
 placement_policies: Registry[Callable[..., Any]] = Registry("placement policy")
 codecs: Registry[Any] = Registry("codec")
 
 BUILTIN_MODULES = (
     "kingcupwheel.platform.http",
     "kingcupwheel.messages.codec",
+    "kingcupwheel.expertmaps.rank_api",
 )
 
 
--- a/tests/expertmaps/builders.py
+++ b/tests/expertmaps/builders.py
@@ -1,11 +1,27 @@
 from __future__ import annotations
 
+from threading import Event
+from threading import Lock
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
 from kingcupwheel.expertmaps.maps import ExpertMap
 from kingcupwheel.expertmaps.maps import MapVersion
 from kingcupwheel.expertmaps.maps import even_map
 from kingcupwheel.expertmaps.protocol import NamedMap
 from kingcupwheel.expertmaps.protocol import Schedule
 from kingcupwheel.manifest.schema import ExpertLayout
+from kingcupwheel.platform.client import Versioned
+from kingcupwheel.platform.errors import Conflict
+from kingcupwheel.platform.errors import Unavailable
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.platform.client import Instance
+    from kingcupwheel.platform.errors import PlatformError
 
 
 def layout(*, ranks: int = 2, experts: int = 4, slots: int = 0) -> ExpertLayout:
@@ -24,3 +40,79 @@
 def schedule(version: MapVersion, expert_map: ExpertMap) -> Schedule:
     named = NamedMap(version, expert_map)
     return Schedule(version, named, named, 0)
+
+
+class FakePlatform:
+    """The objects that all agents share; versions rise over all keys."""
+
+    def __init__(self) -> None:
+        self.lock = Lock()
+        self.object_by_key: dict[str, Versioned] = {}
+        self.instance_list: tuple[Instance, ...] = ()
+        self.version = 0
+
+    def write(self, key: str, value: bytes, version: int) -> Result[int, PlatformError]:
+        with self.lock:
+            found = self.object_by_key.get(key)
+            if (found.version if found else 0) != version:
+                return Error(Conflict(key, found.version if found else 0))
+            self.version += 1
+            self.object_by_key[key] = Versioned(key, self.version, value)
+            return Ok(self.version)
+
+
+class PlatformView:
+    """One agent's client; ``gate`` freezes it, ``down`` cuts it off.
+
+    ``lose_answers`` writes take effect and their answers are lost.
+    """
+
+    def __init__(self, platform: FakePlatform) -> None:
+        self.platform = platform
+        self.gate = Event()
+        self.gate.set()
+        self.down = False
+        self.lose_answers = 0
+
+    def read(self, key: str) -> Result[Versioned | None, PlatformError]:
+        self.gate.wait()
+        if self.down:
+            return Error(Unavailable("down", sent=False))
+        return Ok(self.platform.object_by_key.get(key))
+
+    def create(self, key: str, value: bytes) -> Result[int, PlatformError]:
+        return self._write(key, value, 0)
+
+    def update(
+        self, key: str, value: bytes, *, version: int
+    ) -> Result[int, PlatformError]:
+        return self._write(key, value, version)
+
+    def delete(self, key: str, *, version: int) -> Result[None, PlatformError]:
+        raise AssertionError(key, version)
+
+    def keys(self, prefix: str) -> Result[tuple[str, ...], PlatformError]:
+        raise AssertionError(prefix)
+
+    def watch(
+        self, key: str, *, after: int, timeout_s: float
+    ) -> Result[Versioned | None, PlatformError]:
+        raise AssertionError(key, after, timeout_s)
+
+    def instances(self) -> Result[tuple[Instance, ...], PlatformError]:
+        self.gate.wait()
+        if self.down:
+            return Error(Unavailable("down", sent=False))
+        return Ok(self.platform.instance_list)
+
+    def _write(
+        self, key: str, value: bytes, version: int
+    ) -> Result[int, PlatformError]:
+        self.gate.wait()
+        if self.down:
+            return Error(Unavailable("down", sent=False))
+        result = self.platform.write(key, value, version)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return Error(Unavailable("answer lost", sent=True))
+        return result
--- /dev/null
+++ b/tests/expertmaps/fleet.py
@@ -0,0 +1,165 @@
+"""Agents of one group with real hubs, a fake platform and the ranks' stand-in."""
+
+from __future__ import annotations
+
+import time
+from threading import Event
+from typing import TYPE_CHECKING
+
+from kingcupwheel.expertmaps.coordinator import CoordinatorTimings
+from kingcupwheel.expertmaps.rank_api import HttpRankApi
+from kingcupwheel.expertmaps.service import MapService
+from kingcupwheel.expertmaps.service import MapTimings
+from kingcupwheel.link.hub import Hub
+from kingcupwheel.manifest.schema import ExpertLayout
+from kingcupwheel.platform.client import Instance
+from tests.expertmaps.builders import FakePlatform
+from tests.expertmaps.builders import PlatformView
+from tests.standins.ranks import Group
+from tests.standins.ranks import Server
+from tests.standins.ranks import serve
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.base import Message
+
+GROUP = "bundles"
+WAIT_S = 30.0
+LAYOUT = ExpertLayout(
+    ranks=3,
+    experts=12,
+    layers=2,
+    slots=5,
+    skew_weight=4.0,
+    rebalance_every_s=0.3,
+    expert_bytes=1000,
+)
+# A fifth of the defaults, so that a takeover takes a second or two.
+TIMINGS = MapTimings(
+    ttl_s=1.0,
+    renew_s=0.3,
+    patience_s=0.6,
+    turn_s=0.2,
+    members_s=0.5,
+    coordinator=CoordinatorTimings(
+        repeat_s=0.1, poll_s=0.2, lead_s=0.3, prepare_s=1.0, stage_s=5.0
+    ),
+)
+
+
+class Agent:
+    """An agent that can be frozen, as by SIGSTOP, or end without a word."""
+
+    def __init__(self, platform: FakePlatform, server: Server, rank: int) -> None:
+        self.name = f"agent-{rank}-{time.monotonic_ns()}"
+        self.view = PlatformView(platform)
+        self.hub = Hub(
+            listen="127.0.0.1:0",
+            on_message=self._on_message,
+            on_tick=self._on_tick,
+            tick_s=0.05,
+        )
+        self.running = Event()
+        self.running.set()
+        self.address = f"127.0.0.1:{self.hub.port}"
+        self.service = MapService(
+            hub=self.hub,
+            platform=self.view,
+            rank_api=HttpRankApi(f"http://{server.address}", timeout_s=0.5),
+            name=self.name,
+            group=GROUP,
+            rank=rank,
+            layout=LAYOUT,
+            timings=TIMINGS,
+        )
+
+    def start(self) -> None:
+        self.hub.start()
+        self.service.start()
+
+    def stop(self) -> None:
+        self.thaw()
+        self.service.stop()
+        self.hub.stop()
+
+    def freeze(self) -> None:
+        self.view.gate.clear()
+        self.running.clear()
+
+    def thaw(self) -> None:
+        self.view.gate.set()
+        self.running.set()
+
+    def kill(self) -> None:
+        """End without giving the lease back."""
+        self.view.down = True
+        self.stop()
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        self.running.wait()
+        self.service.on_message(link, message)
+
+    def _on_tick(self, now: float) -> None:
+        self.running.wait()
+        self.service.on_tick(time.monotonic() if now else now)
+
+
+class Fleet:
+    def __init__(self, *, ranks: int) -> None:
+        self.platform = FakePlatform()
+        self.group = Group(
+            ranks=ranks, experts=LAYOUT.experts, layers=LAYOUT.layers, step_s=0.002
+        )
+        self.servers = serve(self.group)
+        self.agents: list[Agent] = []
+
+    def start(self) -> None:
+        for rank in range(len(self.servers)):
+            self.agents.append(self._new_agent(rank))
+        self._list()
+
+    def stop(self) -> None:
+        for agent in self.agents:
+            agent.stop()
+        for server in self.servers:
+            server.shutdown()
+            server.server_close()
+
+    @property
+    def leader(self) -> Agent | None:
+        return next((agent for agent in self.agents if agent.service.leads), None)
+
+    @property
+    def steps(self) -> int:
+        return self.group.seen().steps
+
+    def replace(self, agent: Agent) -> None:
+        """Put a fresh agent in a dead one's place; the platform lists it."""
+        rank = self.agents.index(agent)
+        self.agents[rank] = self._new_agent(rank)
+        self._list()
+
+    def steps_on(self, count: int = 20) -> None:
+        """Wait until the group has run ``count`` more steps."""
+        target = self.steps + count
+        self.until(lambda: self.steps >= target)
+
+    def until(self, condition: Callable[[], bool]) -> None:
+        deadline = time.monotonic() + WAIT_S
+        while not condition():
+            assert time.monotonic() < deadline, "nothing came of it"
+            time.sleep(0.005)
+
+    def _new_agent(self, rank: int) -> Agent:
+        agent = Agent(self.platform, self.servers[rank], rank)
+        agent.start()
+        return agent
+
+    def _list(self) -> None:
+        self.platform.instance_list = tuple(
+            Instance(agent.name, "agent", GROUP, "dc", agent.address, "", False)
+            for agent in self.agents
+        )
--- /dev/null
+++ b/tests/expertmaps/test_lease.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+from kingcupwheel.expertmaps.lease import Lease
+from kingcupwheel.expertmaps.lease import fence_of
+from kingcupwheel.expertmaps.lease import lease_key
+from tests.expertmaps.builders import FakePlatform
+from tests.expertmaps.builders import PlatformView
+
+
+TTL_S = 4.0
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def lease(platform: FakePlatform, holder: str) -> tuple[Lease, PlatformView, Clock]:
+    view, clock = PlatformView(platform), Clock()
+    return (
+        Lease(view, group="g", holder=holder, ttl_s=TTL_S, clock=clock),
+        view,
+        clock,
+    )
+
+
+def test_a_lease_is_taken_once_and_its_fence_stays_through_renewals() -> None:
+    platform = FakePlatform()
+    first, _, clock = lease(platform, "a")
+    second, _, _ = lease(platform, "b")
+
+    first.observe()
+    second.observe()
+    taken = first.holding(clock.now)
+    clock.now += 1
+    first.renew()
+    renewed = first.holding(clock.now)
+
+    assert taken is not None
+    assert renewed is not None
+    assert second.holding(100.0) is None
+    assert renewed.fence == taken.fence
+    assert renewed.version > taken.version
+    assert fence_of(platform.object_by_key[lease_key("g")]) == taken.fence
+
+
+def test_a_holder_that_was_paused_knows_that_its_lease_may_have_lapsed() -> None:
+    """Ranks would hear two coordinators.
+
+    The holder is paused past its lease; a watcher that saw no renewal for that long by
+    its own clock takes the lease under a higher fence. The first one wakes, stops at
+    once by its own clock, and its renewal fails.
+    """
+    platform = FakePlatform()
+    paused, _, paused_clock = lease(platform, "a")
+    watcher, _, watcher_clock = lease(platform, "b")
+    paused.observe()
+    old = paused.holding(paused_clock.now)
+    watcher.observe()
+
+    watcher_clock.now += TTL_S
+    watcher.observe()
+    assert watcher.holding(watcher_clock.now) is None
+    watcher_clock.now += TTL_S * 0.2
+    watcher.observe()
+    new = watcher.holding(watcher_clock.now)
+    paused_clock.now += TTL_S * 1.2
+
+    assert old is not None
+    assert new is not None
+    assert new.fence > old.fence
+    assert paused.holding(paused_clock.now) is None
+    paused.renew()
+    assert paused.holding(paused_clock.now) is None
+
+
+def test_a_write_whose_confirmation_was_lost_is_settled_by_its_nonce() -> None:
+    """Without it the group waits out a lease that nobody knows to hold.
+
+    Taking and then renewing the lease takes effect, but the answers are lost; once the
+    read-back fails as well, because the platform is down just then.
+    """
+    platform = FakePlatform()
+    holder, view, clock = lease(platform, "a")
+    view.lose_answers = 1
+    holder.observe()
+    taken = holder.holding(clock.now)
+    assert taken is not None
+
+    clock.now += 1
+    view.lose_answers = 1
+    holder.renew()
+    clock.now += 1
+    view.down = True
+    holder.renew()
+    view.down = False
+    holder.renew()
+    clock.now += TTL_S * 0.9
+
+    renewed = holder.holding(clock.now)
+    assert renewed is not None
+    assert renewed.fence == taken.fence
+
+
+def test_a_lease_given_back_is_taken_at_once_under_a_higher_fence() -> None:
+    platform = FakePlatform()
+    first, _, clock = lease(platform, "a")
+    second, _, _ = lease(platform, "b")
+    first.observe()
+    old = first.holding(clock.now)
+
+    first.release()
+    second.observe()
+
+    new = second.holding(clock.now)
+    assert old is not None
+    assert new is not None
+    assert new.fence > old.fence
--- /dev/null
+++ b/tests/expertmaps/test_service.py
@@ -0,0 +1,128 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from kingcupwheel.expertmaps.phases import Committing
+from kingcupwheel.expertmaps.phases import Preparing
+from kingcupwheel.expertmaps.phases import Ready
+from tests.standins.ranks import Switch
+
+
+if TYPE_CHECKING:
+    from tests.expertmaps.fleet import Agent
+    from tests.expertmaps.fleet import Fleet
+
+
+def leader_of(fleet: Fleet) -> Agent:
+    fleet.until(lambda: fleet.leader is not None)
+    leader = fleet.leader
+    assert leader is not None
+    return leader
+
+
+def make_hot(fleet: Fleet, *experts: int, factor: float = 8.0) -> None:
+    switch = Switch(hot=experts, factor=factor)
+    with fleet.group.lock:
+        fleet.group.switch(fleet.group.ranks[0], switch)
+
+
+def maps_used(fleet: Fleet) -> int:
+    return len(fleet.group.seen().steps_by_map)
+
+
+def until_mid_change(fleet: Fleet) -> Agent:
+    """Wait until the leader has prepared a change and not yet committed it."""
+    leader = leader_of(fleet)
+    fleet.steps_on()
+    make_hot(fleet, 0, 3)
+    phases = (Preparing, Committing)
+    fleet.until(lambda: isinstance(leader.service.leader.phase, phases))
+    return leader
+
+
+def finish(fleet: Fleet) -> None:
+    """The group steps, its leader is done, and no step was run on two maps."""
+    fleet.steps_on()
+    fleet.until(
+        lambda: (
+            fleet.leader is not None
+            and isinstance(fleet.leader.service.leader.phase, Ready)
+        )
+    )
+    fleet.steps_on()
+    seen = fleet.group.seen()
+    print(f"longest stall {seen.longest_stall_s:.2f} s")
+    assert seen.mixed == []
+
+
+def test_a_running_group_is_rebalanced_when_popularity_changes(fleet: Fleet) -> None:
+    leader_of(fleet)
+    fleet.steps_on()
+    make_hot(fleet, 0, 3)
+    fleet.until(lambda: maps_used(fleet) >= 2)
+    finish(fleet)
+
+
+@pytest.mark.parametrize("how", ["kill", "freeze"])
+def test_a_coordinator_lost_between_prepare_and_commit_stalls_the_group_only_briefly(
+    fleet: Fleet, how: str
+) -> None:
+    """Callers see one long gap between tokens, then the stream goes on.
+
+    All or some ranks have prepared when the coordinator is killed or frozen. Its lease
+    lapses, another agent takes it, supersedes the change on every rank and settles it.
+    The frozen one wakes and finds by its own clock that it leads no longer.
+    """
+    leader = until_mid_change(fleet)
+    getattr(leader, how)()
+    if how == "kill":
+        fleet.replace(leader)
+        fleet.until(lambda: fleet.leader not in (None, leader))
+    else:
+        fleet.until(lambda: any(a.service.leads for a in fleet.agents if a != leader))
+        leader.thaw()
+    finish(fleet)
+
+
+def test_a_platform_outage_in_the_middle_of_a_change_is_outlived(
+    fleet: Fleet,
+) -> None:
+    """Callers see at most one gap; the lease lapses meanwhile and nobody can take it.
+
+    Whatever was prepared is settled once the platform is back.
+    """
+    until_mid_change(fleet)
+    for agent in fleet.agents:
+        agent.view.down = True
+    fleet.until(lambda: fleet.leader is None)
+    for agent in fleet.agents:
+        agent.view.down = False
+    finish(fleet)
+
+
+def test_ranks_that_restart_refuse_or_answer_late_never_mix_maps(fleet: Fleet) -> None:
+    """Callers see gaps, never an answer computed on two maps.
+
+    One rank refuses changes, one takes orders late and loses its answers, both ignore
+    fences; one restarts, twice; and the coordinator is replaced meanwhile.
+    """
+    leader = leader_of(fleet)
+    fleet.steps_on()
+    group = fleet.group
+    with group.lock:
+        group.switch(group.ranks[0], Switch(refuse=True, ignore_fences=True))
+        group.switch(group.ranks[1], Switch(late_s=0.7, ignore_fences=True))
+    make_hot(fleet, 0, 3)
+    fleet.steps_on()
+    with group.lock:
+        group.switch(group.ranks[0], Switch(refuse=False))
+    fleet.steps_on()
+    leader.kill()
+    fleet.replace(leader)
+    with group.lock:
+        group.switch(group.ranks[2], Switch(restart=True))
+        group.switch(group.ranks[2], Switch(restart=True, stall_s=0.2))
+        group.switch(group.ranks[1], Switch(late_s=0.0))
+    finish(fleet)
--- /dev/null
+++ b/tests/standins/ranks.py
@@ -0,0 +1,280 @@
+"""Ranks in lock-step on an expert map, one port each, in one process.
+
+``python -m tests.standins.ranks --ranks N`` prints ``IP:port`` of each rank. Switches:
+``POST /test/switch`` with a ``Switch`` as JSON; ``GET /test/steps`` tells what was run.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from typing import Any
+
+import click
+import msgspec
+
+from kingcupwheel.expertmaps.protocol import AnyOrder
+from kingcupwheel.expertmaps.protocol import AnyReply
+from kingcupwheel.expertmaps.protocol import LoadsRead
+from kingcupwheel.expertmaps.protocol import ReadLoads
+from kingcupwheel.expertmaps.protocol import ReadState
+from kingcupwheel.expertmaps.protocol import RefusalReason
+from kingcupwheel.expertmaps.protocol import Refused
+from kingcupwheel.expertmaps.protocol import version_of
+from kingcupwheel.expertmaps.rank import RankState
+from kingcupwheel.expertmaps.rank import apply_order
+
+
+class Call(msgspec.Struct):
+    fence: int
+    order: AnyOrder
+
+
+class Switch(msgspec.Struct):
+    """What to do to one rank; ``hot`` experts become ``factor`` times as popular.
+
+    ``late_s``: orders take effect that late, and their answers are lost.
+    """
+
+    refuse: bool | None = None
+    stall_s: float = 0.0
+    late_s: float | None = None
+    ignore_fences: bool | None = None
+    restart: bool = False
+    hot: tuple[int, ...] = ()
+    factor: float = 1.0
+
+
+class Steps(msgspec.Struct):
+    """What the group has run; ``mixed`` are (life, step) run on two maps."""
+
+    steps: int
+    runs: int
+    mixed: list[tuple[int, int]]
+    longest_stall_s: float
+    steps_by_map: dict[str, int]
+
+
+class Rank:
+    def __init__(self) -> None:
+        self.state = RankState()
+        self.fence = 0
+        self.life = 0
+        self.refuse = False
+        self.late_s = 0.0
+        self.ignore_fences = False
+        self.stalled_until = 0.0
+
+
+class Group:
+    """All ranks under one lock; a rank steps when the others have run the step before.
+
+    A rank that restarts ends a life of the group, which repeats the step that not all
+    ranks had run.
+    """
+
+    def __init__(self, *, ranks: int, experts: int, layers: int, step_s: float) -> None:
+        self.lock = threading.Lock()
+        self.ranks = [Rank() for _ in range(ranks)]
+        self.layers = layers
+        self.step_s = step_s
+        self.life = 0
+        self.popularity = [1.0] * experts
+        self.random = random.Random(1)
+        self.counted_steps = [0] * ranks
+        self.maps_by_step: dict[tuple[int, int], set[str]] = {}
+        self.steps_by_map: dict[str, int] = {}
+        self.runs = 0
+        self.ended = 0
+        self.last_end: float | None = None
+        self.longest_stall_s = 0.0
+
+    def run(self) -> None:
+        while True:
+            time.sleep(self.step_s)
+            with self.lock:
+                self._step(time.monotonic())
+
+    def _step(self, now: float) -> None:
+        lowest = min(rank.state.step for rank in self.ranks)
+        for number, rank in enumerate(self.ranks):
+            ready = rank.state.may_run and now >= rank.stalled_until
+            if rank.state.step == lowest and ready:
+                self._run(number, rank)
+        if min(rank.state.step for rank in self.ranks) == lowest:
+            return
+        self.ended += 1
+        if self.last_end is not None:
+            self.longest_stall_s = max(self.longest_stall_s, now - self.last_end)
+        self.last_end = now
+
+    def _run(self, number: int, rank: Rank) -> None:
+        in_force = rank.state.map_in_force
+        assert in_force is not None
+        origin = str(in_force.origin)
+        self.maps_by_step.setdefault((self.life, rank.state.step), set()).add(origin)
+        self.steps_by_map[origin] = self.steps_by_map.get(origin, 0) + 1
+        self.counted_steps[number] += 1
+        self.runs += 1
+        rank.state = rank.state._replace(step=rank.state.step + 1)
+
+    def switch(self, rank: Rank, switch: Switch) -> None:
+        rank.refuse = rank.refuse if switch.refuse is None else switch.refuse
+        rank.late_s = rank.late_s if switch.late_s is None else switch.late_s
+        if switch.ignore_fences is not None:
+            rank.ignore_fences = switch.ignore_fences
+        rank.stalled_until = time.monotonic() + switch.stall_s
+        for expert in switch.hot:
+            self.popularity[expert] *= switch.factor
+        if switch.restart:
+            self._restart(rank)
+
+    def _restart(self, rank: Rank) -> None:
+        self.life += 1
+        lowest = min(other.state.step for other in self.ranks)
+        for other in self.ranks:
+            other.state = other.state._replace(step=lowest)
+        rank.state = RankState(step=lowest)
+        rank.life += 1
+        rank.fence = 0
+
+    def give(self, number: int, call: Call) -> AnyReply | None:
+        """Have a rank take an order; None if its answer is lost."""
+        rank = self.ranks[number]
+        with self.lock:
+            life, late_s = rank.life, rank.late_s
+        reads = isinstance(call.order, ReadState | ReadLoads)
+        if late_s and not reads:
+            time.sleep(late_s)
+        with self.lock:
+            if life != rank.life:
+                return None
+            reply = self._apply(number, rank, call)
+        return None if late_s and not reads else reply
+
+    def _apply(self, number: int, rank: Rank, call: Call) -> AnyReply:
+        match call.order:
+            case ReadLoads(round_):
+                steps, self.counted_steps[number] = self.counted_steps[number], 0
+                return LoadsRead(round_, self._counts(steps))
+            case ReadState():
+                return apply_order(rank.state, call.order)[1]
+        version = version_of(call.order)
+        if rank.refuse:
+            return Refused(version, RefusalReason.ENGINE)
+        if call.fence < rank.fence and not rank.ignore_fences:
+            return Refused(version, RefusalReason.STALE_FENCE)
+        rank.fence = max(rank.fence, call.fence)
+        rank.state, reply = apply_order(rank.state, call.order)
+        return reply
+
+    def _counts(self, steps: int) -> tuple[tuple[float, ...], ...]:
+        return tuple(
+            tuple(p * steps * self.random.uniform(0.9, 1.1) for p in self.popularity)
+            for _ in range(self.layers)
+        )
+
+    def seen(self) -> Steps:
+        with self.lock:
+            mixed = [step for step, maps in self.maps_by_step.items() if len(maps) > 1]
+            return Steps(
+                self.ended,
+                self.runs,
+                mixed,
+                self.longest_stall_s,
+                dict(self.steps_by_map),
+            )
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self, group: Group, number: int) -> None:
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.group = group
+        self.number = number
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server_address[1]}"
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    server: Server
+
+    def do_GET(self) -> None:
+        path, _, query = self.path.partition("?")
+        words = dict(pair.split("=") for pair in query.split("&") if pair)
+        number = int(words.get("round", "0"))
+        match path:
+            case "/rank/state":
+                whole = words.get("whole") == "1"
+                self._give(Call(0, ReadState(number, whole)))
+            case "/rank/loads":
+                self._give(Call(0, ReadLoads(number)))
+            case "/test/steps":
+                self._answer(200, self.server.group.seen())
+            case _:
+                self._answer(404, None)
+
+    def do_POST(self) -> None:
+        body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
+        group = self.server.group
+        if self.path == "/test/switch":
+            with group.lock:
+                rank = group.ranks[self.server.number]
+                group.switch(rank, msgspec.json.decode(body, type=Switch))
+            self._answer(200, None)
+            return
+        self._give(msgspec.json.decode(body, type=Call))
+
+    def _give(self, call: Call) -> None:
+        reply = self.server.group.give(self.server.number, call)
+        if reply is None:
+            self.close_connection = True
+            return
+        self._answer(200, reply)
+
+    def _answer(self, status: int, value: Any) -> None:
+        body = msgspec.json.encode(value)
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: object) -> None:
+        del format, args
+
+
+def serve(group: Group) -> list[Server]:
+    """Serve each rank on a port of its own and let the group step."""
+    servers = [Server(group, number) for number in range(len(group.ranks))]
+    for server in servers:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+    threading.Thread(target=group.run, daemon=True).start()
+    return servers
+
+
+@click.command()
+@click.option("--ranks", default=2)
+@click.option("--experts", default=8)
+@click.option("--layers", default=1)
+@click.option("--step-ms", default=5.0)
+@click.option("--ignore-fences", is_flag=True)
+def main(
+    ranks: int, experts: int, layers: int, step_ms: float, ignore_fences: bool
+) -> None:
+    group = Group(ranks=ranks, experts=experts, layers=layers, step_s=step_ms / 1000)
+    for rank in group.ranks:
+        rank.ignore_fences = ignore_fences
+    for server in serve(group):
+        print(server.address, flush=True)
+    threading.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
