--- a/src/kingcupwheel/expertmaps/leader.py
+++ b/src/kingcupwheel/expertmaps/leader.py
@@ -168,7 +168,7 @@
     def _take_loads(self, rank: int, loads: LoadsRead) -> None:
         schedule = self._coordinator.schedule
         if schedule is not None:
-            self._rebalancer.take(rank, loads, schedule.after.map)
+            self._rebalancer.take(rank, loads, schedule.after)
 
     def _step(self, event: Event) -> None:
         before = self.phase
--- a/src/kingcupwheel/expertmaps/protocol.py
+++ b/src/kingcupwheel/expertmaps/protocol.py
@@ -19,7 +19,6 @@
 from kingcupwheel.expertmaps.exceptions import BadOrder
 from kingcupwheel.expertmaps.maps import NO_VERSION
 from kingcupwheel.expertmaps.maps import ExpertMap
-from kingcupwheel.expertmaps.maps import LayerLoad
 from kingcupwheel.expertmaps.maps import MapVersion
 
 
@@ -160,12 +159,15 @@
 class LoadsRead(Reply, frozen=True):
     """Answers ``ReadLoads``.
 
-    ``counts`` are tokens this rank sent through each expert of each layer; those of all
-    ranks add up to the experts' load.
+    ``counts`` are, for each layer, the tokens that passed each expert in this rank's
+    slots, in the order of the map of ``origin``, since it is in force or was last asked
+    for. A rank tells of its own slots only: a coordinator of 32 ranks would otherwise
+    hear of every expert 32 times.
     """
 
     round: int
-    counts: tuple[LayerLoad, ...]
+    origin: MapVersion
+    counts: tuple[tuple[int, ...], ...]
 
 
 class RefusalReason(StrEnum):
--- a/src/kingcupwheel/expertmaps/rebalancer.py
+++ b/src/kingcupwheel/expertmaps/rebalancer.py
@@ -19,6 +19,7 @@
     from kingcupwheel.expertmaps.maps import ExpertMap
     from kingcupwheel.expertmaps.planner import Plan
     from kingcupwheel.expertmaps.protocol import LoadsRead
+    from kingcupwheel.expertmaps.protocol import NamedMap
     from kingcupwheel.manifest.schema import ExpertLayout
 
 logger = logging.getLogger("kingcupwheel.expertmaps")
@@ -43,7 +44,7 @@
         self._estimate = DecayedLoad()
         self._round = 0
         self._asked = 0.0
-        self._counts_by_rank: dict[int, MapLoad] = {}
+        self._reply_by_rank: dict[int, LoadsRead] = {}
         self._questions: queue.Queue[_Question | None] = queue.Queue(1)
         self._plan: Plan | None = None
         self._thread = Thread(target=self._run, name="planner", daemon=True)
@@ -63,22 +64,24 @@
             return None
         self._asked = now
         self._round += 1
-        self._counts_by_rank.clear()
+        self._reply_by_rank.clear()
         return ReadLoads(self._round)
 
-    def take(self, rank: int, reply: LoadsRead, current: ExpertMap) -> None:
+    def take(self, rank: int, reply: LoadsRead, current: NamedMap) -> None:
         """Add a rank's counts; with the last one, start to plan from ``current``."""
-        if reply.round != self._round or len(reply.counts) != len(current.layers):
+        if reply.round != self._round or reply.origin != current.origin:
             return
-        self._counts_by_rank[rank] = reply.counts
-        if len(self._counts_by_rank) < self._layout.ranks:
+        if not _fits(reply, rank, current.map):
+            logger.warning("Rank %d counts other slots than its map has.", rank)
             return
-        self._estimate = self._estimate.after(
-            _summed(list(self._counts_by_rank.values()))
-        )
-        self._counts_by_rank.clear()
+        self._reply_by_rank[rank] = reply
+        if len(self._reply_by_rank) < self._layout.ranks:
+            return
+        counted = _summed(current.map, self._reply_by_rank)
+        self._reply_by_rank.clear()
+        self._estimate = self._estimate.after(counted)
         try:
-            question = _Question(current, self._estimate, self._weights)
+            question = _Question(current.map, self._estimate, self._weights)
             self._questions.put_nowait(question)
         except queue.Full:
             logger.warning("Planner is behind.")
@@ -96,8 +99,18 @@
                 logger.exception("Planning failed.")
 
 
-def _summed(counts: list[MapLoad]) -> MapLoad:
-    return tuple(
-        tuple(map(sum, zip(*layers, strict=True)))
-        for layers in zip(*counts, strict=True)
-    )
+def _fits(reply: LoadsRead, rank: int, expert_map: ExpertMap) -> bool:
+    held = [len(layer[rank]) for layer in expert_map.layers]
+    return [len(counts) for counts in reply.counts] == held
+
+
+def _summed(current: ExpertMap, reply_by_rank: dict[int, LoadsRead]) -> MapLoad:
+    """Return each expert's load over all ranks that hold it."""
+    layers = []
+    for number, layer in enumerate(current.layers):
+        load = [0.0] * current.experts
+        for rank, reply in reply_by_rank.items():
+            for expert, count in zip(layer[rank], reply.counts[number], strict=True):
+                load[expert] += count
+        layers.append(tuple(load))
+    return tuple(layers)
--- a/tests/expertmaps/builders.py
+++ b/tests/expertmaps/builders.py
@@ -50,6 +50,7 @@
         self.object_by_key: dict[str, Versioned] = {}
         self.instance_list: tuple[Instance, ...] = ()
         self.version = 0
+        self.calls = 0
 
     def write(self, key: str, value: bytes, version: int) -> Result[int, PlatformError]:
         with self.lock:
@@ -75,7 +76,7 @@
         self.lose_answers = 0
 
     def read(self, key: str) -> Result[Versioned | None, PlatformError]:
-        self.gate.wait()
+        self._call()
         if self.down:
             return Error(Unavailable("down", sent=False))
         return Ok(self.platform.object_by_key.get(key))
@@ -100,15 +101,19 @@
         raise AssertionError(key, after, timeout_s)
 
     def instances(self) -> Result[tuple[Instance, ...], PlatformError]:
-        self.gate.wait()
+        self._call()
         if self.down:
             return Error(Unavailable("down", sent=False))
         return Ok(self.platform.instance_list)
 
+    def _call(self) -> None:
+        self.gate.wait()
+        self.platform.calls += 1
+
     def _write(
         self, key: str, value: bytes, version: int
     ) -> Result[int, PlatformError]:
-        self.gate.wait()
+        self._call()
         if self.down:
             return Error(Unavailable("down", sent=False))
         result = self.platform.write(key, value, version)
--- /dev/null
+++ b/tools/measure_groups.py
@@ -0,0 +1,129 @@
+"""Measures what coordinating a group costs, and the stall when its coordinator is lost.
+
+``python -m tools.measure_groups --output FILE``; agents, hubs and ranks are real, the
+platform is the tests' fake, and all run in one process on the default timings.
+"""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+from tests.expertmaps.fleet import Fleet
+from tests.standins.ranks import Switch
+
+from kingcupwheel.expertmaps.phases import Committing
+from kingcupwheel.expertmaps.phases import Preparing
+from kingcupwheel.expertmaps.service import DEFAULT_MAP_TIMINGS
+from kingcupwheel.manifest.schema import ExpertLayout
+
+
+if TYPE_CHECKING:
+    from tests.expertmaps.fleet import Agent
+
+SIZES = (8, 16, 32)
+LAYERS = 32
+WINDOW_S = 20.0
+# A step of 20 ms keeps 32 stand-in ranks in one process from being what is measured.
+STEP_S = 0.02
+LOSSES = 4
+
+
+def layout(ranks: int, *, layers: int, every_s: float) -> ExpertLayout:
+    """Return a group of 4 experts and 5 slots a rank and layer."""
+    return ExpertLayout(
+        ranks=ranks,
+        experts=4 * ranks,
+        layers=layers,
+        slots=5,
+        skew_weight=4.0,
+        rebalance_every_s=every_s,
+    )
+
+
+def leader_of(fleet: Fleet) -> Agent:
+    """Wait for a coordinator whose group steps."""
+    fleet.until(lambda: fleet.leader is not None)
+    fleet.steps_on()
+    assert fleet.leader is not None
+    return fleet.leader
+
+
+def control_row(ranks: int) -> str:
+    """Return the traffic of the leader and of another agent of an idle group."""
+    fleet = Fleet(
+        layout=layout(ranks, layers=LAYERS, every_s=10.0),
+        timings=DEFAULT_MAP_TIMINGS,
+        step_s=STEP_S,
+    )
+    fleet.start()
+    try:
+        leader = leader_of(fleet)
+        other = next(agent for agent in fleet.agents if agent is not leader)
+        time.sleep(WINDOW_S / 2)
+        before = leader.hub.traffic, other.hub.traffic
+        calls = fleet.platform.calls
+        time.sleep(WINDOW_S)
+        after = leader.hub.traffic, other.hub.traffic
+        calls = fleet.platform.calls - calls
+    finally:
+        fleet.stop()
+    rates = [
+        (new.bytes_in + new.bytes_out - old.bytes_in - old.bytes_out) / WINDOW_S
+        for old, new in zip(before, after, strict=True)
+    ]
+    return f"| {ranks} | {rates[0]:.0f} | {rates[1]:.0f} | {calls / WINDOW_S:.2f} |"
+
+
+def stall(how: str) -> float:
+    """Lose the coordinator of a group in the middle of a change."""
+    fleet = Fleet(layout=layout(4, layers=2, every_s=1.0), timings=DEFAULT_MAP_TIMINGS)
+    fleet.start()
+    try:
+        leader = leader_of(fleet)
+        with fleet.group.lock:
+            switch = Switch(hot=(0, 4), factor=8.0)
+            fleet.group.switch(fleet.group.ranks[0], switch)
+        middle = (Preparing, Committing)
+        fleet.until(lambda: isinstance(leader.service.leader.phase, middle))
+        getattr(leader, how)()
+        others = [agent for agent in fleet.agents if agent is not leader]
+        fleet.until(lambda: any(agent.service.leads for agent in others))
+        if how == "kill":
+            fleet.replace(leader)
+        leader.thaw()
+        fleet.steps_on(200)
+        report = fleet.group.seen()
+        assert report.mixed == []
+        return report.longest_stall_s
+    finally:
+        fleet.stop()
+
+
+@click.command()
+@click.option("--output", type=click.Path(path_type=Path), required=True)
+def main(output: Path) -> None:
+    """Write the tables to OUTPUT."""
+    lines = [
+        f"Idle control traffic, {LAYERS} layers, 5 slots a rank, loads every 10 s:",
+        "",
+        "| ranks | leader bytes/s | other agent bytes/s | platform calls/s |",
+        "|---|---|---|---|",
+        *(control_row(ranks) for ranks in SIZES),
+        "",
+        "Longest stall when the coordinator is lost between prepare and commit:",
+        "",
+        "| how | stalls, s |",
+        "|---|---|",
+        *(
+            f"| {how} | {', '.join(f'{stall(how):.2f}' for _ in range(LOSSES))} |"
+            for how in ("kill", "freeze")
+        ),
+    ]
+    output.write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    main()
