--- /dev/null
+++ b/src/kingcupwheel/expertmaps/rebalancer.py
@@ -0,0 +1,116 @@
+"""Gathers the ranks' loads for the coordinator and plans on a thread of its own."""
+
+from __future__ import annotations
+
+import logging
+import queue
+from threading import Thread
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.expertmaps.loads import DecayedLoad
+from kingcupwheel.expertmaps.planner import PlanWeights
+from kingcupwheel.expertmaps.planner import plan
+from kingcupwheel.expertmaps.protocol import ReadLoads
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.expertmaps.loads import MapLoad
+    from kingcupwheel.expertmaps.maps import ExpertMap
+    from kingcupwheel.expertmaps.planner import Plan
+    from kingcupwheel.expertmaps.protocol import LoadsRead
+    from kingcupwheel.expertmaps.protocol import NamedMap
+    from kingcupwheel.manifest.schema import ExpertLayout
+
+logger = logging.getLogger("kingcupwheel.expertmaps")
+
+
+class _Question(NamedTuple):
+    current: ExpertMap
+    estimate: DecayedLoad
+    weights: PlanWeights
+
+
+class Rebalancer:
+    """Asks for loads every period and offers a plan when there is one.
+
+    All but the planning itself runs on the caller's thread. A rank that does not answer
+    leaves its period without a plan: half the loads would make a map for half the work.
+    """
+
+    def __init__(self, layout: ExpertLayout) -> None:
+        self._layout = layout
+        self._weights = PlanWeights(layout.skew_weight, layout.move_cost)
+        self._estimate = DecayedLoad()
+        self._round = 0
+        self._asked = 0.0
+        self._reply_by_rank: dict[int, LoadsRead] = {}
+        self._questions: queue.Queue[_Question | None] = queue.Queue(1)
+        self._plan: Plan | None = None
+        self._thread = Thread(target=self._run, name="planner", daemon=True)
+
+    def start(self) -> None:
+        """Start the planning thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the planning thread."""
+        self._questions.put(None)
+        self._thread.join()
+
+    def tick(self, now: float) -> ReadLoads | None:
+        """Return what to ask all ranks when a period is over."""
+        if now - self._asked < self._layout.rebalance_every_s:
+            return None
+        self._asked = now
+        self._round += 1
+        self._reply_by_rank.clear()
+        return ReadLoads(self._round)
+
+    def take(self, rank: int, reply: LoadsRead, current: NamedMap) -> None:
+        """Add a rank's counts; with the last one, start to plan from ``current``."""
+        if reply.round != self._round or reply.origin != current.origin:
+            return
+        if not _fits(reply, rank, current.map):
+            logger.warning("Rank %d counts other slots than its map has.", rank)
+            return
+        self._reply_by_rank[rank] = reply
+        if len(self._reply_by_rank) < self._layout.ranks:
+            return
+        counted = _summed(current.map, self._reply_by_rank)
+        self._reply_by_rank.clear()
+        self._estimate = self._estimate.after(counted)
+        try:
+            question = _Question(current.map, self._estimate, self._weights)
+            self._questions.put_nowait(question)
+        except queue.Full:
+            logger.warning("Planner is behind.")
+
+    def offer(self) -> Plan | None:
+        """Return a plan once it is there, and forget it."""
+        found, self._plan = self._plan, None
+        return found
+
+    def _run(self) -> None:
+        while (question := self._questions.get()) is not None:
+            try:
+                self._plan = plan(question.current, question.estimate, question.weights)
+            except Exception:
+                logger.exception("Planning failed.")
+
+
+def _fits(reply: LoadsRead, rank: int, expert_map: ExpertMap) -> bool:
+    held = [len(layer[rank]) for layer in expert_map.layers]
+    return [len(counts) for counts in reply.counts] == held
+
+
+def _summed(current: ExpertMap, reply_by_rank: dict[int, LoadsRead]) -> MapLoad:
+    """Return each expert's load over all ranks that hold it."""
+    layers = []
+    for number, layer in enumerate(current.layers):
+        load = [0.0] * current.experts
+        for rank, reply in reply_by_rank.items():
+            for expert, count in zip(layer[rank], reply.counts[number], strict=True):
+                load[expert] += count
+        layers.append(tuple(load))
+    return tuple(layers)
--- a/src/kingcupwheel/plugins/kernel.py
+++ b/src/kingcupwheel/plugins/kernel.py
@@ -18,6 +18,7 @@
 
     from kingcupwheel.agent.adapters.base import ServerAdapter
     from kingcupwheel.decisions.placement import PlacementPolicy
+    from kingcupwheel.expertmaps.rank_api import RankApi
     from kingcupwheel.platform.client import PlatformClient
 
 
@@ -26,6 +27,8 @@
 placement_policies: Registry[Callable[[], PlacementPolicy]] = Registry(
     "placement policy"
 )
+rank_apis: Registry[Callable[..., RankApi]] = Registry("rank API")
+placement_policies: Registry[Callable[..., Any]] = Registry("placement policy")
 codecs: Registry[Any] = Registry("codec")
 
 BUILTIN_MODULES = (
@@ -35,6 +38,7 @@
     "kingcupwheel.decisions.baselines",
     "kingcupwheel.agent.adapters.engine",
     "kingcupwheel.agent.adapters.service",
+    "kingcupwheel.expertmaps.rank_api",
 )
 
 
