--- /dev/null
+++ b/features/steps/tracing.py
@@ -0,0 +1,90 @@
+"""Steps that ask what became of one request."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from behave import then
+from behave import when
+from tools.processes import wait_until
+
+
+BATCHES_S = 20.0
+WHOLE = 0
+INCOMPLETE = 7
+
+
+@when('every process of "{name}" is {deed}')
+def end_processes(context: Any, name: str, deed: str) -> None:
+    """End the entries and agents, gracefully or not."""
+    fleet = context.world.fleet
+    processes = [
+        one.process for one in (*fleet.entries.values(), *fleet.agents.values())
+    ]
+    for process in processes:
+        if deed == "killed":
+            process.kill()
+        else:
+            process.terminate()
+            assert process.wait() == 0
+
+
+@when('the entry of "{name}" is killed at once')
+def kill_entry(context: Any, name: str) -> None:
+    """Kill the entry that took the request."""
+    entry = context.world.answered(name).request_id.rsplit(".", 2)[0]
+    context.world.fleet.entries[entry].process.kill()
+
+
+@when('the batches of "{name}" are on the platform')
+def wait_for_batches(context: Any, name: str) -> None:
+    """Wait until both parts can be read there; live processes are not asked."""
+    wait_until(
+        lambda: _story(context, name, "--timeout", "0")[0] == WHOLE,
+        "the story from batches",
+        BATCHES_S,
+    )
+
+
+@then('the story of "{name}" is whole, from batches, with outcome {outcome}')
+def check_whole(context: Any, name: str, outcome: str) -> None:
+    """Check the outcome, the sources and that nothing is missing."""
+    code, story = _story(context, name)
+    assert code == WHOLE, story
+    assert story["outcome"] == outcome, story
+    assert [part["source"] for part in story["parts"]] == ["batches"] * 2, story
+    assert all(part["events"] for part in story["parts"]), story
+
+
+@then('the story of "{name}" says that {entry} is missing and the agent\'s attempt ran')
+def check_entry_missing(context: Any, name: str, entry: str) -> None:
+    """Check that the caller's outcome is left open and the reason given."""
+    code, story = _story(context, name)
+    assert code == INCOMPLETE, story
+    assert (story["state"], story["outcome"]) == ("outcome-missing", ""), story
+    gaps = " ".join(story["gaps"])
+    assert f"What {entry} told the caller is missing." in gaps, story
+    assert "its attempt ended as ran" in gaps, story
+
+
+@then(
+    'the story of "{name}" by address tells outcome {outcome} and names {agent} as '
+    "missing"
+)
+def check_by_address(context: Any, name: str, outcome: str, agent: str) -> None:
+    """Give the entry's address by hand."""
+    entry = context.world.fleet.entries["entry-1"]
+    code, story = _story(context, name, "--address", f"entry-1={entry.address}")
+    assert code == INCOMPLETE, story
+    assert story["outcome"] == outcome, story
+    assert any(f"Part of {agent}'s account" in gap for gap in story["gaps"]), story
+
+
+def _story(context: Any, name: str, *options: str) -> tuple[int, Any]:
+    fleet = context.world.fleet
+    wanted = context.world.answered(name).request_id
+    platform = f"http://{fleet.platform}"
+    told = fleet.command("trace", wanted, "--platform", platform, "--json", *options)
+    assert told.stdout, told.stderr
+    return told.returncode, json.loads(told.stdout)
--- /dev/null
+++ b/features/trace.feature
@@ -0,0 +1,41 @@
+Feature: What became of one request can be told after its processes are gone
+
+  Scenario: Both processes have been replaced since
+    # An engineer asks later. Entry and agent stopped gracefully and left their batches,
+    # so that the story is as whole as it was while they lived.
+    Given a fleet of 2 entries, 2 engines and 0 services
+    When "asked" streams 8 tokens from entry-1
+    Then "asked" gets its 8 tokens
+    When every process of "asked" is stopped
+    Then the story of "asked" is whole, from batches, with outcome ran
+
+  Scenario: The entry is killed before its batch goes out
+    # The entry's events die with it. The agent still tells what ran; the story says that
+    # what the caller was told is missing, and does not make it up.
+    Given a fleet of 2 entries, 2 engines and 0 services
+    When "asked" streams 8 tokens from entry-1
+    Then "asked" gets its 8 tokens
+    When the entry of "asked" is killed at once
+    Then the story of "asked" says that entry-1 is missing and the agent's attempt ran
+
+  Scenario: The platform is down while it happens, and the processes go afterwards
+    # Batches wait for the platform and go out when it is back, before the processes are
+    # replaced. Nothing of the story is lost.
+    Given a fleet of 2 entries, 2 engines and 0 services
+    And the platform is down
+    When "asked" streams 8 tokens from entry-1
+    Then "asked" gets its 8 tokens
+    When 3 s pass
+    And the platform is up
+    And the batches of "asked" are on the platform
+    And every process of "asked" is killed
+    Then the story of "asked" is whole, from batches, with outcome ran
+
+  Scenario: The platform is down while an engineer asks
+    # The list of instances can't be read; the engineer gives the entry's address. The
+    # live entry still knows the outcome, and the story names what is out of reach.
+    Given a fleet of 1 entries, 1 engines and 0 services
+    When "asked" streams 8 tokens from entry-1
+    Then "asked" gets its 8 tokens
+    When the platform is down
+    Then the story of "asked" by address tells outcome ran and names engine-1 as missing
