--- /dev/null
+++ b/features/steps/expert_maps.py
@@ -0,0 +1,136 @@
+"""Steps about a group's expert map; the ranks' own records judge."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import msgspec
+from behave import given
+from behave import then
+from behave import when
+from features.world import COMPLETIONS
+from features.world import KEY
+from features.world import World
+from features.world import manifest
+from tools.processes import wait_until
+
+
+GROUP = "parts-model"
+EXPERTS = 12
+CHANGE_TIMEOUT_S = 60.0
+STEP_TIMEOUT_S = 30.0
+
+
+@given("a group of {ranks:d} ranks with agents and an entry")
+def start_group(context: Any, ranks: int) -> None:
+    """Start ranks in lock-step, an agent and an engine beside each, and an entry."""
+    world = World()
+    context.world = world
+    process, addresses = world.fleet.start_ranks(ranks, EXPERTS)
+    context.ranks = addresses
+    for rank, address in enumerate(addresses):
+        world.fleet.add_agent(
+            f"engine-{rank}",
+            GROUP,
+            server_settings={"rank": rank, "rank_url": f"http://{address}"},
+        )
+    world.fleet.add_entry("entry-1")
+    submitted = world.fleet.submit(_manifest(ranks))
+    assert submitted.returncode == 0, submitted.stderr
+    world.fleet.wait_ready(KEY, COMPLETIONS, {"prompt": "ready", "max_tokens": 1})
+    wait_until(lambda: _steps(context)["steps"] > 0, "a first step", CHANGE_TIMEOUT_S)
+
+
+def _manifest(ranks: int) -> dict[str, Any]:
+    changed = manifest()
+    changed["groups"][0]["experts"] = {
+        "ranks": ranks,
+        "experts": EXPERTS,
+        "rebalance_every_s": 1.0,
+        "skew_weight": 10.0,
+        "move_cost": 0.01,
+        "expert_bytes": 1000,
+    }
+    return changed
+
+
+def _steps(context: Any) -> dict[str, Any]:
+    found: dict[str, Any] = context.world.fleet.ask(context.ranks[0], "/test/steps")
+    return found
+
+
+@given("an agent coordinates the group")
+def wait_for_coordinator(context: Any) -> None:
+    """Wait until the group's lease is held."""
+    _coordinator(context)
+
+
+@when("experts {first:d} and {second:d} become {factor:d} times as popular")
+def make_hot(context: Any, first: int, second: int, factor: int) -> None:
+    """Let two experts draw most of the load."""
+    context.maps_before = _steps(context)["steps_by_map"]
+    switch = {"hot": [first, second], "factor": float(factor)}
+    context.world.fleet.tell(context.ranks[0], "/test/switch", switch)
+
+
+@then("the group comes to run on another map")
+def check_changed(context: Any) -> None:
+    """Wait until all ranks run on a map that none had before."""
+    before = len(context.maps_before)
+    wait_until(
+        lambda: len(_steps(context)["steps_by_map"]) > before,
+        "another map in force",
+        CHANGE_TIMEOUT_S,
+    )
+
+
+@then("the group goes on stepping")
+def check_stepping(context: Any) -> None:
+    """Wait until steps are run that were not yet when this was asked."""
+    seen = _steps(context)["steps"]
+    wait_until(
+        lambda: _steps(context)["steps"] > seen + 5, "further steps", STEP_TIMEOUT_S
+    )
+
+
+@then("no step was run on two maps")
+def check_one_map(context: Any) -> None:
+    """Read every rank's records."""
+    found = _steps(context)
+    assert not found["mixed"], found
+    print(f"steps {found['steps']}, longest stall {found['longest_stall_s']:.2f} s")
+
+
+def _coordinator(context: Any) -> str:
+    fleet = context.world.fleet
+
+    def holder() -> str:
+        held = fleet.stored(f"leases/{GROUP}")
+        return "" if held is None else str(msgspec.json.decode(held)["holder"])
+
+    wait_until(lambda: holder() in fleet.agents, "a lease holder", CHANGE_TIMEOUT_S)
+    context.coordinator = holder()
+    return context.coordinator
+
+
+@when("the agent that coordinates is killed")
+def kill_coordinator(context: Any) -> None:
+    """Kill the holder of the group's lease."""
+    context.killed = getattr(context, "coordinator", None) or _coordinator(context)
+    context.world.fleet.agents[context.killed].process.kill()
+
+
+@when("the killed agent is started again")
+def restart_killed(context: Any) -> None:
+    """Start the agent anew."""
+    context.world.fleet.restart_agent(context.killed)
+
+
+@when("the agent that coordinates is paused for {seconds:d} s")
+def pause_coordinator(context: Any, seconds: int) -> None:
+    """Freeze the holder of the lease for longer than the lease runs."""
+    process = context.world.fleet.agents[_coordinator(context)].process
+    process.pause()
+    time.sleep(seconds)
+    process.wake()
--- a/src/kingcupwheel/agent/crashes.py
+++ b/src/kingcupwheel/agent/crashes.py
@@ -15,10 +15,13 @@
 _LIMIT = 64
 # A bystander is cleared after this long; the guilty one is sent again and counted anew.
 _DECAY_S = 600.0
+# How long a death rides on heartbeats. Entries remember it; told for as long as it is
+# remembered here, one death would add kilobytes to each heartbeat for ten minutes.
+TELL_S = 15.0
 
 
-class _Deaths(NamedTuple):
-    total: int
+class _Crashed(NamedTuple):
+    deaths: tuple[int, ...]
     last_at: float
 
 
@@ -26,31 +29,36 @@
     """Deaths of the server by fingerprint of what ran, bounded and decaying."""
 
     def __init__(self) -> None:
-        self._by_fingerprint: dict[str, _Deaths] = {}
+        self._by_fingerprint: dict[str, _Crashed] = {}
 
-    def died(self, fingerprints: Iterable[str], *, now: float) -> None:
-        """Count one death for each fingerprint that was running."""
+    def died(self, fingerprints: Iterable[str], death: int, *, now: float) -> None:
+        """Note ``death`` for each fingerprint that was running."""
         for fingerprint in set(fingerprints):
-            deaths = self._by_fingerprint.pop(fingerprint, _Deaths(0, now))
-            self._by_fingerprint[fingerprint] = _Deaths(deaths.total + 1, now)
+            known = self._by_fingerprint.pop(fingerprint, _Crashed((), now))
+            self._by_fingerprint[fingerprint] = _Crashed((*known.deaths, death), now)
         while len(self._by_fingerprint) > _LIMIT:
             del self._by_fingerprint[next(iter(self._by_fingerprint))]
 
-    def counts(self, *, now: float) -> tuple[tuple[str, int], ...]:
-        """Return each fingerprint with its deaths, leaving out what has decayed."""
+    def told(self, *, now: float) -> tuple[tuple[str, int], ...]:
+        """Return the pairs of fingerprint and death that heartbeats carry now."""
+        self._forget(now)
+        return tuple(
+            (fingerprint, death)
+            for fingerprint, crashed in self._by_fingerprint.items()
+            if now - crashed.last_at <= TELL_S
+            for death in crashed.deaths
+        )
+
+    def _forget(self, now: float) -> None:
         old = [
             fingerprint
-            for fingerprint, deaths in self._by_fingerprint.items()
-            if now - deaths.last_at > _DECAY_S
+            for fingerprint, crashed in self._by_fingerprint.items()
+            if now - crashed.last_at > _DECAY_S
         ]
         for fingerprint in old:
             del self._by_fingerprint[fingerprint]
-        return tuple(
-            (fingerprint, deaths.total)
-            for fingerprint, deaths in self._by_fingerprint.items()
-        )
 
     def count(self, fingerprint: str) -> int:
-        """Return the deaths counted for the fingerprint."""
-        deaths = self._by_fingerprint.get(fingerprint)
-        return 0 if deaths is None else deaths.total
+        """Return how many deaths are noted for the fingerprint."""
+        crashed = self._by_fingerprint.get(fingerprint)
+        return 0 if crashed is None else len(crashed.deaths)
--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -16,11 +16,14 @@
 from kingcupwheel.agent.heartbeat import Heartbeat
 from kingcupwheel.agent.heartbeat import ServerProbe
 from kingcupwheel.agent.manifest import AgentManifest
+from kingcupwheel.agent.maps import AgentMaps
 from kingcupwheel.agent.peers import Peers
 from kingcupwheel.agent.runner import Runner
 from kingcupwheel.agent.runs import Runs
 from kingcupwheel.agent.store import AnswerStore
 from kingcupwheel.link.hub import Hub
+from kingcupwheel.messages.expertmaps import MapOrder
+from kingcupwheel.messages.expertmaps import MapReply
 from kingcupwheel.messages.membership import Hello
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
@@ -117,6 +120,13 @@
             send=self._hub.send,
             on_group=self._on_group,
         )
+        self._maps = AgentMaps(
+            hub=self._hub,
+            platform=client,
+            name=settings.name,
+            group=settings.group,
+            server=settings.server,
+        )
         self._shipper = BatchShipper(
             self._recorder,
             client,
@@ -184,6 +194,7 @@
         """Close the sockets at once; attempts still running are cut off."""
         self._probe.stop()
         self._manifest.stop()
+        self._maps.stop()
         self._shipper.stop()
         self._hub.stop()
         self._metrics.close()
@@ -202,6 +213,8 @@
                 self._hub.send(link, self._manifest.object_for(key))
             case ManifestObject():
                 self._manifest.found(message)
+            case MapOrder() | MapReply():
+                self._maps.on_message(link, message)
             case _:
                 self._handler.handle(link, message)
 
@@ -224,6 +237,7 @@
 
     def _on_group(self, group: ServerGroup) -> None:
         self.set_concurrency(group.concurrency)
+        self._maps.adopt(group)
 
     def _on_tick(self, now: float) -> None:
         if self._leave_wanted.is_set() and self._leaving_at is None:
@@ -233,6 +247,7 @@
             self._beat(now)
             self._store.expire(now=now)
             self._handler.links_gone(self._peers.drop_silent(now=now))
+        self._maps.on_tick(now)
         self._runner.advance()
         if self._leaving_at is not None and self._is_drained(now, self._leaving_at):
             self._drained.set()
--- a/src/kingcupwheel/agent/heartbeat.py
+++ b/src/kingcupwheel/agent/heartbeat.py
@@ -107,7 +107,7 @@
                 leaving=runs.leaving,
                 server_up=self._probe.state.up,
                 manifest_version=self._manifest_version(),
-                crashed=self._runner.crashes.counts(now=now),
+                crashed=self._runner.crashes.told(now=now),
             )
 
     def _load(self) -> Load:
--- /dev/null
+++ b/src/kingcupwheel/agent/maps.py
@@ -0,0 +1,96 @@
+"""Expert maps on an agent: begun once the manifest says that its group has experts."""
+
+from __future__ import annotations
+
+import logging
+from threading import Lock
+from typing import TYPE_CHECKING
+
+from kingcupwheel.expertmaps.service import MapService
+from kingcupwheel.messages.expertmaps import MapOrder
+from kingcupwheel.messages.expertmaps import MapReply
+from kingcupwheel.plugins.kernel import rank_apis
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.hub import Hub
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.manifest.schema import ExpertLayout
+    from kingcupwheel.manifest.schema import ServerGroup
+    from kingcupwheel.messages.base import Message
+    from kingcupwheel.platform.client import PlatformClient
+    from kingcupwheel.settings.schema import ServerSettings
+
+logger = logging.getLogger("kingcupwheel.agent")
+
+
+class AgentMaps:
+    """The map service of the agent's group, if it has experts; safe from any thread."""
+
+    def __init__(
+        self,
+        *,
+        hub: Hub,
+        platform: PlatformClient,
+        name: str,
+        group: str,
+        server: ServerSettings,
+    ) -> None:
+        self._hub = hub
+        self._platform = platform
+        self._name = name
+        self._group = group
+        self._server = server
+        self._service: MapService | None = None
+        self._layout: ExpertLayout | None = None
+        self._lock = Lock()
+
+    def adopt(self, group: ServerGroup) -> None:
+        """Begin, end or begin anew as the group's experts say."""
+        with self._lock:
+            if group.experts == self._layout:
+                return
+            self._layout = group.experts
+            self._end()
+            if group.experts is not None:
+                self._service = self._begin(group.experts)
+
+    def _begin(self, layout: ExpertLayout) -> MapService:
+        server = self._server
+        rank_api = rank_apis.get(server.rank_api)(
+            server.rank_url or server.url, timeout_s=server.rank_timeout_s
+        )
+        service = MapService(
+            hub=self._hub,
+            platform=self._platform,
+            rank_api=rank_api,
+            name=self._name,
+            group=self._group,
+            rank=server.rank,
+            layout=layout,
+        )
+        service.start()
+        logger.info("Speaking for rank %d of %d.", server.rank, layout.ranks)
+        return service
+
+    def _end(self) -> None:
+        service, self._service = self._service, None
+        if service is not None:
+            service.stop()
+
+    def stop(self) -> None:
+        """Give up what is held, so that another agent takes over at once."""
+        with self._lock:
+            self._end()
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Take a message about expert maps; others are ignored."""
+        service = self._service
+        if service is not None and isinstance(message, MapOrder | MapReply):
+            service.on_message(link, message)
+
+    def on_tick(self, now: float) -> None:
+        """Do what is due; called on the hub's thread."""
+        service = self._service
+        if service is not None:
+            service.on_tick(now)
--- a/src/kingcupwheel/agent/runner.py
+++ b/src/kingcupwheel/agent/runner.py
@@ -15,6 +15,7 @@
 from kingcupwheel.agent.attempts import Refuse
 from kingcupwheel.agent.attempts import Start
 from kingcupwheel.agent.attempts import key_of
+from kingcupwheel.decisions.suspects import ServerLife
 from kingcupwheel.messages.runs import Outcome
 from kingcupwheel.trace.events import Finished
 from kingcupwheel.trace.events import FirstByte
@@ -121,7 +122,8 @@
             self._generation += 1
             running = self.runs.running
             fingerprints = [dispatch.fingerprint for dispatch in running]
-            self.crashes.died(fingerprints, now=monotonic())
+            life = ServerLife(self._name, f"{self.runs.incarnation}.{generation}")
+            self.crashes.died(fingerprints, life.death, now=monotonic())
             # Told before the attempts end: an entry that repeats one of them, or gets
             # the same request again, must know by then, or it costs one more server.
             self._tell_death()
--- a/src/kingcupwheel/decisions/suspects.py
+++ b/src/kingcupwheel/decisions/suspects.py
@@ -20,6 +20,10 @@
 # fleet of 1,000, and two chance deaths in a day must not condemn a request.
 SUSPECT_S = 600.0
 
+# How long a death is told to peers: it passes from peer to peer once a heartbeat, and
+# through all entries in about five.
+TELL_S = 15.0
+
 # Fingerprints held at most. A dying server leaves as many as it ran at once (16 to 64);
 # this holds the bystanders of some hundred deaths within the time above.
 MAX_FINGERPRINTS = 4_096
@@ -142,11 +146,15 @@
             record.forgiven = set(record.deaths)
 
     def deaths(self, now: float) -> tuple[tuple[str, int], ...]:
-        """Return fingerprints and deaths held against them, to be told to the peers."""
+        """Return fingerprints and deaths held against them, to be told to the peers.
+
+        Only those of late: peers remember what they heard, and a death told for as long
+        as it is remembered would add kilobytes to every heartbeat for ten minutes.
+        """
         return tuple(
             (fingerprint, death)
             for fingerprint, record in self._by_fingerprint.items()
-            if not isinstance(self.verdict(fingerprint, now), Clear)
+            if now - record.died_at <= TELL_S
             for death in sorted(record.deaths - record.forgiven)
         )
 
--- a/src/kingcupwheel/entry/handling.py
+++ b/src/kingcupwheel/entry/handling.py
@@ -139,14 +139,14 @@
         if restarted is not None:
             self._on_finding(restarted)
         if beat.crashed:
-            self._context.limits.heard(beat.name, beat.crashed)
+            self._context.limits.heard(beat.crashed)
         self._keeper.heard(beat.manifest_version, "", address)
         self._context.dispatchers.pump(beat.group)
 
     def _on_peer_beat(self, link: Link, beat: PeerBeat) -> None:
         self._membership.heard(beat, monotonic())
         if beat.crashed:
-            self._context.limits.heard_from_peer(beat.name, beat.crashed)
+            self._context.limits.heard(beat.crashed)
         if isinstance(link, Outgoing):
             address = link.address
         else:
--- a/src/kingcupwheel/entry/limits.py
+++ b/src/kingcupwheel/entry/limits.py
@@ -12,7 +12,6 @@
 from kingcupwheel.decisions.hashing import stable_fraction
 from kingcupwheel.decisions.retries import RetryBudget
 from kingcupwheel.decisions.suspects import Quarantined
-from kingcupwheel.decisions.suspects import ServerLife
 from kingcupwheel.decisions.suspects import Suspect
 from kingcupwheel.decisions.suspects import Suspects
 from kingcupwheel.decisions.work import WorkPredictor
@@ -146,27 +145,15 @@
         """Return seconds to stay away, spread by request."""
         return _RETRY_AFTER_S * (1.0 + stable_fraction(request.request_id))
 
-    def died(self, fingerprint: str, server: str, life: str) -> None:
-        """Note what ran here when a server died."""
-        with self._lock:
-            self._suspects.died(fingerprint, ServerLife(server, life), monotonic())
-
-    def heard(self, server: str, crashed: tuple[tuple[str, int], ...]) -> None:
-        """Take in an agent's counts of deaths."""
-        with self._lock:
-            now = monotonic()
-            for fingerprint, deaths in crashed:
-                self._suspects.heard(fingerprint, server, deaths, now)
-
-    def heard_from_peer(self, peer: str, crashed: tuple[tuple[str, int], ...]) -> None:
-        """Take in a peer entry's counts of deaths."""
+    def heard(self, crashed: tuple[tuple[str, int], ...]) -> None:
+        """Take in what ran when servers died, as an agent or a peer tells it."""
         with self._lock:
             now = monotonic()
-            for fingerprint, deaths in crashed:
-                self._suspects.heard_from_peer(fingerprint, peer, deaths, now)
+            for fingerprint, death in crashed:
+                self._suspects.heard(fingerprint, death, now)
 
     @property
     def crashed(self) -> tuple[tuple[str, int], ...]:
-        """Deaths held against each fingerprint, to tell peers."""
+        """Fingerprints and the deaths held against them, to tell peers."""
         with self._lock:
-            return self._suspects.counts(monotonic())
+            return self._suspects.deaths(monotonic())
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -35,8 +35,8 @@
     """Agent to entry, about every second and at once when leaving starts.
 
     ``token`` rolls with the agent's own clock; a dispatch that names an old one is
-    refused, which bounds how long tombstones live. ``crashed`` are fingerprints that
-    were running when the server died, with the count of deaths seen by this agent.
+    refused, which bounds how long tombstones live. ``crashed`` are pairs of a
+    fingerprint that was running when the server died and the death's name, for a while.
     """
 
     name: str
@@ -54,7 +54,7 @@
 class PeerBeat(Message, frozen=True):
     """Entry to peer entry, about every second: what the peer may need to know.
 
-    ``crashed`` as in ``Beat``, summed over the agents heard of.
+    ``crashed`` as in ``Beat``, of all deaths heard of lately.
     """
 
     name: str
--- a/src/kingcupwheel/plugins/kernel.py
+++ b/src/kingcupwheel/plugins/kernel.py
@@ -28,7 +28,6 @@
     "placement policy"
 )
 rank_apis: Registry[Callable[..., RankApi]] = Registry("rank API")
-placement_policies: Registry[Callable[..., Any]] = Registry("placement policy")
 codecs: Registry[Any] = Registry("codec")
 
 BUILTIN_MODULES = (
--- a/src/kingcupwheel/settings/schema.py
+++ b/src/kingcupwheel/settings/schema.py
@@ -95,13 +95,20 @@
 
 
 class ServerSettings(Record, frozen=True):
-    """The backend server beside an agent; ``adapter`` names a plug-in."""
+    """The backend server beside an agent; ``adapter`` and ``rank_api`` name plug-ins.
+
+    In an expert-parallel group the server is the group's ``rank`` (from 0);
+    ``rank_url`` is where the rank takes orders about expert maps, ``url`` if empty.
+    """
 
     url: str
     adapter: str = "engine"
     connect_s: float = 1.0
     silence_s: float = 10.0
     rank: int = 0
+    rank_url: str = ""
+    rank_api: str = "http"
+    rank_timeout_s: float = 1.0
 
 
 class Settings(Record, frozen=True):
--- a/tools/capacity_probes.py
+++ b/tools/capacity_probes.py
@@ -217,9 +217,7 @@
     return [
         Point(
             experts,
-            _size(
-                MapReply("parts-model", 41, 7, PROCESS, "a1b2c3d4", bytes(2 * experts))
-            ),
+            _size(MapReply("parts-model", 41, 7, PROCESS, 3, bytes(2 * experts))),
         )
         for experts in (32, 128)
     ]
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -121,6 +121,7 @@
         options: tuple[str, ...] = (),
         limits: dict[str, Any] | None = None,
         relayed: bool = False,
+        server_settings: dict[str, Any] | None = None,
     ) -> Agent:
         """Start a backend server and the agent beside it, and list the instance.
 
@@ -135,6 +136,7 @@
             "url": f"http://{server_address}",
             "adapter": kind,
             "silence_s": self._timings.get("gone_s", 10.0),
+            **(server_settings or {}),
         }
         settings["agent"] = limits or {}
         process = self._start(name, "agent", settings)
@@ -157,6 +159,28 @@
         relayed = process.first_line()
         return process.first_line(), relayed
 
+    def start_ranks(self, ranks: int, experts: int) -> tuple[Process, list[str]]:
+        """Start ranks in lock-step; return them and the address of each."""
+        options = ["--ranks", str(ranks), "--experts", str(experts)]
+        process = Process(
+            "ranks", ["tests.standins.ranks", *options], self._path / "ranks.log"
+        )
+        self.stand_ins["ranks"] = process
+        return process, [process.first_line() for _ in range(ranks)]
+
+    def ask(self, address: str, path: str) -> Any:
+        """Return what a stand-in answers."""
+        return self._test("GET", address, path)
+
+    def tell(self, address: str, path: str, body: Any) -> None:
+        """Switch something of a stand-in."""
+        self._test("POST", address, path, body)
+
+    def stored(self, key: str) -> bytes | None:
+        """Return the value that the platform holds under ``key``."""
+        response = self._http.request("GET", f"http://{self.platform}/v1/objects/{key}")
+        return response.data if response.status == 200 else None
+
     def set_relay(self, control: str, mode: str) -> None:
         """Let a relay pass, cut, freeze-open or freeze-all."""
         self._test("POST", control, "/test/mode", {"mode": mode})
