--- /dev/null
+++ b/features/refusals.feature
@@ -0,0 +1,37 @@
+Feature: Bad requests get a clear refusal and callers see only what is theirs
+
+  Scenario: Each limit refuses with its own reason, truly not run
+    # Malformed, foreign or oversized requests are turned away at the entry; the reason is
+    # machine-readable and nothing reaches a backend server.
+    Given a fleet of 1 entries, 1 engines and 1 services
+    Then these requests to entry-1 are refused as not-run
+      | method | path             | key   | body         | header              | status | reason                  |
+      | POST   | /v1/completions  |       | {}           |                     | 401    | no-key                  |
+      | POST   | /v1/completions  | wrong | {}           |                     | 401    | bad-key                 |
+      | POST   | /v1/nowhere      | own   | {}           |                     | 404    | no-route                |
+      | GET    | /v1/completions  | own   |              |                     | 405    | bad-method              |
+      | POST   | /v1/completions  | own   | not json     |                     | 400    | bad-request             |
+      | POST   | /v1/completions  | own   | [1]          |                     | 400    | bad-request             |
+      | POST   | /v1/completions  | own   | 5 MB         |                     | 413    | body-too-large          |
+      | POST   | /v1/completions  | own   | {}           | X-Big: 20 KB        | 431    | headers-too-large       |
+      | POST   | /v1/completions  | own   | {}           | Kingcupwheel-Deadline: soon | 400 | bad-request       |
+      | POST   | /v1/reservations | own   | {}           |                     | 400    | idempotency-key-missing |
+
+  Scenario: An organisation sees only its own requests
+    # The id of another organisation's request is answered as if it did not exist.
+    Given a fleet of 1 entries, 1 engines and 0 services
+    When "mine" streams 5 tokens from entry-1
+    Then "mine" gets its 5 tokens
+    And its organisation reads what became of "mine" at entry-1
+    And another organisation does not find "mine" at entry-1
+    And operators find "mine" at entry-1 and see it healthy
+
+  Scenario: A flood of one organisation is refused at once and the other is served
+    # One organisation sends far more than its allowance; each refusal says when to come
+    # back, and the other organisation's requests are all answered.
+    Given a fleet of 1 entries, 1 engines and 0 services
+    And engine engine-1 takes 20 ms for each step
+    When the first organisation sends 60 requests at once with an allowance of 8
+    And the other organisation sends 10 requests meanwhile
+    Then the flood has answers and refusals, each refusal with a time to come back
+    And all requests of the other organisation are answered
--- /dev/null
+++ b/features/steps/refusals.py
@@ -0,0 +1,130 @@
+"""Steps about refusals and about what callers may see."""
+
+from __future__ import annotations
+
+import copy
+import json
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import urllib3
+from behave import then
+from behave import when
+from features.world import COMPLETIONS
+from features.world import KEY
+from features.world import OTHER_KEY
+from features.world import manifest
+from tools.caller import Caller
+from tools.caller import Reply
+from tools.processes import wait_until
+
+
+BODY_BY_NAME = {"5 MB": b"x" * 5_000_000}
+HEADER_BY_NAME = {"20 KB": "x" * 20_000}
+KEY_BY_NAME = {"own": KEY, "wrong": "no such key"}
+IN_FORCE_S = 7.0
+
+
+@then("these requests to {entry} are refused as not-run")
+def check_refusals(context: Any, entry: str) -> None:
+    """Send each row's request and compare status, reason and outcome."""
+    http = urllib3.PoolManager(retries=False, timeout=20.0)
+    before = context.world.runs_by_request_id()
+    for row in context.table:
+        headers = {}
+        if row["key"]:
+            headers["Authorization"] = f"Bearer {KEY_BY_NAME[row['key']]}"
+        if row["header"]:
+            name, _, value = row["header"].partition(": ")
+            headers[name] = HEADER_BY_NAME.get(value, value)
+        body = BODY_BY_NAME.get(row["body"], row["body"].encode())
+        url = f"http://{context.world.http(entry)}{row['path']}"
+        reply = http.request(row["method"], url, body=body or None, headers=headers)
+        told = json.loads(reply.data)["error"]
+        seen = (reply.status, told["reason"], told["outcome"])
+        assert seen == (int(row["status"]), row["reason"], "not-run"), (row, seen)
+    assert context.world.runs_by_request_id() == before
+
+
+def _read(context: Any, entry: str, name: str, key: str) -> Reply:
+    request_id = context.world.answered(name).request_id
+    path = f"/kingcupwheel/v1/requests/{request_id}"
+    reply = Caller(key).call(context.world.http(entry), path, method="GET")
+    assert isinstance(reply, Reply), reply
+    return reply
+
+
+@then('its organisation reads what became of "{name}" at {entry}')
+def check_own(context: Any, name: str, entry: str) -> None:
+    """Read the request's page with the key that sent it."""
+    reply = _read(context, entry, name, KEY)
+    assert reply.status == 200, reply
+    assert reply.json["outcome"] == "ran", reply
+    assert reply.json["story"], reply
+
+
+@then('another organisation does not find "{name}" at {entry}')
+def check_foreign(context: Any, name: str, entry: str) -> None:
+    """Read the request's page with another organisation's key."""
+    assert _read(context, entry, name, OTHER_KEY).status == 404
+
+
+@then('operators find "{name}" at {entry} and see it healthy')
+def check_operators(context: Any, name: str, entry: str) -> None:
+    """Read the operators' pages, which need no key and have another address."""
+    fleet = context.world.fleet
+    operators = fleet.entries[entry].operators
+    request_id = context.world.answered(name).request_id
+    assert fleet.ask(operators, f"/trace/{request_id}")
+    assert fleet.ask(operators, "/health") == {"healthy": True, "why": ""}
+    assert fleet.ask(operators, "/status")["servers"]
+
+
+@when(
+    "the first organisation sends {count:d} requests at once with an allowance of "
+    "{allowance:d}"
+)
+def start_flood(context: Any, count: int, allowance: int) -> None:
+    """Bound the first organisation, then let it send far more."""
+    world = context.world
+    changed = copy.deepcopy(manifest())
+    changed["organisations"][0]["allowance"] = {"concurrency": allowance}
+    assert world.fleet.submit(changed).returncode == 0
+    arguments = ("manifest", "status", "--platform", f"http://{world.fleet.platform}")
+    wait_until(
+        lambda: world.fleet.command(*arguments).returncode == 0, "in force", IN_FORCE_S
+    )
+    context.pool = ThreadPoolExecutor(count)
+    context.flood = [context.pool.submit(_call, world, KEY) for _ in range(count)]
+
+
+def _call(world: Any, key: str) -> Reply:
+    body = {"prompt": "hello", "max_tokens": 50}
+    reply = Caller(key).call(world.http("entry-1"), COMPLETIONS, body)
+    assert isinstance(reply, Reply), reply
+    return reply
+
+
+@when("the other organisation sends {count:d} requests meanwhile")
+def send_others(context: Any, count: int) -> None:
+    """Send one after the other, as an ordinary caller."""
+    context.others = [_call(context.world, OTHER_KEY) for _ in range(count)]
+    context.flooded = [future.result() for future in context.flood]
+    context.pool.shutdown()
+
+
+@then("the flood has answers and refusals, each refusal with a time to come back")
+def check_flood(context: Any) -> None:
+    """Check that the allowance was used and the rest refused at once."""
+    refused = [reply for reply in context.flooded if reply.status == 429]
+    answered = [reply for reply in context.flooded if reply.status == 200]
+    assert answered, context.flooded
+    assert refused, context.flooded
+    assert len(answered) + len(refused) == len(context.flooded), context.flooded
+    assert all("retry-after" in reply.headers for reply in refused), refused
+
+
+@then("all requests of the other organisation are answered")
+def check_others(context: Any) -> None:
+    """Check that the flood cost the other organisation nothing."""
+    assert {reply.status for reply in context.others} == {200}, context.others
--- a/src/kingcupwheel/entry/callers.py
+++ b/src/kingcupwheel/entry/callers.py
@@ -8,8 +8,12 @@
 from typing import NamedTuple
 from typing import TypedDict
 
+from kingcupwheel.trace.events import Admitted
+from kingcupwheel.trace.events import Dispatched
 from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import Placed
 from kingcupwheel.trace.events import Received
+from kingcupwheel.trace.sentences import sentence
 
 
 if TYPE_CHECKING:
@@ -93,7 +97,7 @@
         outcome=None,
         status=None,
         reason="in progress",
-        story=[type(one.event).__name__ for one in events],
+        story=[_told(one, events) for one in events if _is_for_callers(one)],
     )
     for one in events:
         if isinstance(one.event, Finished):
@@ -103,5 +107,14 @@
     return body
 
 
+def _is_for_callers(one: TraceEvent) -> bool:
+    # Where a request was placed, and the load of servers, are the operators' business.
+    return not isinstance(one.event, Placed | Dispatched | Admitted)
+
+
+def _told(one: TraceEvent, events: tuple[TraceEvent, ...]) -> str:
+    return sentence(one, entry=one.process, arrived=events[0].at)
+
+
 def _error(status: int, reason: str, message: str) -> Page:
     return Page(status, {"error": {"reason": reason, "message": message}})
--- a/src/kingcupwheel/entry/daemon.py
+++ b/src/kingcupwheel/entry/daemon.py
@@ -21,6 +21,8 @@
 from kingcupwheel.entry.limits import Limits
 from kingcupwheel.entry.membership import Membership
 from kingcupwheel.entry.observing import Observer
+from kingcupwheel.entry.operators import OPERATOR_THREADS
+from kingcupwheel.entry.operators import OperatorPages
 from kingcupwheel.entry.peers import PeerFetcher
 from kingcupwheel.entry.servers import ServerTable
 from kingcupwheel.entry.sharing import Sharing
@@ -35,6 +37,7 @@
 from kingcupwheel.metrics.platform import MeteredPlatformClient
 from kingcupwheel.plugins.kernel import load_builtin
 from kingcupwheel.plugins.kernel import platform_clients
+from kingcupwheel.trace.events import ManifestChanged
 from kingcupwheel.trace.recorder import Recorder
 from kingcupwheel.trace.shipper import BatchShipper
 
@@ -134,8 +137,24 @@
             self._application,
             listen=settings.http,
             threads=settings.entry.threads + SPARE_THREADS,
+            connections=settings.entry.connections,
             name=settings.name,
         )
+        self._operator_http = self._operator_server()
+
+    def _operator_server(self) -> HttpServer | None:
+        if not self._settings.operator_http:
+            return None
+        pages = OperatorPages(
+            self._context, self._keeper, lambda: self._application.in_progress
+        )
+        return HttpServer(
+            pages,
+            listen=self._settings.operator_http,
+            threads=OPERATOR_THREADS,
+            connections=OPERATOR_THREADS,
+            name=f"{self._settings.name}-operators",
+        )
 
     @property
     def port(self) -> int:
@@ -145,6 +164,9 @@
     def start(self) -> None:
         """Bind, then start every part."""
         self._http.bind()
+        if self._operator_http is not None:
+            self._operator_http.bind()
+            self._operator_http.start()
         self._hub.start()
         self._keeper.start()
         self._membership.start()
@@ -165,6 +187,8 @@
         while self._application.in_progress:
             Event().wait(_DRAIN_CHECK_S)
         self._http.stop()
+        if self._operator_http is not None:
+            self._operator_http.stop()
         self._membership.stop()
         self._keeper.stop()
         self._shipper.stop()
@@ -184,7 +208,9 @@
         self._handler.on_tick(now)
 
     def _on_manifest(self, in_force: InForce) -> None:
-        logger.info("Manifest version %d is in force.", in_force.version)
+        changed = ManifestChanged(in_force.version)
+        for request_id in self._context.inboxes.request_ids:
+            self._recorder.record(request_id, changed)
         self._observer.adopt(in_force)
 
     def _organisation_named(self, name: str) -> Organisation | None:
--- a/src/kingcupwheel/entry/gateway.py
+++ b/src/kingcupwheel/entry/gateway.py
@@ -55,7 +55,13 @@
     """Serves a WSGI application on ``listen`` (``IP:port``) with so many threads."""
 
     def __init__(
-        self, application: Any, *, listen: str, threads: int, name: str
+        self,
+        application: Any,
+        *,
+        listen: str,
+        threads: int,
+        connections: int,
+        name: str,
     ) -> None:
         host, _, port = listen.rpartition(":")
         self._listen = listen
@@ -69,6 +75,7 @@
             shutdown_timeout=_SOCKET_TIMEOUT_S,
         )
         self._server.gateway = _Gateway
+        self._server.keep_alive_conn_limit = connections
         self._server.max_request_header_size = _MAX_HEAD_BYTES
         self._thread = Thread(target=self._serve, name=f"http-{name}", daemon=True)
 
--- a/src/kingcupwheel/entry/inbox.py
+++ b/src/kingcupwheel/entry/inbox.py
@@ -107,6 +107,12 @@
         with self._lock:
             return tuple(i for i in self._by_key.values() if i.address == address)
 
+    @property
+    def request_ids(self) -> frozenset[str]:
+        """The requests with an attempt under way."""
+        with self._lock:
+            return frozenset(key.request_id for key in self._by_key)
+
     @property
     def count(self) -> int:
         """How many attempts are under way."""
--- /dev/null
+++ b/src/kingcupwheel/entry/operators.py
@@ -0,0 +1,121 @@
+"""Pages for operators, on an address of their own that callers are not given."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+from typing import TypedDict
+
+import msgspec
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.servers import Server
+    from kingcupwheel.manifest.keeper import ManifestKeeper
+
+OPERATOR_THREADS = 4
+_HEALTH = "/health"
+_STATUS = "/status"
+_TRACES = "/trace/"
+
+
+class ServerRow(TypedDict):
+    """One backend server as this entry sees it."""
+
+    server: str
+    group: str
+    in_service: bool
+    in_flight: int
+    heard_s_ago: float
+
+
+class StatusBody(TypedDict):
+    """How the entry is; ``manifest_version`` is 0 before the first one."""
+
+    name: str
+    manifest_version: int
+    leaving: bool
+    in_progress: int
+    waiting_by_group: dict[str, int]
+    servers: list[ServerRow]
+
+
+class _Page(NamedTuple):
+    status: str
+    body: Any
+
+
+class OperatorPages:
+    """A WSGI application: ``/health``, ``/status`` and ``/trace/ID``, read only."""
+
+    def __init__(
+        self,
+        context: EntryContext,
+        keeper: ManifestKeeper,
+        in_progress: Callable[[], int],
+    ) -> None:
+        self._context = context
+        self._keeper = keeper
+        self._in_progress = in_progress
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one question with JSON."""
+        page = self._page(str(environ.get("PATH_INFO", "")))
+        body = msgspec.json.encode(page.body)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(page.status, headers)
+        return (body,)
+
+    def _page(self, path: str) -> _Page:
+        if path == _HEALTH:
+            return self._health()
+        if path == _STATUS:
+            return _Page("200 OK", self._status())
+        if path.startswith(_TRACES):
+            events = self._context.recorder.events(path[len(_TRACES) :])
+            if events:
+                return _Page("200 OK", events)
+        return _Page("404 Not Found", {"error": "no such page or request"})
+
+    def _health(self) -> _Page:
+        """Tell whether callers should be sent here."""
+        why = ""
+        if self._context.leaving.is_set():
+            why = "leaving"
+        elif self._keeper.current is None:
+            why = "no manifest in force"
+        status = "503 Service Unavailable" if why else "200 OK"
+        return _Page(status, {"healthy": not why, "why": why})
+
+    def _status(self) -> StatusBody:
+        now = monotonic()
+        servers = self._context.servers.all
+        return StatusBody(
+            name=self._context.settings.name,
+            manifest_version=self._keeper.version,
+            leaving=self._context.leaving.is_set(),
+            in_progress=self._in_progress(),
+            waiting_by_group=self._context.dispatchers.waiting_by_group,
+            servers=[_row(server, now) for server in servers],
+        )
+
+
+def _row(server: Server, now: float) -> ServerRow:
+    return ServerRow(
+        server=server.name,
+        group=server.instance.group,
+        in_service=server.in_service,
+        in_flight=server.in_flight,
+        heard_s_ago=round(now - server.heard_at, 2),
+    )
--- a/src/kingcupwheel/entry/servers.py
+++ b/src/kingcupwheel/entry/servers.py
@@ -197,6 +197,12 @@
         """Return the group's servers; read them under ``lock`` only."""
         return tuple(s for s in self._servers() if s.instance.group == group)
 
+    @property
+    def all(self) -> tuple[Server, ...]:
+        """Every server known."""
+        with self._lock:
+            return self._servers()
+
     def by_name(self, name: str) -> Server | None:
         """Return the server with that instance name."""
         with self._lock:
--- a/src/kingcupwheel/settings/checks.py
+++ b/src/kingcupwheel/settings/checks.py
@@ -35,7 +35,7 @@
         if not NAME_FORM.fullmatch(getattr(settings, field)):
             yield Problem(field, f"{NAME_RULE}, not {getattr(settings, field)!r}")
     yield from _address(settings.listen, "listen")
-    for field in ("http", "http_public", "operator_http"):
+    for field in ("http", "operator_http"):
         if getattr(settings, field):
             yield from _address(getattr(settings, field), field)
     for index, seed in enumerate(settings.seeds):
@@ -107,7 +107,7 @@
 
 
 def _agent(settings: Settings) -> Iterator[Problem]:
-    for field in ("http", "http_public"):
+    for field in ("http", "operator_http"):
         if getattr(settings, field):
             yield Problem(field, "is for entries only")
     if not settings.group:
--- a/src/kingcupwheel/settings/schema.py
+++ b/src/kingcupwheel/settings/schema.py
@@ -47,13 +47,16 @@
 
 
 class EntryLimits(Record, frozen=True):
-    """Bounds of an entry; each refuses clearly when it is reached."""
+    """Bounds of an entry.
+
+    Over ``threads`` requests at once further ones are refused; of connections that wait
+    for their next request, those over ``connections`` are closed.
+    """
 
     body_bytes: int = 4_000_000
     header_bytes: int = 16_384
     connections: int = 400
     threads: int = 160
-    queue: int = 512
     subset: int = 24
     traces: int = 20_000
 
@@ -115,9 +118,9 @@
     """One process's settings file.
 
     ``listen`` is ``IP:port`` of the socket for the system's own processes; ``http`` is
-    where callers connect (entries only); ``http_public`` is what callers are told when
-    it differs. ``server`` and ``group`` are for agents only. ``seeds`` are addresses of
-    some entries, asked when the platform does not answer at the start.
+    where callers connect and ``operator_http`` where operators do (entries only).
+    ``server`` and ``group`` are for agents only. ``seeds`` are addresses of some
+    entries, asked when the platform does not answer at the start.
     """
 
     name: str
@@ -125,9 +128,7 @@
     data_centre: str
     listen: str
     platform: PlatformSettings
-    region: str = ""
     http: str = ""
-    http_public: str = ""
     operator_http: str = ""
     group: str = ""
     seeds: tuple[str, ...] = ()
--- /dev/null
+++ b/tests/claims/test_store.py
@@ -0,0 +1,112 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from kingcupwheel.claims.exceptions import ClaimMoved
+from kingcupwheel.claims.exceptions import ClaimUnreachable
+from kingcupwheel.claims.records import ClaimRecord
+from kingcupwheel.claims.records import claim_id_of
+from kingcupwheel.claims.store import ClaimStore
+from kingcupwheel.claims.store import new_nonce
+from kingcupwheel.platform.http import HttpPlatformClient
+from kingcupwheel.settings.schema import PlatformSettings
+from tests.standins.platform import PlatformStandIn
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+CLAIM = claim_id_of("agency", "key")
+
+
+@pytest.fixture
+def platform() -> Iterator[PlatformStandIn]:
+    with PlatformStandIn() as stand_in:
+        yield stand_in
+
+
+@pytest.fixture
+def store(platform: PlatformStandIn) -> ClaimStore:
+    return ClaimStore(HttpPlatformClient(PlatformSettings(url=platform.url)))
+
+
+def record(fence: int = 1) -> ClaimRecord:
+    return ClaimRecord(
+        organisation="agency",
+        request_id="entry.1.a",
+        attempt=1,
+        nonce=new_nonce(),
+        body_digest="digest",
+        entry="entry",
+        agent="server-1",
+        address="127.0.0.1:7400",
+        incarnation="life-1",
+        fence=fence,
+        created_at=1.0,
+    )
+
+
+def test_of_two_claims_one_is_made_and_the_other_has_to_look_again(
+    store: ClaimStore,
+) -> None:
+    first = store.make(CLAIM, record())
+    second = store.make(CLAIM, record())
+
+    assert first.is_ok()
+    assert second.error == ClaimMoved(CLAIM)
+    found = store.read(CLAIM).ok
+    assert found == first.ok
+
+
+def test_a_write_whose_answer_is_lost_is_known_by_its_nonce(
+    store: ClaimStore, platform: PlatformStandIn
+) -> None:
+    """The caller notices nothing: its claim took effect, only the answer was lost.
+
+    Making and moving both lose their answer; each reads back and finds its own nonce.
+    """
+    platform.state.switch(lose_answers=1)
+    made = store.make(CLAIM, record())
+    platform.state.switch(lose_answers=1)
+    moved = store.move(made.ok, record(fence=2))
+
+    assert moved.ok.record.fence == 2
+    assert moved.ok.version > made.ok.version
+
+
+def test_a_claim_changed_by_somebody_else_is_not_moved(store: ClaimStore) -> None:
+    """The slower of two entries that raise the fence must not overwrite the other."""
+    made = store.make(CLAIM, record()).ok
+    theirs = store.move(made, record(fence=2)).ok
+
+    assert store.move(made, record(fence=2)).error == ClaimMoved(CLAIM)
+    assert store.read(CLAIM).ok == theirs
+
+
+def test_in_an_outage_nothing_is_claimed_and_the_caller_is_told_when_to_return(
+    store: ClaimStore, platform: PlatformStandIn
+) -> None:
+    platform.state.switch(outage="down")
+
+    refused = store.make(CLAIM, record()).error
+
+    assert isinstance(refused, ClaimUnreachable)
+    assert refused.retry_after_s > 0
+
+
+def test_a_claim_with_fields_of_a_later_release_is_still_read(
+    store: ClaimStore, platform: PlatformStandIn
+) -> None:
+    made = store.make(CLAIM, record()).ok
+    value = msgspec.json.decode(msgspec.json.encode(made.record))
+    client = HttpPlatformClient(PlatformSettings(url=platform.url))
+    later = msgspec.json.encode({**value, "new_field": 1})
+    client.update(f"claims/{CLAIM}", later, version=made.version)
+
+    found = store.read(CLAIM).ok
+    assert found is not None
+    assert found.record == made.record
--- /dev/null
+++ b/tests/entry/test_following.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.entry.following import MAX_RESUMES_WITHOUT_PROGRESS
+from kingcupwheel.entry.following import Chunk
+from kingcupwheel.entry.following import Ended
+from kingcupwheel.entry.following import Following
+from kingcupwheel.entry.following import ResumeAt
+from kingcupwheel.messages.runs import Data
+from kingcupwheel.messages.runs import End
+from kingcupwheel.messages.runs import Head
+from kingcupwheel.messages.runs import Outcome
+
+
+BODY = bytes(range(200))
+HEAD = Head("request", 1, 200, ())
+END = End("request", 1, len(BODY), Outcome.RAN, "")
+
+spans = st.tuples(st.integers(0, len(BODY)), st.integers(1, 60))
+messages = st.one_of(
+    spans.map(lambda span: Data("request", 1, span[0], BODY[span[0] : sum(span)])),
+    st.just(HEAD),
+    st.just(END),
+)
+
+
+@given(st.lists(messages, max_size=40))
+def test_only_the_next_bytes_pass_and_the_end_comes_only_after_all_of_them(
+    arrived: list[Data | Head | End],
+) -> None:
+    """The caller sees the answer's bytes in order, once each, and an end when whole.
+
+    Frames arrive late, twice, overlapping, with holes and before the head. When the
+    steps ask for it, the agent answers from the offset asked for.
+    """
+    following = Following()
+    passed = b""
+    ended: Ended | None = None
+    queue = list(arrived)
+    while queue and ended is None:
+        step = following.on(queue.pop(0))
+        match step:
+            case Chunk(data):
+                passed += data
+            case ResumeAt(offset):
+                assert offset == len(passed)
+                rest = Data("request", 1, offset, BODY[offset:])
+                queue = [HEAD, rest, END] if offset < len(BODY) else [HEAD, END]
+            case Ended():
+                ended = step
+
+    assert BODY.startswith(passed)
+    if ended is not None:
+        assert ended.outcome is Outcome.RAN
+        assert passed == BODY
+
+
+def test_an_answer_whose_bytes_are_gone_ends_as_unknown() -> None:
+    """The caller is told unknown instead of waiting for ever, and never a whole answer.
+
+    The agent freed the bytes; each resume brings the same end without its frames.
+    """
+    following = Following()
+    following.on(HEAD)
+    steps = [following.on(END) for _ in range(MAX_RESUMES_WITHOUT_PROGRESS + 1)]
+
+    assert all(isinstance(step, ResumeAt) for step in steps[:-1])
+    last = steps[-1]
+    assert isinstance(last, Ended)
+    assert last.outcome is Outcome.UNKNOWN
--- /dev/null
+++ b/tests/entry/test_servers.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import pytest
+
+from kingcupwheel.entry.servers import Gone
+from kingcupwheel.entry.servers import Restarted
+from kingcupwheel.entry.servers import ServerTable
+from kingcupwheel.entry.servers import Silent
+from kingcupwheel.settings.schema import Timings
+from tests.entry.builders import ADDRESS
+from tests.entry.builders import beat
+from tests.entry.builders import instance
+
+
+TIMINGS = Timings()
+
+
+@pytest.fixture
+def table() -> ServerTable:
+    table = ServerTable(TIMINGS)
+    table.keep((instance(),), 0.0)
+    table.check(0.0)
+    table.heard(ADDRESS, beat(), 0.0)
+    return table
+
+
+def look_each_second(table: ServerTable, first: int, last: int) -> list[object]:
+    return [found for now in range(first, last + 1) for found in table.check(now)]
+
+
+def test_a_silent_link_is_replaced_again_and_again_and_then_given_up(
+    table: ServerTable,
+) -> None:
+    """Callers wait while new links are tried; their requests end once no hope is left.
+
+    The agent says nothing from time 0 on. A link is silent after ``silence_s``, the
+    agent is given up after ``give_up_s``, once.
+    """
+    found = look_each_second(table, 1, int(TIMINGS.give_up_s) + 4)
+
+    kinds = [type(one) for one in found]
+    assert kinds.count(Gone) == 1
+    assert kinds.index(Gone) == 5
+    assert kinds[:5] == [Silent] * 5
+    assert not table.of_group("group")[0].in_service
+
+
+def test_a_pause_of_this_process_is_not_taken_for_silence_of_the_others(
+    table: ServerTable,
+) -> None:
+    """Callers' answers go on after the entry was frozen for an hour.
+
+    Nothing was read meanwhile, so every agent looks silent at once when it wakes.
+    """
+    look_each_second(table, 1, 2)
+
+    assert table.check(3600.0) == ()
+    assert table.of_group("group")[0].in_service
+
+
+def test_a_new_life_is_told_once_and_a_server_that_left_the_list_is_kept_while_used(
+    table: ServerTable,
+) -> None:
+    assert table.heard(ADDRESS, beat("life-2"), 1.0) == Restarted(ADDRESS, "life-2")
+    assert table.heard(ADDRESS, beat("life-2"), 2.0) is None
+
+    table.of_group("group")[0].in_flight = 1
+    assert table.keep((), 3.0) == ()
+    table.of_group("group")[0].in_flight = 0
+    assert table.keep((), 4.0) == (ADDRESS,)
+
+
+@pytest.mark.parametrize(("by_list", "by_itself"), [(True, False), (False, True)])
+def test_either_the_list_or_the_agent_itself_takes_a_server_out_of_service(
+    table: ServerTable, *, by_list: bool, by_itself: bool
+) -> None:
+    table.keep((instance(leaving=by_list),), 1.0)
+    table.heard(ADDRESS, beat(leaving=by_itself), 1.0)
+
+    assert not table.of_group("group")[0].in_service
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -32,11 +32,12 @@
 
 
 class Entry(NamedTuple):
-    """A running entry; ``http`` is where callers connect."""
+    """A running entry; callers connect to ``http``, operators to ``operators``."""
 
     process: Process
     http: str
     address: str
+    operators: str
 
 
 class Agent(NamedTuple):
@@ -224,7 +225,10 @@
         settings["entry"] = limits or {}
         if platform:
             settings["platform"] = {"url": f"http://{platform}"}
-        entry = Entry(self._start(name, "entry", settings), http, address)
+        operators = f"127.0.0.1:{free_port()}"
+        settings["operator_http"] = operators
+        process = self._start(name, "entry", settings)
+        entry = Entry(process, http, address, operators)
         self.entries[name] = entry
         self.list_instance(name, "entry", "", data_centre, address, http)
         return entry
