--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,120 @@
+"""``make measure``: every measurement, one after the other, as one page of tables.
+
+Writes ``docs/MEASUREMENTS.md`` with the commit and the commands. Parts named on the
+command line are measured anew and the others are kept as they stand. Nothing here runs
+in CI: timings depend on the machine and on what else it does.
+"""
+
+from __future__ import annotations
+
+import os
+import platform
+import subprocess
+import sys
+import tempfile
+from datetime import UTC
+from datetime import datetime
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+from tools.processes import environment
+
+
+_ROOT = Path(__file__).resolve().parent.parent
+_PAGE = _ROOT / "docs" / "MEASUREMENTS.md"
+_TIMEOUT_S = 900
+
+
+class Part(NamedTuple):
+    """One measurement: its title and the module that prints or writes its tables."""
+
+    title: str
+    module: str
+    writes_file: bool = False
+
+
+PART_BY_NAME = {
+    "path": Part("The whole path", "tools.measure_path"),
+    "agent": Part("An agent's cost per frame", "tools.measure_agent"),
+    "decisions": Part("Decisions under load", "tools.measure_decisions"),
+    "maps": Part("Planning expert maps", "tools.measure_maps", writes_file=True),
+    "groups": Part("Agreeing on expert maps", "tools.measure_groups", writes_file=True),
+    "manifest": Part("Manifests of many organisations", "tools.measure_manifest"),
+}
+
+
+def measure(part: Part) -> str:
+    """Return the part's tables."""
+    command = [sys.executable, "-m", part.module]
+    with tempfile.TemporaryDirectory() as folder:
+        output = Path(folder) / "tables.md"
+        if part.writes_file:
+            command += ["--output", str(output)]
+        done = subprocess.run(
+            command,
+            cwd=_ROOT,
+            env=environment(),
+            capture_output=True,
+            text=True,
+            timeout=_TIMEOUT_S,
+            check=False,
+        )
+        if done.returncode:
+            return f"Failed with exit code {done.returncode}; no figures."
+        return output.read_text() if part.writes_file else done.stdout
+
+
+def section(name: str) -> str:
+    """Return a part's section of the page, with when and on what it was measured."""
+    part = PART_BY_NAME[name]
+    load = os.getloadavg()[0]
+    tables = measure(part).strip()
+    at = datetime.now(tz=UTC).strftime("%Y-%m-%d %H:%M UTC")
+    told = (
+        f"`python -m {part.module}`, commit {_commit()}, {at}, "
+        f"{os.cpu_count()} cores, load average {load:.1f} before the run, "
+        f"Python {platform.python_version()}."
+    )
+    return f"## {part.title}\n\n{told}\n\n{tables}\n"
+
+
+def _commit() -> str:
+    described = subprocess.run(
+        ["git", "describe", "--always", "--dirty"],
+        cwd=_ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return described.stdout.strip()
+
+
+def _kept_sections() -> dict[str, str]:
+    if not _PAGE.exists():
+        return {}
+    title_to_name = {part.title: name for name, part in PART_BY_NAME.items()}
+    kept: dict[str, str] = {}
+    for text in _PAGE.read_text().split("\n## ")[1:]:
+        title = text.partition("\n")[0]
+        if title in title_to_name:
+            kept[title_to_name[title]] = f"## {text.rstrip()}\n"
+    return kept
+
+
+def main() -> None:
+    """Measure the parts named, or all."""
+    names = sys.argv[1:] or list(PART_BY_NAME)
+    sections = _kept_sections()
+    for name in names:
+        click.echo(f"Measuring {name}.")
+        sections[name] = section(name)
+        click.echo(sections[name])
+    ordered = [sections[name] for name in PART_BY_NAME if name in sections]
+    head = "# Measurements\n\nWritten by `make measure`; one run each unless said.\n"
+    _PAGE.write_text("\n".join([head, *ordered]))
+
+
+if __name__ == "__main__":
+    main()
