--- a/src/kingcupwheel/expertmaps/protocol.py
+++ b/src/kingcupwheel/expertmaps/protocol.py
@@ -94,6 +94,12 @@
     whole: bool = False
 
 
+class ReadLoads(Order, frozen=True):
+    """Ask how much work each expert had since the last asking."""
+
+    round: int
+
+
 class RankStatus(msgspec.Struct, frozen=True, array_like=True):
     """A rank's state: ``step`` is the next to run, ``held`` a version not yet ended.
 
@@ -150,6 +156,20 @@
     schedule: Schedule | None = None
 
 
+class LoadsRead(Reply, frozen=True):
+    """Answers ``ReadLoads``.
+
+    ``counts`` are, for each layer, the tokens that passed each expert in this rank's
+    slots, in the order of the map of ``origin``, since it is in force or was last asked
+    for. A rank tells of its own slots only: a coordinator of 32 ranks would otherwise
+    hear of every expert 32 times.
+    """
+
+    round: int
+    origin: MapVersion
+    counts: tuple[tuple[int, ...], ...]
+
+
 class RefusalReason(StrEnum):
     """Why an order changed nothing."""
 
@@ -171,8 +191,10 @@
     reason: RefusalReason
 
 
-AnyOrder = Stage | Prepare | Supersede | Commit | Abort | ReadState
-AnyReply = Staged | Prepared | Held | Committed | Aborted | StateRead | Refused
+RankOrder = Stage | Prepare | Supersede | Commit | Abort | ReadState
+AnyOrder = RankOrder | ReadLoads
+RankReply = Staged | Prepared | Held | Committed | Aborted | StateRead | Refused
+AnyReply = RankReply | LoadsRead
 
 _ENCODER = msgspec.msgpack.Encoder()
 _ORDERS: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(AnyOrder)
@@ -182,7 +204,7 @@
 def version_of(order: AnyOrder) -> MapVersion:
     """Return the version that ``order`` names; ``ReadState`` names none."""
     match order:
-        case ReadState():
+        case ReadState() | ReadLoads():
             return NO_VERSION
         case _:
             return order.version
