--- a/src/kingcupwheel/agent/adapters/engine.py
+++ b/src/kingcupwheel/agent/adapters/engine.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from time import monotonic
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -46,10 +47,11 @@
 # connection and trying on would only load the engine.
 _RESUMES_WITHOUT_PROGRESS = 5
 _PAUSE_S = 0.2
-# An engine that says nothing on new connections either is stalled as a whole, not slow
-# with one request. It is asked so often before the answer is called lost; a question
-# gets this share of ``silence_s``, so that the loss is known after twice ``silence_s``.
-_QUESTIONS = 2
+# An engine that answers on no new connection either is stalled as a whole, not slow
+# with one request. It is asked for this many times ``silence_s`` before the answer is
+# called lost: one question alone may meet the same fault as the answer did. A question
+# gets a share of ``silence_s``.
+_PATIENCE = 2.0
 _QUESTION_SHARE = 0.5
 
 
@@ -61,6 +63,10 @@
     rate: float
 
 
+class _NoAnswer(NamedTuple):
+    """A question about a run went out and no answer came back."""
+
+
 class _StillRuns(NamedTuple):
     """The engine runs the request and has nothing to send yet."""
 
@@ -190,8 +196,9 @@
 
         ``life`` is the engine's life that the run began in, empty if not known.
         """
-        silences = 0
-        while silences < _QUESTIONS:
+        patience_s = self._server.silence_s * _PATIENCE
+        give_up_at = monotonic() + patience_s
+        while monotonic() < give_up_at:
             if cancellation.wait(_PAUSE_S):
                 return Error(ServerLost("cancelled", died=False))
             resumed = self._try_resume(name, offset, life, cancellation)
@@ -200,15 +207,15 @@
             match resumed.error:
                 case ServerLost() as lost:
                     return Error(lost)
-                case Silent():
-                    silences += 1
                 case _StillRuns():
-                    silences = 0
+                    give_up_at = monotonic() + patience_s
+                case _NoAnswer():
+                    pass
         return Error(ServerLost("server silent", died=False))
 
     def _try_resume(
         self, name: str, offset: int, life: str, cancellation: Cancellation
-    ) -> Result[Call, ServerLost | Silent | _StillRuns]:
+    ) -> Result[Call, ServerLost | _NoAnswer | _StillRuns]:
         asked = self._ask(cancellation)
         if asked.is_error():
             return Error(asked.error)
@@ -217,60 +224,58 @@
         opened = self._reopen(name, offset, cancellation)
         if opened.is_ok():
             return Ok(opened.ok)
-        if isinstance(opened.error, Silent) and name in asked.ok.running:
+        if isinstance(opened.error, _NoAnswer) and name in asked.ok.running:
             return Error(_StillRuns())
         return Error(opened.error)
 
     def _ask(
         self, cancellation: Cancellation
-    ) -> Result[EngineState, ServerLost | Silent]:
+    ) -> Result[EngineState, ServerLost | _NoAnswer]:
         connected = connect(self._server, cancellation)
         if connected.is_error():
-            return Error(_lost_or_silent(connected.error))
+            return Error(_died_or_no_answer(connected.error))
         call = connected.ok
         try:
             silence_s = self._server.silence_s * _QUESTION_SHARE
             sent = call.send(get(_STATE_PATH), silence_s=silence_s)
-            if sent.is_error():
-                return Error(sent.error)
-            return _read_state(call)
+            return Error(_NoAnswer()) if sent.is_error() else _read_state(call)
         finally:
             call.close()
 
     def _reopen(
         self, name: str, offset: int, cancellation: Cancellation
-    ) -> Result[Call, ServerLost | Silent]:
+    ) -> Result[Call, ServerLost | _NoAnswer]:
         connected = connect(self._server, cancellation)
         if connected.is_error():
-            return Error(_lost_or_silent(connected.error))
+            return Error(_died_or_no_answer(connected.error))
         call = connected.ok
         request = get(f"/engine/resume/{name}?offset={offset}")
         sent = call.send(request, silence_s=self._server.silence_s)
         if sent.is_error():
             call.close()
-            return Error(sent.error)
+            return Error(_NoAnswer())
         if call.header(REQUEST_ID_HEADER) != name:
             call.close()
             return Error(ServerLost("server no longer knows the request", died=False))
         return Ok(call)
 
 
-def _read_state(call: Call) -> Result[EngineState, ServerLost | Silent]:
+def _read_state(call: Call) -> Result[EngineState, ServerLost | _NoAnswer]:
     body = b""
     while True:
         result = call.read()
         if result.is_error():
-            return Error(result.error)
+            return Error(_NoAnswer())
         if not result.ok:
             break
         body += result.ok
     if call.response.status != _HTTP_OK:
-        return Error(ServerLost(f"state: status {call.response.status}", died=False))
+        return Error(_NoAnswer())
     try:
         return Ok(_STATE_DECODER.decode(body))
-    except msgspec.DecodeError as error:
-        return Error(ServerLost(f"state: {error}", died=False))
+    except msgspec.DecodeError:
+        return Error(_NoAnswer())
 
 
-def _lost_or_silent(down: ServerDown) -> ServerLost | Silent:
-    return ServerLost(down.detail, died=True) if down.refused else Silent()
+def _died_or_no_answer(down: ServerDown) -> ServerLost | _NoAnswer:
+    return ServerLost(down.detail, died=True) if down.refused else _NoAnswer()
--- /dev/null
+++ b/tests/agent/test_silences.py
@@ -0,0 +1,94 @@
+"""Many streams while connections on both sides of the agent go silent at random.
+
+The callers see their own whole answers, byte for byte, and each request runs once. The
+link from entry to agent and the connections from agent to engine are frozen or cut
+again and again, in an order drawn from a seed; the entry replaces its link when nothing
+comes and resumes, the agent does the same towards its engine.
+"""
+
+from __future__ import annotations
+
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from kingcupwheel.messages.runs import Accepted
+from kingcupwheel.messages.runs import End
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.settings.schema import AgentLimits
+from tests.agent.builders import completion
+from tests.agent.builders import dispatch_to
+from tests.agent.entry import wait_until
+from tests.standins.relay import Mode
+from tests.standins.tokens import streamed_answer
+
+
+if TYPE_CHECKING:
+    from tests.agent.conftest import Bench
+    from tests.agent.entry import Entry
+
+STREAMS = 24
+TOKENS = 150
+FAULTS = 12
+BETWEEN_S = 0.25
+CREDIT = 2_000
+GIVE_UP_S = 30.0
+
+
+def ended(entry: Entry) -> set[str]:
+    return {
+        message.request_id
+        for message in tuple(entry.received)
+        if isinstance(message, End) and message.outcome is Outcome.RAN
+    }
+
+
+def accepted(entry: Entry) -> set[str]:
+    return {
+        message.request_id
+        for message in tuple(entry.received)
+        if isinstance(message, Accepted)
+    }
+
+
+def resume_all(entry: Entry, names: list[str]) -> None:
+    entry.replace_link()
+    for name in names:
+        entry.resume(name, credit=CREDIT)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_answers_stay_whole_and_apart_through_silences(bench: Bench, seed: int) -> None:
+    draw = Random(seed)
+    engine = bench.engine(step_ms=20.0)
+    to_engine = bench.relay(engine.address)
+    limits = AgentLimits(concurrency=STREAMS, answers_bytes=100_000)
+    agent = bench.agent(to_engine.url, limits=limits)
+    to_agent = bench.relay(f"127.0.0.1:{agent.port}")
+    entry = bench.entry(to_agent)
+    names = [f"r{number}" for number in range(STREAMS)]
+    beat = entry.beat()
+    for name in names:
+        body = completion(name, tokens=TOKENS)
+        entry.send(dispatch_to(beat, name, body=body, credit=CREDIT))
+    wait_until(lambda: accepted(entry) == set(names), "all to be accepted")
+
+    for _ in range(FAULTS):
+        relay = draw.choice((to_agent, to_engine))
+        relay.set_mode(draw.choice((Mode.FREEZE_OPEN, Mode.CUT)))
+        time.sleep(BETWEEN_S * draw.random())
+        relay.set_mode(Mode.PASS)
+        if draw.random() < 0.5:
+            resume_all(entry, names)
+        time.sleep(BETWEEN_S * draw.random())
+    give_up_at = time.monotonic() + GIVE_UP_S
+    while ended(entry) < set(names) and time.monotonic() < give_up_at:
+        resume_all(entry, sorted(set(names) - ended(entry)))
+        time.sleep(1.0)
+
+    assert ended(entry) == set(names)
+    wrong = [n for n in names if entry.body(n) != streamed_answer(n, TOKENS)]
+    assert wrong == []
+    assert set(engine.counters.report()["by_request_id"].values()) == {1}
