--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -32,11 +32,12 @@
 
 
 class Entry(NamedTuple):
-    """A running entry; ``http`` is where callers connect."""
+    """A running entry; callers connect to ``http``, operators to ``operators``."""
 
     process: Process
     http: str
     address: str
+    operators: str
 
 
 class Agent(NamedTuple):
@@ -121,6 +122,7 @@
         options: tuple[str, ...] = (),
         limits: dict[str, Any] | None = None,
         relayed: bool = False,
+        server_settings: dict[str, Any] | None = None,
     ) -> Agent:
         """Start a backend server and the agent beside it, and list the instance.
 
@@ -135,6 +137,7 @@
             "url": f"http://{server_address}",
             "adapter": kind,
             "silence_s": self._timings.get("gone_s", 10.0),
+            **(server_settings or {}),
         }
         settings["agent"] = limits or {}
         process = self._start(name, "agent", settings)
@@ -157,6 +160,28 @@
         relayed = process.first_line()
         return process.first_line(), relayed
 
+    def start_ranks(self, ranks: int, experts: int) -> tuple[Process, list[str]]:
+        """Start ranks in lock-step; return them and the address of each."""
+        options = ["--ranks", str(ranks), "--experts", str(experts)]
+        process = Process(
+            "ranks", ["tests.standins.ranks", *options], self._path / "ranks.log"
+        )
+        self.stand_ins["ranks"] = process
+        return process, [process.first_line() for _ in range(ranks)]
+
+    def ask(self, address: str, path: str) -> Any:
+        """Return what a stand-in answers."""
+        return self._test("GET", address, path)
+
+    def tell(self, address: str, path: str, body: Any) -> None:
+        """Switch something of a stand-in."""
+        self._test("POST", address, path, body)
+
+    def stored(self, key: str) -> bytes | None:
+        """Return the value that the platform holds under ``key``."""
+        response = self._http.request("GET", f"http://{self.platform}/v1/objects/{key}")
+        return response.data if response.status == 200 else None
+
     def set_relay(self, control: str, mode: str) -> None:
         """Let a relay pass, cut, freeze-open or freeze-all."""
         self._test("POST", control, "/test/mode", {"mode": mode})
@@ -200,7 +225,10 @@
         settings["entry"] = limits or {}
         if platform:
             settings["platform"] = {"url": f"http://{platform}"}
-        entry = Entry(self._start(name, "entry", settings), http, address)
+        operators = f"127.0.0.1:{free_port()}"
+        settings["operator_http"] = operators
+        process = self._start(name, "entry", settings)
+        entry = Entry(process, http, address, operators)
         self.entries[name] = entry
         self.list_instance(name, "entry", "", data_centre, address, http)
         return entry
