--- a/src/kingcupwheel/agent/heartbeat.py
+++ b/src/kingcupwheel/agent/heartbeat.py
@@ -33,8 +33,10 @@
         self._period_s = period_s
         self._state = _NOT_ASKED
         self._asked_at = monotonic()
-        self._life = ""
         self._generation = 0
+        self._life = ""
+        # The generation in which that life was last seen.
+        self._life_generation = 0
         self._stopping = Event()
         self._thread = Thread(target=self._run, name="probe", daemon=True)
 
@@ -43,6 +45,15 @@
         """The latest answer."""
         return self._state
 
+    @property
+    def up(self) -> bool:
+        """Whether the server's life of now has answered.
+
+        An answer from before a death says nothing of the server now; believing it for
+        one more period would draw work to a server that is gone.
+        """
+        return self._state.up and self._generation == self._runner.generation
+
     @property
     def age_s(self) -> float:
         """How old the latest answer is."""
@@ -60,20 +71,23 @@
         while not self._stopping.is_set():
             generation = self._runner.generation
             state = self._adapter.state()
-            self._notice(state, generation)
+            self._generation = self._generation_of(state, generation)
             self._state = state
             self._asked_at = monotonic()
             self._stopping.wait(self._period_s)
 
-    def _notice(self, state: ServerState, generation: int) -> None:
+    def _generation_of(self, state: ServerState, asked_in: int) -> int:
+        """Return the generation that ``state`` tells of, counting a death it shows."""
         if not state.life:
-            return
+            return asked_in
+        generation = asked_in
         if self._life and state.life != self._life:
             # The run threads report the same death; the generation counts it once.
-            self._runner.server_died(self._generation)
+            self._runner.server_died(self._life_generation)
             generation = self._runner.generation
         self._life = state.life
-        self._generation = generation
+        self._life_generation = generation
+        return generation
 
 
 class Heartbeat:
@@ -105,7 +119,7 @@
                 token=runs.token(now=now),
                 load=self._load(),
                 leaving=runs.leaving,
-                server_up=self._probe.state.up,
+                server_up=self._probe.up,
                 manifest_version=self._manifest_version(),
                 crashed=self._runner.crashes.told(now=now),
             )
--- a/src/kingcupwheel/agent/runner.py
+++ b/src/kingcupwheel/agent/runner.py
@@ -69,6 +69,7 @@
         self._recorder = recorder
         self._tell_death = tell_death
         self._cancellations_by_key: dict[AttemptKey, Cancellation] = {}
+        self._generations_by_key: dict[AttemptKey, int] = {}
         # Counts deaths of the server; a run belongs to the life it started in.
         self._generation = 0
 
@@ -82,8 +83,9 @@
         key = key_of(dispatch)
         cancellation = Cancellation()
         with self.lock:
-            self._cancellations_by_key[key] = cancellation
             generation = self._generation
+            self._cancellations_by_key[key] = cancellation
+            self._generations_by_key[key] = generation
         Thread(
             target=self._run,
             args=(dispatch, cancellation, generation),
@@ -120,7 +122,7 @@
             if generation != self._generation:
                 return
             self._generation += 1
-            running = self.runs.running
+            running = self._running_in(generation)
             fingerprints = [dispatch.fingerprint for dispatch in running]
             life = ServerLife(self._name, f"{self.runs.incarnation}.{generation}")
             self.crashes.died(fingerprints, life.death, now=monotonic())
@@ -133,6 +135,18 @@
                 self._recorder.record(dispatch.request_id, event)
         logger.warning("Server died, %d attempts were running.", len(running))
 
+    def _running_in(self, generation: int) -> list[Dispatch]:
+        """Return what runs since that life of the server.
+
+        A run of an earlier life may not have noticed its end yet; counted again, a
+        bystander of two deaths in a row would look guilty.
+        """
+        return [
+            dispatch
+            for dispatch in self.runs.running
+            if self._generations_by_key.get(key_of(dispatch)) == generation
+        ]
+
     def _run(
         self, dispatch: Dispatch, cancellation: Cancellation, generation: int
     ) -> None:
@@ -151,6 +165,7 @@
         finally:
             with self.lock:
                 self._cancellations_by_key.pop(key, None)
+                self._generations_by_key.pop(key, None)
             self.advance()
 
     def _read(
--- /dev/null
+++ b/tests/agent/test_heartbeat.py
@@ -0,0 +1,123 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from expression import Error
+
+from kingcupwheel.agent.adapters.base import ServerLost
+from kingcupwheel.agent.adapters.base import ServerState
+from kingcupwheel.agent.attempts import AttemptKey
+from kingcupwheel.agent.crashes import CrashTable
+from kingcupwheel.agent.heartbeat import ServerProbe
+from kingcupwheel.agent.runner import Runner
+from kingcupwheel.agent.runs import Runs
+from kingcupwheel.agent.store import AnswerStore
+from kingcupwheel.trace.recorder import Recorder
+from tests.agent.builders import dispatch
+from tests.agent.entry import wait_until
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from expression import Result
+
+    from kingcupwheel.agent.adapters.base import AdapterError
+    from kingcupwheel.agent.adapters.base import ServerAnswer
+    from kingcupwheel.agent.adapters.cancellation import Cancellation
+    from kingcupwheel.messages.runs import Dispatch
+
+
+class StuckAdapter:
+    """A server of which only the state is known; its answers never come."""
+
+    def __init__(self) -> None:
+        self.life = "first"
+
+    def start(
+        self, _: Dispatch, cancellation: Cancellation
+    ) -> Result[ServerAnswer, AdapterError]:
+        cancellation.wait(60.0)
+        return Error(ServerLost("cancelled", died=False))
+
+    def state(self) -> ServerState:
+        return ServerState(up=True, life=self.life, running=0, rate=0.0)
+
+
+class Parts:
+    def __init__(self) -> None:
+        self.adapter = StuckAdapter()
+        self.runs = Runs(incarnation="life", capacity=4, queue=0, token_s=5.0)
+        self.runner = Runner(
+            name="agent-1",
+            runs=self.runs,
+            store=AnswerStore(limit_bytes=1000, ended_s=60.0, send=lambda *_: None),
+            adapter=self.adapter,
+            crashes=CrashTable(),
+            recorder=Recorder("agent-1", limit=10),
+            tell_death=lambda: None,
+        )
+        self.probe = ServerProbe(self.adapter, self.runner, period_s=0.01)
+
+    def run(self, name: str) -> None:
+        message = dispatch(name)
+        self.runs.dispatch(message, now=0.0)
+        self.runner.start(message)
+
+
+@pytest.fixture
+def parts() -> Iterator[Parts]:
+    parts = Parts()
+    yield parts
+    parts.probe.stop()
+    for message in parts.runs.running:
+        parts.runner.stop(AttemptKey(message.request_id, message.attempt))
+
+
+def test_a_death_makes_the_server_down_until_its_new_life_answers(
+    parts: Parts,
+) -> None:
+    """The caller of the next request is not sent to a server that is gone.
+
+    A run thread finds the server dead. The latest probe is from before, so the server
+    is not up until it was asked anew.
+    """
+    parts.probe.start()
+    wait_until(lambda: parts.probe.up, "the first answer")
+    parts.probe.stop()
+
+    parts.runner.server_died(0)
+
+    assert parts.probe.state.up
+    assert not parts.probe.up
+
+
+def test_a_bystander_is_not_counted_for_a_death_after_its_own_server_died(
+    parts: Parts,
+) -> None:
+    """The caller of an innocent request is not refused as one that kills servers.
+
+    The server dies; its run has not noticed yet when the new life dies as well.
+    """
+    parts.run("bystander")
+    parts.runner.server_died(0)
+    parts.run("guilty")
+
+    parts.runner.server_died(1)
+
+    assert parts.runner.crashes.count("print of bystander") == 1
+    assert parts.runner.crashes.count("print of guilty") == 1
+
+
+def test_a_new_life_seen_by_the_probe_is_one_death(parts: Parts) -> None:
+    parts.run("a")
+    parts.probe.start()
+    wait_until(lambda: parts.probe.up, "the first answer")
+
+    parts.adapter.life = "second"
+    wait_until(lambda: parts.runner.generation == 1, "the death to be seen")
+    wait_until(lambda: parts.probe.up, "the new life to answer")
+    parts.runner.server_died(0)
+
+    assert parts.runner.crashes.count("print of a") == 1
