--- a/tests/decisions/test_suspects.py
+++ b/tests/decisions/test_suspects.py
@@ -1,8 +1,14 @@
 from __future__ import annotations
 
+from dataclasses import replace
+from random import Random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
+from kingcupwheel.decisions.candidates import Ask
+from kingcupwheel.decisions.candidates import Placed
+from kingcupwheel.decisions.placement import TwoChoices
 from kingcupwheel.decisions.suspects import QUARANTINE_S
 from kingcupwheel.decisions.suspects import SUSPECT_S
 from kingcupwheel.decisions.suspects import Clear
@@ -10,6 +16,7 @@
 from kingcupwheel.decisions.suspects import ServerLife
 from kingcupwheel.decisions.suspects import Suspect
 from kingcupwheel.decisions.suspects import Suspects
+from tests.decisions.builders import candidates
 
 
 FIRST = ServerLife("server-0", "a")
@@ -33,6 +40,37 @@
     assert isinstance(suspects.verdict("crasher", 5.0 + QUARANTINE_S), Quarantined)
 
 
+def test_a_crasher_takes_two_servers_and_no_bystander_is_refused() -> None:
+    """A crasher runs beside four innocents; the server dies and all are sent again.
+
+    As suspects they run on servers of their own, so the next death leaves the crasher
+    as the only cause; the innocents finish there and are cleared.
+    """
+    suspects = Suspects()
+    innocents = [f"innocent-{number}" for number in range(4)]
+    servers = candidates(6)
+    for fingerprint in ("crasher", *innocents):
+        suspects.died(fingerprint, FIRST, 0.0)
+
+    for fingerprint in ("crasher", *innocents):
+        assert suspects.verdict(fingerprint, 1.0) == Suspect(1)
+        placed = TwoChoices().place(servers, Ask(suspect=True), 1.0, Random(1))
+        assert isinstance(placed, Placed)
+        servers = [
+            replace(one, suspects_running=one.suspects_running + 1)
+            if one.name == placed.server
+            else one
+            for one in servers
+        ]
+    assert max(one.suspects_running for one in servers) == 1
+
+    suspects.died("crasher", SECOND, 2.0)
+    for fingerprint in innocents:
+        suspects.cleared(fingerprint)
+    assert isinstance(suspects.verdict("crasher", 3.0), Quarantined)
+    assert {suspects.verdict(one, 3.0) for one in innocents} == {Clear()}
+
+
 def test_a_bystander_is_cleared_by_finishing_or_by_time() -> None:
     """An innocent request ran beside a crasher.
 
