--- a/src/kingcupwheel/decisions/queueing.py
+++ b/src/kingcupwheel/decisions/queueing.py
@@ -29,6 +29,10 @@
 # wait. The servers stay as busy with the shorter queue.
 WAIT_MARGIN = 2.0
 
+# Longest such wait that is queued, however patient the caller: the servers are as busy
+# with a short queue, and the goal for the first token is about a second.
+MAX_WAIT_S = 4.0
+
 # Weight of priority p is (p + 1): priority 9 gets ten times the work of priority 0, and
 # none is given nothing, so that no priority starves another.
 _WEIGHT_OF_LOWEST = 1.0
@@ -88,8 +92,15 @@
     requests held here, and so memory and threads.
     """
 
-    def __init__(self, limit: int, *, quantum: float = QUANTUM) -> None:
+    def __init__(
+        self,
+        limit: int,
+        *,
+        quantum: float = QUANTUM,
+        max_wait_s: float = MAX_WAIT_S,
+    ) -> None:
         self._limit = limit
+        self._max_wait_s = max_wait_s
         self._quantum = quantum
         self._flow_by_key: dict[tuple[str, int], _Flow] = {}
         self._turns: deque[tuple[str, int]] = deque()
@@ -120,6 +131,9 @@
         if wait_s > left_s:
             detail = f"predicted wait {wait_s:.1f} s, deadline in {left_s:.1f} s"
             return self._refuse("deadline", detail, wait_s - left_s, waiting, now)
+        if wait_s > self._max_wait_s:
+            detail = f"predicted wait {wait_s:.1f} s"
+            return self._refuse("wait", detail, wait_s, waiting, now)
         if not self._waiting_by_id:
             self._drain.start(now)
         self._add(key, flow, waiting)
--- a/tests/decisions/test_queueing.py
+++ b/tests/decisions/test_queueing.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from kingcupwheel.decisions.admission import Refuse
+from kingcupwheel.decisions.queueing import MAX_WAIT_S
 from kingcupwheel.decisions.queueing import FairQueue
 from kingcupwheel.decisions.queueing import Queued
 from tests.decisions.builders import waiting
@@ -109,6 +110,24 @@
     assert max(times) - min(times) > 0.5 * min(times)
 
 
+def test_patient_callers_do_not_make_the_queue_long() -> None:
+    """Callers would wait half a minute, and the group drains two requests a second.
+
+    Queued for so long everybody waits, while the servers get no more done.
+    """
+    queue = FairQueue(500)
+    waits = []
+    for tenth in range(200):
+        if tenth % 5 == 0:
+            queue.pop(tenth / 10)
+        request = waiting(f"{tenth}", f"o{tenth % 7}", deadline_at=1000.0)
+        pushed = queue.push(request._replace(queued_at=tenth / 10), tenth / 10)
+        if isinstance(pushed, Queued):
+            waits.append(pushed.predicted_wait_s)
+    assert max(waits) <= MAX_WAIT_S
+    assert 2 <= len(queue) <= 40
+
+
 def test_a_stalled_drain_is_noticed_without_any_take() -> None:
     queue = FairQueue(100)
     for number in range(20):
--- a/tools/load_scenarios.py
+++ b/tools/load_scenarios.py
@@ -252,6 +252,7 @@
     Scenario("one lying server, 70% load", 0.7, events=((10.0, _set_lying),)),
     Scenario("long and short mixed, 80% load", 0.8, lengths=Lengths(80, 2000, 0.1)),
     Scenario("saturation, 150% load", 1.5, returns=2),
+    Scenario("saturation, 150% load, 30 s patience", 1.5, returns=2, deadline_s=30.0),
     Scenario(
         "dead data centre, 55% load",
         0.55,
