--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -21,9 +21,6 @@
 # with each further second, so that work drifts away before the link is given up.
 FRESH_S = 2.0
 
-# Without an observed rate a server's work is not weighed.
-_NO_RATE = 0.0
-
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -42,7 +39,7 @@
     running: int = 0
     queued: int = 0
     work: float = 0.0
-    rate: float = _NO_RATE
+    rate: float = 0.0
     own_in_flight: int = 0
     heard_age_s: float = 0.0
     started_age_s: float = 3600.0
--- a/src/kingcupwheel/decisions/shares.py
+++ b/src/kingcupwheel/decisions/shares.py
@@ -85,6 +85,24 @@
         return max(self.held, FLOOR / entries)
 
 
+def idle_share(entries: int, set_age_s: float) -> Share:
+    """Return the share of an organisation that this entry had no call of so far.
+
+    Load: 43,000 organisations, of which a heartbeat names the few in use. An
+    organisation that a heartbeat does not name is one that its sender holds an equal
+    part of and sees no demand for. An entry that has known its set of ``entries`` for
+    less than ``RETURN_S`` starts with nothing, since others may still hold its part.
+    """
+    if set_age_s <= RETURN_S:
+        return Share()
+    return Share(held=1.0 / entries)
+
+
+def idle_peer(entries: int, age_s: float) -> PeerShare:
+    """Return what a peer tells by not naming an organisation; see ``idle_share``."""
+    return PeerShare(demand=0.0, held=1.0 / entries, wants=False, age_s=age_s)
+
+
 def next_share(
     share: Share, demand: float, peers: Sequence[PeerShare], now: float
 ) -> Share:
