--- a/src/kingcupwheel/decisions/health.py
+++ b/src/kingcupwheel/decisions/health.py
@@ -11,10 +11,10 @@
 # retry, more would cost callers while a dead server answers at once and looks idle.
 FAILURES_IN_A_ROW = 3
 
-# How long one failure makes a server the last choice. At ten requests a second over 16
-# servers an entry takes five seconds to see three failures of one; until then it would
-# go on to give it its part, and more, since what fails at once looks idle.
-LAST_CHOICE_S = 5.0
+# How long one failure makes a server the last choice. At two requests a second over 16
+# servers an entry takes 24 s to see three failures of one; until then it would go on to
+# give it its part, and more, since what fails at once looks idle.
+LAST_CHOICE_S = 10.0
 
 # Share of recent attempts that may fail, and the least number that says anything.
 FAILED_SHARE = 0.5
