--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -21,9 +21,6 @@
 # with each further second, so that work drifts away before the link is given up.
 FRESH_S = 2.0
 
-# Without an observed rate a server's work is not weighed.
-_NO_RATE = 0.0
-
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -42,7 +39,7 @@
     running: int = 0
     queued: int = 0
     work: float = 0.0
-    rate: float = _NO_RATE
+    rate: float = 0.0
     own_in_flight: int = 0
     heard_age_s: float = 0.0
     started_age_s: float = 3600.0
@@ -124,12 +121,18 @@
 
 
 class NoPlace(NamedTuple):
-    """No server can take it now; ``reason`` is short and fixed."""
+    """No server can take it now; ``reason`` is short and fixed.
+
+    ``for_all`` tells that any other request would meet the same. If it is False, only
+    this one has to be set aside, and must not hold up those behind it.
+    """
 
     reason: str
+    for_all: bool
 
 
-NO_SERVERS = NoPlace("no server is in service")
-ALL_FULL = NoPlace("every server is full")
-ALL_TRIED = NoPlace("every server was tried")
-SUSPECT_WAITS = NoPlace("every server runs another suspect")
+NO_SERVERS = NoPlace("no server is in service", for_all=True)
+ALL_FULL = NoPlace("every server is full", for_all=True)
+ALL_TRIED = NoPlace("every server was tried", for_all=False)
+UNTRIED_FULL = NoPlace("every untried server is full", for_all=False)
+SUSPECT_WAITS = NoPlace("every server runs another suspect", for_all=False)
