--- a/src/kingcupwheel/expertmaps/edits.py
+++ b/src/kingcupwheel/expertmaps/edits.py
@@ -34,8 +34,15 @@
         return sum(edit.gained is not None for edit in self.edits)
 
 
-# Standard deviations by which the slowest of some tens of ranks lies above its mean.
-_SLOWEST_DEVIATIONS = 2.0
+# Without scatter the smooth maximum is within log(ranks) over this of the true one, in
+# even rank loads.
+_SHARPEST = 100.0
+
+
+# A difference below this share of its minuend is taken as lost to rounding.
+_LEAST_REMAINDER = 1e-6
+# No place can be made on a rank.
+_FULL = -1
 
 
 class Deltas(NamedTuple):
@@ -45,22 +52,21 @@
     squares: float = 0.0
 
 
-_NOTHING = Deltas()
-
-
 class LayerEditor:
     """Keeps a layer's rank loads while replicas move; capacity is never broken.
 
-    A rank's load counts with a margin for its scatter, which is less the more replicas
-    carry the load: two halves of a hot expert on two ranks seldom peak together with
-    the rest there. ``scatter`` is the relative deviation of one expert's load.
+    Which rank is the slowest changes from step to step with the scatter of the experts'
+    loads, so every rank counts, not only the one with the highest mean: the expected
+    maximum of normal loads with means m and deviations d is at most
+    log(sum(exp(b * m + (b * d) ** 2 / 2))) / b for any b > 0. Replicas lower d: halves
+    of a hot expert on two ranks seldom peak together with the rest there. ``scatter``
+    is the relative deviation of one expert's load.
     """
 
     def __init__(
         self, layer: LayerPlacement, load: LayerLoad, *, slots: int, scatter: float
     ) -> None:
         self._slots = slots
-        self._margin = _SLOWEST_DEVIATIONS * scatter
         self._load = load
         self._held = [set(experts) for experts in layer]
         self._ranks_by_expert: list[set[int]] = [set() for _ in load]
@@ -73,44 +79,84 @@
         self._squares = [
             sum(self._share(expert) ** 2 for expert in experts) for experts in layer
         ]
+        self._scatter = scatter
+        self._even = sum(load) / len(layer) or 1.0
+        self._sharpness = self._best_sharpness()
+        self._terms = [
+            self._term(*sums) for sums in zip(self._loads, self._squares, strict=True)
+        ]
+        self._total = sum(self._terms)
 
     @property
     def placement(self) -> LayerPlacement:
         """The layer as it stands."""
         return tuple(tuple(sorted(experts)) for experts in self._held)
 
+    @property
+    def loads(self) -> tuple[float, ...]:
+        """The mean load of each rank."""
+        return tuple(self._loads)
+
     @property
     def slowest(self) -> float:
-        """The highest rank load with its margin."""
-        return max(self._peak(rank) for rank in range(len(self._loads)))
+        """Bound of the expected highest rank load."""
+        return self._bound(self._total)
 
     def order(self) -> list[int]:
         """Return the ranks, most loaded first."""
-        return sorted(range(len(self._loads)), key=self._peak, reverse=True)
+        return sorted(
+            range(len(self._terms)), key=self._terms.__getitem__, reverse=True
+        )
 
     def changes(self, hot: int, cool: int) -> Iterator[Change]:
         """Yield the changes that could take load from ``hot`` to ``cool``."""
+        yield from self._shifts(hot, cool)
+        yield from self._swaps(hot, cool)
+
+    def _shifts(self, hot: int, cool: int) -> Iterator[Change]:
+        """Yield replicas of an expert of ``hot`` added on ``cool``, or moved there."""
         places = list(self._places(cool))
         for expert in sorted(self._held[hot] - self._held[cool]):
             for freed in places:
                 gained = Edit(cool, freed, expert)
                 yield Change((gained,))
                 yield Change((Edit(hot, expert, None), gained))
+
+    def _swaps(self, hot: int, cool: int) -> Iterator[Change]:
+        """Yield experts exchanged for lesser ones.
+
+        Where ``hot`` has a place to spare it may also keep a replica of what it gives:
+        so a hot expert alone on its rank is split between two ranks that are full.
+        """
+        spare = next(self._places(hot), _FULL)
+        for expert in sorted(self._held[hot] - self._held[cool]):
             for other in sorted(self._held[cool] - self._held[hot]):
-                if self._load[other] < self._load[expert]:
-                    edits = (Edit(hot, expert, other), Edit(cool, other, expert))
-                    yield Change(edits)
+                if self._load[other] >= self._load[expert]:
+                    continue
+                given = Edit(cool, other, expert)
+                yield Change((Edit(hot, expert, other), given))
+                if spare != _FULL and spare != expert:
+                    yield Change((Edit(hot, spare, other), given))
 
     def slowest_after(self, change: Change) -> float:
-        """Return the highest load among the ranks that ``change`` touches."""
-        deltas = self._deltas(change).items()
-        return max(self._peak(rank, delta) for rank, delta in deltas)
+        """Return what ``slowest`` would be after ``change``."""
+        deltas = self._deltas(change)
+        before = sum(self._terms[rank] for rank in deltas)
+        after = sum(self._term_after(rank, delta) for rank, delta in deltas.items())
+        others = self._total - before
+        if others < self._total * _LEAST_REMAINDER:
+            # The touched ranks were all but everything: the difference is rounding.
+            terms = enumerate(self._terms)
+            others = sum(term for rank, term in terms if rank not in deltas)
+        return self._bound(others + after)
 
     def make(self, change: Change) -> None:
         """Carry ``change`` out."""
         for rank, delta in self._deltas(change).items():
+            self._terms[rank] = self._term_after(rank, delta)
             self._loads[rank] += delta.load
             self._squares[rank] += delta.squares
+        self._total = sum(self._terms)
         for edit in change.edits:
             if edit.lost is not None:
                 self._held[edit.rank].discard(edit.lost)
@@ -122,9 +168,28 @@
     def _share(self, expert: int) -> float:
         return self._load[expert] / len(self._ranks_by_expert[expert])
 
-    def _peak(self, rank: int, delta: Deltas = _NOTHING) -> float:
+    def _best_sharpness(self) -> float:
+        """Return the b that makes the bound tight for ranks that are even."""
+        ranks = len(self._loads)
+        spread = self._scatter * math.sqrt(sum(self._squares) / ranks)
+        sharpest = _SHARPEST / self._even
+        if spread * sharpest <= math.sqrt(2 * math.log(ranks)):
+            return sharpest
+        return math.sqrt(2 * math.log(ranks)) / spread
+
+    def _term(self, load: float, squares: float) -> float:
+        deviation = self._sharpness * self._scatter
+        above = self._sharpness * (load - self._even)
+        # A single rank of many times the even load would overflow; any cap that is far
+        # above the other terms keeps it the first to be relieved.
+        return math.exp(min(above + deviation * deviation * squares / 2, 600.0))
+
+    def _term_after(self, rank: int, delta: Deltas) -> float:
         squares = max(0.0, self._squares[rank] + delta.squares)
-        return self._loads[rank] + delta.load + self._margin * math.sqrt(squares)
+        return self._term(self._loads[rank] + delta.load, squares)
+
+    def _bound(self, total: float) -> float:
+        return self._even + math.log(total) / self._sharpness
 
     def _places(self, rank: int) -> Iterator[int | None]:
         """Yield what could make way on ``rank``: nothing, or a spare replica."""
--- a/src/kingcupwheel/expertmaps/loads.py
+++ b/src/kingcupwheel/expertmaps/loads.py
@@ -64,8 +64,10 @@
 
 
 def _deviation(old: LayerLoad, now: LayerLoad) -> float:
+    # Both loads in the denominator keep an expert that was idle from counting without
+    # bound when its first tokens come.
     return sum(
-        (after - before) ** 2 / before
+        2 * (after - before) ** 2 / (before + after)
         for before, after in zip(old, now, strict=True)
-        if before > 0
+        if before + after > 0
     )
--- a/src/kingcupwheel/expertmaps/planner.py
+++ b/src/kingcupwheel/expertmaps/planner.py
@@ -27,13 +27,18 @@
 _PAYBACK_PERIODS = 4.0
 # A plan has to gain this many times its cost. Below 1 noise in the loads makes the plan
 # of one period undo that of the one before.
-_HYSTERESIS = 1.5
+_HYSTERESIS = 2.0
 # Changes looked at for one layer in one plan. It bounds the planner's time; what is
 # left over is planned a period later.
-_LAYER_CHANGES = 12
+_LAYER_CHANGES = 8
+# Layers changed in one plan, the most uneven first. A plan of all 60 layers of a large
+# model would take its agent more processor time than control may have.
+_LAYERS = 16
 # Ranks that may take load from the hottest one. The coolest few hold a good partner
 # nearly always, and looking at all of 32 takes four times as long.
-_COOL_RANKS = 8
+_COOL_RANKS = 4
+# Hottest ranks that are tried in turn until one can be relieved.
+_HOT_RANKS = 2
 
 
 class PlanWeights(NamedTuple):
@@ -69,12 +74,15 @@
     cost = weights.move_cost * weights.hysteresis / places
     even = sum(sum(layer) for layer in load) / current.ranks
     gain = weights.skew_weight * weights.payback_periods / even
-    editors = (
+    editors = [
         LayerEditor(layer, layer_load, slots=current.slots, scatter=estimate.scatter)
         for layer, layer_load in zip(current.layers, load, strict=True)
-    )
-    layers = tuple(_plan_layer(editor, gain=gain, cost=cost) for editor in editors)
-    wanted = ExpertMap(current.experts, current.slots, layers)
+    ]
+    layers = list(current.layers)
+    uneven = sorted(range(len(editors)), key=lambda number: -editors[number].slowest)
+    for number in uneven[:_LAYERS]:
+        layers[number] = _plan_layer(editors[number], gain=gain, cost=cost)
+    wanted = ExpertMap(current.experts, current.slots, tuple(layers))
     moves = current.moves_to(wanted)
     if not moves:
         return None
@@ -106,18 +114,19 @@
 
 
 def _best_change(editor: LayerEditor) -> Change | None:
-    """Return the change that takes most load a move off the hottest rank."""
+    """Return the change that takes most off the slowest rank's load for each move."""
     order = editor.order()
-    hot = order[0]
     slowest = editor.slowest
-    best: Change | None = None
-    most = 0.0
-    for cool in order[: -_COOL_RANKS - 1 : -1]:
-        if cool == hot:
-            continue
-        for change in editor.changes(hot, cool):
-            relief = (slowest - editor.slowest_after(change)) / change.moves
-            if relief > most:
-                best = change
-                most = relief
-    return best
+    cool_ranks = order[-_COOL_RANKS:]
+    for hot in order[:_HOT_RANKS]:
+        best: Change | None = None
+        most = 0.0
+        for cool in cool_ranks:
+            for change in editor.changes(hot, cool) if cool != hot else ():
+                relief = (slowest - editor.slowest_after(change)) / change.moves
+                if relief > most:
+                    best = change
+                    most = relief
+        if best is not None:
+            return best
+    return None
--- a/src/kingcupwheel/expertmaps/service.py
+++ b/src/kingcupwheel/expertmaps/service.py
@@ -35,25 +35,30 @@
 
 logger = logging.getLogger("kingcupwheel.expertmaps")
 
-# Ranks beyond the first few look at the lease no later than this many turns: a long
-# wait for each rank in turn would leave a group of 32 without a coordinator.
-_TURNS = 3
+# Agents of the lowest ranks that always watch the lease. One of them mostly holds it,
+# so that one or two read it; a takeover then does not wait for anybody's patience.
+_WATCHERS = 2
+# Further ranks look at the lease no later than after this many turns: a wait for each
+# rank in turn would leave a group of 32 without a coordinator.
+_TURNS = 4
 
 
 class MapTimings(NamedTuple):
     """Times in seconds.
 
-    A lease runs ``ttl_s`` and is renewed every ``renew_s``: at 128 groups that is some
-    100 writes a second on the platform, which takes several hundred. An agent that has
-    heard of no coordinator for ``patience_s`` plus ``turn_s`` for each rank before its
-    own reads the lease; so nobody reads it while a coordinator is at work. The list of
-    instances is read every ``members_s``.
+    A lease runs ``ttl_s``; it is renewed, and looked at by the watchers, every
+    ``renew_s``: at 128 groups some 130 writes and 130 to 260 reads a second on the
+    platform, which takes several hundred and two thousand. Shorter stalls the group
+    less when its coordinator is lost, longer calls the platform less. Other agents read
+    the lease only once they have heard of no coordinator for ``patience_s`` and
+    ``turn_s`` for each rank before theirs. The list of instances is read every
+    ``members_s``.
     """
 
-    ttl_s: float = 4.0
-    renew_s: float = 1.3
-    patience_s: float = 3.0
-    turn_s: float = 0.5
+    ttl_s: float = 3.0
+    renew_s: float = 1.0
+    patience_s: float = 5.0
+    turn_s: float = 1.0
     members_s: float = 5.0
     coordinator: CoordinatorTimings = DEFAULT_TIMINGS
 
@@ -185,6 +190,8 @@
 
     @property
     def _patience_s(self) -> float:
+        if self._rank < _WATCHERS:
+            return 0.0
         turn = min(self._rank, _TURNS)
         return self._timings.patience_s + turn * self._timings.turn_s
 
