--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -12,10 +12,12 @@
 
 import click
 
+from kingcupwheel.decisions.subsets import ENTRY_WORK_PER_S
 from kingcupwheel.trace.outbox import OUTBOX_BYTES
 from tools.capacity_model import Cost
 from tools.capacity_model import Model
 from tools.capacity_model import Role
+from tools.capacity_model import data_paths
 from tools.capacity_model import platform_load
 from tools.capacity_slopes import load_slopes
 from tools.capacity_target import Design
@@ -44,12 +46,14 @@
     instances_s=5.0,
     changed_only=True,
     poll_s=6.0,
+    # Allowances over one entry's part of the peak; the rest need not be split.
+    shared=int(TARGET.tokens / ENTRY_WORK_PER_S),
 )
 # The sizes of today, each entry as busy as at the target.
 SMALL_TARGET = Target(
     entries=7, servers=19, requests=60.0, tokens=16_000.0, organisations=10, ranks=16
 )
-SMALL = Design("as it is, today's sizes", server_groups=2)
+SMALL = Design("as it is, today's sizes", server_groups=2, shared=10)
 DESIGNS = (TODAY, RANKED, STRETCHED)
 # Of the expert map's coordinator, as designed; not a measurement.
 _RENEW_S = 3.0
@@ -66,6 +70,7 @@
         "entry": _role(Model(slopes, TODAY, TARGET).entry()),
         "agent": _role(Model(slopes, TODAY, TARGET).agent()),
         "holder": _role(_holder(slopes, TODAY)),
+        "data-path": _data_path(slopes),
         "platform": _platform(slopes),
         "verdicts": _verdicts(slopes),
         "breaks": _breaks(slopes),
@@ -130,6 +135,20 @@
     )
 
 
+def _data_path(slopes: Slopes) -> str:
+    rows = [
+        (
+            path.role,
+            f"{path.tokens:.0f}",
+            f"{path.cpu:.0%}",
+            f"{path.most_tokens:.0f}",
+        )
+        for path in data_paths(slopes, TARGET)
+    ]
+    head = ("Role", "Tokens/s at the peak", "Core", "Tokens/s at a whole core")
+    return _table(head, rows)
+
+
 def _platform(slopes: Slopes) -> str:
     rows = []
     for design in DESIGNS:
--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from math import exp
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from kingcupwheel.decisions.subsets import LEAST_ENTRIES
 from kingcupwheel.manifest.keeper import DEFAULT_SPREAD_S
 from kingcupwheel.manifest.schema import Retention
 from kingcupwheel.trace.outbox import OUTBOX_BYTES
@@ -88,6 +90,7 @@
             self._process("entry"),
             self._links("entry", self.entry_links, "each entry keeps a subset"),
             self._peers(),
+            self._shares(),
             self._instances(),
             self._manifest("entry"),
             self._traces("entry", self._target.requests / self._target.entries),
@@ -124,6 +127,9 @@
     def _at(self, name: str, size: float) -> float:
         return self._slopes.by_name[name].at(size)
 
+    def _base(self, name: str) -> float:
+        return self._slopes.by_name[name].base
+
     def _per(self, name: str) -> float:
         return self._slopes.by_name[name].per
 
@@ -171,6 +177,26 @@
             cpu=rate * self._per("entry_idle_cpu"),
         )
 
+    def _shares(self) -> Cost:
+        entries, beats = self._target.entries, 1 / self._design.heartbeat_s
+        here = self._design.shared * LEAST_ENTRIES / entries
+        others = max(1, entries - 1)
+        # Organisations fall on pairs of entries at random; some share a pair.
+        met = others * (1 - exp(-here * (LEAST_ENTRIES - 1) / others))
+        rate = met * beats
+        named = here * (LEAST_ENTRIES - 1) * beats
+        size = rate * (self._base("share_bytes") + _WIRE_BYTES)
+        size += named * self._per("share_bytes")
+        return Cost(
+            f"shares of {here:.0f} organisations' allowances",
+            "told to the other entries of each organisation's set",
+            messages_in=rate,
+            messages_out=rate,
+            bytes_in=size,
+            bytes_out=size,
+            cpu=rate * self._per("entry_idle_cpu"),
+        )
+
     def _instances(self) -> Cost:
         design, target = self._design, self._target
         reads = 1 / design.instances_s
@@ -232,6 +258,29 @@
         )
 
 
+class DataPath(NamedTuple):
+    """What carrying the peak's tokens costs one process, beside control.
+
+    ``most_tokens`` is the rate a second at which it uses a whole core.
+    """
+
+    role: str
+    tokens: float
+    cpu: float
+    most_tokens: float
+
+
+def data_paths(slopes: Slopes, target: Target) -> tuple[DataPath, ...]:
+    """Return the data path's cost for an entry and an agent."""
+    paths = []
+    for role, count in (("entry", target.entries), ("agent", target.servers)):
+        slope = slopes.by_name[f"{role}_stream_cpu"]
+        tokens = target.tokens / count
+        most = (1 - slope.base) / slope.per
+        paths.append(DataPath(role, tokens, slope.at(tokens), most))
+    return tuple(paths)
+
+
 class PlatformLoad(NamedTuple):
     """What all processes together ask of the platform's service, without claims.
 
--- a/tools/capacity_probes.py
+++ b/tools/capacity_probes.py
@@ -20,6 +20,8 @@
 from kingcupwheel.messages.membership import Hello
 from kingcupwheel.messages.membership import Load
 from kingcupwheel.messages.membership import PeerBeat
+from kingcupwheel.messages.membership import ShareBeat
+from kingcupwheel.messages.membership import ShareTold
 from kingcupwheel.platform.client import Instance
 from kingcupwheel.trace.batches import make_parts
 from kingcupwheel.trace.recorder import Recorder
@@ -92,6 +94,27 @@
     ]
 
 
+def share_bytes() -> list[Point]:
+    """Return the size of what an entry tells another by the organisations named."""
+    return [
+        Point(
+            count,
+            _size(
+                ShareBeat(
+                    PROCESS,
+                    12345.678901,
+                    12344.567891,
+                    tuple(
+                        ShareTold(f"organisation-{number}", 0.123456789, 0.5, False)
+                        for number in range(count)
+                    ),
+                )
+            ),
+        )
+        for count in (1, 10, 100)
+    ]
+
+
 def instance_bytes() -> list[Point]:
     """Return the size of the platform's list by its instances."""
     return [Point(n, len(instance_list(n))) for n in (100, 400, 1370)]
@@ -217,9 +240,7 @@
     return [
         Point(
             experts,
-            _size(
-                MapReply("parts-model", 41, 7, PROCESS, "a1b2c3d4", bytes(2 * experts))
-            ),
+            _size(MapReply("parts-model", 41, 7, PROCESS, 17, bytes(2 * experts))),
         )
         for experts in (32, 128)
     ]
--- a/tools/capacity_target.py
+++ b/tools/capacity_target.py
@@ -52,7 +52,8 @@
 
     ``server_groups`` is how many groups an entry keeps a subset of. ``changed_only``
     tells that the list of instances is only sent when it has changed. ``poll_s`` is how
-    often the holder of a group's lease reads its ranks.
+    often the holder of a group's lease reads its ranks. ``shared`` is the number of
+    organisations in use whose allowance is split over entries.
     """
 
     name: str
@@ -65,3 +66,4 @@
     traces: int = EntryLimits().traces
     changed_only: bool = False
     poll_s: float = 2.0
+    shared: int = Target().organisations
