--- a/features/steps/tracing.py
+++ b/features/steps/tracing.py
@@ -81,10 +81,25 @@
     assert any(f"Part of {agent}'s account" in gap for gap in story["gaps"]), story
 
 
+@then('the story by key "{key}" is that of "{name}" and one agent tells that it ran')
+def check_by_key(context: Any, key: str, name: str) -> None:
+    """Find the request by the caller's key and organisation."""
+    code, story = _trace(context, "--idempotency-key", key, "--organisation", "agency")
+    assert code == INCOMPLETE, story
+    assert story["request_id"] == context.world.answered(name).request_id, story
+    told = [part["process"] for part in story["parts"] if part["events"]]
+    assert len(story["parts"]) == 2, story
+    assert len(told) == 1, story
+    assert "its attempt ended as ran" in " ".join(story["gaps"]), story
+
+
 def _story(context: Any, name: str, *options: str) -> tuple[int, Any]:
+    return _trace(context, context.world.answered(name).request_id, *options)
+
+
+def _trace(context: Any, *options: str) -> tuple[int, Any]:
     fleet = context.world.fleet
-    wanted = context.world.answered(name).request_id
     platform = f"http://{fleet.platform}"
-    told = fleet.command("trace", wanted, "--platform", platform, "--json", *options)
+    told = fleet.command("trace", "--platform", platform, "--json", *options)
     assert told.stdout, told.stderr
     return told.returncode, json.loads(told.stdout)
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -39,3 +39,12 @@
     Then "asked" gets its 8 tokens
     When the platform is down
     Then the story of "asked" by address tells outcome ran and names engine-1 as missing
+
+  Scenario: The entry is killed and the engineer has only the caller's key
+    # The claim that the key made names the request and its agent, so that nobody else has
+    # to be asked.
+    Given a fleet of 2 entries, 1 engines and 2 services
+    When "asked" reserves part "p-1" at entry-1 with key "k-1"
+    Then "asked" gets the whole answer
+    When the entry of "asked" is killed at once
+    Then the story by key "k-1" is that of "asked" and one agent tells that it ran
--- a/src/kingcupwheel/trace/finding.py
+++ b/src/kingcupwheel/trace/finding.py
@@ -101,7 +101,9 @@
         servers = dict.fromkeys((*servers_named(entry.events), *self._agents))
         told_at = _told_at(entry.events)
         agents = self._parts(tuple(servers), request_id, parsed, directory, told_at)
-        if not entry.events and not any(part.events for part in agents):
+        # An entry that answers for that time and holds nothing never gave out the id.
+        found = entry.events or any(part.events for part in agents)
+        if not found and entry.gaps:
             agents = (*agents, *self._guess(request_id, parsed, directory))
         parts = (entry, *agents)
         if directory.trouble and any(part.gaps for part in parts):
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -12,55 +12,35 @@
 
 import click
 
-from kingcupwheel.decisions.subsets import ENTRY_WORK_PER_S
-from kingcupwheel.trace.outbox import OUTBOX_BYTES
+from tools.capacity_breaks import bad_days
+from tools.capacity_breaks import breaks
+from tools.capacity_breaks import table
 from tools.capacity_model import Cost
 from tools.capacity_model import Model
 from tools.capacity_model import Role
-from tools.capacity_model import data_paths
-from tools.capacity_model import platform_load
 from tools.capacity_slopes import load_slopes
+from tools.capacity_target import DESIGNS
+from tools.capacity_target import LIMITS
+from tools.capacity_target import RENEW_S
+from tools.capacity_target import SMALL
+from tools.capacity_target import SMALL_TARGET
+from tools.capacity_target import TARGET
+from tools.capacity_target import TODAY
 from tools.capacity_target import Design
-from tools.capacity_target import Limits
 from tools.capacity_target import Target
+from tools.capacity_totals import data_paths
+from tools.capacity_totals import platform_load
 
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-    from collections.abc import Sequence
-
     from tools.capacity_slopes import Slope
     from tools.capacity_slopes import Slopes
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
 _PART = re.compile(r"<!-- computed: (?P<name>[a-z-]+) -->\n.*?<!-- end -->", re.DOTALL)
-TARGET = Target()
-LIMITS = Limits()
-TODAY = Design("as it is, a group a model", server_groups=TARGET.models)
-RANKED = Design("as it is, a group an engine", server_groups=TARGET.groups)
-# What the page proposes: nothing of it is built; the model only works it out.
-STRETCHED = Design(
-    "proposed",
-    server_groups=TARGET.models,
-    heartbeat_s=6.0,
-    instances_s=5.0,
-    changed_only=True,
-    poll_s=6.0,
-    # Allowances over one entry's part of the peak; the rest need not be split.
-    shared=int(TARGET.tokens / ENTRY_WORK_PER_S),
-)
-# The sizes of today, each entry as busy as at the target.
-SMALL_TARGET = Target(
-    entries=7, servers=19, requests=60.0, tokens=16_000.0, organisations=10, ranks=16
-)
-SMALL = Design("as it is, today's sizes", server_groups=2, shared=10)
-DESIGNS = (TODAY, RANKED, STRETCHED)
-# Of the expert map's coordinator, as designed; not a measurement.
-_RENEW_S = 3.0
 _MB = 1e6
 _KB = 1e3
 _GB = 1e9
-_DAY_S = 86_400
 
 
 def parts(slopes: Slopes) -> dict[str, str]:
@@ -73,8 +53,8 @@
         "data-path": _data_path(slopes),
         "platform": _platform(slopes),
         "verdicts": _verdicts(slopes),
-        "breaks": _breaks(slopes),
-        "bad-days": _bad_days(slopes),
+        "breaks": breaks(slopes),
+        "bad-days": bad_days(slopes),
     }
 
 
@@ -90,7 +70,7 @@
 
 
 def _holder(slopes: Slopes, design: Design, target: Target = TARGET) -> Role:
-    return Model(slopes, design, target).holder(renew_s=_RENEW_S)
+    return Model(slopes, design, target).holder(renew_s=RENEW_S)
 
 
 def _slopes(slopes: Slopes) -> str:
@@ -99,7 +79,7 @@
     about = (
         f"Measured {slopes.measured_at} on {slopes.machine}, commit `{slopes.commit}`."
     )
-    return f"{about}\n\n{_table(head, rows)}"
+    return f"{about}\n\n{table(head, rows)}"
 
 
 def _slope(slope: Slope) -> tuple[str, ...]:
@@ -120,7 +100,7 @@
         "Platform reads, writes/s",
         "Mechanism",
     )
-    return _table(head, [_cost(cost) for cost in (*role.costs, role.total)])
+    return table(head, [_cost(cost) for cost in (*role.costs, role.total)])
 
 
 def _cost(cost: Cost) -> tuple[str, ...]:
@@ -146,13 +126,13 @@
         for path in data_paths(slopes, TARGET)
     ]
     head = ("Role", "Tokens/s at the peak", "Core", "Tokens/s at a whole core")
-    return _table(head, rows)
+    return table(head, rows)
 
 
 def _platform(slopes: Slopes) -> str:
     rows = []
     for design in DESIGNS:
-        load = platform_load(slopes, design, TARGET, renew_s=_RENEW_S)
+        load = platform_load(slopes, design, TARGET, renew_s=RENEW_S)
         left = LIMITS.writes_s - load.writes
         rows.append(
             (
@@ -175,7 +155,7 @@
         "Trace MB/s",
         "Traces kept",
     )
-    return _table(head, rows)
+    return table(head, rows)
 
 
 def _verdicts(slopes: Slopes) -> str:
@@ -201,121 +181,13 @@
                 )
             )
     head = ("Design", "Role", "Core (2.2%)", "MB (256)", "KB/s, both ways (11)")
-    return _table(head, rows)
+    return table(head, rows)
 
 
 def _against(value: float, limit: float, text: str) -> str:
     return text if value <= limit else f"**{text}, over**"
 
 
-def _breaks(slopes: Slopes) -> str:
-    rows = []
-    for design in DESIGNS:
-        model = Model(slopes, design, TARGET)
-        rows += _entry_breaks(model, design)
-        load = platform_load(slopes, design, TARGET, renew_s=_RENEW_S)
-        reads = LIMITS.reads_s / load.reads * TARGET.processes
-        at_change = LIMITS.reads_s / load.change_reads * TARGET.processes
-        left = LIMITS.writes_s - load.writes
-        rows.append(
-            (design.name, "platform", "2,000 reads/s", f"at {reads:.0f} processes")
-        )
-        rows.append(
-            (
-                design.name,
-                "platform",
-                "2,000 reads/s, at a change",
-                f"at {at_change:.0f} processes; there are {TARGET.processes}",
-            )
-        )
-        rows.append(
-            (
-                design.name,
-                "platform",
-                "300 writes/s",
-                f"at {left:.0f} claims a second "
-                f"({left / TARGET.requests:.1%} of requests)",
-            )
-        )
-    return _table(("Design", "Role", "Limit", "Breaks"), rows)
-
-
-def _entry_breaks(model: Model, design: Design) -> list[tuple[str, ...]]:
-    role = model.entry()
-    links = model.entry_links
-    beats = next(cost for cost in role.costs if cost.what.startswith("heartbeats on"))
-    total = role.total
-    found: list[tuple[str, ...]] = []
-    for limit, value, beat in (
-        (
-            "11 KB/s",
-            role.control_bytes,
-            beats.bytes_in + beats.bytes_out,
-        ),
-        ("2.2% of a core", total.cpu, beats.cpu),
-    ):
-        bound = LIMITS.bytes_s if limit == "11 KB/s" else LIMITS.cpu_share
-        others = value - beat
-        most = (bound - others) / (beat / links)
-        text = f"at {most:.0f} links; it keeps {links:.0f}"
-        if most <= 0:
-            text = f"without any link; it keeps {links:.0f}"
-        found.append((design.name, "entry", limit, text))
-    return found
-
-
-def _bad_days(slopes: Slopes) -> str:
-    by_name = slopes.by_name
-    model = Model(slopes, TODAY, TARGET)
-    entry_rate = TARGET.requests / TARGET.entries
-    hour_bytes = by_name["entry_batch_bytes"].per * entry_rate * 3600
-    whole = by_name["manifest_bytes"].at(TARGET.organisations)
-    listed = by_name["instance_list_bytes"].at(TARGET.processes)
-    left = 1 - 1 / TARGET.data_centres
-    calls_s = TARGET.processes / 3
-    lists_s = TARGET.entries / TODAY.instances_s
-    traces_s = TARGET.processes * 3 / TODAY.trace_batch_s
-    stream_s = TARGET.tokens / TARGET.requests * 0.032
-    rows = [
-        (
-            f"{TARGET.restarts_a_day} restarts a day",
-            f"an entry reads {whole / _MB:.1f} MB of manifest and a list of "
-            f"{listed / _KB:.0f} KB at its start: on average "
-            f"{TARGET.restarts_a_day * (whole + listed) / _DAY_S:.0f} bytes/s",
-        ),
-        (
-            "a data centre lost",
-            f"{TARGET.requests / TARGET.data_centres:.0f} requests/s move over; each "
-            f"entry left carries {1 / left:.2f} times its requests and keeps "
-            f"{model.entry_links:.0f} links; about "
-            f"{TARGET.requests / TARGET.data_centres * stream_s:.0f} streams were open "
-            f"there",
-        ),
-        (
-            "regions parted for an hour",
-            f"the part without the platform refuses what may not be repeated; its "
-            f"traces wait: {hour_bytes / _MB:.1f} MB an entry of "
-            f"{OUTBOX_BYTES / _MB:.0f} MB",
-        ),
-        (
-            "platform down for an hour",
-            f"watches are asked again every 2 to 4 s: {calls_s:.0f} calls/s; lists "
-            f"{lists_s:.0f}/s; traces at most {traces_s:.0f}/s",
-        ),
-        (
-            "everyone back at once",
-            f"{hour_bytes / _MB:.1f} MB an entry go out in batches of up to 0.9 MB "
-            f"beside the normal ones, at most {traces_s:.0f} calls/s in all",
-        ),
-    ]
-    return _table(("Day", "What it costs"), rows)
-
-
-def _table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
-    lines = [head, ["---"] * len(head), *rows]
-    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
-
-
 @click.command()
 @click.option("--write", is_flag=True, help="Put the tables into docs/CAPACITY.md.")
 def main(write: bool) -> None:
--- a/tools/capacity_target.py
+++ b/tools/capacity_target.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from kingcupwheel.decisions.subsets import ENTRY_WORK_PER_S
 from kingcupwheel.settings.schema import EntryLimits
 from kingcupwheel.settings.schema import Timings
 
@@ -67,3 +68,28 @@
     changed_only: bool = False
     poll_s: float = 2.0
     shared: int = Target().organisations
+
+
+TARGET = Target()
+LIMITS = Limits()
+TODAY = Design("as it is, a group a model", server_groups=TARGET.models)
+RANKED = Design("as it is, a group an engine", server_groups=TARGET.groups)
+# What the page proposes: nothing of it is built; the model only works it out.
+STRETCHED = Design(
+    "proposed",
+    server_groups=TARGET.models,
+    heartbeat_s=6.0,
+    instances_s=5.0,
+    changed_only=True,
+    poll_s=6.0,
+    # Allowances over one entry's part of the peak; the rest need not be split.
+    shared=int(TARGET.tokens / ENTRY_WORK_PER_S),
+)
+# The sizes of today, each entry as busy as at the target.
+SMALL_TARGET = Target(
+    entries=7, servers=19, requests=60.0, tokens=16_000.0, organisations=10, ranks=16
+)
+SMALL = Design("as it is, today's sizes", server_groups=2, shared=10)
+DESIGNS = (TODAY, RANKED, STRETCHED)
+# Renewals of a lease, as designed; not a measurement.
+RENEW_S = 3.0
