--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from kingcupwheel.decisions.ages import relative
 from kingcupwheel.decisions.candidates import ALL_FULL
 from kingcupwheel.decisions.candidates import ALL_TRIED
 from kingcupwheel.decisions.candidates import NO_SERVERS
@@ -63,7 +64,7 @@
     """Return the servers that may be given ``ask``, or why there are none."""
     up = [
         candidate
-        for candidate in candidates
+        for candidate in relative(candidates)
         if candidate.state not in (ServerState.LEAVING, ServerState.EJECTED)
     ]
     if not up:
