--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -5,11 +5,11 @@
 import logging
 import secrets
 from threading import Event
-from threading import Lock
 from time import monotonic
 from typing import TYPE_CHECKING
 
 from kingcupwheel.agent.crashes import CrashTable
+from kingcupwheel.agent.drain import Drain
 from kingcupwheel.agent.exceptions import NoServerError
 from kingcupwheel.agent.exceptions import NotAnAgentError
 from kingcupwheel.agent.handler import AttemptHandler
@@ -141,11 +141,11 @@
             manifest_version=lambda: self._manifest.version,
         )
         self._next_beat = 0.0
-        self._leaving_at: float | None = None
-        self._idle_since: float | None = None
+        self._drain = Drain(
+            stay_s=_LEAVING_BEATS * timings.heartbeat_s, linger_s=timings.give_up_s
+        )
         self._leave_wanted = Event()
         self._drained = Event()
-        self._stop_once = Lock()
 
     @property
     def port(self) -> int:
@@ -240,7 +240,7 @@
         self._maps.adopt(group)
 
     def _on_tick(self, now: float) -> None:
-        if self._leave_wanted.is_set() and self._leaving_at is None:
+        if self._leave_wanted.is_set() and not self._drain.begun:
             self._begin_leaving(now)
         if now >= self._next_beat:
             self._next_beat = now + self._settings.timings.heartbeat_s
@@ -249,7 +249,7 @@
             self._handler.links_gone(self._peers.drop_silent(now=now))
         self._maps.on_tick(now)
         self._runner.advance()
-        if self._leaving_at is not None and self._is_drained(now, self._leaving_at):
+        if self._drain.begun and self._is_drained(now):
             self._drained.set()
 
     def _beat(self, now: float) -> None:
@@ -266,23 +266,16 @@
             self._hub.send(link, beat)
 
     def _begin_leaving(self, now: float) -> None:
-        self._leaving_at = now
+        self._drain.begin(now=now)
         with self._runner.lock:
             refusals = self._runner.runs.leave(now=now)
         self._runner.refuse(refusals)
         self._next_beat = now
         logger.info("Leaving, %d attempts running.", len(self._runner.runs.running))
 
-    def _is_drained(self, now: float, leaving_at: float) -> bool:
-        if self._runner.runs.running or self._store.alive():
-            self._idle_since = None
-            return False
-        if self._idle_since is None:
-            self._idle_since = now
-        stay_s = _LEAVING_BEATS * self._settings.timings.heartbeat_s
-        if now - leaving_at < stay_s:
-            return False
-        # The last frames may lie on a link that went silent; an entry that still wants
-        # them has replaced it and resumed by the time it would give up.
-        linger_s = self._settings.timings.give_up_s
-        return not self._store.undelivered or now - self._idle_since > linger_s
+    def _is_drained(self, now: float) -> bool:
+        return self._drain.is_over(
+            busy=bool(self._runner.runs.running or self._store.alive()),
+            undelivered=self._store.undelivered,
+            now=now,
+        )
--- /dev/null
+++ b/src/kingcupwheel/agent/drain.py
@@ -0,0 +1,43 @@
+"""Decides when a leaving agent may end; no sockets, no clock reads."""
+
+from __future__ import annotations
+
+
+class Drain:
+    """A planned stop.
+
+    It lasts ``stay_s`` at least: a dispatch sent before its entry heard of the leaving
+    still gets its ``not-run`` instead of silence. After the last frame it waits up to
+    ``linger_s`` for acknowledgements: the frames may lie on a link that went silent,
+    and an entry that still wants them has resumed by the time it would give up.
+    """
+
+    def __init__(self, *, stay_s: float, linger_s: float) -> None:
+        self._stay_s = stay_s
+        self._linger_s = linger_s
+        self._begun_at: float | None = None
+        self._idle_since: float | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether the agent is leaving."""
+        return self._begun_at is not None
+
+    def begin(self, *, now: float) -> None:
+        """Begin to leave."""
+        self._begun_at = now
+
+    def is_over(self, *, busy: bool, undelivered: int, now: float) -> bool:
+        """Return whether the agent may end.
+
+        ``busy`` tells that something runs or has frames to send; ``undelivered`` counts
+        answers not yet acknowledged to their end.
+        """
+        if busy or self._begun_at is None:
+            self._idle_since = None
+            return False
+        if self._idle_since is None:
+            self._idle_since = now
+        if now - self._begun_at < self._stay_s:
+            return False
+        return not undelivered or now - self._idle_since > self._linger_s
