--- a/src/kingcupwheel/decisions/shares.py
+++ b/src/kingcupwheel/decisions/shares.py
@@ -44,6 +44,8 @@
 # it by demand refuses the caller that moves to a quiet entry.
 SPARE_BY_DEMAND = 0.5
 
+_NEVER = float("-inf")
+
 # Demands below this are noise.
 _LEAST_DEMAND = 1e-6
 
@@ -68,12 +70,14 @@
     """The share an entry holds; tell ``held`` and ``wants`` on every heartbeat.
 
     ``wants_since`` is when it began to want more (None: it does not), ``raised_at``
-    when it last raised its share; both in monotonic seconds.
+    when it last raised its share, ``missed_at`` when it last missed a peer; all in
+    monotonic seconds.
     """
 
     held: float = 0.0
     wants_since: float | None = None
-    raised_at: float = float("-inf")
+    raised_at: float = _NEVER
+    missed_at: float = _NEVER
 
     @property
     def wants(self) -> bool:
@@ -85,6 +89,24 @@
         return max(self.held, FLOOR / entries)
 
 
+def idle_share(entries: int, set_age_s: float) -> Share:
+    """Return the share of an organisation that this entry had no call of so far.
+
+    Load: 43,000 organisations, of which a heartbeat names the few in use. An
+    organisation that a heartbeat does not name is one that its sender holds an equal
+    part of and sees no demand for. An entry that has known its set of ``entries`` for
+    less than ``RETURN_S`` starts with nothing, since others may still hold its part.
+    """
+    if set_age_s <= RETURN_S:
+        return Share()
+    return Share(held=1.0 / entries)
+
+
+def idle_peer(entries: int, age_s: float) -> PeerShare:
+    """Return what a peer tells by not naming an organisation; see ``idle_share``."""
+    return PeerShare(demand=0.0, held=1.0 / entries, wants=False, age_s=age_s)
+
+
 def next_share(
     share: Share, demand: float, peers: Sequence[PeerShare], now: float
 ) -> Share:
@@ -97,23 +119,30 @@
     whole allowance. Call it just before each heartbeat, and first thing after a pause.
     """
     equal = 1.0 / (len(peers) + 1)
-    target = _target(demand, peers, equal)
+    misses = any(peer.age_s > STALE_S for peer in peers)
+    if misses:
+        share = share._replace(missed_at=now)
+    target = equal if misses else _target(demand, peers, equal)
     if target <= share.held:
-        return Share(target, None, share.raised_at)
+        return share._replace(held=target, wants_since=None)
     wants_since = now if share.wants_since is None else share.wants_since
-    settled_s = now - max(wants_since, share.raised_at)
-    if not all(_has_answered(peer, settled_s) for peer in peers):
+    settled_at = max(wants_since, share.raised_at)
+    if not misses:
+        # Failure: a link heals, and this entry hears a peer that does not yet hear it.
+        # Symptom: this one lends itself what the peer takes back as its equal part.
+        # Once the peer has answered what was sent after that, both hear each other.
+        settled_at = max(settled_at, share.missed_at)
+    if not all(_has_answered(peer, now - settled_at) for peer in peers):
         return share._replace(wants_since=wants_since)
     free = 1.0 - share.held - sum(_occupied(peer, equal) for peer in peers)
     claims = 1 + sum(peer.wants and peer.age_s <= STALE_S for peer in peers)
     if free <= 0.0:
         return share._replace(wants_since=wants_since)
-    return Share(min(target, share.held + free / claims), wants_since, now)
+    held = min(target, share.held + free / claims)
+    return share._replace(held=held, wants_since=wants_since, raised_at=now)
 
 
 def _target(demand: float, peers: Sequence[PeerShare], equal: float) -> float:
-    if any(peer.age_s > STALE_S for peer in peers):
-        return equal
     total = demand + sum(peer.demand for peer in peers)
     if total < _LEAST_DEMAND:
         return equal
