--- a/src/kingcupwheel/expertmaps/coordinator.py
+++ b/src/kingcupwheel/expertmaps/coordinator.py
@@ -255,9 +255,11 @@
         answers = put(phase.answers, rank, reply)
         if None in answers:
             return replace(phase, answers=answers)
-        found = [answer.schedule for answer in answers if answer is not None]
+        held = [answer for answer in answers if answer is not None]
+        found = [answer.schedule for answer in held]
         schedule = restate(phase.version, found, self._initial)
-        return Committing(phase.version, schedule, True, frozenset())
+        lives = tuple(answer.life for answer in held)
+        return Committing(phase.version, schedule, lives, frozenset())
 
     def _staged(self, phase: Staging, rank: int, step: int) -> Phase:
         acked = phase.acked | {rank}
@@ -273,7 +275,7 @@
             return replace(phase, acked=acked)
         after = NamedMap(phase.version, phase.map)
         schedule = Schedule(phase.version, self._schedule.after, after, phase.step)
-        return Committing(phase.version, schedule, False, frozenset())
+        return Committing(phase.version, schedule, None, frozenset())
 
     def _committed(self, phase: Committing, rank: int) -> Phase:
         acked = phase.acked | {rank}
--- a/src/kingcupwheel/expertmaps/phases.py
+++ b/src/kingcupwheel/expertmaps/phases.py
@@ -126,12 +126,13 @@
 class Committing:
     """The outcome is decided; ``schedule`` is what each rank will have committed.
 
-    ``restated`` tells that it follows a hold, so that ranks have to be given it.
+    ``lives`` are the ranks' lives that answered a hold before this, which have to be
+    given the schedule; None if it follows no hold.
     """
 
     version: MapVersion
     schedule: Schedule
-    restated: bool
+    lives: tuple[str, ...] | None
     acked: frozenset[int]
 
 
@@ -186,9 +187,15 @@
             return Stage(version, expert_map) if now >= due[rank] else None
         case Preparing(version, _, step):
             return Prepare(version, step)
-        case Committing(version, schedule, restated):
-            return Commit(version, schedule if restated else None)
+        case Committing():
+            return _commit(phase, rank)
         case Aborting(version):
             return Abort(version)
         case Standby():
             return None
+
+
+def _commit(phase: Committing, rank: int) -> Commit:
+    if phase.lives is None:
+        return Commit(phase.version, None)
+    return Commit(phase.version, phase.schedule, phase.lives[rank])
--- a/src/kingcupwheel/expertmaps/protocol.py
+++ b/src/kingcupwheel/expertmaps/protocol.py
@@ -74,11 +74,14 @@
     """Make the prepared version final.
 
     ``schedule`` is given after ``Supersede`` and takes the place of the rank's own; a
-    rank that has restarted loads its weights by it.
+    rank that has restarted loads its weights by it. It is meant for the ``life`` of the
+    rank that answered ``Held``: a copy of both orders that comes after one more restart
+    would otherwise put a map of long ago in force on this rank alone.
     """
 
     version: MapVersion
     schedule: Schedule | None
+    life: str = ""
 
 
 class Abort(Order, frozen=True):
@@ -130,10 +133,14 @@
 
 
 class Held(Reply, frozen=True):
-    """Answers ``Supersede``; ``schedule`` is None for a rank that has restarted."""
+    """Answers ``Supersede``; ``schedule`` is None for a rank that has restarted.
+
+    ``life`` names the rank's life, from one start to the next.
+    """
 
     version: MapVersion
     schedule: Schedule | None
+    life: str = ""
 
 
 class Committed(Reply, frozen=True):
--- a/src/kingcupwheel/expertmaps/rank.py
+++ b/src/kingcupwheel/expertmaps/rank.py
@@ -42,7 +42,8 @@
 class RankState(NamedTuple):
     """What a rank remembers; all but ``step`` is lost when it restarts.
 
-    ``step`` is the next to run, ``highest`` the highest version ever taken or aborted.
+    ``step`` is the next to run, ``highest`` the highest version ever taken or aborted,
+    ``life`` a name of this life that no other of the rank's has.
     """
 
     step: int = 0
@@ -50,6 +51,7 @@
     staged: NamedMap | None = None
     hold: Hold | None = None
     highest: MapVersion = NO_VERSION
+    life: str = ""
 
     @property
     def may_run(self) -> bool:
@@ -130,7 +132,7 @@
 
 def _supersede(state: RankState, order: Supersede) -> Applied:
     version = order.version
-    answer = Held(version, state.schedule)
+    answer = Held(version, state.schedule, state.life)
     if state.hold is not None and state.hold.version == version:
         return state, answer
     if version <= state.highest:
@@ -144,6 +146,8 @@
         return state, Committed(version)
     if state.hold is None or state.hold.version != version:
         return _refuse(state, version, RefusalReason.NOT_PREPARED)
+    if order.schedule is not None and order.life != state.life:
+        return _refuse(state, version, RefusalReason.NOT_PREPARED)
     schedule = order.schedule or _own_schedule(state, version)
     if schedule is None:
         return _refuse(state, version, RefusalReason.NOT_STAGED)
--- a/tests/expertmaps/test_explored.py
+++ b/tests/expertmaps/test_explored.py
@@ -147,5 +147,31 @@
         assert self.model.mixed is None
 
 
+def test_copies_of_orders_before_a_second_restart_do_not_bring_back_an_old_map() -> (
+    None
+):
+    """Callers would get answers computed on two maps; the search found it like this.
+
+    A rank restarts and is told its map by a hold and a commit. The group changes its
+    map. The rank restarts again, and copies of that hold and commit, sent over an older
+    link, arrive now: in a life that has seen nothing they would be taken as new.
+    """
+    group = GroupUnderFailures()
+    group.start(ignore_fences=False)
+    group.rank_restarts(rank=0)
+    for _ in range(3):
+        group.all_is_well_for_a_moment()
+    group.a_change_goes_on(count=1, number=0, pick=0)
+    for _ in range(3):
+        group.all_is_well_for_a_moment()
+    group.a_change_goes_on(count=2, number=0, pick=0)
+    group.rank_restarts(rank=0)
+    group.all_is_well_for_a_moment()
+    group.a_change_goes_on(count=1, number=0, pick=0)
+
+    group.no_step_is_run_on_two_maps()
+    group.teardown()
+
+
 TestGroupUnderFailures = GroupUnderFailures.TestCase
 TestGroupUnderFailures.settings = settings(max_examples=150, stateful_step_count=80)
