--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -46,7 +46,7 @@
     # The claim takes effect, its answer does not come. The entry reads it back, finds its
     # own nonce and goes on; the caller notices nothing.
     Given a fleet of 1 entries, 0 engines and 1 services
-    And the platform loses the answers of the next 1 writes
+    And the platform loses the answers of the next 20 writes
     When "first" reserves part "PN-4" at entry-1 with key "unconfirmed"
     Then "first" gets the whole answer
     And key "unconfirmed" ran 1 times
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -12,7 +12,7 @@
     # The index was written and the answer did not come; the command reads it back and
     # says that the manifest was accepted.
     Given a fleet of 1 entries, 1 engines and 0 services
-    And the platform loses the answers of the next 3 writes
+    And the platform loses the answers of the next 50 writes
     When an operator submits a manifest for the version seen, with path "/v1/new"
     Then the submission is accepted
     And every process is on the accepted version within 7 s
--- a/src/kingcupwheel/entry/answering.py
+++ b/src/kingcupwheel/entry/answering.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from kingcupwheel.decisions.work import DEFAULT_BYTES_PER_TOKEN
 from kingcupwheel.entry.answers import StreamedAnswer
 from kingcupwheel.entry.answers import WholeAnswer
 from kingcupwheel.entry.exceptions import AnswerCutError
@@ -38,7 +39,6 @@
 _WAIT_S = 1.0
 _EVENT_STREAM = "text/event-stream"
 _LEFT = Ended(Outcome.UNKNOWN, "the caller left")
-_DEFAULT_BYTES_PER_TOKEN = 4.0
 
 
 class Answering:
@@ -64,6 +64,7 @@
         self._end = end
         self._status = 0
         self._first_byte_s: float | None = None
+        self._first_byte_at: float | None = None
         self._gaps_s: list[float] = []
         self._last_chunk_at = 0.0
 
@@ -151,6 +152,7 @@
         now = monotonic()
         if self._first_byte_s is None:
             self._first_byte_s = now - self._plan.request.received_at
+            self._first_byte_at = now
             self._record(FirstByte(self._reader.server, self._reader.inbox.key.attempt))
         else:
             self._gaps_s.append(now - self._last_chunk_at)
@@ -171,9 +173,8 @@
         self._record(
             Finished(ended.outcome.value, self._status, length, ended.detail or "whole")
         )
-        tokens = len(self._gaps_s) + 1 if request.streamed else 0
-        tokens = tokens or int(length / _DEFAULT_BYTES_PER_TOKEN)
-        self._context.limits.finish(request, self._plan.work, float(tokens))
+        whole = ended.outcome is Outcome.RAN
+        self._context.limits.ran(request, self._plan.work, self._tokens, whole=whole)
         self._context.observer.answered(
             request,
             server=self._reader.server,
@@ -184,12 +185,25 @@
             caller_left=ended is _LEFT,
         )
 
+    @property
+    def _tokens(self) -> int:
+        if self._plan.request.streamed:
+            return len(self._gaps_s) + 1
+        return int(self._reader.offset / DEFAULT_BYTES_PER_TOKEN)
+
     def _judge_server(self, ended: Ended) -> None:
-        if self._place is None:
+        """Count a whole answer by its time a token.
+
+        Prompts and answers differ in length, so that whole times say little of a
+        server; the wait in this entry's queue says nothing of it.
+        """
+        if self._place is None or ended.outcome is not Outcome.RAN:
             return
         dispatcher = self._context.dispatchers.of(self._plan.request.group)
-        if ended.outcome is Outcome.RAN and self._first_byte_s is not None:
-            dispatcher.succeeded(self._place, self._first_byte_s)
+        took_s = monotonic() - self._reader.began_at
+        dispatcher.succeeded(self._place, took_s / max(1, self._tokens))
+        first_s = (self._first_byte_at or monotonic()) - self._reader.began_at
+        dispatcher.saw_first_byte(first_s, len(self._plan.request.body))
 
     def _record(self, event: FirstByte | CallerLeft | Finished) -> None:
         self._context.recorder.record(self._plan.request.request_id, event)
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -23,6 +23,7 @@
 from kingcupwheel.decisions.group_health import GroupHealth
 from kingcupwheel.decisions.group_health import ServerLoad
 from kingcupwheel.decisions.health import ServerState
+from kingcupwheel.decisions.latency import LatencyBound
 from kingcupwheel.decisions.queueing import FairQueue
 from kingcupwheel.decisions.queueing import Queued
 from kingcupwheel.decisions.queueing import Waiting
@@ -94,6 +95,7 @@
         self._policy = placement_policies.get(group.placement)()
         self._queue = FairQueue(limit=group.queue)
         self._health = GroupHealth()
+        self._first_byte = LatencyBound()
         self._tickets_by_request_id: dict[str, Ticket] = {}
         self._held: Ticket | None = None
         self._aside: deque[Ticket] = deque()
@@ -113,7 +115,7 @@
             organisation=request.organisation.name,
             priority=request.organisation.priority,
             work=work,
-            deadline_at=request.deadline_at,
+            deadline_at=self._leave_queue_by(request),
             queued_at=now,
         )
         ticket = Ticket(waiting, ask)
@@ -125,6 +127,12 @@
             self._pump(now)
         return ticket
 
+    def _leave_queue_by(self, request: CallerRequest) -> float:
+        # Placed just before its deadline, a request would be run in vain: its first
+        # byte takes as long as ever.
+        with self._lock:
+            return request.deadline_at - self._first_byte.bound_s(len(request.body))
+
     def _enqueue(self, ticket: Ticket, now: float) -> Refuse | None:
         if ticket.ask.suspect or ticket.ask.avoid:
             if len(self._aside) >= _MAX_ASIDE:
@@ -165,10 +173,15 @@
                 server.suspects = max(0, server.suspects - place.suspect)
         self.pump()
 
-    def succeeded(self, place: Place, latency_s: float) -> None:
-        """Count a whole answer whose first byte took ``latency_s`` seconds."""
+    def succeeded(self, place: Place, token_s: float) -> None:
+        """Count a whole answer that took ``token_s`` seconds a token."""
+        with self._lock:
+            self._health.of(place.server).succeeded(token_s, monotonic())
+
+    def saw_first_byte(self, seconds: float, body_bytes: int) -> None:
+        """Note the time from dispatch to first byte of a body of that size."""
         with self._lock:
-            self._health.of(place.server).succeeded(latency_s, monotonic())
+            self._first_byte.saw(seconds, body_bytes)
 
     def failed(self, place: Place) -> None:
         """Count an attempt that failed through its server."""
--- a/src/kingcupwheel/entry/limits.py
+++ b/src/kingcupwheel/entry/limits.py
@@ -14,6 +14,7 @@
 from kingcupwheel.decisions.suspects import Quarantined
 from kingcupwheel.decisions.suspects import Suspect
 from kingcupwheel.decisions.suspects import Suspects
+from kingcupwheel.decisions.work import DEFAULT_BYTES_PER_TOKEN
 from kingcupwheel.decisions.work import WorkPredictor
 from kingcupwheel.entry.refusals import Refusal
 
@@ -120,17 +121,25 @@
             self._configured.pop(organisation.name, None)
             self._admission.forget(organisation.name)
 
-    def finish(self, request: CallerRequest, predicted: float, tokens: float) -> None:
-        """Settle an admitted request that took ``tokens`` of answer."""
+    def not_run(self, request: CallerRequest, predicted: float) -> None:
+        """Settle an admitted request that took no work of a server."""
         name = request.organisation.name
         with self._lock:
-            prompt = predicted if tokens == 0 else len(request.body) / 4
-            actual = 0.0 if tokens == 0 else prompt + tokens
-            self._admission.finish(name, predicted, actual, monotonic())
-            if tokens:
-                self._predictor.learn(
-                    name, request.route.path, int(prompt), int(tokens)
-                )
+            self._admission.finish(name, predicted, 0.0, monotonic())
+
+    def ran(
+        self, request: CallerRequest, predicted: float, tokens: int, *, whole: bool
+    ) -> None:
+        """Settle an admitted request whose answer took about ``tokens`` tokens.
+
+        One that ended whole is no suspect any more: its server lived on.
+        """
+        name = request.organisation.name
+        prompt = int(len(request.body) / DEFAULT_BYTES_PER_TOKEN)
+        with self._lock:
+            self._admission.finish(name, predicted, prompt + tokens, monotonic())
+            if whole:
+                self._predictor.learn(name, request.route.path, prompt, tokens)
                 self._suspects.cleared(request.fingerprint)
 
     def may_retry(self, request: CallerRequest) -> bool:
--- a/src/kingcupwheel/entry/reading.py
+++ b/src/kingcupwheel/entry/reading.py
@@ -60,6 +60,7 @@
         self._acked = 0
         self._quiet_s = quiet_s
         self._heard_at = monotonic()
+        self._began_at = self._heard_at
 
     @property
     def inbox(self) -> Inbox:
@@ -71,6 +72,11 @@
         """The name of the backend server's instance."""
         return self._server
 
+    @property
+    def began_at(self) -> float:
+        """When the attempt was sent, monotonic."""
+        return self._began_at
+
     @property
     def offset(self) -> int:
         """Bytes of the body read so far."""
--- a/src/kingcupwheel/entry/running.py
+++ b/src/kingcupwheel/entry/running.py
@@ -301,7 +301,10 @@
         # A refusal after an attempt that may have run is no ``not-run`` any more.
         if self._runs and refusal.outcome is Outcome.NOT_RUN:
             refusal = refusal._replace(outcome=Outcome.UNKNOWN)
-        self._context.limits.finish(self._request, plan.work, 0.0)
+        if self._runs:
+            self._context.limits.ran(self._request, plan.work, 0, whole=False)
+        else:
+            self._context.limits.not_run(self._request, plan.work)
         return self._refuse(refusal)
 
     def _refuse(self, refusal: Refusal) -> RefusedAnswer:
