--- a/src/kingcupwheel/expertmaps/coordinator.py
+++ b/src/kingcupwheel/expertmaps/coordinator.py
@@ -46,6 +46,7 @@
 from kingcupwheel.expertmaps.protocol import RefusalReason
 from kingcupwheel.expertmaps.protocol import Refused
 from kingcupwheel.expertmaps.protocol import Schedule
+from kingcupwheel.expertmaps.protocol import Stage
 from kingcupwheel.expertmaps.protocol import Staged
 from kingcupwheel.expertmaps.protocol import StateRead
 
@@ -153,7 +154,7 @@
 
     def _tick(self, now: float) -> list[Send]:
         match self._phase:
-            case Staging(version, _, due) if now - due[-1] > self._timings.stage_s:
+            case Staging(version, due=due) if now - due[-1] > self._timings.stage_s:
                 return self._enter(Aborting(version, frozenset()), now)
             case Preparing(version) if now - self._since > self._timings.prepare_s:
                 return self._enter(Aborting(version, frozenset()), now)
@@ -169,14 +170,18 @@
         if not isinstance(self._phase, Ready) or self._schedule is None:
             return []
         self._version = self._version.next()
-        per_expert = self._expert_bytes / self._timings.store_bytes_per_s
+        base = self._schedule.after
         due = staging_turns(
-            self._schedule.after.map,
+            base.map,
             expert_map,
             now=now,
-            seconds_per_expert=per_expert,
+            seconds_per_expert=self._expert_bytes / self._timings.store_bytes_per_s,
+        )
+        cells = base.map.cells_to(expert_map)
+        order = Stage(self._version, base.origin, cells)
+        staging = Staging(
+            self._version, expert_map, order, due, frozenset(), self._pace.step
         )
-        staging = Staging(self._version, expert_map, due, frozenset(), self._pace.step)
         return self._enter(staging, now)
 
     def _survey(self) -> Surveying:
--- a/src/kingcupwheel/expertmaps/leader.py
+++ b/src/kingcupwheel/expertmaps/leader.py
@@ -85,6 +85,11 @@
         """Whether a fence is in hand."""
         return self._fence > 0
 
+    @property
+    def knows_all_ranks(self) -> bool:
+        """Whether an agent has spoken for every rank."""
+        return len(self._address_by_rank) == self._ranks
+
     @property
     def deposed(self) -> bool:
         """Whether a rank has told of a newer coordinator."""
@@ -122,9 +127,8 @@
         if decoded.is_error() or not 0 <= message.rank < self._ranks:
             logger.warning("Bad reply from %s.", message.agent)
             return
-        # A replaced agent speaks from another address for the same rank.
-        self._address_by_rank[message.rank] = address
-        if not self._started and len(self._address_by_rank) == self._ranks:
+        self._learn(message.rank, address)
+        if not self._started and self.knows_all_ranks:
             self._started = True
             self._step(LeaseTaken(self._fence, now))
         match decoded.ok:
@@ -160,6 +164,13 @@
             )
             self._step(Proposed(found.map, now))
 
+    def _learn(self, rank: int, address: str) -> None:
+        """Note where a rank's agent is; a replaced one speaks from a new address."""
+        known = self._address_by_rank.get(rank)
+        if known is not None and known != address:
+            logger.warning("Rank %d moved from %s to %s.", rank, known, address)
+        self._address_by_rank[rank] = address
+
     def _probe(self, members: frozenset[str]) -> None:
         """Ask agents that no rank is known of which rank they speak for."""
         for address in sorted(members - set(self._address_by_rank.values())):
--- a/src/kingcupwheel/expertmaps/maps.py
+++ b/src/kingcupwheel/expertmaps/maps.py
@@ -43,6 +43,14 @@
 NO_VERSION = MapVersion(0, 0)
 
 
+class Cell(NamedTuple):
+    """The experts that one rank holds of one layer."""
+
+    layer: int
+    rank: int
+    held: tuple[int, ...]
+
+
 class ExpertMap(msgspec.Struct, frozen=True, array_like=True):
     """Placement of ``experts`` experts a layer on ranks of ``slots`` slots."""
 
@@ -67,6 +75,24 @@
                 message = f"layer {number}: experts missing or unknown"
                 raise InvalidMapError(message)
 
+    def cells_to(self, target: ExpertMap) -> tuple[Cell, ...]:
+        """Return what differs in ``target``."""
+        return tuple(
+            Cell(layer, rank, after)
+            for layer, (old, new) in enumerate(
+                zip(self.layers, target.layers, strict=True)
+            )
+            for rank, (before, after) in enumerate(zip(old, new, strict=True))
+            if before != after
+        )
+
+    def with_cells(self, cells: tuple[Cell, ...]) -> ExpertMap:
+        """Return this map with ``cells`` replaced."""
+        layers = [list(layer) for layer in self.layers]
+        for layer, rank, held in cells:
+            layers[layer][rank] = held
+        return ExpertMap(self.experts, self.slots, tuple(map(tuple, layers)))
+
     def moves_to(self, target: ExpertMap) -> int:
         """Return how many expert weights ranks must load to change to ``target``."""
         return sum(
--- a/src/kingcupwheel/expertmaps/phases.py
+++ b/src/kingcupwheel/expertmaps/phases.py
@@ -102,11 +102,13 @@
 class Staging:
     """Ranks load the weights of the new map, each from its turn on.
 
-    ``due`` is when each rank's turn comes (monotonic), ``step`` the highest heard of.
+    ``order`` is for all of them, ``due`` is when each rank's turn comes (monotonic),
+    ``step`` the highest heard of.
     """
 
     version: MapVersion
     map: ExpertMap
+    order: Stage
     due: tuple[float, ...]
     acked: frozenset[int]
     step: int
@@ -182,8 +184,8 @@
             return ReadState(number)
         case Holding(version, _):
             return Supersede(version)
-        case Staging(version, expert_map, due):
-            return Stage(version, expert_map) if now >= due[rank] else None
+        case Staging(order=order, due=due):
+            return order if now >= due[rank] else None
         case Preparing(version, _, step):
             return Prepare(version, step)
         case Committing(version, schedule, restated):
--- a/src/kingcupwheel/expertmaps/protocol.py
+++ b/src/kingcupwheel/expertmaps/protocol.py
@@ -18,6 +18,7 @@
 
 from kingcupwheel.expertmaps.exceptions import BadOrder
 from kingcupwheel.expertmaps.maps import NO_VERSION
+from kingcupwheel.expertmaps.maps import Cell
 from kingcupwheel.expertmaps.maps import ExpertMap
 from kingcupwheel.expertmaps.maps import MapVersion
 
@@ -51,10 +52,15 @@
 
 
 class Stage(Order, frozen=True):
-    """Load the weights that ``map`` needs on this rank."""
+    """Load the weights that a new map needs on this rank.
+
+    The map is that of ``base``, which the rank has committed, with ``cells`` replaced:
+    a whole map for each rank and change would be most of a coordinator's traffic.
+    """
 
     version: MapVersion
-    map: ExpertMap
+    base: MapVersion
+    cells: tuple[Cell, ...]
 
 
 class Prepare(Order, frozen=True):
@@ -176,6 +182,7 @@
     STALE_FENCE = "stale-fence"
     STALE_VERSION = "stale-version"
     RESTARTED = "restarted"
+    OTHER_BASE = "other-base"
     NOT_STAGED = "not-staged"
     STEP_PASSED = "step-passed"
     EARLIER_CHANGE = "earlier-change"
--- a/src/kingcupwheel/expertmaps/rank.py
+++ b/src/kingcupwheel/expertmaps/rank.py
@@ -105,7 +105,9 @@
         return _refuse(state, order.version, RefusalReason.RESTARTED)
     if state.staged is not None and order.version < state.staged.origin:
         return _refuse(state, order.version, RefusalReason.STALE_VERSION)
-    staged = NamedMap(order.version, order.map)
+    if state.schedule.after.origin != order.base:
+        return _refuse(state, order.version, RefusalReason.OTHER_BASE)
+    staged = NamedMap(order.version, state.schedule.after.map.with_cells(order.cells))
     return state._replace(staged=staged), Staged(order.version, state.step)
 
 
--- a/src/kingcupwheel/expertmaps/service.py
+++ b/src/kingcupwheel/expertmaps/service.py
@@ -171,7 +171,7 @@
             now = monotonic()
             try:
                 self._follow_lease(now)
-                due = now - members_read >= self._timings.members_s
+                due = now - members_read >= self._members_s
                 if self._lease.holding(now) is not None and due:
                     self._read_members()
                     members_read = now
@@ -195,6 +195,12 @@
         turn = min(self._rank, _TURNS)
         return self._timings.patience_s + turn * self._timings.turn_s
 
+    @property
+    def _members_s(self) -> float:
+        """How often the list is read; more often while a rank's agent is missing."""
+        settled = self._leader.knows_all_ranks
+        return self._timings.members_s if settled else self._timings.renew_s
+
     def _read_members(self) -> None:
         result = self._platform.instances()
         if result.is_error():
--- a/tests/expertmaps/fleet.py
+++ b/tests/expertmaps/fleet.py
@@ -92,6 +92,7 @@
         self.service.start()
 
     def stop(self) -> None:
+        self.lost_when = lambda _: False
         self.thaw()
         self.service.stop()
         self.hub.stop()
--- a/tests/expertmaps/test_planner.py
+++ b/tests/expertmaps/test_planner.py
@@ -41,6 +41,8 @@
         if found is not None:
             found.map.check()
             assert found.moves == current.moves_to(found.map) > 0
+            cells = current.cells_to(found.map)
+            assert current.with_cells(cells) == found.map
             current = found.map
 
 
--- a/tests/expertmaps/test_service.py
+++ b/tests/expertmaps/test_service.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from kingcupwheel.expertmaps.phases import Holding
 from kingcupwheel.expertmaps.phases import Preparing
 from kingcupwheel.expertmaps.phases import Ready
 from tests.standins.ranks import Switch
@@ -92,6 +93,33 @@
     finish(fleet)
 
 
+def test_a_successor_lost_while_it_holds_the_ranks_is_succeeded_in_turn(
+    fleet: Fleet,
+) -> None:
+    """Callers see one gap of two takeovers; engines ignore fences throughout.
+
+    The coordinator dies between prepare and commit, and its agent is replaced. The
+    successor freezes while it holds the ranks. A third takes the lease; the second
+    wakes, finds that it leads no longer, and its agent answers the third.
+    """
+    with fleet.group.lock:
+        for rank in fleet.group.ranks:
+            fleet.group.switch(rank, Switch(ignore_fences=True))
+    first = lose_mid_change(fleet)
+    for agent in fleet.agents:
+        agent.lost_when = lambda phase: isinstance(phase, Holding)
+    first.kill()
+    fleet.replace(first)
+    fleet.until(lambda: any(not agent.running.is_set() for agent in fleet.agents))
+    second = next(agent for agent in fleet.agents if not agent.running.is_set())
+    for agent in fleet.agents:
+        agent.lost_when = lambda _: False
+
+    fleet.until(lambda: any(a.service.leads for a in fleet.agents if a is not second))
+    second.thaw()
+    finish(fleet)
+
+
 def test_a_platform_outage_in_the_middle_of_a_change_is_outlived(
     fleet: Fleet,
 ) -> None:
--- a/tests/expertmaps/test_takeover.py
+++ b/tests/expertmaps/test_takeover.py
@@ -3,10 +3,16 @@
 import pytest
 
 from kingcupwheel.expertmaps.coordinator import Coordinator
+from kingcupwheel.expertmaps.maps import MapVersion
 from kingcupwheel.expertmaps.phases import Ready
 from kingcupwheel.expertmaps.protocol import Abort
 from kingcupwheel.expertmaps.protocol import Commit
+from kingcupwheel.expertmaps.protocol import NamedMap
 from kingcupwheel.expertmaps.protocol import Prepare
+from kingcupwheel.expertmaps.protocol import Stage
+from kingcupwheel.expertmaps.protocol import Staged
+from kingcupwheel.expertmaps.rank import apply_order
+from tests.expertmaps.model import FIRST
 from tests.expertmaps.model import GroupModel
 from tests.expertmaps.model import OrderSent
 from tests.expertmaps.naive import NaiveCoordinator
@@ -139,3 +145,15 @@
 
     assert model.mixed is None
     assert min(state.step for state in model.ranks) == 4
+
+
+def test_a_rank_refuses_changes_to_a_map_that_it_has_not_committed() -> None:
+    """Ranks would step on different maps under one name."""
+    model = GroupModel()
+    cells = model.initial.cells_to(model.other)
+    version = MapVersion(2, 1)
+
+    for base, staged in ((FIRST, True), (version, False)):
+        state, reply = apply_order(model.ranks[0], Stage(version, base, cells))
+        assert isinstance(reply, Staged) is staged
+        assert (state.staged == NamedMap(version, model.other)) is staged
