--- a/src/kingcupwheel/expertmaps/rank_api.py
+++ b/src/kingcupwheel/expertmaps/rank_api.py
@@ -35,6 +35,9 @@
 
 # The longest answer that is read: a schedule of two maps of the largest group.
 _ANSWER_BYTES = 4_000_000
+# How long a rank may take to answer. An order is answered between two steps; one that
+# takes longer is given again, and counts as possibly still to take effect.
+RANK_TIMEOUT_S = 2.0
 _REPLIES: msgspec.json.Decoder[Any] = msgspec.json.Decoder(AnyReply)
 
 
@@ -78,7 +81,7 @@
 class HttpRankApi:
     """Speaks to the rank at ``url``; each call takes ``timeout_s`` at most."""
 
-    def __init__(self, url: str, *, timeout_s: float) -> None:
+    def __init__(self, url: str, *, timeout_s: float = RANK_TIMEOUT_S) -> None:
         self._url = url.rstrip("/")
         timeout = urllib3.Timeout(total=timeout_s)
         self._pool = urllib3.PoolManager(maxsize=2, timeout=timeout, retries=False)
