--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -15,7 +15,7 @@
   Scenario: The entry dies while the request runs
     # The first caller's connection breaks; it sends again elsewhere and gets the answer
     # of the run that went on, because the claim names the agent that holds it.
-    Given a fleet of 2 entries, 0 engines and 2 services
+    Given a fleet of 2 entries and 2 services, one of each in a data centre
     And service service-1 takes 1500 ms for each call
     And service service-2 takes 1500 ms for each call
     When "first" reserves part "PN-2" at entry-1 with key "entry-dies"
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -7,7 +7,7 @@
     Given a fleet of 2 entries, 2 engines and 0 services
     And engine engine-1 takes 50 ms for each step
     And engine engine-2 takes 50 ms for each step
-    And 6 callers stream 60 tokens each without pause
+    And 6 callers stream 100 tokens each without pause
     When each agent is replaced in turn
     And each entry is replaced in turn
     And the callers stop
--- a/src/kingcupwheel/settings/schema.py
+++ b/src/kingcupwheel/settings/schema.py
@@ -82,8 +82,8 @@
     given up ``give_up_s`` after their last sign of life. ``token_s`` is how old a
     dispatch's clock token may be. ``instances_s`` is how often the platform's list is
     read, ``watch_s`` how long one watch waits. ``leave_s`` is how long a leaving entry
-    leave_s: float = 6.0
-    trace_batch_s: float = 30.0
+    still takes new requests from callers that have not yet heard; callers are told to
+    keep an address for half of that. ``trace_batch_s`` is the period of trace batches.
     """
 
     heartbeat_s: float = 1.0
