--- a/src/kingcupwheel/manifest/submitting.py
+++ b/src/kingcupwheel/manifest/submitting.py
@@ -88,7 +88,9 @@
         Failure: another submitter removes this shard, which it found retired, right
         after it was found here. Symptom: an index in force names a shard that is gone.
         Writing the same content again raises its version, and removals are conditional
-        on a version read earlier (see ``versions_of``), so the removal fails.
+        on a version read earlier (see ``versions_of``), so the removal fails. A version
+        above the one found here says as much, whoever raised it: this submitter, whose
+        confirmation was lost, or another since.
         """
         error: PlatformError | None = None
         for _ in range(_SHARD_TRIES):
@@ -98,13 +100,16 @@
             error = result.error
             if not isinstance(error, Conflict):
                 return error
-            again = partial(self._client.update, key, value, version=error.version)
+            found = error.version
+            again = partial(self._client.update, key, value, version=found)
             result = self._patience.insist(again)
             if result.is_ok():
                 return None
             error = result.error
             if not isinstance(error, Conflict):
                 return error
+            if error.version > found:
+                return None
         return error
 
     def write_index(self, index: Index, base: Base) -> Result[Won, SubmitError]:
--- a/tests/manifest/test_store.py
+++ b/tests/manifest/test_store.py
@@ -136,6 +136,23 @@
     assert shard_lost.version < index_lost.version == store.version().ok
 
 
+def test_a_submission_is_accepted_though_every_confirmation_is_lost(
+    platform: PlatformStandIn, store: ManifestStore
+) -> None:
+    """The operator is told that the manifest is in force, as it is.
+
+    Each write takes effect and none is confirmed: a shard's creation, its rewriting
+    after the conflict with itself, then the index. Found by a scenario that lost 50.
+    """
+    store.submit(build_manifest(), submission="a")
+    platform.state.switch(lose_answers=1000)
+
+    accepted = store.submit(build_manifest(work_per_s=1.5), submission="b").ok
+
+    assert not accepted.superseded
+    assert accepted.version == store.version().ok
+
+
 def test_a_winner_with_a_lost_confirmation_is_told_so_after_a_later_one_won(
     platform: PlatformStandIn, store: ManifestStore, client: HttpPlatformClient
 ) -> None:
