--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -89,6 +89,17 @@
     Then "other" is told 422 with outcome not-run
     And key "reused" ran 1 times
 
+  Scenario: The caller gives up waiting and sends again
+    # Its own deadline passes while the request runs: it is told unknown, not that it was
+    # not run, and the run goes on. The resend gets the answer of that one run.
+    Given a fleet of 1 entries, 0 engines and 1 services
+    And service service-1 takes 2500 ms for each call
+    When "hasty" reserves part "PN-11" at entry-1 with key "hasty" within 1 s
+    Then "hasty" is told 504 with outcome unknown
+    When "patient" reserves part "PN-11" at entry-1 with key "hasty"
+    Then "patient" gets the whole answer
+    And key "hasty" ran 1 times
+
   Scenario: The entry and the agent die together
     # Both parts that knew of the run are gone. The resend finds the claim, the named
     # agent's life is over, and the truth is unknown.
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -24,6 +24,23 @@
     context.world.start_call(name, entry, RESERVATIONS, body, idempotency_key=key)
 
 
+@when(
+    '"{name}" reserves part "{part}" at {entry} with key "{key}" within {seconds:d} s'
+)
+def start_hasty_reservation(
+    context: Any, name: str, part: str, entry: str, key: str, seconds: int
+) -> None:
+    """Start a request that may not be repeated, with a deadline of the caller's own."""
+    context.world.start_call(
+        name,
+        entry,
+        RESERVATIONS,
+        {"part": part},
+        idempotency_key=key,
+        headers={"Kingcupwheel-Deadline": str(seconds)},
+    )
+
+
 @when('"{name}" streams {tokens:d} tokens from {entry}')
 def start_stream(context: Any, name: str, tokens: int, entry: str) -> None:
     """Start a streamed completion."""
--- a/src/kingcupwheel/entry/joining.py
+++ b/src/kingcupwheel/entry/joining.py
@@ -26,13 +26,16 @@
 from kingcupwheel.entry.inbox import Elapsed
 from kingcupwheel.entry.inbox import Inbox
 from kingcupwheel.entry.reading import AnswerReader
+from kingcupwheel.entry.refusals import EARLIER_SEND_RUNNING
 from kingcupwheel.entry.refusals import KEY_REUSED
 from kingcupwheel.entry.refusals import Refusal
+from kingcupwheel.entry.refusals import claim_unreachable
+from kingcupwheel.entry.refusals import earlier_send
+from kingcupwheel.entry.visiting import Visit
 from kingcupwheel.link.links import Outgoing
 from kingcupwheel.messages.runs import Entomb
 from kingcupwheel.messages.runs import Entombed
 from kingcupwheel.messages.runs import Outcome
-from kingcupwheel.platform.client import Instance
 from kingcupwheel.trace.events import Claimed
 from kingcupwheel.trace.events import Joined
 
@@ -95,7 +98,7 @@
         """Return the claim as the platform has it, None if there is none."""
         found = self._context.claims.read(self._claim_id)
         if found.is_error():
-            return unreachable(found.error, claimed=True)
+            return claim_unreachable(found.error, claimed=True)
         return found.ok
 
     def take(
@@ -115,7 +118,7 @@
             case ClaimMoved():
                 return Again()
             case ClaimUnreachable() as error:
-                return unreachable(error)
+                return claim_unreachable(error)
 
     def _record_for(self, place: Place, attempt: int, held: Held | None) -> ClaimRecord:
         request = self._request
@@ -149,17 +152,17 @@
         if record.body_digest != self._request.body_digest:
             return Final(KEY_REUSED)
         if record.final is not None:
-            return Final(_earlier(record.final, record.reason))
+            return Final(earlier_send(record.final, record.reason))
         self._context.recorder.record(
             self._request.request_id, Joined(record.request_id)
         )
-        with _Visit(self._context, record):
+        with Visit(self._context.servers, record):
             return self._explore_agent(held)
 
     def _explore_agent(self, held: Held) -> Finding:
         inbox = self._open_inbox(held.record)
         if inbox is None:
-            return Final(_still_running())
+            return Final(EARLIER_SEND_RUNNING)
         reader = AnswerReader(
             inbox,
             self._context.hub,
@@ -208,7 +211,7 @@
 
     def _lost(self, held: Held, reason: str) -> Finding:
         self.finish(held, Outcome.UNKNOWN, reason)
-        return Final(_earlier(Outcome.UNKNOWN, reason))
+        return Final(earlier_send(Outcome.UNKNOWN, reason))
 
     def _take_over(self, held: Held, inbox: Inbox) -> Finding:
         """Make sure that the earlier dispatch can't start, then free the claim.
@@ -230,7 +233,7 @@
                 case ClaimMoved():
                     return Again()
                 case ClaimUnreachable() as error:
-                    return Final(unreachable(error, claimed=True))
+                    return Final(claim_unreachable(error, claimed=True))
         raised = written.ok
         self._note(raised, "raised the fence of")
         return self._entomb(raised, inbox)
@@ -269,50 +272,3 @@
     def _note(self, held: Held, detail: str) -> None:
         event = Claimed(held.claim_id, held.record.fence, detail)
         self._context.recorder.record(self._request.request_id, event)
-
-
-class _Visit:
-    """Keeps an agent that this entry does not otherwise use known for a while."""
-
-    def __init__(self, context: EntryContext, record: ClaimRecord) -> None:
-        self._servers = context.servers
-        self._instance = Instance(
-            name=record.agent,
-            role="agent",
-            group="",
-            data_centre="",
-            address=record.address,
-            http="",
-            leaving=False,
-        )
-
-    def __enter__(self) -> None:
-        self._servers.visit(self._instance, monotonic())
-
-    def __exit__(self, *_: object) -> None:
-        self._servers.end_visit(self._instance.address)
-
-
-def unreachable(error: ClaimUnreachable, *, claimed: bool = False) -> Refusal:
-    """Return the refusal of a request whose claim can't be made or settled.
-
-    ``claimed`` tells that an earlier send made a claim: it may have run, and a caller
-    who reads ``not-run`` after a resend would take the whole key for not run.
-    """
-    message = (
-        "The request may run at most once, and the platform can't record it now: "
-        f"{error.detail}."
-    )
-    outcome = Outcome.UNKNOWN if claimed else Outcome.NOT_RUN
-    return Refusal(503, "claim-unavailable", message, error.retry_after_s, outcome)
-
-
-def _earlier(outcome: Outcome, reason: str) -> Refusal:
-    message = f"An earlier send of this Idempotency-Key ended: {reason}."
-    return Refusal(409, "earlier-send", message, outcome=outcome)
-
-
-def _still_running() -> Refusal:
-    # The earlier send runs and this caller has not received its answer: unknown to it.
-    message = "An earlier send of this Idempotency-Key is still being answered."
-    return Refusal(409, "earlier-send-running", message, 1.0, Outcome.UNKNOWN)
--- /dev/null
+++ b/src/kingcupwheel/entry/judging.py
@@ -0,0 +1,118 @@
+"""Decides what follows an attempt without an answer: another one, or a refusal."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.entry.following import Ended
+from kingcupwheel.entry.following import NotStarted
+from kingcupwheel.entry.refusals import Refusal
+from kingcupwheel.entry.waiting import WaitOver
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.messages.runs import Refusal as AgentRefusal
+from kingcupwheel.trace.events import Retried
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.attempting import Attempts
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.dispatching import Place
+    from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.entry.watching import CallerWatch
+
+# Places that may turn a request away before it is refused. An agent's refusal costs one
+# message and no run; three cover a restart, a full server and a stale heartbeat in a
+# row, while more would keep a caller waiting on a group that has no room.
+MAX_TURNED_AWAY = 3
+# A repeatable request runs at most twice: a second failure is more likely the request's
+# or the group's fault than the server's.
+MAX_RUNS = 2
+
+
+class Judge:
+    """Counts one request's failures; belongs to one thread."""
+
+    def __init__(
+        self, context: EntryContext, request: CallerRequest, watch: CallerWatch
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._watch = watch
+        self._runs = 0
+        self._turned_away = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt so far may have run."""
+        return self._runs > 0
+
+    def judge(
+        self, step: Ended | NotStarted | WaitOver, attempts: Attempts, place: Place
+    ) -> Refusal | None:
+        """Return the final refusal, or None if another attempt follows."""
+        match step:
+            case NotStarted(reason):
+                return self._turned_away_by(reason, attempts, place)
+            case Ended(outcome, detail):
+                return self._failed(outcome, detail, attempts, place)
+            case WaitOver():
+                self._runs += 1
+                return wait_over()
+
+    def _turned_away_by(
+        self, reason: AgentRefusal, attempts: Attempts, place: Place
+    ) -> Refusal | None:
+        self._turned_away += 1
+        if self._late or self._watch.gone() or self._turned_away > MAX_TURNED_AWAY:
+            message = f"The last server asked did not take it: {reason.value}."
+            retry_after_s = self._context.limits.retry_after(self._request)
+            return Refusal(503, reason.value, message, retry_after_s)
+        if reason is not AgentRefusal.STALE_TOKEN:
+            attempts.avoid(place.server)
+        self._note(attempts, f"{place.server} said {reason.value}")
+        return None
+
+    def _failed(
+        self, outcome: Outcome, detail: str, attempts: Attempts, place: Place
+    ) -> Refusal | None:
+        self._runs += 1
+        attempts.failed(place)
+        repeat = (
+            self._request.route.repeatable
+            and outcome is Outcome.UNKNOWN
+            and self._runs < MAX_RUNS
+            and not self._late
+            and self._context.limits.may_retry(self._request)
+        )
+        if not repeat:
+            status = 504 if self._late else 502
+            message = f"It was given to a server and its answer is lost: {detail}."
+            return Refusal(status, "answer-lost", message, 0.0, outcome)
+        return self._repeat_elsewhere(detail, attempts, place)
+
+    def _repeat_elsewhere(
+        self, detail: str, attempts: Attempts, place: Place
+    ) -> Refusal | None:
+        # The server may have died of this very request: the verdict of when it came is
+        # not the verdict of now.
+        verdict = self._context.limits.verdict(self._request)
+        if isinstance(verdict, Refusal):
+            return verdict._replace(outcome=Outcome.UNKNOWN)
+        attempts.avoid(place.server, suspect=verdict.suspect)
+        self._note(attempts, detail)
+        return None
+
+    @property
+    def _late(self) -> bool:
+        return monotonic() >= self._request.deadline_at
+
+    def _note(self, attempts: Attempts, why: str) -> None:
+        event = Retried(attempts.count, why)
+        self._context.recorder.record(self._request.request_id, event)
+
+
+def wait_over() -> Refusal:
+    """Return what a caller is told whose wait ended while the request ran."""
+    message = "The wait for its answer is over; it was given to a server and may run."
+    return Refusal(504, "deadline", message, 1.0, Outcome.UNKNOWN)
--- a/src/kingcupwheel/entry/refusals.py
+++ b/src/kingcupwheel/entry/refusals.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import TypedDict
 
 from kingcupwheel.messages.runs import Outcome
 
 
+if TYPE_CHECKING:
+    from kingcupwheel.claims.exceptions import ClaimUnreachable
+
+
 class Refusal(NamedTuple):
     """The final answer to a request that gets no answer of a backend server.
 
@@ -68,3 +73,30 @@
 BUSY = Refusal(503, "entry-busy", "The entry answers as many requests as it may.", 1.0)
 CALLER_LEFT = Refusal(499, "caller-left", "The caller left before it was placed.")
 LEAVING = Refusal(503, "entry-leaving", "The entry stops; use another one.", 1.0)
+EARLIER_SEND_RUNNING = Refusal(
+    409,
+    "earlier-send-running",
+    "An earlier send of this Idempotency-Key is still being answered.",
+    1.0,
+    Outcome.UNKNOWN,
+)
+
+
+def earlier_send(outcome: Outcome, reason: str) -> Refusal:
+    """Return what a resend is told of an earlier send without an answer to read."""
+    message = f"An earlier send of this Idempotency-Key ended: {reason}."
+    return Refusal(409, "earlier-send", message, outcome=outcome)
+
+
+def claim_unreachable(error: ClaimUnreachable, *, claimed: bool = False) -> Refusal:
+    """Return the refusal of a request whose claim can't be made or settled.
+
+    ``claimed`` tells that an earlier send made a claim: it may have run, and a caller
+    who reads ``not-run`` after a resend would take the whole key for not run.
+    """
+    message = (
+        "The request may run at most once, and the platform can't record it now: "
+        f"{error.detail}."
+    )
+    outcome = Outcome.UNKNOWN if claimed else Outcome.NOT_RUN
+    return Refusal(503, "claim-unavailable", message, error.retry_after_s, outcome)
--- /dev/null
+++ b/src/kingcupwheel/entry/waiting.py
@@ -0,0 +1,113 @@
+"""Waits for an answer's head, and gives up what nobody waits for any more."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.entry.attempting import CALLER_CHECK_S
+from kingcupwheel.entry.following import Ended
+from kingcupwheel.entry.following import HeadKnown
+from kingcupwheel.entry.following import NeverSeen
+from kingcupwheel.entry.following import NotStarted
+from kingcupwheel.entry.following import Started
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.messages.runs import Refusal as AgentRefusal
+from kingcupwheel.trace.events import CallerLeft
+from kingcupwheel.trace.events import Started as StartedEvent
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.following import Step
+    from kingcupwheel.entry.reading import AnswerReader
+    from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.entry.watching import CallerWatch
+
+# How long the agent is given to say what became of a cancelled attempt. It answers at
+# once; a caller that is owed its final answer does not wait for one that is silent.
+_CANCEL_S = 2.0
+
+
+class WaitOver(NamedTuple):
+    """The caller's wait is over; what runs may go on and its end is not known."""
+
+
+HeadStep = HeadKnown | Ended | NotStarted | WaitOver
+
+
+class HeadWait:
+    """One request's wait for the head of its answer; belongs to one thread."""
+
+    def __init__(
+        self, context: EntryContext, request: CallerRequest, watch: CallerWatch
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._watch = watch
+
+    def wait(self, reader: AnswerReader, first: Step | None = None) -> HeadStep:
+        """Return once the head is known, the attempt is over, or the wait is.
+
+        ``first`` is a step that was read before.
+        """
+        running = isinstance(first, Started) and first.running
+        over_at: float | None = None
+        while True:
+            step = reader.next(CALLER_CHECK_S)
+            match step:
+                case HeadKnown() | Ended() | NotStarted():
+                    return step
+                case NeverSeen():
+                    settled = self._never_seen(reader, step)
+                    if settled is not None:
+                        return settled
+                case Started(now_running):
+                    running = running or now_running
+                    self._note_started(reader, now_running)
+            over_at = over_at or self._give_up_if_over(reader, running)
+            if over_at is not None and monotonic() - over_at > _CANCEL_S:
+                return WaitOver()
+
+    def _never_seen(
+        self, reader: AnswerReader, step: NeverSeen
+    ) -> Ended | NotStarted | None:
+        """Return what follows from it, or None if the agent has to be asked again.
+
+        The dispatch was lost, or is still on its way over an old link. Cancelling
+        leaves a tombstone; asking again tells that it stands.
+        """
+        if step.incarnation != reader.inbox.incarnation:
+            return Ended(Outcome.UNKNOWN, "the agent restarted")
+        if step.cancelled:
+            return NotStarted(AgentRefusal.CANCELLED)
+        reader.cancel()
+        reader.resume(why="the dispatch did not arrive")
+        return None
+
+    def _note_started(self, reader: AnswerReader, running: bool) -> None:
+        if running:
+            event = StartedEvent(reader.server, reader.inbox.key.attempt)
+            self._context.recorder.record(self._request.request_id, event)
+
+    def _give_up_if_over(self, reader: AnswerReader, running: bool) -> float | None:
+        """Cancel work that nobody waits for; return when the wait was over.
+
+        A run that may not be repeated goes on: its result is wanted all the same, and
+        the caller gets it by sending the same Idempotency-Key.
+        """
+        request = self._request
+        late = monotonic() >= request.deadline_at
+        gone = self._watch.gone()
+        if request.route.repeatable or not running:
+            if late or gone:
+                reader.cancel()
+                return monotonic()
+            return None
+        if gone:
+            event = CallerLeft(0)
+            self._context.recorder.record(request.request_id, event)
+        if gone or (late and request.own_deadline):
+            return monotonic() - _CANCEL_S
+        return None
