--- a/src/kingcupwheel/entry/application.py
+++ b/src/kingcupwheel/entry/application.py
@@ -52,6 +52,9 @@
 REQUEST_ID_HEADER = "Kingcupwheel-Request-Id"
 OUTCOME_HEADER = "Kingcupwheel-Outcome"
 OWN_PREFIX = "/kingcupwheel/"
+# What a refused caller is still listened to: twice the longest body, in small parts.
+_DISCARDED_BODIES = 2
+_DISCARDED_BYTES = 65_536
 
 
 class Application:
@@ -126,11 +129,11 @@
             body_bytes=limits.body_bytes,
         )
         if refusal is not None:
-            exchange.close_after()
+            exchange.discard_body(_DISCARDED_BODIES * limits.body_bytes)
             return exchange.refuse(refusal)
         found = organisation_of(exchange.headers, in_force)
         if found.is_error():
-            exchange.close_after()
+            exchange.discard_body(limits.body_bytes)
             return exchange.refuse(found.error)
         if exchange.path.startswith(OWN_PREFIX):
             page = self._pages.answer(exchange.method, exchange.path, found.ok)
@@ -207,6 +210,20 @@
         body: bytes = self._environ["wsgi.input"].read(limit + 1)
         return body if len(body) <= limit else None
 
+    def discard_body(self, limit: int) -> None:
+        """Read and drop up to ``limit`` bytes, then close after the answer.
+
+        Failure: a connection is closed while the caller still sends. Symptom: it gets a
+        reset in place of the refusal. Past the limit that has to be accepted.
+        """
+        left = limit
+        while left > 0:
+            part = self._environ["wsgi.input"].read(min(left, _DISCARDED_BYTES))
+            if not part:
+                break
+            left -= len(part)
+        self.close_after()
+
     def http_request(self, body: bytes) -> HttpRequest:
         host = self.headers.get("host", "").rsplit(":", 1)[0].lower()
         query = str(self._environ.get("QUERY_STRING", ""))
--- a/src/kingcupwheel/entry/daemon.py
+++ b/src/kingcupwheel/entry/daemon.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import logging
-import time
 from threading import Event
 from typing import TYPE_CHECKING
 
-from kingcupwheel.burn.counter import BurnCounter
-from kingcupwheel.burn.goals import BurnGoals
 from kingcupwheel.claims.retention import ClaimRetention
 from kingcupwheel.claims.store import ClaimStore
 from kingcupwheel.entry.application import Application
@@ -21,26 +18,21 @@
 from kingcupwheel.entry.inbox import Inboxes
 from kingcupwheel.entry.limits import Limits
 from kingcupwheel.entry.membership import Membership
-from kingcupwheel.entry.observing import Observer
 from kingcupwheel.entry.operators import OPERATOR_THREADS
 from kingcupwheel.entry.operators import OperatorPages
 from kingcupwheel.entry.peers import PeerFetcher
+from kingcupwheel.entry.recording import Recording
 from kingcupwheel.entry.servers import ServerTable
 from kingcupwheel.entry.sharing import Sharing
 from kingcupwheel.link.hub import Hub
 from kingcupwheel.link.links import Outgoing
 from kingcupwheel.manifest.keeper import ManifestKeeper
-from kingcupwheel.manifest.schema import Goals
 from kingcupwheel.manifest.schema import Retention
 from kingcupwheel.messages.membership import InstancesWanted
 from kingcupwheel.metrics.client import Metrics
-from kingcupwheel.metrics.events import EventMetrics
 from kingcupwheel.metrics.platform import MeteredPlatformClient
 from kingcupwheel.plugins.kernel import load_builtin
 from kingcupwheel.plugins.kernel import platform_clients
-from kingcupwheel.trace.events import ManifestChanged
-from kingcupwheel.trace.recorder import Recorder
-from kingcupwheel.trace.shipper import BatchShipper
 
 
 if TYPE_CHECKING:
@@ -64,26 +56,16 @@
         load_builtin()
         self._settings = settings
         self._leaving = Event()
-        self._metrics = Metrics(settings.statsd, process=settings.name)
+        metrics = Metrics(settings.statsd, process=settings.name)
         client = MeteredPlatformClient(
             platform_clients.get(settings.platform.client)(settings.platform),
-            self._metrics,
+            metrics,
         )
-        self._recorder = Recorder(
-            settings.name,
-            limit=settings.entry.traces,
-            listener=EventMetrics(self._metrics, settings.role),
-        )
-        self._burn = BurnCounter(
-            settings.name, BurnGoals(0, Goals(), {}, {}), now=time.time()
-        )
-        self._observer = Observer(self._burn, self._metrics)
-        self._shipper = BatchShipper(
-            self._recorder,
+        self._recording = Recording(
+            settings,
             client,
-            period_s=settings.timings.trace_batch_s,
-            retention_s=lambda: self._kept().traces_h * _HOUR_S,
-            metrics=self._metrics,
+            metrics,
+            traces_retention_s=lambda: self._kept().traces_h * _HOUR_S,
         )
         self._retention = ClaimRetention(
             client, retention_s=lambda: self._kept().claims_h * _HOUR_S
@@ -102,8 +84,8 @@
             limits=limits,
             claims=ClaimStore(client),
             retention=self._retention,
-            recorder=self._recorder,
-            observer=self._observer,
+            recorder=self._recording.recorder,
+            observer=self._recording.observer,
             leaving=self._leaving,
         )
         fetcher = PeerFetcher(self._hub)
@@ -128,16 +110,10 @@
             self._membership,
             self._keeper,
             fetcher,
-            self._burn,
+            self._recording.burn,
             self._sharing,
         )
-        # Callers keep an answer for less than a leaving entry goes on accepting.
-        pages = CallerPages(
-            self._recorder, self._membership, keep_s=settings.timings.leave_s / 2
-        )
-        self._application = Application(
-            self._context, lambda: self._keeper.current, pages
-        )
+        self._application = self._make_application()
         self._http = HttpServer(
             self._application,
             listen=settings.http,
@@ -147,6 +123,15 @@
         )
         self._operator_http = self._operator_server()
 
+    def _make_application(self) -> Application:
+        # Callers keep an answer for less than a leaving entry goes on accepting.
+        pages = CallerPages(
+            self._recording.recorder,
+            self._membership,
+            keep_s=self._settings.timings.leave_s / 2,
+        )
+        return Application(self._context, lambda: self._keeper.current, pages)
+
     def _operator_server(self) -> HttpServer | None:
         if not self._settings.operator_http:
             return None
@@ -175,7 +160,7 @@
         self._hub.start()
         self._keeper.start()
         self._membership.start()
-        self._shipper.start()
+        self._recording.start()
         self._retention.start()
         self._http.start()
         logger.info("Serving callers on port %d.", self.port)
@@ -198,9 +183,8 @@
         self._membership.stop()
         self._keeper.stop()
         self._retention.stop()
-        self._shipper.stop()
+        self._recording.stop()
         self._hub.stop()
-        self._metrics.close()
         logger.info("Stopped.")
 
     def _wait_for_callers(self) -> None:
@@ -215,10 +199,7 @@
         self._handler.on_tick(now)
 
     def _on_manifest(self, in_force: InForce) -> None:
-        changed = ManifestChanged(in_force.version)
-        for request_id in self._context.inboxes.request_ids:
-            self._recorder.record(request_id, changed)
-        self._observer.adopt(in_force)
+        self._recording.adopt(in_force, self._context.inboxes.request_ids)
 
     def _organisation_named(self, name: str) -> Organisation | None:
         in_force = self._keeper.current
--- a/src/kingcupwheel/entry/joining.py
+++ b/src/kingcupwheel/entry/joining.py
@@ -41,6 +41,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from kingcupwheel.entry.context import EntryContext
     from kingcupwheel.entry.dispatching import Place
     from kingcupwheel.entry.following import Step
@@ -56,10 +58,14 @@
 
 
 class Joinable(NamedTuple):
-    """The earlier run's answer, being read; ``first`` is what came already."""
+    """The earlier run's answer, being read; ``first`` is what came already.
+
+    ``end`` is to be called once it has been read, or will not be.
+    """
 
     reader: AnswerReader
     first: Step
+    end: Callable[[], None]
 
 
 class Free(NamedTuple):
@@ -156,13 +162,23 @@
         self._context.recorder.record(
             self._request.request_id, Joined(record.request_id)
         )
-        with Visit(self._context.servers, record):
-            return self._explore_agent(held)
-
-    def _explore_agent(self, held: Held) -> Finding:
-        inbox = self._open_inbox(held.record)
+        inbox = self._open_inbox(record)
         if inbox is None:
             return Final(EARLIER_SEND_RUNNING)
+        visit = Visit(self._context.servers, record)
+
+        def end() -> None:
+            self._context.inboxes.close(inbox)
+            visit.end()
+
+        found = self._explore_agent(held, inbox, end)
+        if not isinstance(found, Joinable):
+            end()
+        return found
+
+    def _explore_agent(
+        self, held: Held, inbox: Inbox, end: Callable[[], None]
+    ) -> Finding:
         reader = AnswerReader(
             inbox,
             self._context.hub,
@@ -175,17 +191,15 @@
         step = self._ask(reader)
         match step:
             case NeverSeen(incarnation, _) if incarnation == held.record.incarnation:
-                found = self._take_over(held, inbox)
+                return self._take_over(held, inbox)
             case NeverSeen():
-                found = self._lost(held, "the agent restarted after the claim")
+                return self._lost(held, "the agent restarted after the claim")
             case NotStarted():
-                found = Free(held)
+                return Free(held)
             case Elapsed():
-                found = self._lost(held, "the agent does not answer")
+                return self._lost(held, "the agent does not answer")
             case _:
-                return Joinable(reader, step)
-        self._context.inboxes.close(inbox)
-        return found
+                return Joinable(reader, step, end)
 
     def _ask(self, reader: AnswerReader) -> Step | Elapsed:
         # An agent that was just dialled may need a moment, and one message may be lost.
--- a/src/kingcupwheel/entry/running.py
+++ b/src/kingcupwheel/entry/running.py
@@ -43,6 +43,9 @@
     from kingcupwheel.entry.watching import CallerWatch
 
 
+_OF_THIS_SEND = " This send was not run; an earlier one of the same key may have been."
+
+
 class RequestRun:
     """One request's way to its answer; belongs to one thread."""
 
@@ -146,8 +149,11 @@
         reader = found.reader
         step = self._head_of(found)
         if isinstance(step, HeadKnown):
-            return self._answering(plan, attempts, None, reader).pass_on(step)
-        self._context.inboxes.close(reader.inbox)
+            answering = Answering(
+                self._context, plan, reader, self._watch, None, found.end
+            )
+            return answering.pass_on(step)
+        found.end()
         match step:
             case Ended(outcome, detail):
                 return self._give_up(plan, earlier_send(outcome, detail))
@@ -168,13 +174,11 @@
         self,
         plan: Plan,
         attempts: Attempts,
-        place: Place | None,
+        place: Place,
         reader: AnswerReader,
     ) -> Answering:
         def end() -> None:
-            self._context.inboxes.close(reader.inbox)
-            if place is not None:
-                attempts.release(place)
+            self._end_attempt(attempts, place, reader)
 
         return Answering(self._context, plan, reader, self._watch, place, end)
 
@@ -196,6 +200,9 @@
         return self._refuse(refusal)
 
     def _refuse(self, refusal: Refusal) -> RefusedAnswer:
+        if not self._request.route.repeatable and refusal.outcome is Outcome.NOT_RUN:
+            # Whoever sends a key again must not take it for never run by this answer.
+            refusal = refusal._replace(message=refusal.message + _OF_THIS_SEND)
         event = Refused(refusal.limit, refusal.message, refusal.retry_after_s)
         self._record(event)
         outcome = refusal.outcome.value
--- a/src/kingcupwheel/entry/visiting.py
+++ b/src/kingcupwheel/entry/visiting.py
@@ -14,7 +14,11 @@
 
 
 class Visit:
-    """Keeps the agent that a claim names known, so that its silence is noticed."""
+    """Keeps the agent that a claim names known until ``end``, once.
+
+    An answer read from an agent that is not known would wait for ever if that agent
+    died: nobody looks for its silence.
+    """
 
     def __init__(self, servers: ServerTable, record: ClaimRecord) -> None:
         self._servers = servers
@@ -28,8 +32,8 @@
             leaving=False,
         )
 
-    def __enter__(self) -> None:
-        self._servers.visit(self._instance, monotonic())
+        servers.visit(self._instance, monotonic())
 
-    def __exit__(self, *_: object) -> None:
+    def end(self) -> None:
+        """Let the agent be forgotten, unless it is used otherwise."""
         self._servers.end_visit(self._instance.address)
--- a/tests/entry/test_servers.py
+++ b/tests/entry/test_servers.py
@@ -78,3 +78,19 @@
     table.heard(ADDRESS, beat(leaving=by_itself), 1.0)
 
     assert not table.of_group("group")[0].in_service
+
+
+def test_an_agent_that_is_only_visited_is_given_up_when_it_is_silent() -> None:
+    """A caller joined to a run elsewhere is told when that agent dies.
+
+    The entry keeps no link to the agent otherwise; its list does not name it.
+    """
+    table = ServerTable(TIMINGS)
+    table.check(0.0)
+    table.visit(instance(), 0.0)
+
+    assert table.keep((), 0.0) == ()
+    found = look_each_second(table, 1, int(TIMINGS.give_up_s) + 1)
+    assert [one for one in found if isinstance(one, Gone)] == [Gone(ADDRESS)]
+    table.end_visit(ADDRESS)
+    assert table.keep((), 30.0) == (ADDRESS,)
