--- a/src/kingcupwheel/entry/parsing.py
+++ b/src/kingcupwheel/entry/parsing.py
@@ -36,6 +36,7 @@
     from kingcupwheel.manifest.schema import Organisation
 
 _BEARER = "bearer "
+_KEY_HEADER = "idempotency-key"
 _MAX_IDEMPOTENCY_KEY = 255
 # Characters of a prompt that name its prefix: the length of a system prompt's start,
 # which callers of one application share.
@@ -114,18 +115,10 @@
     now: float,
 ) -> Result[CallerRequest, Refusal]:
     """Return the request, checked against the manifest in force; ``now`` monotonic."""
-    match in_force.route_for(http.host, http.path, http.method):
-        case NoRoute():
-            return Error(NO_ROUTE)
-        case MethodNotAllowed():
-            return Error(BAD_METHOD)
-        case RouteFound(route, group):
-            pass
-    key = http.headers.get("idempotency-key", "")
-    if not key and not route.repeatable:
-        return Error(KEY_MISSING)
-    if len(key) > _MAX_IDEMPOTENCY_KEY:
-        return Error(bad_request("Idempotency-Key is longer than 255 characters."))
+    found = _route(http, in_force)
+    if isinstance(found, Refusal):
+        return Error(found)
+    route, group = found
     deadline = _deadline(http.headers.get("kingcupwheel-deadline", ""))
     if isinstance(deadline, Refusal):
         return Error(deadline)
@@ -147,7 +140,7 @@
             body_digest=digest,
             fingerprint=fingerprint_of(organisation.name, http.path, digest),
             prefix_key=_prefix_key(organisation.name, prompt.prefix),
-            idempotency_key=key,
+            idempotency_key=http.headers.get(_KEY_HEADER, ""),
             streamed=prompt.streamed,
             max_tokens=prompt.max_tokens,
             received_at=now,
@@ -158,6 +151,25 @@
     )
 
 
+def _route(http: HttpRequest, in_force: InForce) -> RouteFound | Refusal:
+    match in_force.route_for(http.host, http.path, http.method):
+        case NoRoute():
+            return NO_ROUTE
+        case MethodNotAllowed():
+            return BAD_METHOD
+        case RouteFound() as found:
+            return _key_problem(http, found) or found
+
+
+def _key_problem(http: HttpRequest, found: RouteFound) -> Refusal | None:
+    key = http.headers.get(_KEY_HEADER, "")
+    if not key and not found.route.repeatable:
+        return KEY_MISSING
+    if len(key) > _MAX_IDEMPOTENCY_KEY:
+        return bad_request("Idempotency-Key is longer than 255 characters.")
+    return None
+
+
 def _deadline(text: str) -> float | None | Refusal:
     if not text:
         return None
