--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import sys
+import time
 from pathlib import Path
 from typing import Any
 from typing import NamedTuple
@@ -24,6 +25,9 @@
 _KEY = "demo-key-of-the-agency"
 _SMALL_KEY = "demo-key-of-a-small-shop"
 _BURST = 8
+_RANKS = 2
+_EXPERTS = 8
+_REBALANCE_TIMEOUT_S = 40.0
 
 
 class Check(NamedTuple):
@@ -41,6 +45,7 @@
         self._checks: list[Check] = []
         self._traced: list[str] = []
         self._caller = Caller(_KEY)
+        self._ranks: list[str] = []
 
     @property
     def failed(self) -> list[str]:
@@ -53,14 +58,18 @@
         self._complete()
         self._reserve()
         self._burst()
+        self._rebalance()
         self._explain()
         self._stop()
 
     def _start(self) -> None:
         _say("Starting the platform stand-in, three agents with servers, two entries.")
+        _say("Two of the servers are the ranks of one expert-parallel group.")
         fleet = self._fleet
-        fleet.add_agent("parts-1", "parts-model")
-        fleet.add_agent("parts-2", "parts-model")
+        _, self._ranks = fleet.start_ranks(_RANKS, _EXPERTS)
+        for rank, address in enumerate(self._ranks):
+            at_rank = {"rank": rank, "rank_url": f"http://{address}"}
+            fleet.add_agent(f"parts-{rank + 1}", "parts-model", server_settings=at_rank)
         fleet.add_agent("portal-1", "exchange-portal", kind="service")
         fleet.add_entry("entry-1")
         fleet.add_entry("entry-2")
@@ -110,6 +119,34 @@
             self._expect("the refusal is not-run", reply, 429, "not-run")
             self._check("it says when to return", "retry-after" in reply.headers)
 
+    def _rebalance(self) -> None:
+        _say("Two experts of one rank become popular while callers stream:")
+        before = self._steps()
+        switch = {"hot": [0, 1], "factor": 12.0}
+        self._fleet.tell(self._ranks[0], "/test/switch", switch)
+        entry = self._fleet.entries["entry-1"].http
+        body = {"prompt": "inspection", "max_tokens": 40, "stream": True}
+        until = time.monotonic() + _REBALANCE_TIMEOUT_S
+        whole = True
+        while time.monotonic() < until:
+            reply = self._caller.call(entry, "/v1/completions", body)
+            whole = whole and isinstance(reply, Reply) and reply.outcome == "ran"
+            if len(self._steps()["steps_by_map"]) > len(before["steps_by_map"]):
+                break
+        after = self._steps()
+        _say(
+            f"  {len(after['steps_by_map'])} maps over {after['steps']} steps, "
+            f"longest stall {after['longest_stall_s']:.2f} s"
+        )
+        changed = len(after["steps_by_map"]) > len(before["steps_by_map"])
+        self._check("the group runs on a map that fits better", changed)
+        self._check("no step was run on two maps", not after["mixed"])
+        self._check("the streams meanwhile are whole", whole)
+
+    def _steps(self) -> dict[str, Any]:
+        found: dict[str, Any] = self._fleet.ask(self._ranks[0], "/test/steps")
+        return found
+
     def _explain(self) -> None:
         platform = f"http://{self._fleet.platform}"
         for request_id in self._traced:
@@ -157,6 +194,11 @@
         "burst": 100,
         "concurrency": 2,
     }
+    for group in manifest["groups"]:
+        if group["name"] == "parts-model":
+            group["experts"].update(
+                ranks=_RANKS, experts=_EXPERTS, layers=1, slots=0, rebalance_every_s=1.0
+            )
     return {**manifest, "organisations": organisations}
 
 
