--- a/features/environment.py
+++ b/features/environment.py
@@ -1,15 +1,35 @@
-"""Ends every scenario's processes."""
+"""Judges each scenario that passed, and ends its processes."""
 
 from __future__ import annotations
 
 from typing import Any
 
+from features.judging import check_counters
+from features.judging import check_traces
+
 
 def after_scenario(context: Any, scenario: Any) -> None:
-    """Stop the fleet, whatever became of the scenario; show its logs if it failed."""
+    """Check counters and traces, whatever the scenario was about; stop the fleet.
+
+    A failure here fails the scenario. Logs are shown if it failed.
+    """
     world = getattr(context, "world", None)
     if world is None:
         return
-    if scenario.status.name == "failed":
+    try:
+        if scenario.status.name == "passed":
+            _judge(world)
+    except BaseException:
         world.print_logs()
-    world.close()
+        raise
+    finally:
+        if scenario.status.name == "failed":
+            world.print_logs()
+        world.close()
+
+
+def _judge(world: Any) -> None:
+    world.wait_for_replies()
+    world.fleet.switch(outage="off", slow_answer_s=0, lose_answers=0, stale=0)
+    check_counters(world)
+    check_traces(world)
--- a/features/world.py
+++ b/features/world.py
@@ -86,6 +86,11 @@
         self.replies_by_name[name] = reply
         self.replies.append(reply)
 
+    def wait_for_replies(self) -> None:
+        """Wait for every call that was started."""
+        for name in list(self._pending_by_name):
+            self.reply(name)
+
     def answered(self, name: str) -> Reply:
         """Return the reply called ``name``, which must be an answer."""
         reply = self.reply(name)
