--- a/src/kingcupwheel/entry/membership.py
+++ b/src/kingcupwheel/entry/membership.py
@@ -57,6 +57,8 @@
         self._hub = hub
         self._ask_seeds = ask_seeds
         self._instances: tuple[Instance, ...] = ()
+        self._address_by_name: dict[str, str] = {}
+        self._chosen: tuple[Instance, ...] = ()
         self._peer_heard_at: dict[str, float] = {}
         self._leaving_peers: set[str] = set()
         self._live: tuple[subsets.Instance, ...] = ()
@@ -82,8 +84,7 @@
 
     def address_of(self, name: str) -> str:
         """Return the address of the instance called ``name``, empty if unknown."""
-        addresses = (one.address for one in self._instances if one.name == name)
-        return next(addresses, "")
+        return self._address_by_name.get(name, "")
 
     def _run(self) -> None:
         period_s = self._settings.timings.instances_s
@@ -101,15 +102,20 @@
             self._ask_seeds()
 
     def adopt(self, instances: tuple[Instance, ...]) -> None:
-        """Use this list from now on."""
+        """Use this list from now on.
+
+        Subsets are worked out only for a list that has changed: at the target that
+        takes some 30 ms, and the list is asked for every other second.
+        """
         with self._lock:
-            self._instances = instances
-            chosen = self._chosen()
-            now = monotonic()
-            for address in self._servers.keep(chosen, now):
+            if instances != self._instances:
+                self._instances = instances
+                self._address_by_name = {one.name: one.address for one in instances}
+                self._chosen = self._choose()
+            for address in self._servers.keep(self._chosen, monotonic()):
                 self._hub.drop(address)
 
-    def _chosen(self) -> tuple[Instance, ...]:
+    def _choose(self) -> tuple[Instance, ...]:
         """Return the agents to keep links to: a subset of each group's."""
         agents = [one for one in self._instances if one.role == "agent"]
         chosen: list[Instance] = []
--- a/src/kingcupwheel/entry/servers.py
+++ b/src/kingcupwheel/entry/servers.py
@@ -47,6 +47,7 @@
         self.in_flight = 0
         self.in_flight_at_beat = 0
         self.suspects = 0
+        self.listed = True
         self.gone = False
 
     @property
@@ -73,7 +74,7 @@
     def in_service(self) -> bool:
         """Whether new work may go there."""
         up = self.beat is not None and self.beat.server_up
-        return up and not self.leaving and not self.gone
+        return up and self.listed and not self.leaving and not self.gone
 
 
 class ServerTable:
@@ -93,13 +94,15 @@
     def keep(self, instances: tuple[Instance, ...], now: float) -> tuple[str, ...]:
         """Use just ``instances`` from now on; return addresses no longer used.
 
-        A server with attempts under way, or one that is still heard, stays known: the
-        platform's list lags, and nobody is cut off because of it.
+        A server with attempts under way stays known, so that nobody is cut off, and
+        gets no new work: it left the list, or another entry's subset has it now.
         """
         wanted = {instance.address: instance for instance in instances}
         with self._lock:
             for address, instance in wanted.items():
                 self._adopt(address, instance, now)
+            for address, server in self._by_address.items():
+                server.listed = address in wanted
             dropped = [
                 address
                 for address, server in self._by_address.items()
--- a/tests/entry/test_servers.py
+++ b/tests/entry/test_servers.py
@@ -66,6 +66,7 @@
 
     table.of_group("group")[0].in_flight = 1
     assert table.keep((), 3.0) == ()
+    assert not table.of_group("group")[0].in_service
     table.of_group("group")[0].in_flight = 0
     assert table.keep((), 4.0) == (ADDRESS,)
 
