--- a/src/kingcupwheel/entry/attempting.py
+++ b/src/kingcupwheel/entry/attempting.py
@@ -148,8 +148,8 @@
 
 
 def _timed_out(timed_out: TimedOut, retry_after_s: float) -> Refusal:
-    message = f"No server could take it before its deadline: {timed_out.why}."
-    return Refusal(503, "deadline", message, retry_after_s)
+    message = f"No server could take it in time: {timed_out.why}."
+    return Refusal(503, timed_out.limit, message, retry_after_s)
 
 
 def _dispatch_of(
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from kingcupwheel.decisions.admission import Refuse
+from kingcupwheel.decisions.candidates import ALL_TRIED
 from kingcupwheel.decisions.candidates import Candidate
 from kingcupwheel.decisions.candidates import NoPlace
 from kingcupwheel.decisions.candidates import Placed
@@ -56,8 +57,13 @@
 
 
 class TimedOut(NamedTuple):
-    """The deadline passed while waiting; ``why`` is what stood in the way last."""
+    """The wait ended without a place.
 
+    ``limit`` is ``deadline``, or ``no-server`` where waiting could not help; ``why`` is
+    what stood in the way last.
+    """
+
+    limit: str
     why: str
 
 
@@ -99,7 +105,8 @@
         self._tickets_by_request_id: dict[str, Ticket] = {}
         self._held: Ticket | None = None
         self._aside: deque[Ticket] = deque()
-        self._draw = Random(group.name)
+        # Not seeded: entries that draw alike would all choose the same servers.
+        self._draw = Random()
         self._lock = Lock()
 
     @property
@@ -228,7 +235,7 @@
         ]
         for ticket in late:
             self._forget(ticket)
-            ticket.give(TimedOut(ticket.last_hindrance))
+            ticket.give(TimedOut("deadline", ticket.last_hindrance))
 
     def _place(self, ticket: Ticket, now: float) -> bool:
         with self._servers.lock:
@@ -241,9 +248,12 @@
                 self._candidates(servers, now), ticket.ask, now, self._draw
             )
             match decision:
-                case NoPlace(reason):
+                case NoPlace(reason) if decision != ALL_TRIED:
                     ticket.last_hindrance = reason
                     return False
+                case NoPlace(reason):
+                    # No wait brings a server that was not tried, so the caller is told.
+                    place: Place | TimedOut = TimedOut("no-server", reason)
                 case Placed(server=name):
                     place = _take(servers[name], decision, ticket, now)
         del self._tickets_by_request_id[ticket.waiting.request_id]
