--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
+import urllib3
 from behave import given
 from behave import then
 from behave import when
 from features.world import COMPLETIONS
+from features.world import KEY
 from features.world import RESERVATIONS
 from features.world import Load
 from tests.standins.tokens import streamed_answer
@@ -118,6 +121,36 @@
     )
 
 
+@when("a caller leaves a stream of {tokens:d} tokens at {entry} after its first bytes")
+def leave_stream(context: Any, tokens: int, entry: str) -> None:
+    """Read the first bytes of a stream and close the connection."""
+    body = {"prompt": "left", "max_tokens": tokens, "stream": True}
+    response = urllib3.PoolManager(retries=False, timeout=20.0).request(
+        "POST",
+        f"http://{context.world.http(entry)}{COMPLETIONS}",
+        body=json.dumps(body),
+        headers={"Authorization": f"Bearer {KEY}"},
+        preload_content=False,
+    )
+    assert response.read1()
+    response.close()
+
+
+@then("nothing is under way at {entry} and {server}")
+def check_idle(context: Any, entry: str, server: str) -> None:
+    """Wait until entry and engine have given up what was left."""
+    fleet = context.world.fleet
+    operators = fleet.entries[entry].operators
+
+    def idle() -> bool:
+        status = fleet.ask(operators, "/status")
+        busy = [one for one in status["servers"] if one["in_flight"]]
+        state = fleet.ask(fleet.agents[server].server_address, "/engine/state")
+        return not busy and not status["in_progress"] and not state["running"]
+
+    wait_until(idle, f"nothing under way at {entry} and {server}", SEEN_TIMEOUT_S / 2)
+
+
 @then('"{name}" gets the whole answer')
 def check_whole(context: Any, name: str) -> None:
     """Check an answer of a backend server, marked as run."""
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -43,6 +43,14 @@
     And agent engine-1 is killed
     Then "cut" is cut off and told outcome unknown
 
+  Scenario: A caller leaves in the middle of its stream
+    # Nobody waits for the rest: the engine stops the run, the place is free again, and
+    # the trace says that the caller left.
+    Given a fleet of 1 entries, 1 engines and 0 services
+    And engine engine-1 takes 50 ms for each step
+    When a caller leaves a stream of 400 tokens at entry-1 after its first bytes
+    Then nothing is under way at entry-1 and engine-1
+
   Scenario: The server answers under another request's id
     # A crossed answer is never passed on, even if that costs the request.
     Given a fleet of 1 entries, 1 engines and 0 services
--- a/src/kingcupwheel/entry/answering.py
+++ b/src/kingcupwheel/entry/answering.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
     from kingcupwheel.entry.answers import Answer
@@ -67,12 +68,13 @@
         self._first_byte_at: float | None = None
         self._gaps_s: list[float] = []
         self._last_chunk_at = 0.0
+        self._finished = False
 
     def pass_on(self, head: HeadKnown) -> Answer:
         """Return the answer: whole if it is short and unstreamed, else as a stream."""
         self._status = head.status
         if _is_event_stream(head) or self._plan.request.streamed:
-            body = self._event_stream(_is_event_stream(head))
+            body = self._stream((), tells_outcome=_is_event_stream(head))
             return StreamedAnswer(head.status, head.headers, body)
         return self._read_whole(head)
 
@@ -88,7 +90,7 @@
                     return self._whole(head, body, ended)
                 case None:
                     return self._caller_left(head)
-        body_stream = self._plain_stream(tuple(parts))
+        body_stream = self._stream(parts, tells_outcome=False)
         return StreamedAnswer(head.status, head.headers, body_stream)
 
     def _whole(self, head: HeadKnown, body: bytes, ended: Ended) -> Answer:
@@ -100,15 +102,19 @@
     def _caller_left(self, head: HeadKnown) -> Answer:
         return WholeAnswer(head.status, (), b"", Outcome.UNKNOWN)
 
-    def _event_stream(self, with_outcome: bool) -> Iterator[bytes]:
+    def _stream(
+        self, parts: Iterable[bytes], *, tells_outcome: bool
+    ) -> Iterator[bytes]:
+        """Yield what was read already, then the rest as it comes."""
         try:
+            yield from parts
             while True:
                 match self._next():
                     case Chunk(data):
                         yield data
                     case Ended() as ended:
                         self._finish(ended)
-                        if with_outcome:
+                        if tells_outcome:
                             yield self._outcome_event(ended)
                         self._raise_if_cut(ended)
                         return
@@ -118,10 +124,6 @@
             self._left()
             raise
 
-    def _plain_stream(self, parts: tuple[bytes, ...]) -> Iterator[bytes]:
-        yield from parts
-        yield from self._event_stream(False)
-
     def _raise_if_cut(self, ended: Ended) -> None:
         if ended.outcome is not Outcome.RAN:
             raise AnswerCutError(ended.detail)
@@ -159,7 +161,12 @@
         self._last_chunk_at = now
 
     def _left(self) -> None:
-        """Cancel what the caller left behind, unless it may not be repeated."""
+        """Cancel what the caller left behind, unless it may not be repeated.
+
+        A caller that leaves while the last bytes are written has its outcome already.
+        """
+        if self._finished:
+            return
         if self._plan.request.route.repeatable:
             self._reader.cancel()
         self._record(CallerLeft(self._reader.offset))
@@ -167,6 +174,7 @@
 
     def _finish(self, ended: Ended) -> None:
         request = self._plan.request
+        self._finished = True
         self._end()
         self._judge_server(ended)
         length = self._reader.offset
--- /dev/null
+++ b/tests/entry/test_answering.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+import pytest
+
+from kingcupwheel.entry.answering import WHOLE_ANSWER_BYTES
+from kingcupwheel.entry.answering import Answering
+from kingcupwheel.entry.answers import StreamedAnswer
+from kingcupwheel.entry.attempting import Plan
+from kingcupwheel.entry.exceptions import AnswerCutError
+from kingcupwheel.entry.following import Chunk
+from kingcupwheel.entry.following import Ended
+from kingcupwheel.entry.following import HeadKnown
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.trace.events import Finished
+from tests.burn.builders import caller_request
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.following import Step
+    from kingcupwheel.entry.reading import AnswerReader
+    from kingcupwheel.entry.watching import CallerWatch
+
+EVENTS = HeadKnown(200, (("Content-Type", "text/event-stream"),))
+RAN = Ended(Outcome.RAN, "")
+
+
+class Scene:
+    """An answer of the given steps; records what is ended, cancelled and told."""
+
+    def __init__(self, *steps: Step, streamed: bool = True) -> None:
+        self.steps = list(steps)
+        self.offset = 0
+        self.began_at = 0.0
+        self.server = "server-1"
+        self.inbox = SimpleNamespace(key=SimpleNamespace(attempt=1))
+        self.ended = 0
+        self.cancelled = 0
+        self.outcomes: list[str] = []
+        request = caller_request()._replace(streamed=streamed)
+        nothing = SimpleNamespace(ran=_ignore, answered=_ignore)
+        context = SimpleNamespace(
+            limits=nothing, observer=nothing, recorder=SimpleNamespace(record=self.told)
+        )
+        self.answering = Answering(
+            cast("EntryContext", context),
+            Plan(request, 1.0, suspect=False),
+            cast("AnswerReader", self),
+            cast("CallerWatch", SimpleNamespace(gone=lambda: False)),
+            None,
+            self.end,
+        )
+
+    def next(self, timeout_s: float) -> Step:
+        step = self.steps.pop(0)
+        if isinstance(step, Chunk):
+            self.offset += len(step.data)
+        return step
+
+    def cancel(self) -> None:
+        self.cancelled += 1
+
+    def end(self) -> None:
+        self.ended += 1
+
+    def told(self, request_id: str, event: object) -> None:
+        if isinstance(event, Finished):
+            self.outcomes.append(event.outcome)
+
+    def stream(self) -> Any:
+        answer = self.answering.pass_on(EVENTS)
+        assert isinstance(answer, StreamedAnswer)
+        return answer.body
+
+
+def _ignore(*_: object, **__: object) -> None:
+    pass
+
+
+def test_a_caller_that_leaves_with_the_last_bytes_keeps_its_outcome() -> None:
+    """The support engineer must not read two final outcomes of one request.
+
+    The answer has ended whole; the caller closes while its last event is written.
+    """
+    scene = Scene(Chunk(b"token"), RAN)
+    body = scene.stream()
+    assert next(body) == b"token"
+    assert b"kingcupwheel" in next(body)
+
+    body.close()
+
+    assert scene.outcomes == ["ran"]
+    assert (scene.ended, scene.cancelled) == (1, 0)
+
+
+def test_a_caller_that_leaves_in_the_middle_frees_its_place_once() -> None:
+    scene = Scene(Chunk(b"token"), Chunk(b"token"), RAN)
+    body = scene.stream()
+    next(body)
+
+    body.close()
+
+    assert scene.outcomes == ["unknown"]
+    assert (scene.ended, scene.cancelled) == (1, 1)
+
+
+def test_a_caller_that_leaves_a_long_plain_answer_frees_its_place() -> None:
+    """The place would be lost for ever, one for each such caller.
+
+    The answer outgrew what is read whole, so its first bytes are passed on before the
+    rest is read; the caller closes among those.
+    """
+    long = Chunk(bytes(WHOLE_ANSWER_BYTES + 1))
+    scene = Scene(long, RAN, streamed=False)
+    answer = scene.answering.pass_on(HeadKnown(200, ()))
+    assert isinstance(answer, StreamedAnswer)
+    body: Any = answer.body
+    next(body)
+
+    body.close()
+
+    assert scene.ended == 1
+
+
+def test_an_answer_cut_short_tells_unknown_and_ends_in_an_error() -> None:
+    scene = Scene(Chunk(b"token"), Ended(Outcome.UNKNOWN, "server died"))
+    body = scene.stream()
+    next(body)
+
+    assert b"unknown" in next(body)
+    with pytest.raises(AnswerCutError):
+        next(body)
+    assert scene.outcomes == ["unknown"]
