--- a/src/kingcupwheel/entry/application.py
+++ b/src/kingcupwheel/entry/application.py
@@ -90,6 +90,9 @@
         if self._context.leaving.is_set():
             exchange.close_after()
         if not self._enter():
+            # The server would read whatever body comes before the next request; here
+            # it is not even listened to, because few threads are left.
+            exchange.close_after()
             return exchange.refuse(BUSY)
         try:
             body = self._answer(exchange)
@@ -117,12 +120,11 @@
             self._leave()
 
     def _answer(self, exchange: _Exchange) -> Iterable[bytes]:
-        if self._closed:
-            return exchange.refuse(LEAVING)
-        in_force = self._in_force()
-        if in_force is None:
-            return exchange.refuse(NO_MANIFEST)
         limits = self._context.settings.entry
+        in_force = self._in_force()
+        if self._closed or in_force is None:
+            exchange.discard_body(limits.body_bytes)
+            return exchange.refuse(LEAVING if self._closed else NO_MANIFEST)
         refusal = check_sizes(
             exchange.headers,
             header_bytes=limits.header_bytes,
@@ -133,7 +135,8 @@
             return exchange.refuse(refusal)
         found = organisation_of(exchange.headers, in_force)
         if found.is_error():
-            exchange.discard_body(limits.body_bytes)
+            # Little, because anybody may send it and hold a thread meanwhile.
+            exchange.discard_body(_DISCARDED_BYTES)
             return exchange.refuse(found.error)
         if exchange.path.startswith(OWN_PREFIX):
             page = self._pages.answer(exchange.method, exchange.path, found.ok)
