--- a/src/kingcupwheel/entry/waiting.py
+++ b/src/kingcupwheel/entry/waiting.py
@@ -66,10 +66,26 @@
                 case Started(now_running):
                     running = running or now_running
                     self._note_started(reader, now_running)
+            if self._is_better_elsewhere(reader):
+                reader.cancel()
+                return Ended(Outcome.UNKNOWN, "the server's instance is silent")
             over_at = over_at or self._give_up_if_over(reader, running)
             if over_at is not None and monotonic() - over_at > _CANCEL_S:
                 return WaitOver()
 
+    def _is_better_elsewhere(self, reader: AnswerReader) -> bool:
+        """Tell whether to stop waiting for an agent that has gone silent.
+
+        An agent that died is given up only after ``give_up_s``, because what may not be
+        repeated can't be run elsewhere. What may be repeated need not wait for that: a
+        mechanic would wait 20 s for a first word that another server has in one.
+        """
+        if not self._request.route.repeatable:
+            return False
+        server = self._context.servers.by_address(reader.inbox.address)
+        gone_s = self._context.settings.timings.gone_s
+        return server is not None and monotonic() - server.heard_at > gone_s
+
     def _never_seen(
         self, reader: AnswerReader, step: NeverSeen
     ) -> Ended | NotStarted | None:
--- /dev/null
+++ b/tests/entry/test_waiting.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+from typing import cast
+
+from kingcupwheel.entry.following import Ended
+from kingcupwheel.entry.inbox import AttemptKey
+from kingcupwheel.entry.inbox import Elapsed
+from kingcupwheel.entry.inbox import Inbox
+from kingcupwheel.entry.servers import ServerTable
+from kingcupwheel.entry.waiting import HeadWait
+from kingcupwheel.entry.waiting import WaitOver
+from kingcupwheel.messages.runs import Outcome
+from kingcupwheel.settings.schema import Timings
+from tests.burn.builders import caller_request
+from tests.entry.builders import ADDRESS
+from tests.entry.builders import beat
+from tests.entry.builders import instance
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.reading import AnswerReader
+    from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.entry.watching import CallerWatch
+
+TIMINGS = Timings()
+
+
+class SilentReader:
+    """An attempt of which nothing is heard any more."""
+
+    def __init__(self) -> None:
+        self.inbox = Inbox(AttemptKey("entry.1.a", 1), ADDRESS, "life-1")
+        self.cancelled = 0
+
+    def next(self, timeout_s: float) -> Elapsed:
+        return Elapsed()
+
+    def cancel(self) -> None:
+        self.cancelled += 1
+
+
+def wait_for(
+    request: CallerRequest, reader: SilentReader, heard_s_ago: float
+) -> object:
+    heard_at = time.monotonic() - heard_s_ago
+    table = ServerTable(TIMINGS)
+    table.keep((instance(),), heard_at)
+    table.heard(ADDRESS, beat(), heard_at)
+    context = SimpleNamespace(servers=table, settings=SimpleNamespace(timings=TIMINGS))
+    watch = SimpleNamespace(gone=lambda: False)
+    wait = HeadWait(cast("EntryContext", context), request, cast("CallerWatch", watch))
+    return wait.wait(cast("AnswerReader", reader))
+
+
+def test_a_repeatable_request_does_not_wait_until_its_agent_is_given_up() -> None:
+    """The caller gets its first word from another server within seconds.
+
+    The agent died; it is given up after 20 s, but silent for more than 5 s already.
+    """
+    reader = SilentReader()
+    request = caller_request()._replace(received_at=time.monotonic())
+
+    step = wait_for(request, reader, TIMINGS.gone_s + 1)
+
+    assert isinstance(step, Ended)
+    assert step.outcome is Outcome.UNKNOWN
+    assert reader.cancelled == 1
+
+
+def test_a_request_that_may_not_be_repeated_waits_for_its_agent() -> None:
+    """The caller is not told unknown while its one run may still answer.
+
+    The agent is silent for as long; only the caller's own deadline ends this wait.
+    """
+    reader = SilentReader()
+    request = caller_request()
+    route = request.route
+    request = request._replace(
+        route=type(route)(path=route.path, group=route.group, repeatable=False),
+        received_at=time.monotonic() - 60,
+        own_deadline=True,
+    )
+
+    step = wait_for(request, reader, TIMINGS.gone_s + 1)
+
+    assert isinstance(step, WaitOver)
