--- a/features/environment.py
+++ b/features/environment.py
@@ -23,7 +23,7 @@
         world.print_logs()
         raise
     finally:
-        if scenario.status.name == "failed":
+        if scenario.status.name != "passed":
             world.print_logs()
         world.close()
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -18,9 +18,9 @@
 from tools.caller import Caller
 from tools.caller import Reply
 from tools.processes import START_TIMEOUT_S
+from tools.processes import Ports
 from tools.processes import Process
 from tools.processes import environment
-from tools.processes import free_port
 from tools.processes import wait_until
 
 
@@ -63,6 +63,7 @@
         self._folder = tempfile.TemporaryDirectory(prefix="kingcupwheel-")
         self._path = Path(self._folder.name)
         self._timings = timings or {}
+        self._ports = Ports()
         self._http = urllib3.PoolManager(retries=False, timeout=10.0)
         self.entries: dict[str, Entry] = {}
         self.agents: dict[str, Agent] = {}
@@ -85,6 +86,7 @@
         """End every process."""
         for process in self.processes:
             process.kill()
+        self._ports.close()
         self._folder.cleanup()
 
     @property
@@ -106,8 +108,11 @@
     def start_stand_in(
         self, name: str, module: str, *options: str, port: int = 0
     ) -> tuple[Process, str]:
-        """Start a stand-in; return it and its ``IP:port``."""
-        arguments = [module, "--port", str(port), *options]
+        """Start a stand-in; return it and its ``IP:port``.
+
+        A server that is started again needs its ``port`` of before.
+        """
+        arguments = [module, "--port", str(port or self._ports.take()), *options]
         process = Process(name, arguments, self._path / f"{name}.log")
         self.stand_ins[name] = process
         return process, process.first_line()
@@ -130,7 +135,7 @@
         """
         module = f"tests.standins.{kind}"
         server, server_address = self.start_stand_in(f"{name}-server", module, *options)
-        address = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{self._ports.take()}"
         settings = self._settings(name, "agent", address, data_centre)
         settings["group"] = group
         settings["server"] = {
@@ -217,15 +222,15 @@
         platform: str = "",
     ) -> Entry:
         """Start an entry and list the instance; ``platform`` may name a relay."""
-        address = f"127.0.0.1:{free_port()}"
-        http = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{self._ports.take()}"
+        http = f"127.0.0.1:{self._ports.take()}"
         settings = self._settings(name, "entry", address, data_centre)
         settings["http"] = http
         settings["seeds"] = list(seeds)
         settings["entry"] = limits or {}
         if platform:
             settings["platform"] = {"url": f"http://{platform}"}
-        operators = f"127.0.0.1:{free_port()}"
+        operators = f"127.0.0.1:{self._ports.take()}"
         settings["operator_http"] = operators
         process = self._start(name, "entry", settings)
         entry = Entry(process, http, address, operators)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,13 +21,51 @@
 _POLL_S = 0.02
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 60.0
-
-
-def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+# Below the range that the kernel gives to outgoing connections.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_BLOCK_PORTS = 100
+
+
+class Ports:
+    """Ports of the loopback address that no other fleet on this machine is given.
+
+    Failure: two fleets that each ask for a free port get the same one before either has
+    bound it, or a connection going out takes it meanwhile. Symptom: a process of one of
+    them can't listen and ends. Ports are therefore below those of outgoing connections,
+    in a block that is taken by binding its first one for as long as the fleet lives.
+    """
+
+    def __init__(self) -> None:
+        self._taken = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._next = self._take_block()
+
+    def _take_block(self) -> int:
+        blocks = list(range(_FIRST_PORT, _LAST_PORT, _BLOCK_PORTS))
+        random.shuffle(blocks)
+        for first in blocks:
+            try:
+                self._taken.bind(("127.0.0.1", first))
+            except OSError:
+                continue
+            return first + 1
+        raise RuntimeError("every block of ports is taken")
+
+    def take(self) -> int:
+        """Return the next port of the block that is free."""
+        while True:
+            port, self._next = self._next, self._next + 1
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
+            return port
+
+    def close(self) -> None:
+        """Give the block back."""
+        self._taken.close()
 
 
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float) -> None:
