--- a/src/kingcupwheel/entry/daemon.py
+++ b/src/kingcupwheel/entry/daemon.py
@@ -96,7 +96,12 @@
             watch_s=settings.timings.watch_s,
         )
         self._membership = Membership(
-            settings, client, servers, self._hub, ask_seeds=self._ask_seeds
+            settings,
+            client,
+            servers,
+            self._hub,
+            leaving=self._leaving,
+            ask_seeds=self._ask_seeds,
         )
         self._sharing = Sharing(
             settings.name,
--- a/src/kingcupwheel/entry/membership.py
+++ b/src/kingcupwheel/entry/membership.py
@@ -49,18 +49,21 @@
         servers: ServerTable,
         hub: Hub,
         *,
+        leaving: Event,
         ask_seeds: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._client = client
         self._servers = servers
         self._hub = hub
+        self._leaving = leaving
         self._ask_seeds = ask_seeds
         self._instances: tuple[Instance, ...] = ()
         self._address_by_name: dict[str, str] = {}
         self._chosen: tuple[Instance, ...] = ()
         self._peer_heard_at: dict[str, float] = {}
         self._leaving_peers: set[str] = set()
+        self._senders: frozenset[str] = frozenset()
         self._live: tuple[subsets.Instance, ...] = ()
         self._live_at = float("-inf")
         self._members_by_organisation: dict[tuple[str, Allowance], tuple[str, ...]] = {}
@@ -112,9 +115,22 @@
                 self._instances = instances
                 self._address_by_name = {one.name: one.address for one in instances}
                 self._chosen = self._choose()
+                self._expect(self._find_senders())
             for address in self._servers.keep(self._chosen, monotonic()):
                 self._hub.drop(address)
 
+    def _expect(self, senders: frozenset[str]) -> None:
+        """Judge by their heartbeats only entries that send this one any.
+
+        Failure: an entry joins, and the ring makes others send their heartbeats
+        elsewhere. Symptom: they seem gone from here and drop out of what callers are
+        told. Those that begin to send have not been silent before.
+        """
+        for name in senders ^ self._senders:
+            self._peer_heard_at.pop(name, None)
+            self._leaving_peers.discard(name)
+        self._senders = senders
+
     def _choose(self) -> tuple[Instance, ...]:
         """Return the agents to keep links to: a subset of each group's."""
         agents = [one for one in self._instances if one.role == "agent"]
@@ -147,10 +163,13 @@
         The next ones in a ring of names, so that the links form a connected whole.
         """
         entries = sorted(one for one in self._instances if _is_entry(one))
-        others = [one for one in entries if one.name != self._settings.name]
-        after = [one for one in others if one.name > self._settings.name]
-        before = [one for one in others if one.name < self._settings.name]
-        return tuple((after + before)[:_PEERS])
+        return _ring_after(entries, self._settings.name)[:_PEERS]
+
+    def _find_senders(self) -> frozenset[str]:
+        """Return the entries that have this one among their peers."""
+        entries = sorted(one for one in self._instances if _is_entry(one))
+        nearest_last = _ring_after(entries, self._settings.name)
+        return frozenset(one.name for one in nearest_last[-_PEERS:])
 
     def heard(self, beat: PeerBeat, now: float) -> None:
         """Take in a peer's heartbeat."""
@@ -163,15 +182,20 @@
     def entries_for(self, organisation: Organisation, now: float) -> tuple[str, ...]:
         """Return the ``IP:port`` of the entries for an organisation's callers.
 
-        A leaving entry drops out at once, whether the list says so or its heartbeat.
+        A leaving entry drops out at once, whether the list says so or its heartbeat; this
+        one too, though it keeps its share for callers that have not yet heard.
         """
         http_by_name = {one.name: one.http for one in self._instances}
         members = self.members_for(organisation, now)
+        if self._leaving.is_set():
+            members = tuple(name for name in members if name != self._settings.name)
         return tuple(http_by_name[name] for name in members)
 
     def _is_live(self, one: Instance, now: float) -> bool:
         if not _is_entry(one) or one.leaving or one.name in self._leaving_peers:
             return False
+        if one.name not in self._senders:
+            return True
         heard_at = self._peer_heard_at.get(one.name)
         return heard_at is None or now - heard_at < self._settings.timings.gone_s
 
@@ -211,3 +235,10 @@
 
 def _is_entry(one: Instance) -> bool:
     return one.role == "entry"
+
+
+def _ring_after(entries: list[Instance], name: str) -> tuple[Instance, ...]:
+    """Return the other entries in the order of names, from ``name`` on and around."""
+    after = [one for one in entries if one.name > name]
+    before = [one for one in entries if one.name < name]
+    return (*after, *before)
