--- a/src/kingcupwheel/entry/membership.py
+++ b/src/kingcupwheel/entry/membership.py
@@ -182,8 +182,8 @@
     def entries_for(self, organisation: Organisation, now: float) -> tuple[str, ...]:
         """Return the ``IP:port`` of the entries for an organisation's callers.
 
-        A leaving entry drops out at once, whether the list says so or its heartbeat; this
-        one too, though it keeps its share for callers that have not yet heard.
+        A leaving entry drops out at once, whether the list says so or its heartbeat;
+        this one too, though it keeps its share for callers that have not yet heard.
         """
         http_by_name = {one.name: one.http for one in self._instances}
         members = self.members_for(organisation, now)
