--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -121,11 +121,12 @@
             return
         try:
             pair.far = socket.create_connection(self._target)
+            for end in (pair.near, pair.far):
+                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
+            # The target is away, or the pair was cut in the meantime.
             pair.close()
             return
-        for end in (pair.near, pair.far):
-            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         back = Thread(target=self._pump, args=(pair, pair.far, pair.near), daemon=True)
         back.start()
         self._pump(pair, pair.near, pair.far)
