--- a/src/kingcupwheel/agent/adapters/requests.py
+++ b/src/kingcupwheel/agent/adapters/requests.py
@@ -7,6 +7,9 @@
 
 from urllib3 import HTTPHeaderDict
 
+from kingcupwheel.utils.http_headers import HOP_BY_HOP
+from kingcupwheel.utils.http_headers import OF_ONE_REQUEST
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -16,36 +19,14 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 # Headers that belong to one connection or to the call between agent and server.
-_REQUEST_HEADERS_DROPPED = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-request-id",
-    }
-)
-_ANSWER_HEADERS_DROPPED = frozenset(
-    {
-        "connection",
-        "content-length",
-        "date",
-        "keep-alive",
-        "proxy-authenticate",
-        "server",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-engine-life",
-        "x-request-id",
-    }
-)
+_REQUEST_HEADERS_DROPPED = HOP_BY_HOP | OF_ONE_REQUEST | {"x-request-id"}
+_ANSWER_HEADERS_DROPPED = HOP_BY_HOP | {
+    "content-length",
+    "date",
+    "server",
+    "x-engine-life",
+    "x-request-id",
+}
 
 
 class Request(NamedTuple):
--- a/src/kingcupwheel/entry/answering.py
+++ b/src/kingcupwheel/entry/answering.py
@@ -27,9 +27,9 @@
     from kingcupwheel.entry.answers import Answer
     from kingcupwheel.entry.attempting import Plan
     from kingcupwheel.entry.context import EntryContext
-    from kingcupwheel.entry.dispatching import Place
     from kingcupwheel.entry.following import HeadKnown
     from kingcupwheel.entry.reading import AnswerReader
+    from kingcupwheel.entry.tickets import Place
     from kingcupwheel.entry.watching import CallerWatch
 
 # An unstreamed answer up to this size is read to its end first, so that its head can
--- a/src/kingcupwheel/entry/attempting.py
+++ b/src/kingcupwheel/entry/attempting.py
@@ -7,13 +7,13 @@
 from typing import NamedTuple
 
 from kingcupwheel.decisions.candidates import Ask
-from kingcupwheel.entry.dispatching import Place
-from kingcupwheel.entry.dispatching import Ticket
-from kingcupwheel.entry.dispatching import TimedOut
 from kingcupwheel.entry.inbox import AttemptKey
 from kingcupwheel.entry.reading import CREDIT_BYTES
 from kingcupwheel.entry.reading import AnswerReader
 from kingcupwheel.entry.refusals import Refusal
+from kingcupwheel.entry.tickets import Place
+from kingcupwheel.entry.tickets import Ticket
+from kingcupwheel.entry.tickets import TimedOut
 from kingcupwheel.link.links import Outgoing
 from kingcupwheel.messages.runs import ClaimRef
 from kingcupwheel.messages.runs import Dispatch
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -8,13 +8,10 @@
 
 from collections import deque
 from dataclasses import replace
-from queue import Empty
-from queue import SimpleQueue
 from random import Random
 from threading import Lock
 from time import monotonic
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from kingcupwheel.decisions.admission import Refuse
 from kingcupwheel.decisions.candidates import ALL_TRIED
@@ -28,6 +25,9 @@
 from kingcupwheel.decisions.queueing import FairQueue
 from kingcupwheel.decisions.queueing import Queued
 from kingcupwheel.decisions.queueing import Waiting
+from kingcupwheel.entry.tickets import Place
+from kingcupwheel.entry.tickets import Ticket
+from kingcupwheel.entry.tickets import TimedOut
 from kingcupwheel.plugins.kernel import placement_policies
 
 
@@ -43,52 +43,6 @@
 _MAX_ASIDE = 32
 
 
-class Place(NamedTuple):
-    """A server to dispatch to, as of its latest heartbeat."""
-
-    server: str
-    address: str
-    incarnation: str
-    token: int
-    decision: Placed
-    waited_s: float
-    work: float
-    suspect: bool
-
-
-class TimedOut(NamedTuple):
-    """The wait ended without a place.
-
-    ``limit`` is ``deadline``, or ``no-server`` where waiting could not help; ``why`` is
-    what stood in the way last.
-    """
-
-    limit: str
-    why: str
-
-
-class Ticket:
-    """A request's wait for a place."""
-
-    def __init__(self, waiting: Waiting, ask: Ask) -> None:
-        self.waiting = waiting
-        self.ask = ask
-        self.last_hindrance = "no server is known"
-        self.waiting_ahead = 0
-        self._places: SimpleQueue[Place | TimedOut] = SimpleQueue()
-
-    def give(self, place: Place | TimedOut) -> None:
-        """End the wait."""
-        self._places.put(place)
-
-    def wait(self, timeout_s: float) -> Place | TimedOut | None:
-        """Return the end of the wait, or None after ``timeout_s`` seconds."""
-        try:
-            return self._places.get(timeout=max(0.0, timeout_s))
-        except Empty:
-            return None
-
-
 class GroupDispatcher:
     """The queue of one server group; safe from any thread."""
 
--- /dev/null
+++ b/src/kingcupwheel/entry/exchange.py
@@ -0,0 +1,176 @@
+"""One request and its response in WSGI's terms."""
+
+from __future__ import annotations
+
+import logging
+import time
+from http import HTTPStatus
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from kingcupwheel.entry.answers import RefusedAnswer
+from kingcupwheel.entry.answers import StreamedAnswer
+from kingcupwheel.entry.answers import WholeAnswer
+from kingcupwheel.entry.exceptions import AnswerCutError
+from kingcupwheel.entry.gateway import CLOSE_KEY
+from kingcupwheel.entry.gateway import SOCKET_KEY
+from kingcupwheel.entry.parsing import HttpRequest
+from kingcupwheel.entry.refusals import body_of
+from kingcupwheel.trace.events import Finished
+from kingcupwheel.trace.events import Refused
+from kingcupwheel.utils.request_ids import new_request_id
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from kingcupwheel.entry.answers import Answer
+    from kingcupwheel.entry.context import EntryContext
+    from kingcupwheel.entry.refusals import Refusal
+
+logger = logging.getLogger("kingcupwheel.entry")
+
+REQUEST_ID_HEADER = "Kingcupwheel-Request-Id"
+OUTCOME_HEADER = "Kingcupwheel-Outcome"
+# Read at a time of what is dropped.
+DISCARDED_BYTES = 65_536
+
+
+class Exchange:
+    """Reads a request and writes its response; belongs to one thread."""
+
+    def __init__(
+        self,
+        context: EntryContext,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> None:
+        self._context = context
+        self._environ = environ
+        self._start_response = start_response
+        self.received_at = monotonic()
+        name = context.settings.name
+        self.request_id = str(new_request_id(name, now=time.time()))
+        self.headers = _headers_of(environ)
+
+    @property
+    def method(self) -> str:
+        """The HTTP method."""
+        return str(self._environ["REQUEST_METHOD"])
+
+    @property
+    def path(self) -> str:
+        """The path, without its query."""
+        return str(self._environ.get("PATH_INFO", "/"))
+
+    @property
+    def socket(self) -> Any:
+        """The caller's connection, None outside the HTTP server."""
+        return self._environ.get(SOCKET_KEY)
+
+    def close_after(self) -> None:
+        """Close the connection after this answer."""
+        close = self._environ.get(CLOSE_KEY)
+        if close is not None:
+            close()
+
+    def read_body(self, limit: int) -> bytes | None:
+        """Return the body, or None if it is longer than ``limit`` bytes."""
+        body: bytes = self._environ["wsgi.input"].read(limit + 1)
+        return body if len(body) <= limit else None
+
+    def discard_body(self, limit: int) -> None:
+        """Read and drop up to ``limit`` bytes, then close after the answer.
+
+        Failure: a connection is closed while the caller still sends. Symptom: it gets a
+        reset in place of the refusal. Past the limit that has to be accepted.
+        """
+        left = limit
+        while left > 0:
+            part = self._environ["wsgi.input"].read(min(left, DISCARDED_BYTES))
+            if not part:
+                break
+            left -= len(part)
+        self.close_after()
+
+    def http_request(self, body: bytes) -> HttpRequest:
+        """Return the request as parsing takes it."""
+        host = self.headers.get("host", "").rsplit(":", 1)[0].lower()
+        query = str(self._environ.get("QUERY_STRING", ""))
+        return HttpRequest(self.method, host, self.path, query, self.headers, body)
+
+    def refuse(self, refusal: Refusal) -> Iterable[bytes]:
+        """Answer a request that did not get as far as being run, and record why."""
+        record = self._context.recorder.record
+        event = Refused(refusal.limit, refusal.message, refusal.retry_after_s)
+        record(self.request_id, event)
+        outcome = refusal.outcome.value
+        record(self.request_id, Finished(outcome, refusal.status, 0, refusal.limit))
+        return self._send_refusal(refusal)
+
+    def _send_refusal(self, refusal: Refusal) -> Iterable[bytes]:
+        body = msgspec.json.encode({"error": body_of(refusal, self.request_id)})
+        headers: list[tuple[str, str]] = [(OUTCOME_HEADER, refusal.outcome.value)]
+        if refusal.retry_after_s > 0:
+            headers.append(("Retry-After", str(max(1, round(refusal.retry_after_s)))))
+        return self.send(refusal.status, tuple(headers), body)
+
+    def send(
+        self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
+    ) -> Iterable[bytes]:
+        """Answer with a whole JSON body."""
+        kind = ("Content-Type", "application/json")
+        length = ("Content-Length", str(len(body)))
+        self._start(status, (kind, length, *headers))
+        return (body,)
+
+    def pass_on(self, answer: Answer) -> Iterable[bytes]:
+        """Send what a request came to."""
+        match answer:
+            case RefusedAnswer(refusal):
+                return self._send_refusal(refusal)
+            case WholeAnswer(status, headers, body, outcome):
+                length = ("Content-Length", str(len(body)))
+                told = (OUTCOME_HEADER, outcome.value)
+                self._start(status, (*headers, length, told))
+                return (body,)
+            case StreamedAnswer(status, headers, stream):
+                self._start(status, headers)
+                return self._stream(stream)
+
+    def _stream(self, stream: Iterator[bytes]) -> Iterator[bytes]:
+        try:
+            yield from stream
+        except AnswerCutError as error:
+            logger.warning("Answer cut: %s. [%s]", error, self.request_id)
+            raise
+
+    def _start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        told = (REQUEST_ID_HEADER, self.request_id)
+        self._start_response(_status_line(status), [*headers, told])
+
+
+def _status_line(status: int) -> str:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Status"
+    return f"{status} {phrase}"
+
+
+def _headers_of(environ: dict[str, Any]) -> dict[str, str]:
+    headers = {
+        name[5:].replace("_", "-").lower(): str(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    for name in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+        value = environ.get(name)
+        if value:
+            headers[name.replace("_", "-").lower()] = str(value)
+    return headers
--- a/src/kingcupwheel/entry/joining.py
+++ b/src/kingcupwheel/entry/joining.py
@@ -44,9 +44,9 @@
     from collections.abc import Callable
 
     from kingcupwheel.entry.context import EntryContext
-    from kingcupwheel.entry.dispatching import Place
     from kingcupwheel.entry.following import Step
     from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.entry.tickets import Place
 
 # How often a thread looks again whether another one here still follows the answer.
 _FOLLOWED_CHECK_S = 0.1
--- a/src/kingcupwheel/entry/judging.py
+++ b/src/kingcupwheel/entry/judging.py
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from kingcupwheel.entry.attempting import Attempts
     from kingcupwheel.entry.context import EntryContext
-    from kingcupwheel.entry.dispatching import Place
     from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.entry.tickets import Place
     from kingcupwheel.entry.watching import CallerWatch
 
 # Places that may turn a request away before it is refused. An agent's refusal costs one
--- a/src/kingcupwheel/entry/parsing.py
+++ b/src/kingcupwheel/entry/parsing.py
@@ -27,6 +27,8 @@
 from kingcupwheel.manifest.routing import NoRoute
 from kingcupwheel.manifest.routing import RouteFound
 from kingcupwheel.manifest.schema import GroupKind
+from kingcupwheel.utils.http_headers import HOP_BY_HOP
+from kingcupwheel.utils.http_headers import OF_ONE_REQUEST
 
 
 if TYPE_CHECKING:
@@ -42,21 +44,7 @@
 # which callers of one application share.
 _PREFIX_CHARACTERS = 256
 # Headers that belong to one connection, or to the entry alone, and are not passed on.
-_NOT_PASSED_ON = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+_NOT_PASSED_ON = HOP_BY_HOP | OF_ONE_REQUEST | {"authorization"}
 
 
 class HttpRequest(NamedTuple):
--- a/src/kingcupwheel/entry/running.py
+++ b/src/kingcupwheel/entry/running.py
@@ -36,9 +36,9 @@
 if TYPE_CHECKING:
     from kingcupwheel.entry.answers import Answer
     from kingcupwheel.entry.context import EntryContext
-    from kingcupwheel.entry.dispatching import Place
     from kingcupwheel.entry.reading import AnswerReader
     from kingcupwheel.entry.requests import CallerRequest
+    from kingcupwheel.entry.tickets import Place
     from kingcupwheel.entry.waiting import HeadStep
     from kingcupwheel.entry.watching import CallerWatch
 
--- /dev/null
+++ b/src/kingcupwheel/entry/tickets.py
@@ -0,0 +1,60 @@
+"""A request's wait for a place on a server, and what ends it."""
+
+from __future__ import annotations
+
+from queue import Empty
+from queue import SimpleQueue
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.decisions.candidates import Ask
+    from kingcupwheel.decisions.candidates import Placed
+    from kingcupwheel.decisions.queueing import Waiting
+
+
+class Place(NamedTuple):
+    """A server to dispatch to, as of its latest heartbeat."""
+
+    server: str
+    address: str
+    incarnation: str
+    token: int
+    decision: Placed
+    waited_s: float
+    work: float
+    suspect: bool
+
+
+class TimedOut(NamedTuple):
+    """The wait ended without a place.
+
+    ``limit`` is ``deadline``, or ``no-server`` where waiting could not help; ``why`` is
+    what stood in the way last.
+    """
+
+    limit: str
+    why: str
+
+
+class Ticket:
+    """A request's wait for a place."""
+
+    def __init__(self, waiting: Waiting, ask: Ask) -> None:
+        self.waiting = waiting
+        self.ask = ask
+        self.last_hindrance = "no server is known"
+        self.waiting_ahead = 0
+        self._places: SimpleQueue[Place | TimedOut] = SimpleQueue()
+
+    def give(self, place: Place | TimedOut) -> None:
+        """End the wait."""
+        self._places.put(place)
+
+    def wait(self, timeout_s: float) -> Place | TimedOut | None:
+        """Return the end of the wait, or None after ``timeout_s`` seconds."""
+        try:
+            return self._places.get(timeout=max(0.0, timeout_s))
+        except Empty:
+            return None
--- a/tests/entry/test_dispatching.py
+++ b/tests/entry/test_dispatching.py
@@ -6,10 +6,10 @@
 
 from kingcupwheel.decisions.candidates import Ask
 from kingcupwheel.entry.dispatching import GroupDispatcher
-from kingcupwheel.entry.dispatching import Place
-from kingcupwheel.entry.dispatching import Ticket
-from kingcupwheel.entry.dispatching import TimedOut
 from kingcupwheel.entry.servers import ServerTable
+from kingcupwheel.entry.tickets import Place
+from kingcupwheel.entry.tickets import Ticket
+from kingcupwheel.entry.tickets import TimedOut
 from kingcupwheel.manifest.schema import ServerGroup
 from kingcupwheel.plugins.kernel import load_builtin
 from kingcupwheel.settings.schema import Timings
