--- a/tests/entry/test_sharing.py
+++ b/tests/entry/test_sharing.py
@@ -128,3 +128,23 @@
 
     assert sum(admitted.values()) < 1.2 * 30 * 1000 / 300
     assert min(admitted.values()) > 0.6 * max(admitted.values())
+
+
+def test_an_entry_that_starts_anew_adds_at_most_its_equal_part() -> None:
+    """The organisation gets a little more than allowed for some seconds, and no more.
+
+    One entry had borrowed what the other did not use; the other is replaced by a new
+    process, which begins with an equal part before the first one has heard of it.
+    """
+    seconds = 10
+    allowed = seconds * 1000 / 300
+    with freeze_time() as clock:
+        net = Net()
+        net.run(clock, 30, {"entry-1": 10, "entry-2": 0})
+        net.entries["entry-2"] = Entry("entry-2", net)
+        starting = net.run(clock, seconds, {"entry-1": 10, "entry-2": 10})
+        settled = net.run(clock, 3 * seconds, {"entry-1": 10, "entry-2": 10})
+
+    # An equal part of the rate and of what is saved up, one request each beyond that.
+    assert sum(starting.values()) <= 1.5 * allowed + 500 / 300 + 2
+    assert sum(settled.values()) <= 1.2 * 3 * allowed
