--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -24,6 +24,8 @@
 from kingcupwheel.forwarding.following import StoreFollower
 from kingcupwheel.forwarding.guards import Budget
 from kingcupwheel.forwarding.guards import Guards
+from kingcupwheel.forwarding.loadheads import DIRECT_AGENTS
+from kingcupwheel.forwarding.loadheads import LoadHeads
 from kingcupwheel.forwarding.neighbours import Neighbours
 from kingcupwheel.forwarding.pulse import Pulses
 from kingcupwheel.forwarding.serverbook import ServerBook
@@ -34,8 +36,11 @@
 from kingcupwheel.messages.membership import EntryBeat
 from kingcupwheel.messages.membership import EntryTold
 from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.membership import LoadsAsk
+from kingcupwheel.messages.membership import LoadsTold
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
+from kingcupwheel.messages.membership import ServerTold
 from kingcupwheel.platform.objects import ObjectStore
 from kingcupwheel.plugins.kernel import load_placements
 from kingcupwheel.telemetry.lines import lines_of
@@ -86,6 +91,7 @@
         self._leaving = Event()
         self._stopped = Event()
         self._hello_at = 0.0
+        self._load_heads = LoadHeads()
         self._refresh_at = 0.0
         self._store = ObjectStore(settings.platform.url)
         self._metrics = EntryMetrics()
@@ -253,7 +259,11 @@
             case EntryBeat():
                 self._neighbours.on_beat(message)
             case Beat():
-                self._context.book.agent_says(message)
+                self._context.book.agents_say((_told(message),))
+            case LoadsTold():
+                if isinstance(link, Outgoing):
+                    self._load_heads.heard(link.address, monotonic())
+                self._context.book.agents_say(message.servers)
             case ManifestWanted():
                 self._neighbours.on_wanted(link, message)
             case ManifestObject():
@@ -270,7 +280,7 @@
             self._evacuate()
         if now - self._hello_at >= _HELLO_S:
             self._hello_at = now
-            self._greet_agents()
+            self._greet_agents(now)
 
     def _evacuate(self) -> None:
         """Let streams on slow ranks go on elsewhere, so that they don't hold up all."""
@@ -289,11 +299,17 @@
                     event, service=service, streams=streams, quiet_s=round(quiet_s, 2)
                 )
 
-    def _greet_agents(self) -> None:
+    def _greet_agents(self, now: float) -> None:
         """Ask the agents beside engines for their servers' loads."""
         current = self._currency.current
         if current is None:
             return
+        port = self._settings.listen.rpartition(":")[2]
+        agents = _agents_beside_engines(self._context.book.backends, current, port)
+        if sum(map(len, agents.values())) > DIRECT_AGENTS:
+            for head, members in self._load_heads.asks(agents, now):
+                self._hub.send(Outgoing(head, 0), LoadsAsk(members))
+            return
         settings = self._settings
         hello = Hello(
             settings.name,
@@ -302,18 +318,23 @@
             "",
             self._leaving.is_set(),
         )
-        port = settings.listen.rpartition(":")[2]
-        for address in _beside_engines(self._context.book.backends, current):
-            host = address.rpartition(":")[0]
-            self._hub.send(Outgoing(f"{host}:{port}", 0), hello)
+        for agent in (one for found in agents.values() for one in found):
+            self._hub.send(Outgoing(agent, 0), hello)
 
 
-def _beside_engines(
-    backends: tuple[Backend, ...], current: Configuration
-) -> tuple[str, ...]:
-    found: list[str] = []
+def _agents_beside_engines(
+    backends: tuple[Backend, ...], current: Configuration, port: str
+) -> dict[str, list[str]]:
+    """Return the addresses of agents by data centre."""
+    found: dict[str, list[str]] = {}
     for backend in backends:
         service = current.services_by_name.get(backend.service)
         if service is not None and service.engine is not None:
-            found.append(backend.address)
-    return tuple(found)
+            agent = f"{backend.address.rpartition(':')[0]}:{port}"
+            found.setdefault(backend.data_centre, []).append(agent)
+    return found
+
+
+def _told(beat: Beat) -> ServerTold:
+    load = beat.load
+    return ServerTold(beat.name, load.running, load.queued, load.pace, beat.server_up)
--- a/src/kingcupwheel/forwarding/serverbook.py
+++ b/src/kingcupwheel/forwarding/serverbook.py
@@ -26,6 +26,7 @@
     from kingcupwheel.entry.tickets import Place
     from kingcupwheel.forwarding.backends import Backend
     from kingcupwheel.forwarding.heads import ReportedLoad
+    from kingcupwheel.messages.membership import ServerTold
 
 # Requests that one entry keeps waiting for one service. They leave the queue in time or
 # are refused; the bound is for memory and threads.
@@ -131,18 +132,26 @@
             if server is not None and server.name == place.server:
                 server.listed = False
 
-    def agent_says(self, beat: Beat) -> None:
-        """Take in what the agent beside a server says; its name is the address."""
+    def agents_say(self, told: Iterable[ServerTold]) -> None:
+        """Take in what the agents beside servers say."""
         now = monotonic()
-        backend = self._backends_by_address.get(beat.name)
-        if backend is None:
-            return
-        self._agent_heard_at[beat.name] = now
-        if beat.load.pace >= AVOIDED_PACE:
-            self._slow_at[beat.name] = now
-        up = beat.server_up and not self._avoided(backend, now)
-        self._heard(beat.name, backend.instance, beat.load, now, up=up)
-        self._dispatchers.pump(backend.service)
+        services: set[str] = set()
+        for one in told:
+            backend = self._backends_by_address.get(one.address)
+            if backend is not None:
+                self._agent_says(backend, one, now)
+                services.add(backend.service)
+        for service in services:
+            self._dispatchers.pump(service)
+
+    def _agent_says(self, backend: Backend, told: ServerTold, now: float) -> None:
+        address = backend.address
+        self._agent_heard_at[address] = now
+        if told.pace >= AVOIDED_PACE:
+            self._slow_at[address] = now
+        up = told.up and not self._avoided(backend, now)
+        load = Load(told.running, told.queued, 0, 0.0, 0.0, 0.0, told.pace)
+        self._heard(address, backend.instance, load, now, up=up)
 
     def _avoided(self, backend: Backend, now: float) -> bool:
         """Return whether nothing goes to a slow server while the others have room.
@@ -152,6 +161,8 @@
         with none it takes part in no pass of its own. Never more than a quarter of a
         service's servers, or the rest is overrun.
         """
+        if backend.address not in self._slow_at:
+            return False
         slow = {
             address
             for address, at in self._slow_at.items()
@@ -185,7 +196,8 @@
                 if server is not None:
                     told = _load(min(server.in_flight, backend.places), 0)
                     self._heard(address, backend.instance, told, now)
-            self._dispatchers.pump(backend.service)
+        for service in self._groups_by_service:
+            self._dispatchers.pump(service)
 
     def _heard(
         self, address: str, instance: str, told: Load, now: float, *, up: bool = True
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -19,7 +19,7 @@
 from typing import NamedTuple
 
 from kingcupwheel.lockstep.asking import Question
-from kingcupwheel.lockstep.carrying import OrderCarrier
+from kingcupwheel.lockstep.branching import heads_by_agent
 from kingcupwheel.lockstep.change import Arming
 from kingcupwheel.lockstep.change import Group
 from kingcupwheel.lockstep.change import Idle
@@ -29,6 +29,7 @@
 from kingcupwheel.lockstep.change import advance
 from kingcupwheel.lockstep.change import taken_up
 from kingcupwheel.lockstep.change import wants
+from kingcupwheel.lockstep.direct import DirectPanel
 from kingcupwheel.lockstep.planning import Bounds
 from kingcupwheel.lockstep.planning import dealt_in_turn
 from kingcupwheel.lockstep.planning import plan
@@ -36,7 +37,6 @@
 from kingcupwheel.lockstep.standstill import Standstill
 from kingcupwheel.messages.lockstep import RankAsk
 from kingcupwheel.messages.lockstep import Tell
-from kingcupwheel.platform.ranks import RankClient
 from kingcupwheel.telemetry.lines import lines_of
 
 
@@ -52,6 +52,7 @@
     from kingcupwheel.lockstep.change import Want
     from kingcupwheel.lockstep.state import RankState
     from kingcupwheel.messages.lockstep import RankTold
+    from kingcupwheel.platform.ranks import RankClient
 
 log = lines_of("maps")
 
@@ -63,6 +64,8 @@
 # How long an order is repeated by the agent before it tells how far it came.
 _PREPARE_S = 0.4
 _ORDER_S = 0.25
+# The same for an order given past a silent agent, in milliseconds.
+_DIRECT_MS = 100
 # The least that a plan has to take off the skew, and for each copy. A copy slows its
 # group's passes by 15 in 100 for a tenth of a second; a skew of one doubles them.
 LEAST_SKEW_GAIN = 0.05
@@ -82,12 +85,19 @@
 RESCUE_LOOK_S = 0.15
 
 
+class Beside(NamedTuple):
+    """The server beside an agent, and the data centre of both."""
+
+    server: str
+    data_centre: str
+
+
 class Roster(NamedTuple):
     """Where the ranks of one epoch are: addresses of agents, and of servers."""
 
     epoch: int
     agents_by_rank: Mapping[int, str]
-    servers_by_agent: Mapping[str, str]
+    servers_by_agent: Mapping[str, Beside]
 
 
 class Coordinator:
@@ -102,11 +112,12 @@
         client: RankClient,
         panel: Panel,
         *,
-        find_servers: Callable[[], Mapping[str, str]],
+        find_servers: Callable[[], Mapping[str, Beside]],
         shape: Callable[[], EngineShape | None],
     ) -> None:
         self._client = client
         self._panel = panel
+        self._direct = DirectPanel()
         self._find_servers = find_servers
         self._shape = shape
         self._roster: Roster | None = None
@@ -178,6 +189,7 @@
         if shape is None or not own.ok.ranks:
             return _LOOK_S
         servers_by_agent = self._find_servers()
+        self._panel.branch(_heads(servers_by_agent, servers_by_agent))
         answers = self._panel.ask(
             dict.fromkeys(servers_by_agent, Question(Tell.PLACES))
         )
@@ -200,6 +212,7 @@
             return _LOOK_S
         agents = {rank: address for rank, (address, _) in ours.items()}
         self._roster = Roster(own.ok.epoch, agents, servers_by_agent)
+        self._panel.branch(_heads(servers_by_agent, agents.values()))
         self._states = {
             rank: answer.state for rank, (_, answer) in ours.items() if answer.state
         }
@@ -223,17 +236,18 @@
         return 0.0
 
     def _with_direct(
-        self, answers: dict[str, RankTold], servers_by_agent: Mapping[str, str]
+        self, answers: dict[str, RankTold], servers_by_agent: Mapping[str, Beside]
     ) -> dict[str, RankTold]:
         """Ask servers themselves whose agents are silent."""
-        for agent, server in servers_by_agent.items():
-            if agent not in answers:
-                self._silent.add(agent)
-                carrier = OrderCarrier(RankClient(f"http://{server}"))
-                told = carrier.carry_out(RankAsk(0, Tell.PLACES))
-                log.info("asked-directly", server=server, answered=bool(told.state))
-                if told.state is not None:
-                    answers[agent] = told
+        silent = [agent for agent in servers_by_agent if agent not in answers]
+        self._silent.update(silent)
+        ask = RankAsk(0, Tell.PLACES)
+        asks = {servers_by_agent[agent].server: ask for agent in silent}
+        told = self._direct.ask(asks)
+        for agent in silent:
+            server = servers_by_agent[agent].server
+            if server in told:
+                answers[agent] = told[server]
         return answers
 
     def _group(self, roster: Roster) -> Group:
@@ -328,28 +342,26 @@
     def _order_directly(
         self, roster: Roster, silent: list[Want], answers: dict[str, RankTold]
     ) -> None:
-        """Give orders to servers whose agents are silent.
-
-        Failure: an agent is frozen or killed between a hold and its release. Symptom:
-        the whole group stands still until it is back. Its server takes the order from
-        here as well, for a small price.
-        """
-        for want in silent:
-            agent = roster.agents_by_rank[want.rank]
-            server = roster.servers_by_agent[agent]
-            log.info("ordering-directly", rank=want.rank, server=server)
-            carrier = OrderCarrier(RankClient(f"http://{server}"))
-            told = carrier.carry_out(RankAsk(0, Tell.STATE, want.order, 100))
-            if told.state is not None:
-                answers[agent] = told
+        """Give orders to servers whose agents are silent; see ``DirectPanel``."""
+        agents = [roster.agents_by_rank[want.rank] for want in silent]
+        servers = [roster.servers_by_agent[agent].server for agent in agents]
+        asks = {
+            server: RankAsk(0, Tell.STATE, want.order, _DIRECT_MS)
+            for server, want in zip(servers, silent, strict=True)
+        }
+        told = self._direct.ask(asks)
+        for agent, server in zip(agents, servers, strict=True):
+            if server in told:
+                answers[agent] = told[server]
 
     def _look(self, roster: Roster) -> None:
         own = roster.agents_by_rank[0]
         answers = {} if own in self._silent else self._panel.ask({own: Question()})
         if own not in answers:
-            server = roster.servers_by_agent[own]
-            carrier = OrderCarrier(RankClient(f"http://{server}"))
-            answers[own] = carrier.carry_out(RankAsk(0, Tell.STATE))
+            server = roster.servers_by_agent[own].server
+            told = self._direct.ask({server: RankAsk(0, Tell.STATE)})
+            if server in told:
+                answers[own] = told[server]
         if self._take_in(answers):
             self._advance(roster)
 
@@ -420,6 +432,14 @@
     )
 
 
+def _heads(
+    servers_by_agent: Mapping[str, Beside], agents: Iterable[str]
+) -> dict[str, str]:
+    return heads_by_agent(
+        {agent: servers_by_agent[agent].data_centre for agent in agents}
+    )
+
+
 def _summed(answers: Iterable[RankTold], shape: EngineShape) -> list[float]:
     total = [0.0] * (shape.layers * shape.experts)
     for told in answers:
--- a/src/kingcupwheel/lockstep/daemon.py
+++ b/src/kingcupwheel/lockstep/daemon.py
@@ -14,13 +14,19 @@
 
 from kingcupwheel.link.hub import Hub
 from kingcupwheel.lockstep.asking import Panel
+from kingcupwheel.lockstep.boards import LoadBoard
 from kingcupwheel.lockstep.carrying import OrderCarrier
+from kingcupwheel.lockstep.coordinator import Beside
 from kingcupwheel.lockstep.coordinator import Coordinator
+from kingcupwheel.lockstep.gathering import Gatherer
+from kingcupwheel.messages.lockstep import BranchAsk
+from kingcupwheel.messages.lockstep import BranchTold
 from kingcupwheel.messages.lockstep import RankAsk
 from kingcupwheel.messages.lockstep import RankTold
 from kingcupwheel.messages.membership import Beat
 from kingcupwheel.messages.membership import Hello
 from kingcupwheel.messages.membership import Load
+from kingcupwheel.messages.membership import LoadsAsk
 from kingcupwheel.platform.configuration import CONFIGURATION_KIND
 from kingcupwheel.platform.configuration import CONFIGURATION_NAME
 from kingcupwheel.platform.configuration import decode_configuration
@@ -49,7 +55,7 @@
 _LOAD_S = 0.25
 # An entry that has not asked for so long hears no more, in seconds.
 _ENTRY_S = 4.0
-_TICK_S = 0.1
+_TICK_S = 0.05
 
 
 class RankDaemon:
@@ -65,16 +71,18 @@
         self._asks: Queue[tuple[Link, RankAsk]] = Queue(_QUEUED)
         self._entries: dict[Link, float] = {}
         self._shape: EngineShape | None = None
-        self._servers_by_agent: dict[str, str] = {}
+        self._servers_by_agent: dict[str, Beside] = {}
         self._lock = Lock()
         self._stopping = Event()
         self._hub = Hub(
             listen=settings.listen,
             on_message=self._on_message,
-            on_tick=lambda _: None,
+            on_tick=self._on_tick,
             tick_s=_TICK_S,
         )
         self._panel = Panel(self._hub)
+        self._gatherer = Gatherer(self._hub)
+        self._board = LoadBoard(settings.name, self._hub)
         self._coordinator = Coordinator(
             RankClient(f"http://{self._rank.server}"),
             self._panel,
@@ -107,14 +115,26 @@
         match message:
             case RankAsk():
                 self._queue(link, message)
-            case RankTold():
+            case BranchAsk():
+                self._gatherer.ask(link, message, monotonic())
+            case RankTold() if self._gatherer.told(message):
+                pass
+            case RankTold() | BranchTold():
                 self._panel.told(message)
+            case LoadsAsk():
+                self._board.asked(link, message, monotonic())
+            case Beat():
+                self._board.told(link, message, monotonic())
             case Hello():
                 with self._lock:
                     self._entries[link] = monotonic()
             case _:
                 log.warning("message-unexpected", message=type(message).__name__)
 
+    def _on_tick(self, now: float) -> None:
+        self._gatherer.on_tick(now)
+        self._board.on_tick(now)
+
     def _queue(self, link: Link, ask: RankAsk) -> None:
         try:
             self._asks.put_nowait((link, ask))
@@ -163,7 +183,7 @@
         for link in links:
             self._hub.send(link, beat)
 
-    def _find_servers(self) -> Mapping[str, str]:
+    def _find_servers(self) -> Mapping[str, Beside]:
         """Return servers of this service by the address of the agent beside each.
 
         While the store is away those found last serve: a held pass can't wait for it.
@@ -173,12 +193,13 @@
             log.warning("store-lost", kind=SERVERS_KIND, why=str(listed.error))
             return self._servers_by_agent
         port = self._settings.listen.rpartition(":")[2]
-        found: dict[str, str] = {}
+        found: dict[str, Beside] = {}
         for stored in listed.ok.objects:
             decoded = decode_server(stored)
             if decoded.is_ok() and decoded.ok.service == self._rank.service:
-                address = decoded.ok.address
-                found[f"{address.rpartition(':')[0]}:{port}"] = address
+                server = decoded.ok
+                agent = f"{server.address.rpartition(':')[0]}:{port}"
+                found[agent] = Beside(server.address, server.data_centre)
         self._servers_by_agent = found
         return found
 
--- /dev/null
+++ b/src/kingcupwheel/lockstep/direct.py
@@ -0,0 +1,59 @@
+"""Asks servers themselves whose agents are silent."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+from kingcupwheel.lockstep.carrying import OrderCarrier
+from kingcupwheel.platform.ranks import RankClient
+from kingcupwheel.telemetry.lines import lines_of
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from kingcupwheel.messages.lockstep import RankAsk
+    from kingcupwheel.messages.lockstep import RankTold
+
+log = lines_of("maps")
+
+# Servers asked side by side. A tenth of 72 agents may be killed at once; one after the
+# other their servers would hold up a held pass for a second and more.
+_AT_ONCE = 8
+
+
+class DirectPanel:
+    """Questions to servers past their agents; belongs to one thread.
+
+    Failure: an agent is frozen or killed between a hold and its release. Symptom: the
+    whole group stands still until it is back. Its server takes the order from here as
+    well, for a small price.
+    """
+
+    def __init__(self) -> None:
+        self._pool: ThreadPoolExecutor | None = None
+
+    def ask(self, asks_by_server: Mapping[str, RankAsk]) -> dict[str, RankTold]:
+        """Return what servers tell, by address; silent ones are left out."""
+        if not asks_by_server:
+            return {}
+        if len(asks_by_server) == 1:
+            found = [_ask(*one) for one in asks_by_server.items()]
+        else:
+            if self._pool is None:
+                self._pool = ThreadPoolExecutor(_AT_ONCE, "direct")
+            found = list(
+                self._pool.map(_ask, *zip(*asks_by_server.items(), strict=True))
+            )
+        told = dict(zip(asks_by_server, found, strict=True))
+        log.info(
+            "asked-directly",
+            servers=len(asks_by_server),
+            answered=sum(one.state is not None for one in found),
+        )
+        return {server: one for server, one in told.items() if one.state is not None}
+
+
+def _ask(server: str, ask: RankAsk) -> RankTold:
+    return OrderCarrier(RankClient(f"http://{server}")).carry_out(ask)
--- /dev/null
+++ b/src/kingcupwheel/lockstep/gathering.py
@@ -0,0 +1,111 @@
+"""The head of a branch: passes a question on to its members and gathers the answers."""
+
+from __future__ import annotations
+
+from itertools import count
+from threading import Lock
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.lockstep.asking import ANSWER_S
+from kingcupwheel.lockstep.carrying import packed
+from kingcupwheel.messages.lockstep import BranchTold
+from kingcupwheel.messages.lockstep import RankAsk
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.hub import Hub
+    from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.lockstep import BranchAsk
+    from kingcupwheel.messages.lockstep import RankTold
+
+# Numbers of questions of a head begin here: an agent may coordinate one group's maps
+# and be asked for a branch at the same time, and answers are told apart by number.
+_FIRST_NUMBER = 1 << 40
+
+
+class _Branch:
+    """One question under way."""
+
+    def __init__(self, link: Link, ask: BranchAsk, until: float) -> None:
+        self.link = link
+        self.number = ask.number
+        self.until = until
+        self.missing: dict[int, str] = {}
+        self.told: dict[str, RankTold] = {}
+        self.counts: list[int] = []
+
+    def take(self, message: RankTold) -> None:
+        """Take in a member's answer; its counts are summed."""
+        address = self.missing.pop(message.number)
+        self.told[address] = msgspec.structs.replace(message, counts=b"", scale=1)
+        if not message.counts:
+            return
+        if not self.counts:
+            self.counts = [0] * len(message.counts)
+        for index, found in enumerate(message.counts):
+            self.counts[index] += found * message.scale
+
+    def answer(self) -> BranchTold:
+        """Return what was told so far."""
+        if not self.counts:
+            return BranchTold(self.number, self.told)
+        scale, counts = packed(self.counts)
+        return BranchTold(self.number, self.told, counts, scale)
+
+
+class Gatherer:
+    """Questions that this agent passes on; safe from any thread.
+
+    A member that says nothing within the time of the question is left out: it may be
+    frozen, and the others' answers must not wait for it.
+    """
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+        self._numbers = count(_FIRST_NUMBER)
+        self._branches_by_number: dict[int, _Branch] = {}
+        self._lock = Lock()
+
+    def ask(self, link: Link, message: BranchAsk, now: float) -> None:
+        """Pass a question on to the members of its branch."""
+        wait_s = message.ask.wait_ms / 1000
+        branch = _Branch(link, message, now + wait_s + ANSWER_S)
+        with self._lock:
+            for address in message.members:
+                number = next(self._numbers)
+                branch.missing[number] = address
+                self._branches_by_number[number] = branch
+            asked = tuple(branch.missing.items())
+        for number, address in asked:
+            ask = message.ask
+            passed = RankAsk(number, ask.tell, ask.order, ask.wait_ms)
+            self._hub.send(Outgoing(address, 0), passed)
+
+    def told(self, message: RankTold) -> bool:
+        """Take in an answer; return whether it belongs to a branch of this agent."""
+        with self._lock:
+            branch = self._branches_by_number.pop(message.number, None)
+            if branch is None:
+                return message.number >= _FIRST_NUMBER
+            branch.take(message)
+            if branch.missing:
+                return True
+        self._hub.send(branch.link, branch.answer())
+        return True
+
+    def on_tick(self, now: float) -> None:
+        """Answer for branches whose time is up with what there is."""
+        with self._lock:
+            late = {
+                id(branch): branch
+                for branch in self._branches_by_number.values()
+                if now >= branch.until
+            }
+            for branch in late.values():
+                for number in branch.missing:
+                    del self._branches_by_number[number]
+        for branch in late.values():
+            self._hub.send(branch.link, branch.answer())
--- a/src/kingcupwheel/messages/codec.py
+++ b/src/kingcupwheel/messages/codec.py
@@ -13,6 +13,8 @@
 from kingcupwheel.messages.exceptions import BadMessage
 from kingcupwheel.messages.expertmaps import MapOrder
 from kingcupwheel.messages.expertmaps import MapReply
+from kingcupwheel.messages.lockstep import BranchAsk
+from kingcupwheel.messages.lockstep import BranchTold
 from kingcupwheel.messages.lockstep import RankAsk
 from kingcupwheel.messages.lockstep import RankTold
 from kingcupwheel.messages.membership import Beat
@@ -20,6 +22,8 @@
 from kingcupwheel.messages.membership import Hello
 from kingcupwheel.messages.membership import InstancesFound
 from kingcupwheel.messages.membership import InstancesWanted
+from kingcupwheel.messages.membership import LoadsAsk
+from kingcupwheel.messages.membership import LoadsTold
 from kingcupwheel.messages.membership import ManifestObject
 from kingcupwheel.messages.membership import ManifestWanted
 from kingcupwheel.messages.membership import PeerBeat
@@ -82,6 +86,10 @@
     | MapReply
     | RankAsk
     | RankTold
+    | BranchAsk
+    | BranchTold
+    | LoadsAsk
+    | LoadsTold
     | EntryBeat
 )
 
--- a/src/kingcupwheel/messages/lockstep.py
+++ b/src/kingcupwheel/messages/lockstep.py
@@ -43,3 +43,23 @@
     counts: bytes = b""
     scale: int = 1
     places: tuple[tuple[int, ...], ...] = ()
+
+
+class BranchAsk(Message, frozen=True):
+    """Coordinator to the head of a branch: ask ``members`` this, and gather."""
+
+    number: int
+    ask: RankAsk
+    members: tuple[str, ...]
+
+
+class BranchTold(Message, frozen=True):
+    """Answers ``BranchAsk``: what members told by address; silent ones are left out.
+
+    Their counts are summed into ``counts`` and ``scale``, as in ``RankTold``.
+    """
+
+    number: int
+    told: dict[str, RankTold]
+    counts: bytes = b""
+    scale: int = 1
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from kingcupwheel.messages.base import Message
 
 
@@ -53,6 +55,34 @@
     crashed: tuple[tuple[str, int], ...]
 
 
+class LoadsAsk(Message, frozen=True):
+    """Entry to the agent that tells loads for its data centre, about every second.
+
+    ``members`` are the addresses of the agents whose servers' loads are wanted.
+    """
+
+    members: tuple[str, ...]
+
+
+class ServerTold(msgspec.Struct, frozen=True, array_like=True):
+    """A server's load as the agent beside it told a moment ago.
+
+    ``address`` is the server's; the rest as in ``Load`` and ``Beat``.
+    """
+
+    address: str
+    running: int
+    queued: int
+    pace: float
+    up: bool
+
+
+class LoadsTold(Message, frozen=True):
+    """Answers ``LoadsAsk`` four times a second; members not heard are left out."""
+
+    servers: tuple[ServerTold, ...]
+
+
 class PeerBeat(Message, frozen=True):
     """Entry to peer entry, about every second: what the peer may need to know.
 
--- /dev/null
+++ b/tests/lockstep/test_boards.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+from typing import Any
+from typing import cast
+
+from kingcupwheel.link.links import Incoming
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.lockstep.boards import LoadBoard
+from kingcupwheel.messages.membership import Beat
+from kingcupwheel.messages.membership import Hello
+from kingcupwheel.messages.membership import Load
+from kingcupwheel.messages.membership import LoadsAsk
+from kingcupwheel.messages.membership import LoadsTold
+from kingcupwheel.messages.membership import ServerTold
+from tests.lockstep.builders import RecordingHub
+
+
+ENTRY = Incoming(b"entry")
+
+
+def beat(server: str, running: int) -> Beat:
+    load = Load(running, 2, 0, 0.0, 0.0, 0.0, 1.5)
+    return Beat(server, "llm", "", "", 0, load, False, True, 0, ())
+
+
+def told(hub: RecordingHub) -> list[LoadsTold]:
+    return [one for _, one in hub.take() if isinstance(one, LoadsTold)]
+
+
+def test_an_entry_hears_the_loads_of_a_whole_data_centre_in_one_message() -> None:
+    hub = RecordingHub()
+    board = LoadBoard("agent-1", cast("Any", hub))
+    board.asked(ENTRY, LoadsAsk(("a:1", "b:1")), 10.0)
+    board.on_tick(10.0)
+    greeted = {
+        link.address
+        for link, one in hub.take()
+        if isinstance(one, Hello) and isinstance(link, Outgoing)
+    }
+    assert greeted == {"a:1", "b:1"}
+
+    board.told(Outgoing("a:1", 1), beat("a:80", 3), 10.1)
+    board.told(Outgoing("b:1", 1), beat("b:80", 4), 10.1)
+    board.on_tick(10.3)
+
+    [found] = told(hub)
+    assert found.servers == (
+        ServerTold("a:80", 3, 2, 1.5, True),
+        ServerTold("b:80", 4, 2, 1.5, True),
+    )
+
+
+def test_a_member_that_fell_silent_is_not_told_as_if_it_were_fresh() -> None:
+    """An agent is frozen: its server's load of a second ago says nothing now."""
+    hub = RecordingHub()
+    board = LoadBoard("agent-1", cast("Any", hub))
+    board.asked(ENTRY, LoadsAsk(("a:1",)), 10.0)
+    board.told(Outgoing("a:1", 1), beat("a:80", 3), 10.0)
+
+    board.on_tick(11.5)
+
+    assert [one.servers for one in told(hub)] == [()]
+
+
+def test_an_entry_that_no_longer_asks_is_told_nothing() -> None:
+    hub = RecordingHub()
+    board = LoadBoard("agent-1", cast("Any", hub))
+    board.asked(ENTRY, LoadsAsk(("a:1",)), 10.0)
+
+    board.on_tick(15.0)
+
+    assert hub.take() == []
--- /dev/null
+++ b/tests/lockstep/test_branching.py
@@ -0,0 +1,154 @@
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+from typing import cast
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.link.links import Incoming
+from kingcupwheel.link.links import Outgoing
+from kingcupwheel.lockstep.asking import Panel
+from kingcupwheel.lockstep.asking import Question
+from kingcupwheel.lockstep.branching import BRANCH_AGENTS
+from kingcupwheel.lockstep.branching import DIRECT_RANKS
+from kingcupwheel.lockstep.branching import heads_by_agent
+from kingcupwheel.lockstep.gathering import Gatherer
+from kingcupwheel.messages.lockstep import BranchAsk
+from kingcupwheel.messages.lockstep import BranchTold
+from kingcupwheel.messages.lockstep import RankAsk
+from kingcupwheel.messages.lockstep import RankTold
+from kingcupwheel.messages.lockstep import Tell
+from tests.lockstep.builders import RecordingHub
+from tests.lockstep.builders import rank_state
+
+
+COORDINATOR = Incoming(b"coordinator")
+
+
+def agents(count: int) -> dict[str, str]:
+    return {f"10.{n % 3}.0.{n}:7340": f"dc-{n % 3}" for n in range(count)}
+
+
+def numbered(hub: RecordingHub) -> dict[str, int]:
+    """Return the number of the question that each member got, by address."""
+    return {
+        link.address: message.number
+        for link, message in hub.take()
+        if isinstance(link, Outgoing) and isinstance(message, RankAsk)
+    }
+
+
+@given(st.integers(1, 100))
+def test_branches_are_small_and_within_a_data_centre(count: int) -> None:
+    found = agents(count)
+    heads = heads_by_agent(found)
+
+    assert set(heads) == set(found)
+    assert all(found[agent] == found[head] for agent, head in heads.items())
+    assert all(heads[head] == head for head in heads.values())
+    if count <= DIRECT_RANKS:
+        assert all(agent == head for agent, head in heads.items())
+    assert max(Counter(heads.values()).values()) <= BRANCH_AGENTS
+
+
+def test_a_head_answers_once_with_the_counts_of_all_its_members_summed() -> None:
+    """72 ranks: a pass's counts cross between data centres once a branch."""
+    hub = RecordingHub()
+    gatherer = Gatherer(cast("Any", hub))
+    ask = RankAsk(0, Tell.COUNTS)
+    gatherer.ask(COORDINATOR, BranchAsk(7, ask, ("a:1", "b:1", "c:1")), 100.0)
+    numbers = numbered(hub)
+
+    for rank, number in enumerate(numbers.values()):
+        told = RankTold(number, rank_state(rank), bytes([rank + 1, 10]), scale=2)
+        assert gatherer.told(told)
+
+    [(link, answer)] = hub.take()
+    assert link == COORDINATOR
+    assert isinstance(answer, BranchTold)
+    assert answer.number == 7
+    assert set(answer.told) == {"a:1", "b:1", "c:1"}
+    assert [count * answer.scale for count in answer.counts] == [12, 60]
+
+
+def test_a_silent_member_is_left_out_when_the_time_is_up() -> None:
+    """The agent beside one rank is frozen.
+
+    The others' states must not wait for it: the coordinator then gives the order to
+    that rank's server itself. What the frozen one says later belongs to no question.
+    """
+    hub = RecordingHub()
+    gatherer = Gatherer(cast("Any", hub))
+    ask = RankAsk(0, Tell.STATE, wait_ms=250)
+    gatherer.ask(COORDINATOR, BranchAsk(7, ask, ("a:1", "b:1")), 100.0)
+    numbers = numbered(hub)
+    gatherer.told(RankTold(numbers["a:1"], rank_state(0)))
+
+    gatherer.on_tick(100.3)
+    assert hub.take() == []
+    gatherer.on_tick(100.5)
+
+    [(_, answer)] = hub.take()
+    assert isinstance(answer, BranchTold)
+    assert set(answer.told) == {"a:1"}
+    assert gatherer.told(RankTold(numbers["b:1"], rank_state(1)))
+    assert hub.take() == []
+
+
+class Agents(RecordingHub):
+    """Answers a panel's questions at once, but for those to silent addresses."""
+
+    def __init__(self, silent: set[str]) -> None:
+        super().__init__()
+        self.silent = silent
+        self.panel = Panel(cast("Any", self))
+
+    def send(self, link: Any, message: Any) -> None:
+        super().send(link, message)
+        if link.address in self.silent:
+            return
+        match message:
+            case BranchAsk(number=number, members=members):
+                told = {
+                    one: RankTold(0, rank_state(0))
+                    for one in members
+                    if one not in self.silent
+                }
+                self.panel.told(BranchTold(number, told, bytes([4]), 3))
+            case RankAsk(number=number):
+                self.panel.told(RankTold(number, rank_state(0), bytes([1]), 3))
+
+
+def test_a_branch_is_one_message_and_its_counts_are_taken_once() -> None:
+    found = agents(72)
+    hub = Agents(set())
+    hub.panel.branch(heads_by_agent(found))
+
+    answers = hub.panel.ask(dict.fromkeys(found, Question(Tell.COUNTS)))
+
+    assert len(hub.sent) == 72 // BRANCH_AGENTS
+    assert set(answers) == set(found)
+    assert sum(sum(told.counts) * told.scale for told in answers.values()) == 9 * 12
+
+
+def test_members_behind_a_silent_head_are_asked_themselves() -> None:
+    """The head of a branch is killed while a pass is held.
+
+    Eight ranks would seem silent and the group would stand still; they are asked
+    directly at once, and the head is passed over in the next questions as well.
+    """
+    found = agents(72)
+    heads = heads_by_agent(found)
+    head = heads[sorted(found)[0]]
+    hub = Agents({head})
+    hub.panel.branch(heads)
+
+    answers = hub.panel.ask(dict.fromkeys(found, Question()))
+    assert set(found) - set(answers) == {head}
+
+    hub.take()
+    hub.panel.ask(dict.fromkeys(found, Question()))
+    asked = {link.address for link, _ in hub.take() if isinstance(link, Outgoing)}
+    assert {one for one in found if heads[one] == head} <= asked
