--- a/src/kingcupwheel/forwarding/caretaking.py
+++ b/src/kingcupwheel/forwarding/caretaking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from threading import Event
 from threading import Thread
 from typing import TYPE_CHECKING
@@ -25,6 +26,9 @@
 # and peers keep it younger; a slow store or a connection that went silent do not, and
 # what is left until keys are refused is then one slow answer's time.
 ASK_AGAIN_S = 2.6
+# Each entry asks when its knowledge is this much less old, at most: one that asks tells
+# the others with its next heartbeat, so among many few have to.
+_ASK_SPREAD_S = 0.9
 _LOOK_S = 0.2
 # Between two tries to register or to list the entries, in seconds.
 _TRY_AGAIN_S = 1.0
@@ -40,6 +44,7 @@
         self._currency = currency
         self._neighbours = neighbours
         self._stopping = Event()
+        self._ask_again_s = ASK_AGAIN_S
         self._thread = Thread(target=self._run, name="caretaker", daemon=True)
 
     def start(self) -> None:
@@ -76,8 +81,9 @@
         answered in time.
         """
         age_s = self._currency.age_s()
-        if self._currency.current is None or age_s < ASK_AGAIN_S:
+        if self._currency.current is None or age_s < self._ask_again_s:
             return
+        self._ask_again_s = ASK_AGAIN_S - random.random() * _ASK_SPREAD_S
         asked_at = self._currency.now()
         found = self._store.read(CONFIGURATION_KIND, CONFIGURATION_NAME)
         if found.is_ok() and found.ok is not None:
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -22,6 +22,8 @@
 from kingcupwheel.forwarding.following import ConfigurationFollower
 from kingcupwheel.forwarding.following import ServersFollower
 from kingcupwheel.forwarding.following import StoreFollower
+from kingcupwheel.forwarding.following import configuration_pace
+from kingcupwheel.forwarding.following import servers_pace
 from kingcupwheel.forwarding.guards import Budget
 from kingcupwheel.forwarding.guards import Guards
 from kingcupwheel.forwarding.loadheads import DIRECT_AGENTS
@@ -142,8 +144,20 @@
         configuration = ConfigurationFollower(self._currency)
         listed = ServersFollower(self._on_servers)
         return (
-            StoreFollower(self._store, configuration, clock),
-            StoreFollower(self._store, listed, clock),
+            StoreFollower(
+                self._store,
+                configuration,
+                clock,
+                lambda: configuration_pace(self._neighbours.known),
+            ),
+            StoreFollower(
+                self._store,
+                listed,
+                clock,
+                lambda: servers_pace(
+                    self._neighbours.known, self._forwarding.steady_ms / _MS
+                ),
+            ),
         )
 
     def _make_servers(self) -> tuple[HttpServer, ...]:
--- a/src/kingcupwheel/forwarding/following.py
+++ b/src/kingcupwheel/forwarding/following.py
@@ -6,12 +6,15 @@
 from threading import Thread
 from time import monotonic
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 from typing import Protocol
 
 from kingcupwheel.platform.configuration import CONFIGURATION_KIND
 from kingcupwheel.platform.configuration import CONFIGURATION_NAME
 from kingcupwheel.platform.configuration import decode_configuration
 from kingcupwheel.platform.errors import HistoryGone
+from kingcupwheel.platform.errors import Unavailable
+from kingcupwheel.platform.objects import DEFAULT_CALL_S
 from kingcupwheel.platform.servers import SERVERS_KIND
 from kingcupwheel.platform.servers import decode_server
 from kingcupwheel.telemetry.lines import lines_of
@@ -22,6 +25,7 @@
 
     from kingcupwheel.forwarding.backends import Backend
     from kingcupwheel.forwarding.currency import Currency
+    from kingcupwheel.platform.errors import PlatformError
     from kingcupwheel.platform.objects import Change
     from kingcupwheel.platform.objects import ObjectStore
     from kingcupwheel.platform.objects import StoredObject
@@ -29,10 +33,18 @@
 log = lines_of("store")
 servers = lines_of("servers")
 
-# How long one watch waits, in seconds. An answer without news is what shows that the
-# configuration is still the newest, so the wait bounds the age of that knowledge to
-# twice as much; each call has a price.
+# How long one watch waits, in seconds, among few entries. An answer without news is
+# what shows that the configuration is still the newest, so the wait bounds the age of
+# that knowledge to twice as much; each call has a price.
 WATCH_S = 1.5
+# From so many entries on, peers' words show that the configuration is the newest, and
+# the few that grow unsure ask (see ``caretaking``); watches of 31 entries took 40 calls
+# a second, half of them for the configuration.
+MANY_ENTRIES = 16
+LONG_WATCH_S = 12.0
+# After news, many entries wait so long for more of it before they watch again: servers
+# that start together were news to each of 31 entries one by one.
+_MORE_NEWS_S = 0.2
 # Pause after a failed call, in seconds, and the longest one.
 _PAUSE_S = 0.15
 _LONGEST_PAUSE_S = 0.6
@@ -40,6 +52,8 @@
 RETURN_S = 2.2
 # A store that failed for less was not away: no entry lapses in so short a time.
 _AWAY_S = 1.0
+# Taken off the time within which a watch that hangs must be found.
+_WATCH_SLACK_S = 0.3
 
 
 class KindFollower(Protocol):
@@ -56,13 +70,44 @@
         """Take in what changed; nothing changed if ``changes`` is empty."""
 
 
+class WatchPace(NamedTuple):
+    """How long a watch waits, and the pause after one that brought news, in seconds."""
+
+    wait_s: float = WATCH_S
+    pause_s: float = 0.0
+
+
+def servers_pace(entries: int, steady_s: float) -> WatchPace:
+    """Return the pace of watching servers among so many entries.
+
+    Failure: a watch's connection has gone silent, or the store swallowed it. Symptom: a
+    server that leaves is not heard of. Both are found, and the list read anew, within
+    ``steady_s``, after which the platform counts on it.
+    """
+    if entries < MANY_ENTRIES:
+        return WatchPace()
+    return WatchPace(
+        max(WATCH_S, steady_s - DEFAULT_CALL_S - _WATCH_SLACK_S), _MORE_NEWS_S
+    )
+
+
+def configuration_pace(entries: int) -> WatchPace:
+    """Return the pace of watching the configuration among so many entries."""
+    return WatchPace() if entries < MANY_ENTRIES else WatchPace(LONG_WATCH_S)
+
+
 class StoreFollower:
     """Lists a kind, then watches it; lists again where the history is gone."""
 
     def __init__(
-        self, store: ObjectStore, follower: KindFollower, clock: Callable[[], float]
+        self,
+        store: ObjectStore,
+        follower: KindFollower,
+        clock: Callable[[], float],
+        pace: Callable[[], WatchPace] = WatchPace,
     ) -> None:
         self._store = store
+        self._pace = pace
         self._follower = follower
         self._clock = clock
         self._revision = 0
@@ -82,28 +127,30 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
+            began = monotonic()
             asked_at = self._clock()
             why = self._watch(asked_at) if self._revision else self._list(asked_at)
             if why is None:
                 self._note_answer()
             else:
-                self._note_failure(why)
+                self._note_failure(why, began)
                 self._stopping.wait(self._pause_s)
                 self._pause_s = min(2 * self._pause_s, _LONGEST_PAUSE_S)
 
-    def _list(self, asked_at: float) -> str | None:
+    def _list(self, asked_at: float) -> PlatformError | None:
         asked = self._store.listing(self._follower.kind)
         if asked.is_error():
-            return str(asked.error)
+            return asked.error
         failed_since = self._failed_since
         away_s = 0.0 if failed_since is None else monotonic() - failed_since
         self._follower.listed(asked.ok.objects, asked_at, away_s=away_s)
         self._revision = asked.ok.revision
         return None
 
-    def _watch(self, asked_at: float) -> str | None:
+    def _watch(self, asked_at: float) -> PlatformError | None:
         kind = self._follower.kind
-        asked = self._store.watch(kind, after=self._revision, wait_s=WATCH_S)
+        pace = self._pace()
+        asked = self._store.watch(kind, after=self._revision, wait_s=pace.wait_s)
         if asked.is_error():
             # After any failure the list is read anew: what happened meanwhile may have
             # been forgotten, and a list also tells what is missing.
@@ -111,9 +158,11 @@
             if isinstance(asked.error, HistoryGone):
                 log.info("history-gone", kind=kind, revision=asked.error.revision)
                 return None
-            return str(asked.error)
+            return asked.error
         self._follower.changed(asked.ok.changes, asked_at)
         self._revision = max(self._revision, asked.ok.revision)
+        if asked.ok.changes and pace.pause_s:
+            self._stopping.wait(pace.pause_s)
         return None
 
     def _note_answer(self) -> None:
@@ -123,10 +172,12 @@
             self._failed_since = None
             log.info("store-regained", kind=self._follower.kind, away_s=away_s)
 
-    def _note_failure(self, why: str) -> None:
+    def _note_failure(self, why: PlatformError, began: float) -> None:
+        """Note since when the store is away: for a silent one since it was asked."""
         if self._failed_since is None:
-            self._failed_since = monotonic()
-            log.warning("store-lost", kind=self._follower.kind, why=why)
+            silent = isinstance(why, Unavailable) and why.silent
+            self._failed_since = began if silent else monotonic()
+            log.warning("store-lost", kind=self._follower.kind, why=str(why))
 
 
 class ConfigurationFollower:
--- a/src/kingcupwheel/forwarding/neighbours.py
+++ b/src/kingcupwheel/forwarding/neighbours.py
@@ -69,6 +69,12 @@
         with self._lock:
             return self._peers.sharing(monotonic())
 
+    @property
+    def known(self) -> int:
+        """How many entries are known, alive or not, this one among them."""
+        with self._lock:
+            return len(self._peers.told) + 1
+
     def live(self) -> tuple[EntryTold, ...]:
         """Return the entries that callers may be sent to, this one among them."""
         with self._lock:
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -30,7 +30,7 @@
 from kingcupwheel.lockstep.change import taken_up
 from kingcupwheel.lockstep.change import wants
 from kingcupwheel.lockstep.direct import DirectPanel
-from kingcupwheel.lockstep.planning import Bounds
+from kingcupwheel.lockstep.planning import bounds_of
 from kingcupwheel.lockstep.planning import dealt_in_turn
 from kingcupwheel.lockstep.planning import plan
 from kingcupwheel.lockstep.popularity import Popularity
@@ -66,10 +66,11 @@
 _ORDER_S = 0.25
 # The same for an order given past a silent agent, in milliseconds.
 _DIRECT_MS = 100
-# The least that a plan has to take off the skew, and for each copy. A copy slows its
-# group's passes by 15 in 100 for a tenth of a second; a skew of one doubles them.
+# The least that a plan has to take off the skew, and for each second that its copies
+# take in all. A copy slows its group's passes by 15 in 100 while it lasts and has its
+# price by size; a skew of one doubles the passes.
 LEAST_SKEW_GAIN = 0.05
-SKEW_GAIN_A_COPY = 0.002
+SKEW_GAIN_A_COPYING_S = 0.018
 
 
 # Longest preparation, in seconds. The longest copy takes 0.4; orders that get no answer
@@ -293,14 +294,15 @@
             return
         if any(state.armed for state in group.states_by_rank.values()):
             return
-        bounds = Bounds(shape.places, shape.spare)
+        bounds = bounds_of(shape.places, shape.spare, shape.copy_s)
         paces = [group.states_by_rank[rank].pace for rank in range(group.ranks)]
         self._paces = paces
         found = plan(self._layers, popularity.shares, bounds, paces)
         if found is None:
             return
         gain = found.skew_before - found.skew_after
-        if gain < LEAST_SKEW_GAIN + SKEW_GAIN_A_COPY * found.copies:
+        copying_s = found.copies * shape.copy_s
+        if gain < LEAST_SKEW_GAIN + SKEW_GAIN_A_COPYING_S * copying_s:
             return
         self._phase = Preparing(group.highest + 1, found.layers)
         self._started_at = monotonic()
--- a/src/kingcupwheel/lockstep/planning.py
+++ b/src/kingcupwheel/lockstep/planning.py
@@ -17,9 +17,10 @@
     from collections.abc import Sequence
 
 
-# Experts that one rank may copy in a round, over all layers. A copy takes about 0.11 s;
-# three rounds of three are in force as soon as one of nine, the first after a third.
-COPIES_PER_RANK = 3
+# How long a rank may copy in a round, in seconds, over all layers. Where a copy takes
+# 0.11 s, three rounds of three are in force as soon as one of nine, the first after a
+# third. Where it takes 0.016 s a round's other steps take longer than its copies.
+COPYING_S = 0.34
 
 # A layer whose slowest rank is within this part over the mean is left alone.
 GOOD_ENOUGH = 0.04
@@ -29,8 +30,10 @@
 
 # Coolest ranks that are tried as the other side of a change.
 _COOL_RANKS = 6
-# Changes of one layer in one round; it bounds the time of a plan.
+# Changes of one layer in one round, at least and for each rank; it bounds the time of a
+# plan. With 16 for 72 ranks a round from a skew of 2.8 ended at 1.35, with 36 at 1.26.
 _LAYER_CHANGES = 16
+_LAYER_CHANGES_A_RANK = 0.5
 
 Placement = tuple[tuple[int, ...], ...]
 
@@ -40,7 +43,12 @@
 
     places: int
     spare: int
-    copies: int = COPIES_PER_RANK
+    copies: int
+
+
+def bounds_of(places: int, spare: int, copy_s: float) -> Bounds:
+    """Return the bounds of a round; ``copy_s`` is how long one copy takes."""
+    return Bounds(places, spare, max(1, int(COPYING_S / copy_s) if copy_s else spare))
 
 
 class Plan(NamedTuple):
@@ -117,7 +125,9 @@
         self._loads = [self._time(rank) for rank in range(len(placement))]
         self.mean = sum(load) / len(self._loads) or 1.0
         self.copies = 0
-        self._changes = 0
+        self._changes_left = max(
+            _LAYER_CHANGES, int(_LAYER_CHANGES_A_RANK * len(placement))
+        )
 
     @property
     def slowest(self) -> float:
@@ -134,12 +144,12 @@
         order = sorted(range(len(self._loads)), key=self._loads.__getitem__)
         hot = order[-1]
         enough = self._loads[hot] <= self.mean * (1 + GOOD_ENOUGH)
-        if enough or self._changes >= _LAYER_CHANGES:
+        if enough or not self._changes_left:
             return False
         limit = self._loads[hot] - LEAST_GAIN * self.mean
         best: _Change | None = None
         for cool in order[:_COOL_RANKS]:
-            for change in self._options(hot, cool):
+            for change in self._options(hot, cool, limit):
                 if change.slowest < limit:
                     best = change
                     limit = change.slowest
@@ -148,14 +158,21 @@
         self._make(hot, best)
         return True
 
-    def _options(self, hot: int, cool: int) -> list[_Change]:
-        """Return the changes that give ``cool`` an expert of ``hot``."""
+    def _options(self, hot: int, cool: int, limit: float) -> list[_Change]:
+        """Return the changes that give ``cool`` an expert of ``hot``.
+
+        Those whose two ranks alone show that they leave one above ``limit`` are left
+        out: they are nine in ten, and weighing them took most of a plan's time.
+        """
         found: list[_Change] = []
         held = self._held[cool]
+        has_place = len(held) < self._places
+        most_off = (self._loads[hot] - limit) / self._paces[hot]
         for expert in self._held[hot]:
-            if expert in held or not self._may_copy(cool, expert):
+            share = self._load[expert] / len(self._holders[expert])
+            if share <= most_off or expert in held or not self._may_copy(cool, expert):
                 continue
-            if len(held) < self._places:
+            if has_place:
                 found.append(self._weigh(hot, cool, expert, None))
                 found.append(self._weigh_move(hot, cool, expert))
             for other in held:
@@ -210,15 +227,18 @@
         return _Change(slowest, expert, cool, other, moves=True)
 
     def _make(self, hot: int, change: _Change) -> None:
-        self._changes += 1
+        self._changes_left -= 1
+        touched = {hot, change.to} | self._holders[change.expert]
         if change.evicted is not None:
+            touched |= self._holders[change.evicted]
             self._drop(change.to, change.evicted)
         self._gain(change.to, change.expert)
         if change.moves:
             self._drop(hot, change.expert)
             if change.evicted is not None:
                 self._gain(hot, change.evicted)
-        self._loads = [self._time(rank) for rank in range(len(self._loads))]
+        for rank in touched:
+            self._loads[rank] = self._time(rank)
 
     def _drop(self, rank: int, expert: int) -> None:
         self._held[rank].discard(expert)
--- a/src/kingcupwheel/platform/errors.py
+++ b/src/kingcupwheel/platform/errors.py
@@ -8,11 +8,13 @@
 class Unavailable(NamedTuple):
     """The platform did not answer.
 
-    ``sent`` is True if a write may have taken effect all the same.
+    ``sent`` is True if a write may have taken effect all the same, ``silent`` if
+    nothing came within the call's time.
     """
 
     detail: str
     sent: bool
+    silent: bool = False
 
 
 class Conflict(NamedTuple):
--- a/src/kingcupwheel/platform/objects.py
+++ b/src/kingcupwheel/platform/objects.py
@@ -227,7 +227,8 @@
             )
         except urllib3.exceptions.HTTPError as error:
             detail = f"{type(error).__name__}: {error}"
-            return Error(Unavailable(detail, sent=writes))
+            silent = isinstance(error, urllib3.exceptions.TimeoutError)
+            return Error(Unavailable(detail, writes, silent))
         if response.status == 429:
             return Error(RateLimited(_RETRY_AFTER_S))
         if response.status >= 500:
--- a/src/kingcupwheel/settings/schema.py
+++ b/src/kingcupwheel/settings/schema.py
@@ -123,7 +123,8 @@
     within how long a key that was taken away must stop working. All entries together
     may send ``retry_share`` of a service's requests, and ``retry_floor`` besides, once
     more within any ``retry_window_s``. ``grace_s`` is the time that the platform leaves
-    a process between the signal to stop and its end.
+    a process between the signal to stop and its end. ``steady_ms`` after a trouble has
+    ended the platform counts on this process again.
     """
 
     ready: str
@@ -135,6 +136,7 @@
     retry_floor: float = 20.0
     retry_window_s: float = 10.0
     grace_s: float = 8.0
+    steady_ms: float = 3000.0
 
 
 class RankSettings(Record, frozen=True):
--- /dev/null
+++ b/tests/forwarding/test_following.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+import pytest
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.forwarding.following import LONG_WATCH_S
+from kingcupwheel.forwarding.following import MANY_ENTRIES
+from kingcupwheel.forwarding.following import WATCH_S
+from kingcupwheel.forwarding.following import StoreFollower
+from kingcupwheel.forwarding.following import WatchPace
+from kingcupwheel.forwarding.following import configuration_pace
+from kingcupwheel.forwarding.following import servers_pace
+from kingcupwheel.platform.errors import Unavailable
+from kingcupwheel.platform.objects import DEFAULT_CALL_S
+from kingcupwheel.platform.objects import Change
+from kingcupwheel.platform.objects import Changes
+from kingcupwheel.platform.objects import Listing
+from kingcupwheel.platform.objects import StoredObject
+from tests.forwarding.fleet import until
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.platform.errors import WatchError
+
+HANGS_S = 0.4
+
+
+class ScriptedStore:
+    """Answers each watch with the next of ``script``, then hangs."""
+
+    def __init__(self, script: list[tuple[float, Result[Changes, WatchError]]]) -> None:
+        self.script = script
+        self.watched_at: list[float] = []
+
+    def listing(self, kind: str) -> Result[Listing, WatchError]:
+        return Ok(Listing((), 1))
+
+    def watch(
+        self, kind: str, *, after: int, wait_s: float
+    ) -> Result[Changes, WatchError]:
+        self.watched_at.append(time.monotonic())
+        if not self.script:
+            time.sleep(0.2)
+            return Ok(Changes((), after))
+        takes_s, answer = self.script.pop(0)
+        time.sleep(takes_s)
+        return answer
+
+
+class Recorder:
+    kind = "servers"
+
+    def __init__(self) -> None:
+        self.away_s: list[float] = []
+
+    def listed(self, objects: Any, asked_at: float, *, away_s: float) -> None:
+        self.away_s.append(away_s)
+
+    def changed(self, changes: Any, asked_at: float) -> None:
+        """Take in nothing: only lists are looked at."""
+
+
+def follow(store: ScriptedStore, pace: WatchPace) -> tuple[StoreFollower, Recorder]:
+    recorder = Recorder()
+    follower = StoreFollower(cast("Any", store), recorder, time.monotonic, lambda: pace)
+    follower.start()
+    return follower, recorder
+
+
+@pytest.mark.parametrize(("silent", "least_s"), [(True, HANGS_S), (False, 0.0)])
+def test_a_store_that_hung_was_away_since_it_was_asked(
+    silent: bool, least_s: float
+) -> None:
+    """A watch hangs through an outage and fails just before the store is back.
+
+    Servers' entries lapsed meanwhile. Counted from the failure the outage would look
+    too short for that, and every server would be taken for gone. A watch that is cut
+    after a calm wait is no such thing.
+    """
+    store = ScriptedStore([(HANGS_S, Error(Unavailable("gone", False, silent)))])
+    follower, recorder = follow(store, WatchPace(5.0))
+    until(lambda: len(recorder.away_s) == 2)
+    follower.stop()
+
+    assert recorder.away_s[0] == 0.0
+    assert least_s <= recorder.away_s[1] < least_s + HANGS_S
+
+
+def test_news_that_come_together_are_one_call_among_many_entries() -> None:
+    """75 servers start together; 31 entries would watch anew for each of them."""
+    news = Change(StoredObject("i-1", 2, 2, b"{}", leaving=False), removed=False)
+    store = ScriptedStore([(0.0, Ok(Changes((news,), 2)))])
+    follower, _ = follow(store, WatchPace(5.0, pause_s=0.3))
+    until(lambda: len(store.watched_at) >= 2)
+    follower.stop()
+
+    assert store.watched_at[1] - store.watched_at[0] >= 0.3
+
+
+def test_few_entries_watch_shortly_and_many_leave_the_configuration_to_each_other() -> (
+    None
+):
+    assert configuration_pace(MANY_ENTRIES - 1) == WatchPace(WATCH_S)
+    assert configuration_pace(MANY_ENTRIES) == WatchPace(LONG_WATCH_S)
+    assert servers_pace(MANY_ENTRIES - 1, 4.0) == WatchPace(WATCH_S)
+
+
+def test_a_watch_of_servers_that_hangs_is_found_before_the_platform_counts_on_it() -> (
+    None
+):
+    for steady_s in (3.0, 4.0, 6.0):
+        pace = servers_pace(31, steady_s)
+        assert pace.wait_s + DEFAULT_CALL_S <= max(steady_s, WATCH_S + DEFAULT_CALL_S)
