--- /dev/null
+++ b/src/kingcupwheel/lockstep/balancing.py
@@ -0,0 +1,114 @@
+"""Decides when a group's map changes, and to what. Pure: times are arguments.
+
+Load: what experts are asked for drifts and jumps. Harm prevented: a map that follows
+too late makes every pass as long as its slowest rank's; one that follows each waver
+copies weights for nothing, which slows passes and has its price.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kingcupwheel.lockstep.planning import Plan
+from kingcupwheel.lockstep.planning import bounds_of
+from kingcupwheel.lockstep.planning import plan
+from kingcupwheel.lockstep.popularity import Popularity
+from kingcupwheel.telemetry.lines import lines_of
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from kingcupwheel.forwarding.configuration import EngineShape
+    from kingcupwheel.lockstep.change import Group
+    from kingcupwheel.lockstep.change import Layers
+    from kingcupwheel.messages.lockstep import RankTold
+
+log = lines_of("maps")
+
+# The least that a plan has to take off the skew, and for each second that its copies
+# take in all. A copy slows its group's passes by 15 in 100 while it lasts and has its
+# price by size; a skew of one doubles the passes.
+LEAST_SKEW_GAIN = 0.05
+SKEW_GAIN_A_COPYING_S = 0.018
+
+# A rank's pace that changed by this factor is planned for at once.
+PACE_CHANGE = 1.25
+
+
+class Balancer:
+    """Plans for one epoch of a group; belongs to one thread."""
+
+    def __init__(self, shape: EngineShape) -> None:
+        self._shape = shape
+        self._popularity = Popularity(shape.layers, shape.experts)
+        self._bounds = bounds_of(shape.places, shape.spare, shape.copy_s)
+        self._paces: list[float] = []
+        self._passed: tuple[int, float] | None = None
+        self._pass_s = 0.0
+
+    def take(
+        self, group: Group, layers: Layers, answers: Iterable[RankTold], now: float
+    ) -> Plan | None:
+        """Return the map to change to from ``layers``, or None to leave it.
+
+        ``answers`` hold the counts since the last time.
+        """
+        self._time_passes(group.own.step, now)
+        moved = self._popularity.take(summed(answers, self._shape))
+        paces = [group.states_by_rank[rank].pace for rank in range(group.ranks)]
+        if not moved and not self._pace_changed(paces):
+            return None
+        if any(state.armed for state in group.states_by_rank.values()):
+            return None
+        shares = self._popularity.shares
+        if shares is None:
+            return None
+        self._paces = paces
+        found = plan(layers, shares, self._bounds, paces)
+        if found is None or not self._is_worth_it(found):
+            return None
+        log.info(
+            "change-planned",
+            version=group.highest + 1,
+            copies=found.copies,
+            skew=round(found.skew_before, 2),
+            skew_after=round(found.skew_after, 2),
+            jumped=self._popularity.jumped,
+            choices=round(self._popularity.choices),
+            slowest_pace=round(max(paces), 2),
+            pass_ms=round(self._pass_s * 1000, 1),
+        )
+        return found
+
+    def _is_worth_it(self, found: Plan) -> bool:
+        gain = found.skew_before - found.skew_after
+        copying_s = found.copies * self._shape.copy_s
+        return gain >= LEAST_SKEW_GAIN + SKEW_GAIN_A_COPYING_S * copying_s
+
+    def _time_passes(self, step: int, now: float) -> None:
+        before, self._passed = self._passed, (step, now)
+        if before is not None and step > before[0]:
+            self._pass_s = (now - before[1]) / (step - before[0])
+
+    def _pace_changed(self, paces: Sequence[float]) -> bool:
+        """Return whether a rank has become slow, or sound again, since the last plan.
+
+        Failure: a rank slows down tenfold, and hardly a pass ends. Symptom: counts are
+        too few for a new estimate, and nothing relieves that rank for seconds.
+        """
+        return any(
+            not 1 / PACE_CHANGE < now / before < PACE_CHANGE
+            for now, before in zip(paces, self._paces, strict=False)
+        )
+
+
+def summed(answers: Iterable[RankTold], shape: EngineShape) -> list[float]:
+    """Return the choices of all ranks, layer by layer in one list."""
+    total = [0.0] * (shape.layers * shape.experts)
+    for told in answers:
+        if told.counts:
+            for index, count in enumerate(told.counts):
+                total[index] += count * told.scale
+    return total
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -16,10 +16,9 @@
 from threading import Thread
 from time import monotonic
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from kingcupwheel.lockstep.asking import Question
-from kingcupwheel.lockstep.branching import heads_by_agent
+from kingcupwheel.lockstep.balancing import Balancer
 from kingcupwheel.lockstep.change import Arming
 from kingcupwheel.lockstep.change import Group
 from kingcupwheel.lockstep.change import Idle
@@ -30,10 +29,10 @@
 from kingcupwheel.lockstep.change import taken_up
 from kingcupwheel.lockstep.change import wants
 from kingcupwheel.lockstep.direct import DirectPanel
-from kingcupwheel.lockstep.planning import bounds_of
-from kingcupwheel.lockstep.planning import dealt_in_turn
-from kingcupwheel.lockstep.planning import plan
-from kingcupwheel.lockstep.popularity import Popularity
+from kingcupwheel.lockstep.rosters import Roster
+from kingcupwheel.lockstep.rosters import heads_of
+from kingcupwheel.lockstep.rosters import layers_of
+from kingcupwheel.lockstep.rosters import ranks_of
 from kingcupwheel.lockstep.standstill import Standstill
 from kingcupwheel.messages.lockstep import RankAsk
 from kingcupwheel.messages.lockstep import Tell
@@ -42,7 +41,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from kingcupwheel.forwarding.configuration import EngineShape
@@ -50,6 +48,7 @@
     from kingcupwheel.lockstep.change import Layers
     from kingcupwheel.lockstep.change import Phase
     from kingcupwheel.lockstep.change import Want
+    from kingcupwheel.lockstep.rosters import Beside
     from kingcupwheel.lockstep.state import RankState
     from kingcupwheel.messages.lockstep import RankTold
     from kingcupwheel.platform.ranks import RankClient
@@ -66,41 +65,17 @@
 _ORDER_S = 0.25
 # The same for an order given past a silent agent, in milliseconds.
 _DIRECT_MS = 100
-# The least that a plan has to take off the skew, and for each second that its copies
-# take in all. A copy slows its group's passes by 15 in 100 while it lasts and has its
-# price by size; a skew of one doubles the passes.
-LEAST_SKEW_GAIN = 0.05
-SKEW_GAIN_A_COPYING_S = 0.018
-
-
 # Longest preparation, in seconds. The longest copy takes 0.4; orders that get no answer
 # are through after some tries. Past it the ranks hold another map than believed here.
 PREPARING_LIMIT_S = 4.0
 
 
-# A rank's pace that changed by this factor is planned for at once.
-PACE_CHANGE = 1.25
 # Ranks whose agents complete a change that rank 0's leaves unfinished.
 RESCUERS = (1, 2)
 # How often they look at their own rank, in seconds.
 RESCUE_LOOK_S = 0.15
 
 
-class Beside(NamedTuple):
-    """The server beside an agent, and the data centre of both."""
-
-    server: str
-    data_centre: str
-
-
-class Roster(NamedTuple):
-    """Where the ranks of one epoch are: addresses of agents, and of servers."""
-
-    epoch: int
-    agents_by_rank: Mapping[int, str]
-    servers_by_agent: Mapping[str, Beside]
-
-
 class Coordinator:
     """Changes the map of the group whose rank 0 is beside this process.
 
@@ -125,12 +100,11 @@
         self._states: dict[int, RankState] = {}
         self._phase: Phase = Idle()
         self._layers: Layers = ()
-        self._popularity: Popularity | None = None
+        self._balancer: Balancer | None = None
         self._started_at = 0.0
         self._standstill = Standstill()
         self._rescues = False
         self._silent: set[str] = set()
-        self._paces: list[float] = []
         self._stopping = Event()
         self._thread = Thread(target=self._run, name="coordinator", daemon=True)
 
@@ -190,37 +164,27 @@
         if shape is None or not own.ok.ranks:
             return _LOOK_S
         servers_by_agent = self._find_servers()
-        self._panel.branch(_heads(servers_by_agent, servers_by_agent))
+        self._panel.branch(heads_of(servers_by_agent, servers_by_agent))
         answers = self._panel.ask(
             dict.fromkeys(servers_by_agent, Question(Tell.PLACES))
         )
         answers = self._with_direct(answers, servers_by_agent)
-        ours = {
-            answer.state.rank: (address, answer)
-            for address, answer in answers.items()
-            if answer.state is not None
-            and answer.state.epoch == own.ok.epoch
-            and answer.state.group == own.ok.group
-        }
-        if len(ours) < own.ok.ranks:
+        ranks = ranks_of(own.ok, answers)
+        if len(ranks) < own.ok.ranks:
             log.info(
                 "ranks-missing",
-                found=sorted(ours),
+                found=sorted(ranks),
                 ranks=own.ok.ranks,
                 listed=len(servers_by_agent),
                 answered=len(answers),
             )
             return _LOOK_S
-        agents = {rank: address for rank, (address, _) in ours.items()}
+        agents = {rank: found.agent for rank, found in ranks.items()}
         self._roster = Roster(own.ok.epoch, agents, servers_by_agent)
-        self._panel.branch(_heads(servers_by_agent, agents.values()))
-        self._states = {
-            rank: answer.state for rank, (_, answer) in ours.items() if answer.state
-        }
-        self._layers = _layers_of(
-            {rank: told for rank, (_, told) in ours.items()}, shape
-        )
-        self._popularity = Popularity(shape.layers, shape.experts)
+        self._panel.branch(self._roster.heads)
+        self._states = {rank: found.state for rank, found in ranks.items()}
+        self._layers = layers_of(ranks, shape)
+        self._balancer = Balancer(shape)
         self._phase = taken_up(self._group(self._roster), self._layers)
         if self._rescues and not isinstance(self._phase, Arming):
             # Only a change that every rank is prepared for may be completed from here.
@@ -243,8 +207,9 @@
         silent = [agent for agent in servers_by_agent if agent not in answers]
         self._silent.update(silent)
         ask = RankAsk(0, Tell.PLACES)
-        asks = {servers_by_agent[agent].server: ask for agent in silent}
-        told = self._direct.ask(asks)
+        told = self._direct.ask(
+            {servers_by_agent[agent].server: ask for agent in silent}
+        )
         for agent in silent:
             server = servers_by_agent[agent].server
             if server in told:
@@ -255,68 +220,28 @@
         return Group(roster.epoch, len(roster.agents_by_rank), self._states)
 
     def _balance(self) -> float:
-        roster, shape = self._roster, self._shape()
+        roster, balancer = self._roster, self._balancer
         assert roster is not None, "balanced only with a roster"
+        assert balancer is not None, "made with the roster"
         began = monotonic()
         questions = dict.fromkeys(roster.agents_by_rank.values(), Question(Tell.COUNTS))
         answers = self._panel.ask(questions)
         # Every agent is asked here again, so one that was silent may be back.
         self._silent = set(questions) - set(answers)
-        if not self._take_in(answers) or shape is None or self._popularity is None:
+        if not self._take_in(answers):
             return _LOOK_S
         group = self._group(roster)
         if group.own.held is not None:
             # A hold of a former life came late; see ``taken_up``.
             self._phase = taken_up(group, self._layers)
             return 0.0
-        moved = self._popularity.take(_summed(answers.values(), shape))
-        if moved or self._pace_changed(group):
-            self._plan(group, shape)
-        if isinstance(self._phase, Preparing):
+        found = balancer.take(group, self._layers, answers.values(), began)
+        if found is not None:
+            self._phase = Preparing(group.highest + 1, found.layers)
+            self._started_at = monotonic()
             return 0.0
         return max(0.02, COUNT_S - (monotonic() - began))
 
-    def _pace_changed(self, group: Group) -> bool:
-        """Return whether a rank has become slow, or sound again, since the last plan.
-
-        Failure: a rank slows down tenfold, and hardly a pass ends. Symptom: counts are
-        too few for a new estimate, and nothing relieves that rank for seconds.
-        """
-        paces = [group.states_by_rank[rank].pace for rank in range(group.ranks)]
-        return any(
-            not 1 / PACE_CHANGE < now / before < PACE_CHANGE
-            for now, before in zip(paces, self._paces, strict=False)
-        )
-
-    def _plan(self, group: Group, shape: EngineShape) -> None:
-        popularity = self._popularity
-        if popularity is None or popularity.shares is None:
-            return
-        if any(state.armed for state in group.states_by_rank.values()):
-            return
-        bounds = bounds_of(shape.places, shape.spare, shape.copy_s)
-        paces = [group.states_by_rank[rank].pace for rank in range(group.ranks)]
-        self._paces = paces
-        found = plan(self._layers, popularity.shares, bounds, paces)
-        if found is None:
-            return
-        gain = found.skew_before - found.skew_after
-        copying_s = found.copies * shape.copy_s
-        if gain < LEAST_SKEW_GAIN + SKEW_GAIN_A_COPYING_S * copying_s:
-            return
-        self._phase = Preparing(group.highest + 1, found.layers)
-        self._started_at = monotonic()
-        log.info(
-            "change-planned",
-            version=group.highest + 1,
-            copies=found.copies,
-            skew=round(found.skew_before, 2),
-            skew_after=round(found.skew_after, 2),
-            jumped=popularity.jumped,
-            choices=round(popularity.choices),
-            slowest_pace=round(max(paces), 2),
-        )
-
     def _go_on(self) -> None:
         roster = self._roster
         assert roster is not None, "changes need a roster"
@@ -346,7 +271,7 @@
     ) -> None:
         """Give orders to servers whose agents are silent; see ``DirectPanel``."""
         agents = [roster.agents_by_rank[want.rank] for want in silent]
-        servers = [roster.servers_by_agent[agent].server for agent in agents]
+        servers = [roster.server_of(agent) for agent in agents]
         asks = {
             server: RankAsk(0, Tell.STATE, want.order, _DIRECT_MS)
             for server, want in zip(servers, silent, strict=True)
@@ -360,7 +285,7 @@
         own = roster.agents_by_rank[0]
         answers = {} if own in self._silent else self._panel.ask({own: Question()})
         if own not in answers:
-            server = roster.servers_by_agent[own].server
+            server = roster.server_of(own)
             told = self._direct.ask({server: RankAsk(0, Tell.STATE)})
             if server in told:
                 answers[own] = told[server]
@@ -421,30 +346,3 @@
                 return False
             self._states[rank] = told.state
         return True
-
-
-def _layers_of(told_by_rank: Mapping[int, RankTold], shape: EngineShape) -> Layers:
-    """Return the map in force, put together from each rank's experts."""
-    ranks = range(len(told_by_rank))
-    if not all(len(told_by_rank[rank].places) == shape.layers for rank in ranks):
-        return dealt_in_turn(len(told_by_rank), shape.layers, shape.experts)
-    return tuple(
-        tuple(told_by_rank[rank].places[layer] for rank in ranks)
-        for layer in range(shape.layers)
-    )
-
-
-def _heads(
-    servers_by_agent: Mapping[str, Beside], agents: Iterable[str]
-) -> dict[str, str]:
-    return heads_by_agent(
-        {agent: servers_by_agent[agent].data_centre for agent in agents}
-    )
-
-
-def _summed(answers: Iterable[RankTold], shape: EngineShape) -> list[float]:
-    total = [0.0] * (shape.layers * shape.experts)
-    for told in answers:
-        for index, count in enumerate(told.counts):
-            total[index] += count * told.scale
-    return total
--- a/src/kingcupwheel/lockstep/daemon.py
+++ b/src/kingcupwheel/lockstep/daemon.py
@@ -16,9 +16,9 @@
 from kingcupwheel.lockstep.asking import Panel
 from kingcupwheel.lockstep.boards import LoadBoard
 from kingcupwheel.lockstep.carrying import OrderCarrier
-from kingcupwheel.lockstep.coordinator import Beside
 from kingcupwheel.lockstep.coordinator import Coordinator
 from kingcupwheel.lockstep.gathering import Gatherer
+from kingcupwheel.lockstep.rosters import Beside
 from kingcupwheel.messages.lockstep import BranchAsk
 from kingcupwheel.messages.lockstep import BranchTold
 from kingcupwheel.messages.lockstep import RankAsk
--- /dev/null
+++ b/src/kingcupwheel/lockstep/rosters.py
@@ -0,0 +1,79 @@
+"""Where the ranks of a group are, and what map they have."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.lockstep.branching import heads_by_agent
+from kingcupwheel.lockstep.planning import dealt_in_turn
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from kingcupwheel.forwarding.configuration import EngineShape
+    from kingcupwheel.lockstep.change import Layers
+    from kingcupwheel.lockstep.state import RankState
+    from kingcupwheel.messages.lockstep import RankTold
+
+
+class Beside(NamedTuple):
+    """The server beside an agent, and the data centre of both."""
+
+    server: str
+    data_centre: str
+
+
+class Roster(NamedTuple):
+    """Where the ranks of one epoch are: addresses of agents, and of servers."""
+
+    epoch: int
+    agents_by_rank: Mapping[int, str]
+    servers_by_agent: Mapping[str, Beside]
+
+    def server_of(self, agent: str) -> str:
+        """Return the address of the server beside an agent."""
+        return self.servers_by_agent[agent].server
+
+    @property
+    def heads(self) -> dict[str, str]:
+        """The agents through which this group's agents are asked."""
+        return heads_of(self.servers_by_agent, self.agents_by_rank.values())
+
+
+class Found(NamedTuple):
+    """A rank that answered: its agent, its state and its experts by layer."""
+
+    agent: str
+    state: RankState
+    places: tuple[tuple[int, ...], ...]
+
+
+def ranks_of(own: RankState, answers: Mapping[str, RankTold]) -> dict[int, Found]:
+    """Return the ranks among ``answers`` that are in the group and epoch of ``own``."""
+    return {
+        told.state.rank: Found(agent, told.state, told.places)
+        for agent, told in answers.items()
+        if told.state is not None
+        and told.state.epoch == own.epoch
+        and told.state.group == own.group
+    }
+
+
+def heads_of(
+    servers_by_agent: Mapping[str, Beside], agents: Iterable[str]
+) -> dict[str, str]:
+    """Return the agent through which each of ``agents`` is asked."""
+    return heads_by_agent(
+        {agent: servers_by_agent[agent].data_centre for agent in agents}
+    )
+
+
+def layers_of(ranks: Mapping[int, Found], shape: EngineShape) -> Layers:
+    """Return the map in force, put together from each rank's experts."""
+    places = [ranks[rank].places for rank in range(len(ranks))]
+    if not all(len(one) == shape.layers for one in places):
+        return dealt_in_turn(len(ranks), shape.layers, shape.experts)
+    return tuple(tuple(one[layer] for one in places) for layer in range(shape.layers))
