--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -22,6 +22,12 @@
 FRESH_S = 2.0
 
 
+# A server of another data centre counts as this much fuller, less than one request of
+# 16: it is about a millisecond further, once for each answer, while one more request in
+# a batch costs as much for each of its tokens.
+DISTANCE_LOAD = 0.05
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """A server as one entry sees it.
@@ -94,7 +100,9 @@
 
     ``prefix_key`` names the beginning of the prompt (empty: no affinity), ``work`` is
     predicted tokens, ``avoid`` the servers already tried. A ``suspect`` runs where no
-    other suspect does. ``data_centre`` is the entry's own.
+    other suspect does. ``data_centre`` is the entry's own. ``far_load`` is how much
+    fuller a server of another one counts; with ``near_first`` one of the two choices is
+    drawn from the entry's own data centre.
     """
 
     prefix_key: str = ""
@@ -103,6 +111,8 @@
     suspect: bool = False
     data_centre: str = ""
     repeatable: bool = True
+    far_load: float = DISTANCE_LOAD
+    near_first: bool = False
 
 
 class Weighed(NamedTuple):
--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -35,11 +35,6 @@
 # requests a second an entry probes about every five seconds.
 PROBE_SHARE = 0.02
 
-# A server of another data centre counts as this much fuller, less than one request of
-# 16: it is about a millisecond further, once for each answer, while one more request in
-# a batch costs as much for each of its tokens.
-DISTANCE_LOAD = 0.05
-
 # A server that fails and may not be ejected counts as this much fuller. Without, it is
 # the emptiest of all, since it fails at once, and draws most requests; so it gets what
 # the others have hardly room for, and the guard against mass ejection still holds.
@@ -109,7 +104,7 @@
         home = self._home(proven, ask)
         if home is not None:
             return Placed(home.name, "home of the prefix", _weigh([home]))
-        drawn = _draw(proven, draw)
+        drawn = _draw(proven, ask, draw)
         best = min(drawn, key=lambda candidate: _cost(candidate, ask))
         others = [candidate for candidate in drawn if candidate is not best]
         why = "less loaded of two" if others else "the only one with room"
@@ -149,21 +144,23 @@
     return ask.repeatable and not ask.suspect and draw.random() < PROBE_SHARE
 
 
-def _draw(proven: Sequence[Candidate], draw: Random) -> list[Candidate]:
+def _draw(proven: Sequence[Candidate], ask: Ask, draw: Random) -> list[Candidate]:
     """Draw two different servers, each as often as it has room."""
     if len(proven) <= CHOICES:
         return list(proven)
-    rooms = [candidate.room for candidate in proven]
-    first = draw.choices(proven, rooms)[0]
-    rest = [candidate for candidate in proven if candidate is not first]
-    second = draw.choices(rest, [candidate.room for candidate in rest])[0]
-    return [first, second]
+    near = [one for one in proven if one.data_centre == ask.data_centre]
+    first = _draw_one(near if ask.near_first and near else proven, draw)
+    return [first, _draw_one([one for one in proven if one is not first], draw)]
+
+
+def _draw_one(servers: Sequence[Candidate], draw: Random) -> Candidate:
+    return draw.choices(servers, [candidate.room for candidate in servers])[0]
 
 
 def _cost(candidate: Candidate, ask: Ask) -> float:
     cost = candidate.load_after
     if candidate.data_centre != ask.data_centre:
-        cost += DISTANCE_LOAD
+        cost += ask.far_load
     if candidate.state is ServerState.FAILING:
         cost += FAILING_LOAD
     return cost
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -93,7 +93,7 @@
         self._leaving = Event()
         self._stopped = Event()
         self._hello_at = 0.0
-        self._load_heads = LoadHeads()
+        self._load_heads = LoadHeads(settings.data_centre)
         self._refresh_at = 0.0
         self._store = ObjectStore(settings.platform.url)
         self._metrics = EntryMetrics()
@@ -321,8 +321,8 @@
         port = self._settings.listen.rpartition(":")[2]
         agents = _agents_beside_engines(self._context.book.backends, current, port)
         if sum(map(len, agents.values())) > DIRECT_AGENTS:
-            for head, members in self._load_heads.asks(agents, now):
-                self._hub.send(Outgoing(head, 0), LoadsAsk(members))
+            for head, members, every_s in self._load_heads.asks(agents, now):
+                self._hub.send(Outgoing(head, 0), LoadsAsk(members, every_s))
             return
         settings = self._settings
         hello = Hello(
--- a/src/kingcupwheel/forwarding/loadheads.py
+++ b/src/kingcupwheel/forwarding/loadheads.py
@@ -16,6 +16,10 @@
 
 # Agents that are greeted one by one; the messages of so many are 100 a second.
 DIRECT_AGENTS = 24
+# Between two words of a head, in seconds: as often as an agent tells its own load, and
+# half as often from other data centres, whose bytes have a price.
+_NEAR_S = 0.25
+_FAR_S = 0.5
 # A head that was asked and said nothing for so long is passed over, in seconds: five of
 # its words.
 _SILENT_S = 1.25
@@ -24,16 +28,18 @@
 
 
 class HeadAsk(NamedTuple):
-    """Ask ``head`` for the loads of ``members``."""
+    """Ask ``head`` for the loads of ``members``, each ``every_s`` seconds."""
 
     head: str
     members: tuple[str, ...]
+    every_s: float
 
 
 class LoadHeads:
-    """The heads in use; belongs to one thread."""
+    """The heads in use by an entry of a data centre; belongs to one thread."""
 
-    def __init__(self) -> None:
+    def __init__(self, data_centre: str) -> None:
+        self._data_centre = data_centre
         self._heard_at: dict[str, float] = {}
         self._asked_since: dict[str, float] = {}
         self._passed_until: dict[str, float] = {}
@@ -47,13 +53,14 @@
     ) -> tuple[HeadAsk, ...]:
         """Return whom to ask now; a head that fell silent is replaced by the next."""
         found: list[HeadAsk] = []
-        for agents in agents_by_data_centre.values():
+        for data_centre, agents in agents_by_data_centre.items():
             members = tuple(sorted(agents))
             head = next(
                 (one for one in members if not self._is_silent(one, now)), members[0]
             )
             self._asked_since.setdefault(head, now)
-            found.append(HeadAsk(head, members))
+            every_s = _NEAR_S if data_centre == self._data_centre else _FAR_S
+            found.append(HeadAsk(head, members, every_s))
         return tuple(found)
 
     def _is_silent(self, head: str, now: float) -> bool:
--- a/src/kingcupwheel/forwarding/neighbours.py
+++ b/src/kingcupwheel/forwarding/neighbours.py
@@ -35,9 +35,11 @@
 ENTRIES_KIND = "kingcupwheel-entries"
 # The name under which peers hand each other the configuration.
 _CONFIGURATION = "configuration"
-# Every so many heartbeats name the other entries: news of an entry that only one peer
-# has found passes on without the store.
+# Every so many heartbeats, or as many as there are entries, name the other entries, and
+# so do the first of a process: news of an entry that only one peer has found passes on
+# without the store.
 _KNOWN_EVERY = 8
+_FIRST_BEATS = 4
 # How long a peer is left alone after it was asked for the configuration, in seconds.
 _ASK_AGAIN_S = 0.5
 
@@ -136,7 +138,8 @@
             self._dead.extend(self._peers.forget_dead(now))
             peers = self._peers.told
             echoes = {told.name: self._peers.echo_for(told.name) for told in peers}
-        names_others = self._beats <= _KNOWN_EVERY or self._beats % _KNOWN_EVERY == 0
+        every = max(_KNOWN_EVERY, len(peers))
+        names_others = self._beats <= _FIRST_BEATS or self._beats % every == 0
         for told in peers:
             known = peers if names_others else ()
             beat = self._beat(echoes[told.name], known)
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -56,6 +56,10 @@
 # When to come back if no place was found in time, in seconds: about an answer's length.
 _RETRY_AFTER_S = 0.4
 _SERVER_FAILED = 500
+# A server of another data centre counts as so much fuller, one and a half requests of
+# six: every byte between data centres has its price, and the ranks of a group run each
+# pass together, so that one with a request less is no faster.
+FAR_LOAD = 0.25
 
 
 class Running(NamedTuple):
@@ -226,6 +230,8 @@
             suspect=self._suspect,
             data_centre=self._context.data_centre,
             repeatable=request.route.may_rerun,
+            far_load=FAR_LOAD,
+            near_first=True,
         )
         wanted = Wanted(
             request_id=request.id,
--- a/src/kingcupwheel/lockstep/boards.py
+++ b/src/kingcupwheel/lockstep/boards.py
@@ -24,8 +24,6 @@
     from kingcupwheel.messages.membership import Beat
     from kingcupwheel.messages.membership import LoadsAsk
 
-# Between two words to entries, in seconds: as often as an agent tells its own load.
-TELL_S = 0.25
 # Members are asked to tell their loads so often, in seconds; they go on for four.
 _GREET_S = 1.0
 # What a member told counts for so long, and an entry is told without asking again.
@@ -33,9 +31,12 @@
 _ASKED_S = 4.0
 
 
-class _Asker(NamedTuple):
-    members: tuple[str, ...]
-    at: float
+class _Asker:
+    def __init__(self) -> None:
+        self.members: tuple[str, ...] = ()
+        self.every_s = 0.0
+        self.at = 0.0
+        self.told_at = float("-inf")
 
 
 class _Heard(NamedTuple):
@@ -52,13 +53,15 @@
         self._askers: dict[Link, _Asker] = {}
         self._heard_by_member: dict[str, _Heard] = {}
         self._greeted_at = float("-inf")
-        self._told_at = float("-inf")
         self._lock = Lock()
 
     def asked(self, link: Link, message: LoadsAsk, now: float) -> None:
         """Tell an entry the loads of these members for a while."""
         with self._lock:
-            self._askers[link] = _Asker(message.members, now)
+            asker = self._askers.setdefault(link, _Asker())
+            asker.members = message.members
+            asker.every_s = message.every_s
+            asker.at = now
 
     def told(self, link: Link, beat: Beat, now: float) -> None:
         """Take in the load of a member."""
@@ -86,9 +89,9 @@
             self._greeted_at = now
             for member in {one for _, asker in askers for one in asker.members}:
                 self._hub.send(Outgoing(member, 0), self._hello)
-        if now - self._told_at >= TELL_S:
-            self._told_at = now
-            for link, asker in askers:
+        for link, asker in askers:
+            if now - asker.told_at >= asker.every_s:
+                asker.told_at = now
                 self._hub.send(link, LoadsTold(_fresh(asker, heard, now)))
 
 
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -58,10 +58,12 @@
 class LoadsAsk(Message, frozen=True):
     """Entry to the agent that tells loads for its data centre, about every second.
 
-    ``members`` are the addresses of the agents whose servers' loads are wanted.
+    ``members`` are the addresses of the agents whose servers' loads are wanted,
+    ``every_s`` how often they are to be told.
     """
 
     members: tuple[str, ...]
+    every_s: float
 
 
 class ServerTold(msgspec.Struct, frozen=True, array_like=True):
@@ -78,7 +80,7 @@
 
 
 class LoadsTold(Message, frozen=True):
-    """Answers ``LoadsAsk`` four times a second; members not heard are left out."""
+    """Answers ``LoadsAsk`` as often as it asks; members not heard are left out."""
 
     servers: tuple[ServerTold, ...]
 
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -215,3 +215,25 @@
 
     busy = [replace(one, running=8 * (one.name == home)) for one in servers]
     assert place(busy, ask)[home] < 0.1 * 400
+
+
+def test_with_the_near_first_a_request_leaves_its_data_centre_only_for_much_room() -> (
+    None
+):
+    """Three data centres, 16 servers of six places, bytes between them dear.
+
+    Two requests of six fuller is worth the way; one is not.
+    """
+    ask = Ask(data_centre="near", far_load=0.25, near_first=True)
+
+    def given_near(near_running: int) -> int:
+        servers = [
+            Candidate(f"n-{number}", "near", 6, running=near_running)
+            for number in range(5)
+        ] + [Candidate(f"f-{number}", "far", 6, running=2) for number in range(11)]
+        given = place(servers, ask)
+        return sum(count for name, count in given.items() if name.startswith("n-"))
+
+    assert given_near(2) == 400
+    assert given_near(3) == 400
+    assert given_near(4) < 200
