--- a/src/kingcupwheel/forwarding/following.py
+++ b/src/kingcupwheel/forwarding/following.py
@@ -40,7 +40,7 @@
 # From so many entries on, peers' words show that the configuration is the newest, and
 # the few that grow unsure ask (see ``caretaking``); watches of 31 entries took 40 calls
 # a second, half of them for the configuration.
-MANY_ENTRIES = 16
+MANY_ENTRIES = 10
 LONG_WATCH_S = 12.0
 # After news, many entries wait so long for more of it before they watch again: servers
 # that start together were news to each of 31 entries one by one.
--- a/src/kingcupwheel/lockstep/carrying.py
+++ b/src/kingcupwheel/lockstep/carrying.py
@@ -21,6 +21,7 @@
     from kingcupwheel.lockstep.state import RankState
     from kingcupwheel.messages.lockstep import RankAsk
     from kingcupwheel.platform.ranks import RankClient
+    from kingcupwheel.telemetry.metrics import RankMetrics
 
 log = lines_of("maps")
 
@@ -37,8 +38,9 @@
 class OrderCarrier:
     """Answers the coordinator's questions; belongs to one thread."""
 
-    def __init__(self, client: RankClient) -> None:
+    def __init__(self, client: RankClient, metrics: RankMetrics | None = None) -> None:
         self._client = client
+        self._metrics = metrics
         self._counted: tuple[int, tuple[int, ...]] = (0, ())
 
     def carry_out(self, ask: RankAsk) -> RankTold:
@@ -70,6 +72,9 @@
                 given = self._client.give(order)
                 kind = type(order).__name__
                 log.debug("order-given", order=kind, answer=str(given))
+                if self._metrics is not None:
+                    answer = str(given.ok) if given.is_ok() else "none"
+                    self._metrics.orders.labels(kind.lower(), answer).inc()
                 # One without an answer is given again as soon as the report shows that
                 # it was not carried out; one that was refused, after a while.
                 given_at = now if given.is_ok() else float("-inf")
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -52,6 +52,7 @@
     from kingcupwheel.lockstep.state import RankState
     from kingcupwheel.messages.lockstep import RankTold
     from kingcupwheel.platform.ranks import RankClient
+    from kingcupwheel.telemetry.metrics import RankMetrics
 
 log = lines_of("maps")
 
@@ -87,12 +88,14 @@
         self,
         client: RankClient,
         panel: Panel,
+        metrics: RankMetrics,
         *,
         find_servers: Callable[[], Mapping[str, Beside]],
         shape: Callable[[], EngineShape | None],
     ) -> None:
         self._client = client
         self._panel = panel
+        self._metrics = metrics
         self._direct = DirectPanel()
         self._find_servers = find_servers
         self._shape = shape
@@ -228,6 +231,7 @@
         answers = self._panel.ask(questions)
         # Every agent is asked here again, so one that was silent may be back.
         self._silent = set(questions) - set(answers)
+        self._metrics.silent.inc(len(self._silent))
         if not self._take_in(answers):
             return _LOOK_S
         group = self._group(roster)
@@ -239,6 +243,8 @@
         if found is not None:
             self._phase = Preparing(group.highest + 1, found.layers)
             self._started_at = monotonic()
+            self._metrics.copies.inc(found.copies)
+            self._metrics.skew.set(found.skew_before)
             return 0.0
         return max(0.02, COUNT_S - (monotonic() - began))
 
@@ -311,12 +317,16 @@
             self._give_up_if_stuck()
 
     def _released(self, change: Arming | Releasing) -> None:
-        took_ms = round((monotonic() - self._started_at) * 1000)
-        log.info("change-released", version=change.version, ms=took_ms)
+        took_s = monotonic() - self._started_at
         if change.layers:
+            log.info("change-released", version=change.version, ms=round(took_s * 1000))
+            self._metrics.changes.labels("released").inc()
+            self._metrics.change_took.observe(took_s)
             self._layers = change.layers
         else:
             # Completed for a former life: only the ranks know what it holds.
+            log.info("change-completed", version=change.version)
+            self._metrics.changes.labels("completed").inc()
             self._forget()
 
     def _give_up_if_stuck(self) -> None:
@@ -326,6 +336,7 @@
         """
         if monotonic() - self._started_at > PREPARING_LIMIT_S:
             log.warning("change-stuck", version=self._states[0].version)
+            self._metrics.changes.labels("stuck").inc()
             self._forget()
 
     def _take_in(self, answers: Mapping[str, RankTold]) -> bool:
--- a/src/kingcupwheel/lockstep/daemon.py
+++ b/src/kingcupwheel/lockstep/daemon.py
@@ -12,6 +12,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
+from kingcupwheel.entry.gateway import HttpServer
 from kingcupwheel.link.hub import Hub
 from kingcupwheel.lockstep.asking import Panel
 from kingcupwheel.lockstep.boards import LoadBoard
@@ -35,6 +36,8 @@
 from kingcupwheel.platform.servers import SERVERS_KIND
 from kingcupwheel.platform.servers import decode_server
 from kingcupwheel.telemetry.lines import lines_of
+from kingcupwheel.telemetry.metrics import MetricsPage
+from kingcupwheel.telemetry.metrics import RankMetrics
 
 
 if TYPE_CHECKING:
@@ -56,6 +59,8 @@
 # An entry that has not asked for so long hears no more, in seconds.
 _ENTRY_S = 4.0
 _TICK_S = 0.05
+# Whoever reads the metrics has one; more are turned away.
+_PAGE_CONNECTIONS = 8
 
 
 class RankDaemon:
@@ -67,7 +72,8 @@
         self._rank: RankSettings = settings.rank
         self._store = ObjectStore(settings.platform.url)
         self._client = RankClient(f"http://{self._rank.server}")
-        self._carrier = OrderCarrier(self._client)
+        self._metrics = RankMetrics()
+        self._carrier = OrderCarrier(self._client, self._metrics)
         self._asks: Queue[tuple[Link, RankAsk]] = Queue(_QUEUED)
         self._entries: dict[Link, float] = {}
         self._shape: EngineShape | None = None
@@ -86,13 +92,29 @@
         self._coordinator = Coordinator(
             RankClient(f"http://{self._rank.server}"),
             self._panel,
+            self._metrics,
             find_servers=self._find_servers,
             shape=self._find_shape,
         )
+        self._page = self._make_page()
         self._carrying = Thread(target=self._carry, name="carrier", daemon=True)
 
+    def _make_page(self) -> HttpServer | None:
+        if not self._rank.metrics:
+            return None
+        return HttpServer(
+            MetricsPage(self._metrics.registry),
+            listen=self._rank.metrics,
+            threads=1,
+            connections=_PAGE_CONNECTIONS,
+            name=f"{self._settings.name}-page",
+        )
+
     def start(self) -> None:
         """Start every part."""
+        if self._page is not None:
+            self._page.bind()
+            self._page.start()
         self._hub.start()
         self._carrying.start()
         self._coordinator.start()
@@ -109,6 +131,8 @@
         self._stopping.set()
         self._carrying.join()
         self._hub.stop()
+        if self._page is not None:
+            self._page.stop()
         log.info("stopped")
 
     def _on_message(self, link: Link, message: Message) -> None:
--- a/src/kingcupwheel/settings/schema.py
+++ b/src/kingcupwheel/settings/schema.py
@@ -142,11 +142,13 @@
 class RankSettings(Record, frozen=True):
     """The rank of a lock-stepped group beside an agent, on the same platform.
 
-    ``server`` is the ``IP:port`` of the backend server, ``service`` its service.
+    ``server`` is the ``IP:port`` of the backend server, ``service`` its service;
+    ``metrics`` is where the agent's metrics are read.
     """
 
     server: str
     service: str
+    metrics: str = ""
 
 
 class Settings(Record, frozen=True):
--- a/src/kingcupwheel/telemetry/metrics.py
+++ b/src/kingcupwheel/telemetry/metrics.py
@@ -20,6 +20,8 @@
 # Bounds of latency buckets in seconds: around the aims of plain answers (0.2) and of
 # first events (0.5), and up to the longest route's time.
 _LATENCY_BUCKETS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 4, 8)
+# A change takes some 0.25 s; past 4 s it is given up.
+_CHANGE_BUCKETS = (0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4)
 _WAIT_BUCKETS = (0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2)
 
 
@@ -76,6 +78,47 @@
         self.took.labels(service).observe(took_s)
 
 
+class RankMetrics:
+    """The metrics of an agent beside a rank; safe from any thread."""
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry(auto_describe=False)
+        self.registry = registry
+        self.orders = Counter(
+            "kingcupwheel_rank_orders",
+            "Orders given to the server beside the agent, by kind and answer.",
+            ["order", "answer"],
+            registry=registry,
+        )
+        self.changes = Counter(
+            "kingcupwheel_map_changes",
+            "Changes of expert maps that this agent coordinated, by their end.",
+            ["end"],
+            registry=registry,
+        )
+        self.change_took = Histogram(
+            "kingcupwheel_map_change_seconds",
+            "From a change's plan to its release.",
+            buckets=_CHANGE_BUCKETS,
+            registry=registry,
+        )
+        self.copies = Counter(
+            "kingcupwheel_map_copies",
+            "Copies of experts that planned changes asked for.",
+            registry=registry,
+        )
+        self.skew = Gauge(
+            "kingcupwheel_map_skew",
+            "Slowest rank over the mean of all ranks when a change was last planned.",
+            registry=registry,
+        )
+        self.silent = Counter(
+            "kingcupwheel_agents_silent",
+            "Questions that agents of the group left unanswered.",
+            registry=registry,
+        )
+
+
 class MetricsPage:
     """Serves a registry as text, on whatever path it is asked."""
 
