--- a/src/kingcupwheel/lockstep/balancing.py
+++ b/src/kingcupwheel/lockstep/balancing.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from kingcupwheel.lockstep.planning import GOOD_ENOUGH
 from kingcupwheel.lockstep.planning import Plan
 from kingcupwheel.lockstep.planning import bounds_of
 from kingcupwheel.lockstep.planning import plan
@@ -39,6 +40,9 @@
 # of all copies took it from 1.2 to 1.1 while passes took 40 of 120 ms.
 SHORT_PASS_PART = 0.5
 SHORT_PASS_GAIN = 0.3
+# The same for how far a plan goes: layers within this part over the mean are left alone
+# if passes are then short. The last third of a plan's copies take off a tenth.
+SHORT_PASS_ENOUGH = 0.2
 
 # A rank's pace that changed by this factor is planned for at once.
 PACE_CHANGE = 1.25
@@ -67,13 +71,13 @@
         paces = [group.states_by_rank[rank].pace for rank in range(group.ranks)]
         if not moved and not self._pace_changed(paces):
             return None
-        if any(state.armed for state in group.states_by_rank.values()):
+        if _is_armed_anew(group):
             return None
         shares = self._popularity.shares
         if shares is None:
             return None
         self._paces = paces
-        found = plan(layers, shares, self._bounds, paces)
+        found = plan(layers, shares, self._bounds, paces, enough=self._enough)
         if found is None or not self._is_worth_it(found):
             return None
         log.info(
@@ -93,11 +97,19 @@
 
     def _is_worth_it(self, found: Plan) -> bool:
         gain = found.skew_before - found.skew_after
-        if 0.0 < self._pass_s < SHORT_PASS_PART * self._shape.gap_s:
+        if self._is_short(self._pass_s):
             return gain >= SHORT_PASS_GAIN
         copying_s = found.copies * self._shape.copy_s
         return gain >= LEAST_SKEW_GAIN + SKEW_GAIN_A_COPYING_S * copying_s
 
+    def _enough(self, skew: float) -> float:
+        """Return how far over the mean a layer may be after a plan from ``skew``."""
+        then_s = self._pass_s * (1 + SHORT_PASS_ENOUGH) / max(1.0, skew)
+        return SHORT_PASS_ENOUGH if self._is_short(then_s) else GOOD_ENOUGH
+
+    def _is_short(self, pass_s: float) -> bool:
+        return 0.0 < pass_s < SHORT_PASS_PART * self._shape.gap_s
+
     def _time_passes(self, step: int, now: float) -> None:
         before, self._passed = self._passed, (step, now)
         if before is not None and step > before[0]:
@@ -115,6 +127,17 @@
         )
 
 
+def _is_armed_anew(group: Group) -> bool:
+    """Return whether a rank is armed for a map that is not in force yet.
+
+    Failure: an agent ends after its rank was armed. Symptom: its last word says that
+    the rank is armed, long after the pass began, and no change is planned again. What
+    rank 0 has in force began on all ranks in one pass.
+    """
+    in_force = group.own.version
+    return any(state.armed > in_force for state in group.states_by_rank.values())
+
+
 def counts_of(answers: Iterable[RankTold]) -> list[list[int]]:
     """Return each answer's choices, layer by layer in one list."""
     return [
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -64,8 +64,6 @@
 # How long an order is repeated by the agent before it tells how far it came.
 _PREPARE_S = 0.4
 _ORDER_S = 0.25
-# The same for an order given past a silent agent, in milliseconds.
-_DIRECT_MS = 100
 # Longest preparation, in seconds. The longest copy takes 0.4; orders that get no answer
 # are through after some tries. Past it the ranks hold another map than believed here.
 PREPARING_LIMIT_S = 4.0
@@ -267,19 +265,23 @@
             want for want in asked if roster.agents_by_rank[want.rank] not in answers
         ]
         self._silent.update(roster.agents_by_rank[want.rank] for want in silent)
-        if silent and not isinstance(self._phase, Preparing):
-            self._order_directly(roster, silent, answers)
+        if silent:
+            self._order_directly(roster, silent, answers, int(wait_s * 1000))
         if self._take_in(answers):
             self._advance(roster)
 
     def _order_directly(
-        self, roster: Roster, silent: list[Want], answers: dict[str, RankTold]
+        self,
+        roster: Roster,
+        silent: list[Want],
+        answers: dict[str, RankTold],
+        wait_ms: int,
     ) -> None:
         """Give orders to servers whose agents are silent; see ``DirectPanel``."""
         agents = [roster.agents_by_rank[want.rank] for want in silent]
         servers = [roster.server_of(agent) for agent in agents]
         asks = {
-            server: RankAsk(0, Tell.STATE, want.order, _DIRECT_MS)
+            server: RankAsk(0, Tell.STATE, want.order, wait_ms)
             for server, want in zip(servers, silent, strict=True)
         }
         told = self._direct.ask(asks)
--- a/src/kingcupwheel/lockstep/planning.py
+++ b/src/kingcupwheel/lockstep/planning.py
@@ -14,6 +14,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
 
@@ -22,7 +23,8 @@
 # third. Where it takes 0.016 s a round's other steps take longer than its copies.
 COPYING_S = 0.34
 
-# A layer whose slowest rank is within this part over the mean is left alone.
+# A layer whose slowest rank is within this part over the mean is left alone, and that
+# much more where passes are short anyhow (see ``balancing``).
 GOOD_ENOUGH = 0.04
 
 # A change must take this part of the mean off a layer's slowest rank.
@@ -73,11 +75,14 @@
     shares: Sequence[Sequence[float]],
     bounds: Bounds,
     paces: Sequence[float] = (),
+    *,
+    enough: Callable[[float], float] = lambda _: GOOD_ENOUGH,
 ) -> Plan | None:
     """Return the next map towards even ranks, or None if no change is worth it.
 
     ``paces`` are how many times its usual time each rank takes; a slow one is relieved
-    until its part of a pass takes as long as the others'.
+    until its part of a pass takes as long as the others'. ``enough`` returns, for the
+    skew as it is, the part over the mean at which a layer is left alone.
     """
     ranks = len(layers[0])
     copies_left = [bounds.copies] * ranks
@@ -88,9 +93,10 @@
     before = sum(editor.slowest for editor in editors)
     mean = sum(editor.mean for editor in editors)
     open_editors = list(editors)
+    good_enough = enough(before / mean)
     while open_editors:
         worst = max(open_editors, key=lambda editor: editor.slowest - editor.mean)
-        if not worst.improve():
+        if not worst.improve(good_enough):
             open_editors.remove(worst)
     copies = sum(editor.copies for editor in editors)
     if not copies:
@@ -139,11 +145,11 @@
         """The layer as it stands."""
         return tuple(tuple(sorted(held)) for held in self._held)
 
-    def improve(self) -> bool:
+    def improve(self, good_enough: float) -> bool:
         """Make the change that relieves the slowest rank most; tell if there is one."""
         order = sorted(range(len(self._loads)), key=self._loads.__getitem__)
         hot = order[-1]
-        enough = self._loads[hot] <= self.mean * (1 + GOOD_ENOUGH)
+        enough = self._loads[hot] <= self.mean * (1 + good_enough)
         if enough or not self._changes_left:
             return False
         limit = self._loads[hot] - LEAST_GAIN * self.mean
--- a/tests/lockstep/test_balancing.py
+++ b/tests/lockstep/test_balancing.py
@@ -50,6 +50,19 @@
     assert planned(15, pass_s) is not None
 
 
+def test_a_plan_goes_less_far_where_passes_will_be_short() -> None:
+    """A jump from even to three times, with passes of 40 ms and of 160 ms at it.
+
+    The first group's streams are on time with a rank a fifth over the mean.
+    """
+    short, long = planned(15, 0.04), planned(15, 0.16)
+
+    assert short is not None
+    assert long is not None
+    assert short.copies < long.copies
+    assert long.skew_after <= short.skew_after < 1.35
+
+
 def test_even_ranks_are_left_alone() -> None:
     assert planned(5, 0.1) is None
 
@@ -67,3 +80,19 @@
     assert planned(6, 0.04) is None
     assert taken is not None
     assert 0.05 < taken.skew_before - taken.skew_after < 0.2
+
+
+def test_an_agent_that_ended_after_its_rank_was_armed_holds_up_no_plan() -> None:
+    """Its last word is that the rank is armed for version 4, now long in force."""
+    balancer = Balancer(SHAPE)
+    balancer.take(group(1), MAP, [], 0.0)
+    states = {
+        rank: msgspec.structs.replace(state, version=4)
+        for rank, state in group(11).states_by_rank.items()
+    }
+    states[5] = msgspec.structs.replace(states[5], version=3, armed=4)
+    assert balancer.take(Group(1, RANKS, states), MAP, told(15), 1.0) is not None
+
+    states[5] = msgspec.structs.replace(states[5], armed=5)
+    assert balancer.take(Group(1, RANKS, states), MAP, told(5), 2.0) is None
+    assert balancer.take(Group(1, RANKS, states), MAP, told(25), 3.0) is None
--- /dev/null
+++ b/tests/lockstep/test_large_group.py
@@ -0,0 +1,127 @@
+"""Agents of a group that is asked through branches, beside a stand-in group."""
+
+from __future__ import annotations
+
+from threading import Thread
+from typing import TYPE_CHECKING
+
+import pytest
+
+from kingcupwheel.lockstep.branching import BRANCH_AGENTS
+from kingcupwheel.lockstep.branching import DIRECT_RANKS
+from kingcupwheel.lockstep.daemon import RankDaemon
+from kingcupwheel.settings.schema import PlatformSettings
+from kingcupwheel.settings.schema import RankSettings
+from kingcupwheel.settings.schema import Role
+from kingcupwheel.settings.schema import Settings
+from tests.forwarding.builders import configuration_spec
+from tests.forwarding.fleet import free_ports
+from tests.forwarding.fleet import until
+from tests.standins.lockstep_group import GroupStandIn
+from tests.standins.object_store import Door
+from tests.standins.object_store import StoredObjects
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+RANKS = DIRECT_RANKS + 2
+EXPERTS = 2 * RANKS
+# Two data centres; each agent is found at its server's IP and a port all share.
+HOSTS = [f"127.0.0.{100 + number}" for number in range(RANKS)]
+ENGINE = {
+    "Sets": 1,
+    "Experts": EXPERTS,
+    "Placements": 3,
+    "Spare": 1,
+    "ExpertMb": 10.0,
+    "LinkMbps": 100000.0,
+}
+# The first head of the second data centre: not rank 0, which coordinates.
+HEAD = RANKS // 2
+CHANGED_S = 15.0
+
+
+class LargeGroup:
+    """A group and its agents; an agent that was stopped stays away."""
+
+    def __init__(self) -> None:
+        server_port, self.port = free_ports(2)
+        self.group = GroupStandIn(HOSTS, server_port, layers=1, experts=EXPERTS)
+        self.group.start()
+        objects = StoredObjects()
+        engine = {"Name": "llm", "Engine": ENGINE}
+        objects.put("config", "main", configuration_spec(Services=[engine]))
+        for rank in self.group.ranks:
+            zone = "dc-1" if rank.number < HEAD else "dc-2"
+            entry = {"Service": "llm", "Address": rank.address, "Zone": zone}
+            objects.put("servers", f"i-{rank.number}", entry)
+        self.door = Door(objects)
+        self.door.start()
+        self.agents = {number: self._agent(number) for number in range(RANKS)}
+
+    def _agent(self, number: int) -> RankDaemon:
+        agent = RankDaemon(
+            Settings(
+                name=f"agent-{number}",
+                role=Role.AGENT,
+                data_centre="dc-1",
+                listen=f"{HOSTS[number]}:{self.port}",
+                platform=PlatformSettings(url=self.door.url),
+                rank=RankSettings(
+                    server=self.group.ranks[number].address, service="llm"
+                ),
+            )
+        )
+        agent.start()
+        return agent
+
+    def stop_agent(self, number: int) -> None:
+        """Stop one agent for good; its server goes on."""
+        self.agents.pop(number).stop()
+
+    def changes(self, hot: int) -> None:
+        """Let another expert be popular and wait until the map in force follows."""
+        before = self.group.ranks[0].version
+        self.group.weights = [60 if one == hot else 1 for one in range(EXPERTS)]
+        until(lambda: self.group.ranks[0].version > before, CHANGED_S)
+
+    def stop(self) -> None:
+        """End everything; all agents at once, a coordinator's change needs others."""
+        threads = [Thread(target=agent.stop) for agent in self.agents.values()]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.group.stop()
+        self.door.stop()
+
+
+@pytest.fixture
+def large() -> Iterator[LargeGroup]:
+    found = LargeGroup()
+    try:
+        yield found
+    finally:
+        found.stop()
+
+
+def test_a_large_group_changes_its_map_though_the_head_of_a_branch_is_gone(
+    large: LargeGroup,
+) -> None:
+    """The head's agent ends for good; its branch and its own server are still there.
+
+    The map of a group that is asked through branches follows the demand, and goes on
+    to do so: the branch is asked agent by agent, the head's server itself. No pass
+    ever runs on two maps.
+    """
+    assert BRANCH_AGENTS < HEAD
+    large.changes(0)
+    large.stop_agent(HEAD)
+    large.changes(1)
+    large.changes(2)
+
+    assert large.group.mixed == 0
+    newest = large.group.ranks[0]
+    holders = sum(2 in experts for experts in newest.maps[newest.version][0])
+    assert holders > 1
