--- a/src/kingcupwheel/forwarding/currency.py
+++ b/src/kingcupwheel/forwarding/currency.py
@@ -60,6 +60,10 @@
         Failure: answers overtake each other, or a stale copy comes late. Symptom: a
         route that was dropped works again. Versions only rise, so a lower one is never
         taken.
+
+        A newer version became the newest after the one before it was, so it is known to
+        be at least as new. Without that each change would make knowledge that came by a
+        peer, or by a watch that waited long, look too old for requests with keys.
         """
         with self._lock:
             if found.version < self.version:
@@ -67,9 +71,7 @@
             is_new = found.version > self.version
             if is_new:
                 self._current = found
-                self._as_of = as_of
-            else:
-                self._as_of = max(self._as_of, as_of)
+            self._as_of = max(self._as_of, as_of)
         return is_new
 
     def confirm(self, version: int, as_of: float) -> None:
--- a/tests/forwarding/test_currency.py
+++ b/tests/forwarding/test_currency.py
@@ -46,3 +46,20 @@
 
 def test_before_any_configuration_the_age_has_no_end() -> None:
     assert Currency(Clock()).age_s() == float("inf")
+
+
+def test_a_newer_version_is_known_to_be_as_new_as_the_one_before() -> None:
+    """A peer hands version 8 over and does not say its age; a long watch brings 9.
+
+    Version 7 was the newest two seconds ago, so 8 became the newest after that. Counted
+    from nothing, or from when the watch was asked, every caller with a key would be
+    refused at each change until somebody confirms it.
+    """
+    clock = Clock()
+    currency = Currency(clock)
+    currency.adopt(configuration(7), as_of=98.0)
+
+    currency.adopt(configuration(8), as_of=float("-inf"))
+    assert currency.age_s() == 2.0
+    currency.adopt(configuration(9), as_of=88.0)
+    assert currency.age_s() == 2.0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 
 from tests.soak.world import SOUND
 from tests.standins.object_store import Faults
+from tests.standins.relay import Mode
 
 
 if TYPE_CHECKING:
@@ -18,6 +19,10 @@
 # A pause between two faults: some overlap, some find a fleet at rest.
 SHORTEST_S = 0.05
 LONGEST_S = 0.6
+# Longer than a key that was taken away may work, so that what waited for the frozen
+# process must not be run with it.
+FORGOTTEN_S = 7.0
+_MODES = (Mode.PASS, Mode.CUT, Mode.FREEZE_OPEN, Mode.FREEZE_OPEN, Mode.FREEZE_ALL)
 _BEHAVIOURS = (
     SOUND._replace(dies=True),
     SOUND._replace(resets=True),
@@ -53,9 +58,14 @@
             self._freeze,
             self._hang_up,
             self._door,
+            self._kill_many,
+            self._freeze_and_revoke,
+            self._link,
+            self._link,
             self._server,
             self._server,
             self._replace,
+            self._lose,
             self._change,
             self._orders,
             self._popularity,
@@ -95,6 +105,33 @@
         door.faults = self._draw.choice((Faults(), Faults(), *_DOORS))
         return f"store for {name}: {door.faults}"
 
+    def _kill_many(self) -> str:
+        processes = self._draw.choice(
+            (self._world.entries, self._world.agents, self._world.processes)
+        )
+        for process in processes:
+            process.kill()
+        return f"kill {', '.join(process.name for process in processes)}"
+
+    def _freeze_and_revoke(self) -> str:
+        """Let an entry wake up with callers waiting whose key is long gone."""
+        process = self._draw.choice(self._world.entries)
+        process.freeze(FORGOTTEN_S)
+        self._world.revoke()
+        return f"freeze {process.name} for {FORGOTTEN_S} s and revoke the second key"
+
+    def _link(self) -> str:
+        name, relay = self._draw.choice(sorted(self._world.relays.items()))
+        mode = self._draw.choice(_MODES)
+        delay_ms = self._draw.choice((0.0, 0.0, 30.0))
+        relay.set_mode(mode, delay_ms=delay_ms)
+        return f"way to {name}: {mode}, {delay_ms} ms"
+
+    def _lose(self) -> str:
+        number = self._draw.randrange(len(self._world.servers))
+        self._world.lose_server(number)
+        return f"lose server {number}"
+
     def _server(self) -> str:
         # At most half of the servers are bad, so that the rest can answer.
         server = self._draw.choice(self._world.servers[: len(self._world.servers) // 2])
