--- a/features/expert_maps.feature
+++ b/features/expert_maps.feature
@@ -46,3 +46,21 @@
     And experts 0 and 1 become 12 times as popular
     Then the group comes to run on another map
     And no step was run on two maps
+
+  Scenario: The agent that coordinates is stopped as planned while experts move
+    # SIGTERM, as for a rolling restart. It ends no change halfway, gives its lease back and
+    # leaves; another agent has the lease sooner than it would lapse, and nobody's stream
+    # is cut.
+    Given a group of 3 ranks with agents and an entry
+    And an agent coordinates the group
+    And 4 callers stream 20 tokens each without pause
+    When experts 0 and 1 become 12 times as popular
+    And the agent that coordinates is stopped as planned
+    Then another agent coordinates within 4 s
+    And the group goes on stepping
+    When the killed agent is started again
+    And experts 4 and 5 become 12 times as popular
+    Then the group comes to run on another map
+    And no step was run on two maps
+    When the callers stop
+    Then every load answer is whole or a true not-run
--- a/features/steps/expert_maps.py
+++ b/features/steps/expert_maps.py
@@ -134,3 +134,26 @@
     process.pause()
     time.sleep(seconds)
     process.wake()
+
+
+@when("the agent that coordinates is stopped as planned")
+def stop_coordinator(context: Any) -> None:
+    """Ask the holder of the lease to stop and wait until it has ended."""
+    context.killed = _coordinator(context)
+    process = context.world.fleet.agents[context.killed].process
+    process.terminate()
+
+
+@then("another agent coordinates within {seconds:d} s")
+def check_successor(context: Any, seconds: int) -> None:
+    """Wait until the lease has another holder."""
+    fleet = context.world.fleet
+
+    def has_successor() -> bool:
+        held = fleet.stored(f"leases/{GROUP}")
+        if held is None:
+            return False
+        holder = str(msgspec.json.decode(held)["holder"])
+        return holder in fleet.agents and holder != context.killed
+
+    wait_until(has_successor, "another holder of the lease", float(seconds))
