--- /dev/null
+++ b/tools/group_model.py
@@ -0,0 +1,295 @@
+"""A small emulator of a lock-stepped engine group under skewed, jumping demand.
+
+It plays passes, not time slices: requests of a few kinds arrive, each kind with experts
+of its own; every pass takes the slowest rank's own work and, layer by layer, the most
+loaded rank's part. The real ``Balancer`` plans from the counts; a change is in force
+after its copies and orders. Seconds of a fleet take milliseconds here, so that when to
+change a map can be compared before a day is played. It leaves out queues at servers,
+retries, lost orders and everything between entry and engine.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from kingcupwheel.lockstep.balancing import Balancer
+from kingcupwheel.lockstep.change import Group
+from kingcupwheel.lockstep.planning import dealt_in_turn
+from kingcupwheel.lockstep.state import RankState
+from kingcupwheel.messages.lockstep import RankTold
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.forwarding.configuration import EngineShape
+    from kingcupwheel.lockstep.change import Layers
+
+# Kinds of requests, each with experts that it likes.
+KINDS = 9
+# Part of a pass that is spent on experts.
+EXPERT_PART = 0.85
+# Milliseconds of a pass: by itself, for each stream that writes, and for each token of
+# a prompt that is read; about what the users' sheets say of theirs.
+PASS_MS = 18.0
+STREAM_MS = 3.6
+PROMPT_MS = 1 / 61.4
+# Tokens of a prompt that one pass reads on a rank.
+CHUNK = 512
+# Between two looks at the counts, and what orders of a change take beside copies, in
+# seconds.
+COUNT_S = 0.15
+ORDERS_S = 0.13
+
+
+class Demand(NamedTuple):
+    """What callers ask: streams a second, when the liking of experts jumps, and goals.
+
+    ``skew`` is the deviation of the logarithm of how much a kind likes an expert;
+    ``shift`` the part of the kinds that turn to other experts in a jump.
+    """
+
+    per_s: float
+    jump_every_s: float
+    skew: float
+    shift: float = 0.6
+    prompt: int = 850
+    events: int = 24
+    aim_s: float = 0.5
+    gap_s: float = 0.12
+
+
+class Outcome(NamedTuple):
+    """What became of the streams, and what the maps cost."""
+
+    streams: int
+    on_time: float
+    mean_pass_ms: float
+    mean_skew: float
+    changes: int
+    copies: int
+
+
+@dataclass
+class _Stream:
+    kind: int
+    arrived_at: float
+    unread: int
+    left: int
+    last_at: float
+    late: bool = False
+    begun: bool = False
+
+
+@dataclass
+class _Rank:
+    streams: list[_Stream] = field(default_factory=list)
+
+
+class GroupModel:
+    """One group; it is played once. Without ``balances`` its map never changes."""
+
+    def __init__(
+        self, shape: EngineShape, ranks: int, demand: Demand, *, seed: int
+    ) -> None:
+        self._shape = shape
+        self._demand = demand
+        self._draw = Random(seed)
+        self._ranks = [_Rank() for _ in range(ranks)]
+        self._layers: Layers = dealt_in_turn(ranks, shape.layers, shape.experts)
+        self._liked = [self._new_liking() for _ in range(KINDS)]
+        self._counts = [self._no_counts() for _ in range(ranks)]
+        self._now = 0.0
+        self._step = 0
+        self._next_at = 0.0
+        self._done: list[_Stream] = []
+
+    def _new_liking(self) -> list[list[float]]:
+        found = []
+        for _ in range(self._shape.layers):
+            weights = [
+                self._draw.lognormvariate(0.0, self._demand.skew)
+                for _ in range(self._shape.experts)
+            ]
+            total = sum(weights)
+            found.append([weight / total for weight in weights])
+        return found
+
+    def _no_counts(self) -> list[float]:
+        return [0.0] * (self._shape.layers * self._shape.experts)
+
+    def play(self, seconds: float, *, balances: bool = True) -> Outcome:
+        """Return what became of the streams that ended within ``seconds``."""
+        balancer = Balancer(self._shape)
+        passes = 0
+        skews = 0.0
+        changes = copies = 0
+        counted_at = jumped_at = 0.0
+        pending: tuple[float, Layers] | None = None
+        while self._now < seconds:
+            self._arrive()
+            skew = self._pass()
+            passes += 1
+            skews += skew
+            if self._now - jumped_at >= self._demand.jump_every_s:
+                jumped_at = self._now
+                self._jump()
+            if pending is not None and self._now >= pending[0]:
+                self._layers, pending = pending[1], None
+            if balances and pending is None and self._now - counted_at >= COUNT_S:
+                counted_at = self._now
+                plan = balancer.take(
+                    self._group(), self._layers, self._told(), self._now
+                )
+                if plan is not None:
+                    most = _most_copied(self._layers, plan.layers)
+                    copying_s = most * self._shape.copy_s
+                    pending = (self._now + ORDERS_S + copying_s, plan.layers)
+                    changes += 1
+                    copies += plan.copies
+        on_time = sum(not one.late for one in self._done) / max(1, len(self._done))
+        return Outcome(
+            len(self._done),
+            on_time,
+            1000 * self._now / passes,
+            skews / passes,
+            changes,
+            copies,
+        )
+
+    def _arrive(self) -> None:
+        while self._next_at <= self._now:
+            rank = min(self._ranks, key=lambda one: len(one.streams))
+            demand = self._demand
+            kind = self._draw.randrange(KINDS)
+            prompt = max(16, round(self._draw.gauss(demand.prompt, demand.prompt / 4)))
+            events = max(2, round(self._draw.gauss(demand.events, demand.events / 3)))
+            rank.streams.append(
+                _Stream(kind, self._next_at, prompt, events, self._next_at)
+            )
+            self._next_at += self._draw.expovariate(demand.per_s)
+
+    def _jump(self) -> None:
+        for kind in range(KINDS):
+            if self._draw.random() < self._demand.shift:
+                self._liked[kind] = self._new_liking()
+
+    def _pass(self) -> float:
+        """Play one pass; return its skew."""
+        self._step += 1
+        own: list[float] = []
+        tokens_by_kind = [0.0] * KINDS
+        for rank, counts in zip(self._ranks, self._counts, strict=True):
+            own.append(self._own_ms(rank, counts, tokens_by_kind))
+        skew = self._skew(tokens_by_kind)
+        mean_ms = sum(own) / len(own)
+        took_ms = (1 - EXPERT_PART) * max(own) + EXPERT_PART * mean_ms * skew
+        self._now += took_ms / 1000
+        for rank in self._ranks:
+            self._end_pass(rank)
+        return skew
+
+    def _own_ms(
+        self, rank: _Rank, counts: list[float], tokens_by_kind: list[float]
+    ) -> float:
+        took_ms = PASS_MS
+        budget = CHUNK
+        for stream in rank.streams:
+            if stream.unread:
+                read = min(budget, stream.unread)
+                stream.unread -= read
+                budget -= read
+                took_ms += read * PROMPT_MS
+                tokens = float(read)
+            else:
+                took_ms += STREAM_MS
+                tokens = 4.0
+            tokens_by_kind[stream.kind] += tokens
+            self._count(stream.kind, tokens, counts)
+        return took_ms
+
+    def _count(self, kind: int, tokens: float, counts: list[float]) -> None:
+        experts = self._shape.experts
+        for layer, liked in enumerate(self._liked[kind]):
+            start = layer * experts
+            for expert, share in enumerate(liked):
+                counts[start + expert] += 8 * tokens * share
+
+    def _skew(self, tokens_by_kind: list[float]) -> float:
+        total = sum(tokens_by_kind)
+        if not total:
+            return 1.0
+        found = 0.0
+        for layer, placement in enumerate(self._layers):
+            shares = [
+                sum(
+                    tokens * self._liked[kind][layer][expert]
+                    for kind, tokens in enumerate(tokens_by_kind)
+                )
+                / total
+                for expert in range(self._shape.experts)
+            ]
+            found += _slowest(placement, shares) * len(placement)
+        return found / len(self._layers)
+
+    def _end_pass(self, rank: _Rank) -> None:
+        going_on: list[_Stream] = []
+        for stream in rank.streams:
+            if stream.unread:
+                going_on.append(stream)
+                continue
+            self._note_event(stream)
+            (going_on if stream.left else self._done).append(stream)
+        rank.streams = going_on
+
+    def _note_event(self, stream: _Stream) -> None:
+        if stream.begun:
+            stream.late |= self._now - stream.last_at > self._demand.gap_s
+        else:
+            stream.late |= self._now - stream.arrived_at > self._demand.aim_s
+        stream.begun = True
+        stream.last_at = self._now
+        stream.left -= 1
+
+    def _group(self) -> Group:
+        ranks = len(self._ranks)
+        return Group(
+            1,
+            ranks,
+            {
+                rank: RankState(
+                    "g", 1, rank, ranks, True, self._step, 0, 0, 0, None, 1, 0, 1.0
+                )
+                for rank in range(ranks)
+            },
+        )
+
+    def _told(self) -> list[RankTold]:
+        told = []
+        for counts in self._counts:
+            scale = max(1, round(max(counts)) // 255 + 1)
+            packed = bytes(round(count / scale) for count in counts)
+            told.append(RankTold(0, None, packed, scale))
+        self._counts = [self._no_counts() for _ in self._ranks]
+        return told
+
+
+def _slowest(placement: tuple[tuple[int, ...], ...], shares: list[float]) -> float:
+    holders = [0] * len(shares)
+    for held in placement:
+        for expert in held:
+            holders[expert] += 1
+    return max(sum(shares[one] / holders[one] for one in held) for held in placement)
+
+
+def _most_copied(before: Layers, after: Layers) -> int:
+    ranks = range(len(before[0]))
+    return max(
+        sum(
+            len(set(new[rank]) - set(old[rank]))
+            for old, new in zip(before, after, strict=True)
+        )
+        for rank in ranks
+    )
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -40,6 +40,7 @@
     "agent": Part("An agent's cost per frame", "tools.measure_agent"),
     "decisions": Part("Decisions under load", "tools.measure_decisions"),
     "maps": Part("Planning expert maps", "tools.measure_maps", writes_file=True),
+    "balancing": Part("When to change a map", "tools.measure_balancing"),
     "groups": Part("Agreeing on expert maps", "tools.measure_groups", writes_file=True),
     "manifest": Part("Manifests of many organisations", "tools.measure_manifest"),
 }
--- /dev/null
+++ b/tools/measure_balancing.py
@@ -0,0 +1,80 @@
+"""Compares when to change a group's map: ``python -m tools.measure_balancing``.
+
+One group of 16 ranks as the users run it, three loads, on the emulator of
+``tools.group_model``; the same seeds for each way.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import click
+
+from kingcupwheel.forwarding.configuration import EngineShape
+from tools.group_model import Demand
+from tools.group_model import GroupModel
+from tools.group_model import Outcome
+from tools.tables import Table
+
+
+RANKS = 16
+# A copy takes 0.11 s and streams' pauses may be 0.12 s.
+SHAPE = EngineShape(4, 64, 5, 2, 0.111, gap_s=0.12)
+LOADS = (25.0, 50.0, 75.0)
+SECONDS = 20.0
+SEEDS = (1, 2, 3)
+
+
+class Way(NamedTuple):
+    """A way to compare: its name, the shape it is told, whether maps change at all."""
+
+    name: str
+    shape: EngineShape
+    balances: bool = True
+
+
+WAYS = (
+    Way("never move", SHAPE, balances=False),
+    # Without a known pause no pass counts as short, so each small gain is taken.
+    Way("every small gain", SHAPE._replace(gap_s=0.0)),
+    Way("kingcupwheel", SHAPE),
+)
+
+
+def play(way: Way, per_s: float) -> list[Outcome]:
+    """Return an outcome for each seed."""
+    demand = Demand(per_s, jump_every_s=4.2, skew=1.1)
+    return [
+        GroupModel(way.shape, RANKS, demand, seed=seed).play(
+            SECONDS, balances=way.balances
+        )
+        for seed in SEEDS
+    ]
+
+
+def _row(name: str, outcomes: list[Outcome]) -> list[str]:
+    def mean(values: list[float]) -> float:
+        return sum(values) / len(values)
+
+    return [
+        name,
+        f"{mean([one.on_time for one in outcomes]):.1%}",
+        f"{mean([one.mean_pass_ms for one in outcomes]):.0f}",
+        f"{mean([one.mean_skew for one in outcomes]):.2f}",
+        f"{mean([float(one.changes) for one in outcomes]):.0f}",
+        f"{mean([float(one.copies) for one in outcomes]):.0f}",
+    ]
+
+
+@click.command()
+def main() -> None:
+    """Print a table for each load."""
+    for per_s in LOADS:
+        rows = [_row(way.name, play(way, per_s)) for way in WAYS]
+        title = f"{per_s:.0f} streams a second, a jump each 4.2 s"
+        columns = ("", "on time", "pass ms", "skew", "changes", "copies")
+        click.echo(Table(title, columns, rows).markdown())
+
+
+if __name__ == "__main__":
+    main()
