--- /dev/null
+++ b/src/kingcupwheel/forwarding/closures.py
@@ -0,0 +1,37 @@
+"""Whether a service of lock-stepped servers turns everything away. Pure.
+
+Failure: a rank's machine ends and its group forms anew, for seconds. Symptom: every
+server of the group turns requests away, idle as it is; a caller that is refused comes
+back once, is refused again and is lost, though the group opens a moment later. The
+agents beside the ranks tell that a group is closed, but after all machines have lost
+power entries are back before agents are heard. Two servers that turn requests away
+while none of the service has sent anything say as much.
+"""
+
+from __future__ import annotations
+
+from kingcupwheel.forwarding.pulse import STANDSTILL_S
+
+
+# Servers that have to turn requests away within this time, in seconds: one alone may
+# shed part of its work.
+SERVERS = 2
+WITHIN_S = 1.0
+
+
+class Closures:
+    """What one entry was told by a service's servers; guarded by its owner."""
+
+    def __init__(self) -> None:
+        self._turned_away_at: dict[str, float] = {}
+
+    def turned_away(self, server: str, *, quiet_s: float, now: float) -> bool:
+        """Note a request turned away; return whether the whole service does that.
+
+        ``quiet_s`` is how long ago any server of the service sent something.
+        """
+        self._turned_away_at = {
+            name: at for name, at in self._turned_away_at.items() if now - at < WITHIN_S
+        }
+        self._turned_away_at[server] = now
+        return len(self._turned_away_at) >= SERVERS and quiet_s > STANDSTILL_S
--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from time import monotonic
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from kingcupwheel.telemetry.lines import lines_of
+
 
 if TYPE_CHECKING:
     from kingcupwheel.entry.dispatchers import Dispatchers
@@ -21,6 +24,9 @@
     from kingcupwheel.telemetry.metrics import EntryMetrics
 
 
+log = lines_of("servers")
+
+
 class ForwardContext(NamedTuple):
     """The shared parts; each is safe from any thread."""
 
@@ -48,6 +54,12 @@
         self.connections.forget(place.server)
         self.book.misdirected(place)
 
-    def full(self, place: Place) -> None:
-        """Note that a server turned a request away for want of room."""
-        self.book.full(place)
+    def turned_away(self, place: Place, service: str, *, streamed: bool) -> None:
+        """Note that a server turned a request away: it is full, or its group closed."""
+        if streamed and self.guards.is_closed(
+            service, place.server, quiet_s=self.pulses.of(service).quiet_s(monotonic())
+        ):
+            log.info("service-closed", service=service, server=place.server)
+            self.book.closed(service)
+        else:
+            self.book.full(place)
--- a/src/kingcupwheel/forwarding/greeting.py
+++ b/src/kingcupwheel/forwarding/greeting.py
@@ -66,9 +66,12 @@
         current = self._currency.current
         if current is None or now - self._asked_at < _HELLO_S:
             return
-        self._asked_at = now
         port = self._settings.listen.rpartition(":")[2]
         agents = _agents_beside_engines(self._book.backends, current, port)
+        if not agents:
+            # The list of servers is still on its way; it is not waited for a second.
+            return
+        self._asked_at = now
         if sum(map(len, agents.values())) > DIRECT_AGENTS:
             for head, members, every_s in self._heads.asks(agents, now):
                 self._hub.send(Outgoing(head, 0), LoadsAsk(members, every_s))
--- a/src/kingcupwheel/forwarding/guards.py
+++ b/src/kingcupwheel/forwarding/guards.py
@@ -1,4 +1,4 @@
-"""What bounds further sends: the shared budget, and requests that crash servers."""
+"""What bounds further sends: the shared budget, requests that crash, closed groups."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 from kingcupwheel.decisions.suspects import ServerLife
 from kingcupwheel.decisions.suspects import Suspect
 from kingcupwheel.decisions.suspects import Suspects
+from kingcupwheel.forwarding.closures import Closures
 
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
         self._suspects = Suspects()
         self._lost: deque[tuple[float, str, str]] = deque(maxlen=_LOST_AT_MOST)
         self._budgets_by_service: dict[str, WindowBudget] = {}
+        self._closures_by_service: dict[str, Closures] = {}
         self._lock = Lock()
 
     def verdict(self, fingerprint: str) -> Quarantined | Suspect | None:
@@ -116,6 +118,12 @@
                 floor=self._budget.floor * _BUDGET_PART / max(1, self._entries()),
             )
 
+    def is_closed(self, service: str, server: str, *, quiet_s: float) -> bool:
+        """Note a request turned away; return whether the whole service does that."""
+        with self._lock:
+            closures = self._closures_by_service.setdefault(service, Closures())
+            return closures.turned_away(server, quiet_s=quiet_s, now=monotonic())
+
     def _of(self, service: str) -> WindowBudget:
         found = self._budgets_by_service.get(service)
         if found is None:
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -154,7 +154,10 @@
                 if other_instance:
                     self._context.misdirected(place)
                 else:
-                    self._context.full(place)
+                    request = self._request
+                    self._context.turned_away(
+                        place, request.service, streamed=request.route.streamed
+                    )
             case Lost(why):
                 came = Came.LOST
         return self.after(place, came, why)
--- a/src/kingcupwheel/forwarding/serverbook.py
+++ b/src/kingcupwheel/forwarding/serverbook.py
@@ -122,6 +122,18 @@
             told = _load(backend.places, 0)
             self._heard(place.address, place.server, told, now)
 
+    def closed(self, service: str) -> None:
+        """Note that all servers of a service turn requests away for now.
+
+        Requests wait in the queue. A server whose agent says that it is up is used
+        again at once, the others when they are next looked at.
+        """
+        now = monotonic()
+        for backend in tuple(self._backends_by_address.values()):
+            if backend.service == service:
+                told = _load(0, 0)
+                self._heard(backend.address, backend.instance, told, now, up=False)
+
     def misdirected(self, place: Place) -> None:
         """Note that another life of a server has its address: nothing goes there.
 
--- a/tests/forwarding/test_serverbook.py
+++ b/tests/forwarding/test_serverbook.py
@@ -100,3 +100,28 @@
     assert places_at_pace(6, 1.0) == 6
     assert places_at_pace(6, 1.2) == 6
     assert places_at_pace(6, 2.0) == 1
+
+
+def test_requests_wait_for_a_closed_service_until_an_agent_says_that_it_is_up() -> None:
+    """All machines lost power; entries are back before agents are heard.
+
+    The servers turn everything away while their group forms. The caller waits in the
+    queue and is served, instead of being refused twice.
+    """
+    places = Places()
+    places.book.closed("llm")
+    assert places.ask() is None
+
+    places.book.agents_say(says(2))
+
+    assert places.servers(4) == {"i-2"}
+
+
+def test_a_closed_service_without_agents_is_tried_again_when_it_is_next_looked_at() -> (
+    None
+):
+    places = Places()
+    places.book.closed("llm")
+    places.book.refresh()
+
+    assert places.ask() is not None
