--- a/src/kingcupwheel/decisions/latency.py
+++ b/src/kingcupwheel/decisions/latency.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import math
+
 
 # A sample counts as a fiftieth: about six seconds of an entry's requests at the peak.
 _GAIN = 1 / 50
 
+# A bound that no sample has confirmed for so long is believed less and less, in
+# seconds: an entry at work sees several a second.
+FRESH_S = 1.0
+# Within this time more it is halved, and halved again.
+HALVED_S = 0.5
+
 # A bound of one deviation above the line. Two kept nearly all samples, but with prompts
 # of very different lengths left no time to wait in the queue.
 _DEVIATIONS = 1.0
@@ -18,9 +26,22 @@
     that leaves the queue just before its deadline is run in vain, since its first byte
     still takes as long as its prompt. An entry takes ``bound_s`` off each deadline
     before it queues the request. Sizes are in any unit, the same for all calls.
+
+    Failure: a group stalls, or the entry itself is frozen, for longer than callers
+    wait. Symptom: the bound is over every caller's patience, so each request is refused
+    at once though servers idle, and since none is placed no sample ever corrects it. A
+    bound without samples is therefore forgotten within seconds.
     """
 
-    __slots__ = ("_count", "_deviation_s", "_size", "_size2", "_time", "_time_size")
+    __slots__ = (
+        "_count",
+        "_deviation_s",
+        "_saw_at",
+        "_size",
+        "_size2",
+        "_time",
+        "_time_size",
+    )
 
     def __init__(self) -> None:
         self._count = 0
@@ -29,15 +50,19 @@
         self._size2 = 0.0
         self._time_size = 0.0
         self._deviation_s = 0.0
+        self._saw_at = 0.0
 
-    def bound_s(self, size: float) -> float:
+    def bound_s(self, size: float, now: float) -> float:
         """Return the seconds that most of that size are below; 0 until one was seen."""
         if self._count == 0:
             return 0.0
-        return self._line(size) + _DEVIATIONS * self._deviation_s
+        bound_s = self._line(size) + _DEVIATIONS * self._deviation_s
+        unconfirmed_s = max(0.0, now - self._saw_at - FRESH_S)
+        return bound_s * math.exp2(-unconfirmed_s / HALVED_S)
 
-    def saw(self, seconds: float, size: float) -> None:
+    def saw(self, seconds: float, size: float, now: float) -> None:
         """Take the time to a first byte into account."""
+        self._saw_at = now
         error_s = abs(seconds - self._line(size)) if self._count else seconds / 2
         self._count += 1
         gain = max(_GAIN, 1 / self._count)
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -92,7 +92,7 @@
         # Placed just before its deadline, a request would be run in vain: its first
         # byte takes as long as ever.
         with self._lock:
-            return wanted.first_by - self._first_byte.bound_s(wanted.size)
+            return wanted.first_by - self._first_byte.bound_s(wanted.size, monotonic())
 
     def _enqueue(self, ticket: Ticket, now: float) -> Refuse | None:
         if ticket.ask.suspect or ticket.ask.avoid:
@@ -142,7 +142,7 @@
     def saw_first_byte(self, seconds: float, size: float) -> None:
         """Note the time from dispatch to first byte of a request of that size."""
         with self._lock:
-            self._first_byte.saw(seconds, size)
+            self._first_byte.saw(seconds, size, monotonic())
 
     def failed(self, place: Place) -> None:
         """Count an attempt that failed through its server."""
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -77,7 +77,7 @@
         self._tried: frozenset[str] = frozenset()
         self._suspect = False
         self._last_event = request.head.last_event
-        self._first_sent_at: float | None = None
+        self._sent_at = 0.0
 
     def answer(self) -> Answer:
         """Return the answer, or the refusal that is final."""
@@ -129,7 +129,7 @@
             return self.after(place, Came.LOST, str(error))
         self.end(place, answer)
         if is_good:
-            self.succeeded(place, monotonic() - (self._first_sent_at or monotonic()))
+            self.succeeded(place, monotonic() - self._sent_at)
             return self._pass_on(answer, body)
         ended = self.after(place, Came.FAILED, f"status {head.status}")
         if isinstance(ended, Refusal) and ended.limit == PASS_ON:
@@ -236,8 +236,7 @@
     def _send(self, place: Place) -> Sent:
         request = self._request
         now = monotonic()
-        if self._first_sent_at is None:
-            self._first_sent_at = now
+        self._sent_at = now
         call = ServerCall(
             instance=place.server,
             left_s=max(0.001, request.times.over_at - now),
@@ -269,9 +268,9 @@
         )
 
     def _saw_first_byte(self) -> None:
-        if self._first_sent_at is not None:
-            seconds = monotonic() - self._first_sent_at
-            self._dispatcher.saw_first_byte(seconds, self._request.head.prompt_tokens)
+        """Note how long the server took; waits before this send were not its own."""
+        seconds = monotonic() - self._sent_at
+        self._dispatcher.saw_first_byte(seconds, self._request.head.prompt_tokens)
 
     def saw_event(self, event_id: str) -> None:
         """Note the last whole event that the caller has; a resume goes on after it."""
