--- a/src/kingcupwheel/forwarding/streams.py
+++ b/src/kingcupwheel/forwarding/streams.py
@@ -12,6 +12,7 @@
 from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.outcomes import Came
 from kingcupwheel.telemetry.lines import lines_of
+from kingcupwheel.utils.numbers import whole_number
 
 
 if TYPE_CHECKING:
@@ -81,12 +82,13 @@
         last = self._run.last_event
         found: list[StreamEvent] = []
         for event in events:
-            if not (event.id.isdecimal() and last.isdecimal()):
+            number, before = whole_number(event.id), whole_number(last)
+            if number is None or before is None:
                 found.append(event)
                 continue
-            if int(event.id) <= int(last):
+            if number <= before:
                 continue
-            if int(event.id) > int(last) + 1:
+            if number > before + 1:
                 raise AnswerLostError(f"event {event.id} came after {last}")
             last = event.id
             found.append(event)
--- a/src/kingcupwheel/platform/configuration.py
+++ b/src/kingcupwheel/platform/configuration.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
-from expression import Error
-from expression import Ok
-from expression import Result
 
 from kingcupwheel.forwarding.configuration import Configuration
 from kingcupwheel.forwarding.configuration import EngineShape
@@ -16,6 +15,11 @@
 from kingcupwheel.forwarding.configuration import ServiceShare
 from kingcupwheel.forwarding.configuration import key_digest
 from kingcupwheel.forwarding.configuration import routes_by_host
+from kingcupwheel.platform.decoding import decoded
+
+
+if TYPE_CHECKING:
+    from expression import Result
 
 
 CONFIGURATION_KIND = "config"
@@ -24,6 +28,8 @@
 _MS = 1000.0
 _MBIT_BITS = 1e6
 _MBYTE_BITS = 8e6
+# A link that is told to carry nothing would divide by zero.
+_LEAST_LINK_MBPS = 1e-3
 
 
 class _Split(msgspec.Struct, rename="pascal"):
@@ -87,26 +93,24 @@
 
 def decode_configuration(raw: bytes) -> Result[Configuration, str]:
     """Return the configuration in the store's bytes, or what is wrong with them."""
-    try:
-        found = msgspec.json.decode(raw, type=_Configuration)
-    except msgspec.DecodeError as error:
-        return Error(str(error))
+    return decoded(raw, _Configuration).map(lambda found: _configuration(found, raw))
+
+
+def _configuration(found: _Configuration, raw: bytes) -> Configuration:
     services = (Service(one.name, _engine(one.engine)) for one in found.services)
     limits = found.limits
-    return Ok(
-        Configuration(
-            version=found.version,
-            routes_by_host=routes_by_host(tuple(map(_route, found.routes))),
-            services_by_name={service.name: service for service in services},
-            holders_by_key_digest=_holders(found.tenants or []),
-            has_organisations=found.tenants is not None,
-            limits=RequestLimits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                limits.idle_timeout_ms / _MS,
-            ),
-            raw=raw,
-        )
+    return Configuration(
+        version=found.version,
+        routes_by_host=routes_by_host(tuple(map(_route, found.routes))),
+        services_by_name={service.name: service for service in services},
+        holders_by_key_digest=_holders(found.tenants or []),
+        has_organisations=found.tenants is not None,
+        limits=RequestLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.idle_timeout_ms / _MS,
+        ),
+        raw=raw,
     )
 
 
@@ -132,7 +136,8 @@
 def _engine(engine: _Engine | None) -> EngineShape | None:
     if engine is None or not engine.layers:
         return None
-    copy_s = engine.expert_mb * _MBYTE_BITS / (engine.link_mbps * _MBIT_BITS)
+    link_mbps = max(engine.link_mbps, _LEAST_LINK_MBPS)
+    copy_s = engine.expert_mb * _MBYTE_BITS / (link_mbps * _MBIT_BITS)
     return EngineShape(
         engine.layers, engine.experts, engine.places, engine.spare, copy_s
     )
--- a/src/kingcupwheel/platform/headers.py
+++ b/src/kingcupwheel/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from kingcupwheel.forwarding.heads import AnswerHead
@@ -9,6 +10,7 @@
 from kingcupwheel.forwarding.heads import ReportedLoad
 from kingcupwheel.utils.http_headers import HOP_BY_HOP
 from kingcupwheel.utils.http_headers import OF_ONE_REQUEST
+from kingcupwheel.utils.numbers import whole_number
 
 
 if TYPE_CHECKING:
@@ -53,9 +55,9 @@
     """Return what a request's headers (by lower-case name) say."""
     key = headers.get("authorization", "")
     prompt, answer = _pair(headers.get(_USAGE, ""))
-    hint = headers.get(_LENGTH_HINT, "")
-    if hint.isdecimal():
-        answer = min(answer, int(hint)) if answer else int(hint)
+    hint = whole_number(headers.get(_LENGTH_HINT, ""))
+    if hint is not None:
+        answer = min(answer, hint) if answer else hint
     return CallerHead(
         attempt=headers.get(_ATTEMPT, ""),
         wait_s=_seconds(headers.get(_DEADLINE, "")),
@@ -101,7 +103,7 @@
         not_run=_NOT_EXECUTED in headers or status == 421,
         other_instance=status == 421,
         faulty=headers.get(_FAULTY, ""),
-        length=int(length) if length.isdecimal() else None,
+        length=whole_number(length),
         framed=length != "" or "transfer-encoding" in headers,
         closes="close" in headers.get("connection", "").lower(),
         idle_s=_idle_s(headers.get("keep-alive", "")),
@@ -112,28 +114,29 @@
 
 def _seconds(text: str) -> float | None:
     try:
-        return float(text) / _MS
+        found = float(text) / _MS
     except ValueError:
         return None
+    return found if math.isfinite(found) else None
 
 
 def _pair(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
-    if first.isdecimal() and second.isdecimal():
-        return int(first), int(second)
-    return 0, 0
+    numbers = (whole_number(first), whole_number(second))
+    return (numbers[0] or 0, numbers[1] or 0) if None not in numbers else (0, 0)
 
 
 def _idle_s(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            return float(value)
+        seconds = whole_number(value)
+        if name.lower() == "timeout" and seconds is not None:
+            return float(seconds)
     return None
 
 
 def _load(text: str) -> ReportedLoad | None:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+    numbers = [whole_number(part.strip()) for part in text.split(",", 3)]
+    if len(numbers) != 3 or None in numbers:
         return None
-    return ReportedLoad(*(int(part) for part in parts))
+    return ReportedLoad(*(number or 0 for number in numbers))
--- a/src/kingcupwheel/platform/objects.py
+++ b/src/kingcupwheel/platform/objects.py
@@ -18,6 +18,7 @@
 from expression import Ok
 from expression import Result
 
+from kingcupwheel.platform.decoding import decoded
 from kingcupwheel.platform.errors import Conflict
 from kingcupwheel.platform.errors import HistoryGone
 from kingcupwheel.platform.errors import PlatformError
@@ -25,6 +26,7 @@
 from kingcupwheel.platform.errors import Rejected
 from kingcupwheel.platform.errors import Unavailable
 from kingcupwheel.platform.errors import WatchError
+from kingcupwheel.telemetry.lines import lines_of
 
 
 if TYPE_CHECKING:
@@ -34,11 +36,15 @@
 
 T = TypeVar("T")
 
+log = lines_of("store")
+
 # What a call may take beyond the time that a watch waits, in seconds: three hundred
 # times the store's usual answer.
 DEFAULT_CALL_S = 1.2
 _RETRY_AFTER_S = 0.5
 _PAGES_AT_MOST = 400
+# Of an object that can't be read so much goes into the log.
+_LOGGED_BYTES = 120
 
 
 class StoredObject(NamedTuple):
@@ -91,7 +97,8 @@
 
 
 class _Page(msgspec.Struct, rename="pascal"):
-    items: list[_Object] = []
+    # Decoded one by one: an object of another shape must not cost the others.
+    items: list[msgspec.Raw] = []
     more: bool = False
     # The revision of the whole store, not of an object.
     store_revision: int = 0
@@ -104,10 +111,18 @@
 
 
 class _Events(msgspec.Struct):
-    events: list[_Event] = []
+    events: list[msgspec.Raw] = []
     store_revision: int = msgspec.field(default=0, name="StoreRevision")
 
 
+class Page(NamedTuple):
+    """A part of a list; the next one begins after the name ``after``, if any."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    after: str
+
+
 class ObjectStore:
     """Calls block for at most their timeout; safe from any thread."""
 
@@ -121,7 +136,7 @@
         asked = self._call("GET", path, self._call_s)
         if asked.is_ok() and asked.ok.status == 404:
             return Ok(None)
-        return asked.bind(lambda got: _decoded(got, _Object)).map(_stored)
+        return asked.bind(_one)
 
     def listing(
         self, kind: str, *, stale: bool = False
@@ -141,11 +156,11 @@
             page = self._page(kind, query)
             if page.is_error():
                 return Error(page.error)
-            revision = revision or page.ok.store_revision
-            objects.extend(_stored(item) for item in page.ok.items)
-            if not page.ok.more or not objects:
+            revision = revision or page.ok.revision
+            objects.extend(page.ok.objects)
+            if page.ok.after in ("", after):
                 break
-            after = objects[-1].name
+            after = page.ok.after
         return Ok(Listing(tuple(objects), revision))
 
     def watch(
@@ -159,8 +174,10 @@
             return Error(asked.error)
         if asked.ok.status == 410:
             return Error(HistoryGone(after))
-        decoded = _decoded(asked.ok, _Events)
-        return Error(decoded.error) if decoded.is_error() else Ok(_changes(decoded.ok))
+        changes = _answered(asked.ok).bind(
+            lambda got: _or_rejected(asked.ok, decode_changes(got))
+        )
+        return Error(changes.error) if changes.is_error() else Ok(changes.ok)
 
     def create(
         self, kind: str, name: str, body: bytes
@@ -189,12 +206,13 @@
             return Error(Conflict(name, 0))
         return Ok(None)
 
-    def _page(self, kind: str, query: dict[str, str]) -> Result[_Page, PlatformError]:
+    def _page(self, kind: str, query: dict[str, str]) -> Result[Page, PlatformError]:
         path = _kind_path(kind)
         if query:
             path = f"{path}?{urlencode(query)}"
-        return self._call("GET", path, self._call_s).bind(
-            lambda got: _decoded(got, _Page)
+        asked = self._call("GET", path, self._call_s)
+        return asked.bind(_answered).bind(
+            lambda got: _or_rejected(asked.ok, decode_page(got))
         )
 
     def _write(
@@ -209,7 +227,7 @@
         asked = self._call(method, path, self._call_s, msgspec.json.encode(written))
         if asked.is_ok() and asked.ok.status in (404, 409):
             return Error(Conflict(name, _revision_found(asked.ok)))
-        return asked.bind(lambda got: _decoded(got, _Object)).map(_stored)
+        return asked.bind(_one)
 
     def _call(
         self, method: str, path: str, timeout_s: float, body: bytes | None = None
@@ -242,21 +260,67 @@
     return f"/v1/objects/{quote(kind, safe='')}"
 
 
-def _decoded(response: BaseHTTPResponse, kind: type[T]) -> Result[T, PlatformError]:
+def decode_page(raw: bytes) -> Result[Page, str]:
+    """Return a part of a list; objects that can't be read are left out."""
+    return decoded(raw, _Page).map(_page)
+
+
+def decode_changes(raw: bytes) -> Result[Changes, str]:
+    """Return what a watch tells; events that can't be read are left out."""
+    return decoded(raw, _Events).map(_changes)
+
+
+def _answered(response: BaseHTTPResponse) -> Result[bytes, PlatformError]:
     if response.status not in (200, 201):
         return Error(Rejected(response.status, response.reason or ""))
-    try:
-        return Ok(msgspec.json.decode(response.data, type=kind))
-    except msgspec.DecodeError as error:
-        return Error(Rejected(response.status, str(error)))
+    return Ok(response.data)
+
+
+def _or_rejected(
+    response: BaseHTTPResponse, found: Result[T, str]
+) -> Result[T, PlatformError]:
+    return found.map_error(lambda why: Rejected(response.status, why))
+
+
+def _one(response: BaseHTTPResponse) -> Result[StoredObject, PlatformError]:
+    return _answered(response).bind(
+        lambda got: _or_rejected(response, decoded(got, _Object).map(_stored))
+    )
 
 
 def _revision_found(response: BaseHTTPResponse) -> int:
-    try:
-        found = msgspec.json.decode(response.data, type=_Object)
-    except msgspec.DecodeError:
-        return 0
-    return found.metadata.revision
+    return decoded(response.data, _Object).map(_revision).default_value(0)
+
+
+def _revision(item: _Object) -> int:
+    return item.metadata.revision
+
+
+def _readable(raws: list[msgspec.Raw], kind: type[T]) -> list[T]:
+    """Return those that can be read.
+
+    Failure: another writer has put an object of another shape beside the servers'.
+    Symptom: the whole list is refused, and an entry that starts knows no server. What
+    can't be read names nothing that is used, so nothing is lost without it.
+    """
+    found: list[T] = []
+    for raw in raws:
+        read = decoded(raw, kind)
+        if read.is_error():
+            log.warning("object-unreadable", why=read.error, begins=_begins(raw))
+        else:
+            found.append(read.ok)
+    return found
+
+
+def _begins(raw: msgspec.Raw) -> str:
+    return bytes(raw)[:_LOGGED_BYTES].decode(errors="replace")
+
+
+def _page(found: _Page) -> Page:
+    objects = tuple(map(_stored, _readable(found.items, _Object)))
+    after = objects[-1].name if found.more and objects else ""
+    return Page(objects, found.store_revision, after)
 
 
 def _stored(item: _Object) -> StoredObject:
@@ -271,5 +335,6 @@
 
 
 def _changes(found: _Events) -> Changes:
-    changes = (Change(_stored(one.object), one.tombstone) for one in found.events)
+    events = _readable(found.events, _Event)
+    changes = (Change(_stored(one.object), one.tombstone) for one in events)
     return Changes(tuple(changes), found.store_revision)
--- a/src/kingcupwheel/platform/ranks.py
+++ b/src/kingcupwheel/platform/ranks.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 import msgspec
 import urllib3
@@ -18,13 +17,12 @@
 from kingcupwheel.lockstep.orders import Release
 from kingcupwheel.lockstep.state import RankCounts
 from kingcupwheel.lockstep.state import RankState
+from kingcupwheel.platform.decoding import decoded
 
 
 if TYPE_CHECKING:
     from kingcupwheel.lockstep.orders import RankOrder
 
-T = TypeVar("T")
-
 # A server answers in a millisecond or two.
 _CALL_S = 0.25
 # An order that gets no answer is given again, so a short wait costs nothing; each one
@@ -86,17 +84,15 @@
 
     def state(self) -> Result[RankState, str]:
         """Return the server's report."""
-        return self._get("/v1/report", _Report).map(_state)
+        return self._get("/v1/report").bind(decode_state)
 
     def counts(self) -> Result[RankCounts, str]:
         """Return how often this rank's requests chose each expert since its start."""
-        return self._get("/v1/picked", _Counts).map(
-            lambda got: RankCounts(got.epoch, tuple(got.counts))
-        )
+        return self._get("/v1/picked").bind(decode_counts)
 
     def places(self) -> Result[tuple[tuple[int, ...], ...], str]:
         """Return this rank's experts by layer of the map in force."""
-        return self._get("/v1/picked?Lists=1", _Lists).map(_places)
+        return self._get("/v1/picked?Lists=1").bind(decode_places)
 
     def give(self, order: RankOrder) -> Result[int, str]:
         """Return the status; an order without an answer may still be carried out."""
@@ -114,17 +110,31 @@
             return Error(f"{type(error).__name__}")
         return Ok(response.status)
 
-    def _get(self, path: str, kind: type[T]) -> Result[T, str]:
+    def _get(self, path: str) -> Result[bytes, str]:
         try:
             response = self._pool.request("GET", path)
         except urllib3.exceptions.HTTPError as error:
             return Error(f"{type(error).__name__}")
         if response.status != 200:
             return Error(f"status {response.status}")
-        try:
-            return Ok(msgspec.json.decode(response.data, type=kind))
-        except msgspec.DecodeError as error:
-            return Error(str(error))
+        return Ok(response.data)
+
+
+def decode_state(raw: bytes) -> Result[RankState, str]:
+    """Return a server's report."""
+    return decoded(raw, _Report).map(_state)
+
+
+def decode_counts(raw: bytes) -> Result[RankCounts, str]:
+    """Return what a rank counted."""
+    return decoded(raw, _Counts).map(
+        lambda got: RankCounts(got.epoch, tuple(got.counts))
+    )
+
+
+def decode_places(raw: bytes) -> Result[tuple[tuple[int, ...], ...], str]:
+    """Return a rank's experts by layer."""
+    return decoded(raw, _Lists).map(_places)
 
 
 def _state(report: _Report) -> RankState:
--- a/src/kingcupwheel/platform/servers.py
+++ b/src/kingcupwheel/platform/servers.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from ipaddress import AddressValueError
+from ipaddress import IPv4Address
 from typing import TYPE_CHECKING
+from typing import Annotated
+from typing import Literal
 
 import msgspec
 from expression import Error
@@ -10,32 +14,43 @@
 from expression import Result
 
 from kingcupwheel.forwarding.backends import Backend
+from kingcupwheel.platform.decoding import decoded
+from kingcupwheel.utils.numbers import whole_number
 
 
 if TYPE_CHECKING:
     from kingcupwheel.platform.objects import StoredObject
 
-# Each object is one life of a server and is named by that life's id.
+# Each object is one server and is named by its id, which it may keep from life to life.
 SERVERS_KIND = "servers"
 
 _MS = 1000.0
+_MOST_PORT = 65_535
+# The id goes out in a header of each request; no server has a longer one.
+_MOST_NAME = 200
 
 
 class _Server(msgspec.Struct, rename="pascal"):
-    service: str
+    """All fields that every server writes; an entry without one is another writer's."""
+
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_remaining_ms: float = 0.0
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 def decode_server(stored: StoredObject) -> Result[Backend, str]:
-    """Return the server, or what is wrong with its entry."""
-    try:
-        found = msgspec.json.decode(stored.body, type=_Server)
-    except msgspec.DecodeError as error:
-        return Error(str(error))
+    """Return the server, or why this entry names none."""
+    if not _is_header_word(stored.name):
+        return Error("no server has such a name")
+    read = decoded(stored.body, _Server)
+    if read.is_error():
+        return Error(read.error)
+    found = read.ok
+    if not _is_address(found.address):
+        return Error("the address is not an IP and a port")
     return Ok(
         Backend(
             instance=stored.name,
@@ -43,8 +58,22 @@
             address=found.address,
             data_centre=found.zone,
             places=found.slots,
-            leaving=found.state != "ready" or stored.leaving,
+            leaving=found.state == "draining" or stored.leaving,
             cold_s=found.cold_remaining_ms / _MS,
             born=stored.created,
         )
     )
+
+
+def _is_header_word(name: str) -> bool:
+    readable = name.isascii() and name.isprintable() and " " not in name
+    return readable and 0 < len(name) <= _MOST_NAME
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return 0 < (whole_number(port) or 0) <= _MOST_PORT
