--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -127,11 +127,7 @@
 
     def release(self, place: Place) -> None:
         """Give the place back and let the next request have it."""
-        with self._servers.lock:
-            server = self._servers.by_address(place.address)
-            if server is not None:
-                server.in_flight = max(0, server.in_flight - 1)
-                server.suspects = max(0, server.suspects - place.suspect)
+        self._servers.give_back(place.address, place.incarnation, suspect=place.suspect)
         self.pump()
 
     def succeeded(self, place: Place, token_s: float) -> None:
@@ -145,7 +141,13 @@
             self._first_byte.saw(seconds, size, monotonic())
 
     def failed(self, place: Place) -> None:
-        """Count an attempt that failed through its server."""
+        """Count an attempt that failed through its server.
+
+        Failure: a server that starts anew under its name takes all it ran with it.
+        Symptom: those losses, noticed late, would eject the new life for seconds.
+        """
+        if not self._servers.is_living(place.address, place.incarnation):
+            return
         with self._lock:
             self._health.of(place.server).failed(monotonic())
 
@@ -251,7 +253,7 @@
         queued=load.queued,
         work=load.work,
         rate=load.rate,
-        own_in_flight=server.in_flight,
+        own_in_flight=server.own_in_flight,
         heard_age_s=now - server.heard_at,
         started_age_s=now - server.first_heard_at,
         own_at_report=server.in_flight_at_beat,
--- a/src/kingcupwheel/entry/servers.py
+++ b/src/kingcupwheel/entry/servers.py
@@ -45,6 +45,8 @@
         self.first_heard_at = 0.0
         self.replaced_at = 0.0
         self.in_flight = 0
+        # Those of ``in_flight`` that a life that is over was given.
+        self.former_in_flight = 0
         self.in_flight_at_beat = 0
         self.suspects = 0
         self.listed = True
@@ -55,6 +57,15 @@
         """The instance's name."""
         return self.instance.name
 
+    @property
+    def own_in_flight(self) -> int:
+        """How many attempts of this entry its present life has.
+
+        Failure: a server starts anew while its last life's attempts are not yet given
+        up here. Symptom: it looks full, and gets nothing while it idles.
+        """
+        return max(0, self.in_flight - self.former_in_flight)
+
     @property
     def leaving(self) -> bool:
         """Whether the platform or the agent itself says that it leaves.
@@ -144,13 +155,35 @@
                 return None
             before = server.beat
             server.beat = beat
-            server.in_flight_at_beat = server.in_flight
             restarted = before is not None and before.incarnation != beat.incarnation
+            if restarted:
+                server.former_in_flight = server.in_flight
+            server.in_flight_at_beat = server.own_in_flight
             if before is None or restarted:
                 server.first_heard_at = now
             self._alive(server, now)
         return Restarted(address, beat.incarnation) if restarted else None
 
+    def is_living(self, address: str, incarnation: str) -> bool:
+        """Return whether this life of the server there is not known to be over."""
+        with self._lock:
+            server = self._by_address.get(address)
+            if server is None or server.beat is None:
+                return True
+            return server.beat.incarnation == incarnation
+
+    def give_back(self, address: str, incarnation: str, *, suspect: bool) -> None:
+        """End one attempt that was placed on this life of the server."""
+        with self._lock:
+            server = self._by_address.get(address)
+            if server is None:
+                return
+            server.in_flight = max(0, server.in_flight - 1)
+            server.suspects = max(0, server.suspects - suspect)
+            beat = server.beat
+            if beat is not None and beat.incarnation != incarnation:
+                server.former_in_flight = max(0, server.former_in_flight - 1)
+
     def alive(self, address: str, now: float) -> None:
         """Note any other sign of life from the agent."""
         with self._lock:
--- a/src/kingcupwheel/forwarding/backends.py
+++ b/src/kingcupwheel/forwarding/backends.py
@@ -8,10 +8,12 @@
 class Backend(NamedTuple):
     """One life of a backend server.
 
-    ``instance`` names this life and no other; ``address`` is ``IP:port``, which a
-    server of another service may have later. ``places`` is how many requests it runs
-    at once, ``cold_s`` how much longer it is slow after its start. ``born`` orders the
-    lives at one address.
+    ``instance`` names the server to itself; it may keep the name when it starts anew,
+    and then ``born_ms`` (Unix milliseconds of the start, 0 if it is not told) tells its
+    lives apart. ``address`` is ``IP:port``, which a server of another service may have
+    later. ``places`` is how many requests it runs at once, ``cold_s`` how much longer
+    it is slow after its start. ``created`` is the store's revision at which the entry
+    was made; it orders entries at one address.
     """
 
     instance: str
@@ -21,4 +23,16 @@
     places: int
     leaving: bool
     cold_s: float
-    born: int
+    created: int
+    born_ms: int = 0
+
+    @property
+    def life(self) -> str:
+        """The name of this life: no other one has it."""
+        return f"{self.instance}@{self.born_ms}" if self.born_ms else self.instance
+
+    def is_before(self, other: Backend) -> bool:
+        """Return whether this life began before the other one, as far as is told."""
+        if self.born_ms and other.born_ms:
+            return self.born_ms < other.born_ms
+        return self.created < other.created
--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -130,13 +130,13 @@
             return self._watched.cut.value
         return f"cut: {type(error).__name__}"
 
-    def end(self, instance: str, connections: Connections) -> None:
+    def end(self, life: str, connections: Connections) -> None:
         """Keep the connection if its answer was whole, else close it."""
         self._watched.detach()
         head = self.head
         keeps = self.is_whole and head.framed and not head.closes
         if keeps and 200 <= head.status < 300:
-            connections.keep(instance, self._connection, head.idle_s)
+            connections.keep(life, self._connection, head.idle_s)
             return
         # An answer that came before its request was read leaves bytes on the way; its
         # connection is not used again.
@@ -162,6 +162,7 @@
         request: Outgoing,
         *,
         instance: str,
+        life: str,
         address: str,
         watched: Watched,
         silence_s: float,
@@ -174,7 +175,7 @@
         close of a kept one, after which nobody knows whether it has run. With a
         ``pulse`` a silent server is given up only while others of its service go on.
         """
-        connection = None if fresh else self._connections.take(instance)
+        connection = None if fresh else self._connections.take(life)
         if connection is None:
             try:
                 connection = self._connections.open(address)
--- a/src/kingcupwheel/forwarding/connections.py
+++ b/src/kingcupwheel/forwarding/connections.py
@@ -34,17 +34,17 @@
 
 
 class Connections:
-    """Kept connections by the server's instance; safe from any thread."""
+    """Kept connections by the life of their server; safe from any thread."""
 
     def __init__(self) -> None:
-        self._kept_by_instance: dict[str, list[_Kept]] = {}
+        self._kept_by_life: dict[str, list[_Kept]] = {}
         self._lock = Lock()
 
-    def take(self, instance: str) -> HTTPConnection | None:
+    def take(self, life: str) -> HTTPConnection | None:
         """Return a kept connection that is still open, or None."""
         while True:
             with self._lock:
-                kept = self._kept_by_instance.get(instance)
+                kept = self._kept_by_life.get(life)
                 if not kept:
                     return None
                 one = kept.pop()
@@ -66,23 +66,21 @@
         connection.timeout = _SOCKET_S
         return connection
 
-    def keep(
-        self, instance: str, connection: HTTPConnection, idle_s: float | None
-    ) -> None:
+    def keep(self, life: str, connection: HTTPConnection, idle_s: float | None) -> None:
         """Keep a connection whose last answer was whole."""
         usable_s = DEFAULT_IDLE_S if idle_s is None else idle_s - _IDLE_MARGIN_S
         if usable_s > 0:
             with self._lock:
-                kept = self._kept_by_instance.setdefault(instance, [])
+                kept = self._kept_by_life.setdefault(life, [])
                 if len(kept) < _KEPT_AT_MOST:
                     kept.append(_Kept(connection, monotonic() + usable_s))
                     return
         connection.close()
 
-    def forget(self, instance: str) -> None:
+    def forget(self, life: str) -> None:
         """Close what is kept of a server that left, or whose connections are bad."""
         with self._lock:
-            kept = self._kept_by_instance.pop(instance, [])
+            kept = self._kept_by_life.pop(life, [])
         for one in kept:
             one.connection.close()
 
--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -51,7 +51,7 @@
 
     def misdirected(self, place: Place) -> None:
         """Note that another life of a server has its address."""
-        self.connections.forget(place.server)
+        self.connections.forget(place.incarnation)
         self.book.misdirected(place)
 
     def turned_away(self, place: Place, service: str, *, streamed: bool) -> None:
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -261,10 +261,10 @@
     ) -> None:
         self._context.book.list_is(backends)
         for backend in gone:
-            self._context.connections.forget(backend.instance)
+            self._context.connections.forget(backend.life)
             self._context.pulses.forget(backend.instance)
             if not backend.leaving:
-                self._guards.gone(backend.instance)
+                self._guards.gone(backend.life)
 
     def _on_message(self, link: Link, message: Message) -> None:
         match message:
--- a/src/kingcupwheel/forwarding/following.py
+++ b/src/kingcupwheel/forwarding/following.py
@@ -233,6 +233,7 @@
         self._on_change = on_change
         self._by_instance: dict[str, Backend] = {}
         self._doubted_at_by_instance: dict[str, float] = {}
+        self._ended: list[Backend] = []
         self._trusts_at = 0.0
 
     def listed(
@@ -261,10 +262,36 @@
     def _seen(self, stored: StoredObject) -> None:
         decoded = decode_server(stored)
         if decoded.is_error():
-            log.error("server-entry-refused", instance=stored.name, why=decoded.error)
+            self._unreadable(stored, decoded.error)
             return
+        found = decoded.ok
         self._doubted_at_by_instance.pop(stored.name, None)
-        self._by_instance[stored.name] = decoded.ok
+        known = self._by_instance.get(stored.name)
+        if known is not None and found.life != known.life:
+            if found.is_before(known):
+                servers.info("former-life-ignored", server=found.life, known=known.life)
+                return
+            servers.info("server-reborn", server=found.life, before=known.life)
+            self._ended.append(known)
+        self._by_instance[stored.name] = found
+
+    def _unreadable(self, stored: StoredObject, why: str) -> None:
+        """Send nothing new to a server whose entry has been overwritten.
+
+        Failure: another writer puts something else under a server's name. Symptom: what
+        the server writes of itself, such as that it leaves, is not seen, and requests
+        would go on reaching it. What it runs is finished; it writes its own entry anew
+        with its next heartbeat and is used again then.
+        """
+        known = self._by_instance.pop(stored.name, None)
+        self._doubted_at_by_instance.pop(stored.name, None)
+        servers.warning(
+            "server-entry-unreadable",
+            name=stored.name,
+            revision=stored.revision,
+            why=why,
+            was_used=known is not None,
+        )
 
     def _missing(self, name: str) -> None:
         if name in self._by_instance:
@@ -277,13 +304,11 @@
         servers up to two seconds after its return. Symptom: a whole service has no
         server for that long, though all of them run.
         """
-        gone: list[Backend] = []
+        gone, self._ended = self._ended, []
         if monotonic() >= self._trusts_at:
             for name in tuple(self._doubted_at_by_instance):
                 del self._doubted_at_by_instance[name]
                 gone.append(self._by_instance.pop(name))
         for backend in gone:
-            servers.info(
-                "server-gone", server=backend.instance, address=backend.address
-            )
+            servers.info("server-gone", server=backend.life, address=backend.address)
         self._on_change(tuple(self._by_instance.values()), tuple(gone))
--- a/src/kingcupwheel/forwarding/greeting.py
+++ b/src/kingcupwheel/forwarding/greeting.py
@@ -102,4 +102,6 @@
 
 def _server_told(beat: Beat) -> ServerTold:
     load = beat.load
-    return ServerTold(beat.name, load.running, load.queued, load.pace, beat.server_up)
+    return ServerTold(
+        beat.name, load.running, load.queued, load.pace, beat.server_up, beat.born_ms
+    )
--- a/src/kingcupwheel/forwarding/guards.py
+++ b/src/kingcupwheel/forwarding/guards.py
@@ -61,13 +61,13 @@
             verdict = self._suspects.verdict(fingerprint, monotonic())
         return verdict if isinstance(verdict, Quarantined | Suspect) else None
 
-    def lost(self, fingerprint: str, instance: str) -> None:
+    def lost(self, fingerprint: str, life: str) -> None:
         """Note that an answer was lost; the server may have died of the request."""
         if fingerprint:
             with self._lock:
-                self._lost.append((monotonic(), fingerprint, instance))
+                self._lost.append((monotonic(), fingerprint, life))
 
-    def gone(self, instance: str) -> tuple[str, ...]:
+    def gone(self, life: str) -> tuple[str, ...]:
         """Hold a server's death against what was lost on it; return fingerprints.
 
         Only deaths that show count: an answer that is lost on a server that lives says
@@ -75,11 +75,11 @@
         """
         with self._lock:
             now = monotonic()
-            death = ServerLife(instance, instance).death
+            death = ServerLife(life, life).death
             blamed = tuple(
                 fingerprint
                 for at, fingerprint, where in self._lost
-                if where == instance and now - at < DEATH_SHOWS_S
+                if where == life and now - at < DEATH_SHOWS_S
             )
             for fingerprint in blamed:
                 self._suspects.heard(fingerprint, death, now)
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -149,9 +149,9 @@
             case NotSent(why):
                 came = Came.NOT_SENT
                 self._dispatcher.failed(place)
-            case TurnedAway(why, other_instance):
+            case TurnedAway(why, other_instance, faulty):
                 came = Came.TURNED_AWAY
-                if other_instance:
+                if other_instance and faulty in ("", place.server):
                     self._context.misdirected(place)
                 else:
                     request = self._request
@@ -172,7 +172,7 @@
         if came in (Came.LOST, Came.FAILED) and not self._watched.is_over:
             self._dispatcher.failed(place)
         if came is Came.LOST and self._watched.cut is None:
-            self._context.guards.lost(request.fingerprint, place.server)
+            self._context.guards.lost(request.fingerprint, place.incarnation)
         left_s = request.times.over_at - monotonic()
         if self._watched.cut is Cut.TIME_UP:
             left_s = 0.0
@@ -260,6 +260,7 @@
         return self._context.calls.send(
             outgoing,
             instance=place.server,
+            life=place.incarnation,
             address=place.address,
             watched=self._watched,
             silence_s=silence_s,
@@ -294,7 +295,7 @@
 
     def end(self, place: Place, answer: ServerAnswer) -> None:
         """End an answer's connection and give its place back; called once."""
-        answer.end(place.server, self._context.connections)
+        answer.end(place.incarnation, self._context.connections)
         self._release(place)
 
     def _release(self, place: Place) -> None:
--- a/src/kingcupwheel/forwarding/serverbook.py
+++ b/src/kingcupwheel/forwarding/serverbook.py
@@ -16,6 +16,7 @@
 from kingcupwheel.messages.membership import Beat
 from kingcupwheel.messages.membership import Load
 from kingcupwheel.platform.client import Instance
+from kingcupwheel.telemetry.lines import lines_of
 
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
     from kingcupwheel.forwarding.heads import ReportedLoad
     from kingcupwheel.messages.membership import ServerTold
 
+log = lines_of("servers")
+
 # Requests that one entry keeps waiting for one service. They leave the queue in time or
 # are refused; the bound is for memory and threads.
 QUEUE = 64
@@ -40,6 +43,10 @@
 # part of the service's servers is as slow.
 AVOIDED_PACE = 2.5
 AVOIDED_SHARE = 0.25
+# An entry whose address another server has is passed over for so long, in seconds: a
+# wrong one then costs one request turned away in ten seconds, and one that was right
+# after all is soon used again.
+REFUTED_S = 10.0
 # A server that was told to be warm has been up for this long, for placement's sake.
 _LONG_UP_S = 3600.0
 
@@ -54,6 +61,10 @@
         self._groups_by_service: dict[str, ServerGroup] = {}
         self._agent_heard_at: dict[str, float] = {}
         self._slow_at: dict[str, float] = {}
+        self._listed: tuple[Backend, ...] = ()
+        self._refuted_until: dict[str, float] = {}
+        # Held while a list is taken over, so that an older one never follows a newer.
+        self._listing = Lock()
         self._lock = Lock()
 
     @property
@@ -79,23 +90,50 @@
 
     def list_is(self, backends: tuple[Backend, ...]) -> None:
         """Use just these servers from now on."""
-        now = monotonic()
-        by_address = _newest_by_address(backends)
+        with self._listing:
+            self._listed = backends
+            self._apply(monotonic())
+
+    def _apply(self, now: float) -> None:
+        """Use the servers listed last, less those whose claim was refuted."""
         with self._lock:
             before = self._backends_by_address
+            by_address = {
+                address: _latest(backend, before.get(address))
+                for address, backend in self._claimants(now).items()
+            }
             self._backends_by_address = by_address
             self._groups_by_service = _groups(by_address.values())
         self._servers.keep(tuple(map(_instance, by_address.values())), now)
         for address, backend in by_address.items():
             known = before.get(address)
-            if known is None or known.instance != backend.instance:
+            if known is None or known.life != backend.life:
                 self._new_life(backend, now)
         for service in {backend.service for backend in by_address.values()}:
             self._dispatchers.pump(service)
 
+    def _claimants(self, now: float) -> dict[str, Backend]:
+        """Return one server by address: of several entries the latest not refuted.
+
+        Failure: a server dies and is back before its old entry has lapsed, or another
+        writer's entry names its address. Symptom: every request for the address names
+        the wrong server and is turned away. The server there tells which is wrong.
+        """
+        self._refuted_until = {
+            life: until for life, until in self._refuted_until.items() if now < until
+        }
+        by_address: dict[str, Backend] = {}
+        for backend in self._listed:
+            known = by_address.get(backend.address)
+            if backend.life in self._refuted_until:
+                continue
+            if known is None or known.is_before(backend):
+                by_address[backend.address] = backend
+        return by_address
+
     def _new_life(self, backend: Backend, now: float) -> None:
         self._servers.heard(backend.address, _beat(backend, _load(0, 0)), now)
-        self._heard(backend.address, backend.instance, _load(0, 0), now)
+        self._heard(backend, _load(0, 0), now)
         if backend.cold_s <= 0.0:
             # Placement gives a server that has just started little at first, for its
             # caches; the platform says that this one is not slow.
@@ -108,19 +146,28 @@
     def saw_load(self, place: Place, load: ReportedLoad | None) -> None:
         """Take in the load that an answer told."""
         now = monotonic()
+        backend = self._living(place)
         agent_at = self._agent_heard_at.get(place.address, float("-inf"))
-        if load is not None and now - agent_at > _AGENT_S:
+        if backend is not None and load is not None and now - agent_at > _AGENT_S:
             running = max(0, load.running - 1)
-            told = _load(running, load.waiting)
-            self._heard(place.address, place.server, told, now)
+            self._heard(backend, _load(running, load.waiting), now)
 
     def full(self, place: Place) -> None:
         """Note that a server turned a request away for want of room."""
-        backend = self._backends_by_address.get(place.address)
+        backend = self._living(place)
         if backend is not None:
-            now = monotonic()
-            told = _load(backend.places, 0)
-            self._heard(place.address, place.server, told, now)
+            self._heard(backend, _load(backend.places, 0), monotonic())
+
+    def _living(self, place: Place) -> Backend | None:
+        """Return the server of a place unless that life of it is over.
+
+        An answer may come late, when its server has started anew under the same name;
+        what it tells of its load and room is of the former life.
+        """
+        backend = self._backends_by_address.get(place.address)
+        if backend is None or backend.life != place.incarnation:
+            return None
+        return backend
 
     def closed(self, service: str) -> None:
         """Note that all servers of a service turn requests away for now.
@@ -131,18 +178,22 @@
         now = monotonic()
         for backend in tuple(self._backends_by_address.values()):
             if backend.service == service:
-                told = _load(0, 0)
-                self._heard(backend.address, backend.instance, told, now, up=False)
+                self._heard(backend, _load(0, 0), now, up=False)
 
     def misdirected(self, place: Place) -> None:
-        """Note that another life of a server has its address: nothing goes there.
+        """Note that a server says that another one has its address.
 
-        The list tells who it is; until it does, each try would be turned away.
+        Nothing goes there under that name for a while; another entry that names the
+        address may be right.
         """
-        with self._servers.lock:
-            server = self._servers.by_address(place.address)
-            if server is not None and server.name == place.server:
-                server.listed = False
+        backend = self._living(place)
+        if backend is None or backend.instance != place.server:
+            return
+        now = monotonic()
+        log.info("claim-refuted", server=backend.life, address=backend.address)
+        with self._listing:
+            self._refuted_until[backend.life] = now + REFUTED_S
+            self._apply(now)
 
     def agents_say(self, told: Iterable[ServerTold]) -> None:
         """Take in what the agents beside servers say."""
@@ -158,12 +209,27 @@
 
     def _agent_says(self, backend: Backend, told: ServerTold, now: float) -> None:
         address = backend.address
+        if told.born_ms and backend.born_ms:
+            if told.born_ms < backend.born_ms:
+                # On its way since before the server started anew.
+                return
+            if told.born_ms > backend.born_ms:
+                backend = self._reborn(backend, told.born_ms, now)
         self._agent_heard_at[address] = now
         if told.pace >= AVOIDED_PACE:
             self._slow_at[address] = now
         up = told.up and not self._avoided(backend, now)
         load = Load(told.running, told.queued, 0, 0.0, 0.0, 0.0, told.pace)
-        self._heard(address, backend.instance, load, now, up=up)
+        self._heard(backend, load, now, up=up)
+
+    def _reborn(self, backend: Backend, born_ms: int, now: float) -> Backend:
+        """Know a server's new life by its agent's word, ahead of the list."""
+        found = backend._replace(born_ms=born_ms)
+        log.info("server-reborn", server=found.life, before=backend.life)
+        with self._lock:
+            self._backends_by_address[backend.address] = found
+        self._new_life(found, now)
+        return found
 
     def _avoided(self, backend: Backend, now: float) -> bool:
         """Return whether nothing goes to a slow server while the others have room.
@@ -206,21 +272,21 @@
             if now - agent_at > _AGENT_S:
                 server = self._servers.by_address(address)
                 if server is not None:
-                    told = _load(min(server.in_flight, backend.places), 0)
-                    self._heard(address, backend.instance, told, now)
+                    told = _load(min(server.own_in_flight, backend.places), 0)
+                    self._heard(backend, told, now)
         for service in self._groups_by_service:
             self._dispatchers.pump(service)
 
     def _heard(
-        self, address: str, instance: str, told: Load, now: float, *, up: bool = True
+        self, backend: Backend, told: Load, now: float, *, up: bool = True
     ) -> None:
-        backend = self._backends_by_address.get(address)
-        if backend is None or backend.instance != instance:
+        current = self._backends_by_address.get(backend.address)
+        if current is None or current.life != backend.life:
             return
         load = msgspec.structs.replace(
             told, capacity=places_at_pace(backend.places, told.pace)
         )
-        self._servers.heard(address, _beat(backend, load, up=up), now)
+        self._servers.heard(backend.address, _beat(backend, load, up=up), now)
 
 
 def places_at_pace(places: int, pace: float) -> int:
@@ -239,18 +305,13 @@
     return Load(running, waiting, 0, 0.0, 0.0, 0.0)
 
 
-def _newest_by_address(backends: tuple[Backend, ...]) -> dict[str, Backend]:
-    """Return servers by address; of two lives at one, the later.
-
-    Failure: a server dies and is back before its old entry has lapsed. Symptom: every
-    request for its address names the old life and is turned away.
-    """
-    by_address: dict[str, Backend] = {}
-    for backend in backends:
-        known = by_address.get(backend.address)
-        if known is None or backend.born > known.born:
-            by_address[backend.address] = backend
-    return by_address
+def _latest(listed: Backend, known: Backend | None) -> Backend:
+    """Return the listed server, in the life that its agent has told already."""
+    if known is None or known.instance != listed.instance:
+        return listed
+    if listed.born_ms and listed.born_ms < known.born_ms:
+        return listed._replace(born_ms=known.born_ms)
+    return listed
 
 
 def _groups(backends: Iterable[Backend]) -> dict[str, ServerGroup]:
@@ -281,7 +342,7 @@
         name=backend.instance,
         group=backend.service,
         data_centre=backend.data_centre,
-        incarnation=backend.instance,
+        incarnation=backend.life,
         token=0,
         load=load,
         leaving=backend.leaving,
--- a/src/kingcupwheel/lockstep/boards.py
+++ b/src/kingcupwheel/lockstep/boards.py
@@ -69,7 +69,12 @@
             return
         load = beat.load
         told = ServerTold(
-            beat.name, load.running, load.queued, load.pace, beat.server_up
+            beat.name,
+            load.running,
+            load.queued,
+            load.pace,
+            beat.server_up,
+            beat.born_ms,
         )
         with self._lock:
             self._heard_by_member[link.address] = _Heard(told, now)
--- a/src/kingcupwheel/lockstep/carrying.py
+++ b/src/kingcupwheel/lockstep/carrying.py
@@ -41,7 +41,7 @@
     def __init__(self, client: RankClient, metrics: RankMetrics | None = None) -> None:
         self._client = client
         self._metrics = metrics
-        self._counted: tuple[int, tuple[int, ...]] = (0, ())
+        self._counted: RankCounts | None = None
 
     def carry_out(self, ask: RankAsk) -> RankTold:
         """Carry out the order of ``ask``, if any, and tell what it asks for."""
@@ -91,13 +91,25 @@
         asked = self._client.counts()
         if asked.is_error():
             return 1, b""
-        now: RankCounts = asked.ok
-        epoch, before = self._counted
-        self._counted = (now.epoch, now.counts)
-        # A rank that restarted counts from 0 again; so does one never read before.
-        if epoch != now.epoch or len(before) != len(now.counts):
+        now = asked.ok
+        before, self._counted = self._counted, now
+        if before is None or not _goes_on(before, now):
             return 1, b""
-        return packed([max(0, a - b) for a, b in zip(now.counts, before, strict=True)])
+        return packed([a - b for a, b in zip(now.counts, before.counts, strict=True)])
+
+
+def _goes_on(before: RankCounts, now: RankCounts) -> bool:
+    """Return whether ``now`` counts on from ``before``.
+
+    Failure: a rank starts anew, under its id and in the same epoch. Symptom: its counts
+    begin at 0, and the difference would be a negative or, once they have grown past the
+    old ones, a demand that never was, which moves experts for nothing.
+    """
+    if (before.epoch, before.born_ms) != (now.epoch, now.born_ms):
+        return False
+    if len(before.counts) != len(now.counts):
+        return False
+    return all(a >= b for a, b in zip(now.counts, before.counts, strict=True))
 
 
 def packed(counts: Sequence[int]) -> tuple[int, bytes]:
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -349,7 +349,8 @@
             told = answers.get(agent)
             if told is None or told.state is None:
                 continue
-            if told.state.epoch != roster.epoch or told.state.rank != rank:
+            known = self._states.get(rank)
+            if not roster.goes_on(rank, known, told.state):
                 log.info("group-changed", rank=rank, epoch=told.state.epoch)
                 self._forget()
                 return False
--- a/src/kingcupwheel/lockstep/rosters.py
+++ b/src/kingcupwheel/lockstep/rosters.py
@@ -37,6 +37,16 @@
         """Return the address of the server beside an agent."""
         return self.servers_by_agent[agent].server
 
+    def goes_on(self, rank: int, known: RankState | None, told: RankState) -> bool:
+        """Return whether a report is of the same rank, epoch and life as before.
+
+        A server that started anew has no map, and nothing prepared or armed, whatever
+        was seen of it before.
+        """
+        if told.epoch != self.epoch or told.rank != rank:
+            return False
+        return known is None or known.born_ms == told.born_ms
+
     @property
     def heads(self) -> dict[str, str]:
         """The agents through which this group's agents are asked."""
--- a/src/kingcupwheel/lockstep/state.py
+++ b/src/kingcupwheel/lockstep/state.py
@@ -12,7 +12,7 @@
     with nothing prepared, armed or held. ``step`` is the last pass begun; an idle group
     begins none. ``version`` is the map in force, ``prepared`` and ``armed`` are
     versions (0: none). ``held`` is the pass that waits to be released. ``pace`` over 1
-    is slow.
+    is slow. ``born_ms`` is when the server started (Unix milliseconds, 0: not told).
     """
 
     group: str
@@ -28,10 +28,15 @@
     running: int
     waiting: int
     pace: float
+    born_ms: int = 0
 
 
 class RankCounts(msgspec.Struct, frozen=True, array_like=True):
-    """How often a rank's requests chose each expert, layer by layer in one list."""
+    """How often a rank's requests chose each expert, layer by layer in one list.
+
+    They count from the server's start, which ``born_ms`` names (0: not told).
+    """
 
     epoch: int
     counts: tuple[int, ...]
+    born_ms: int = 0
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -41,6 +41,7 @@
     ``token`` rolls with the agent's own clock; a dispatch that names an old one is
     refused, which bounds how long tombstones live. ``crashed`` are pairs of a
     fingerprint that was running when the server died and the death's name, for a while.
+    ``born_ms`` is when the server itself started (Unix milliseconds, 0: not told).
     """
 
     name: str
@@ -53,6 +54,7 @@
     server_up: bool
     manifest_version: int
     crashed: tuple[tuple[str, int], ...]
+    born_ms: int = 0
 
 
 class LoadsAsk(Message, frozen=True):
@@ -69,7 +71,8 @@
 class ServerTold(msgspec.Struct, frozen=True, array_like=True):
     """A server's load as the agent beside it told a moment ago.
 
-    ``address`` is the server's; the rest as in ``Load`` and ``Beat``.
+    ``address`` is the server's; ``born_ms`` tells which life of it (0: not told); the
+    rest as in ``Load`` and ``Beat``.
     """
 
     address: str
@@ -77,6 +80,7 @@
     queued: int
     pace: float
     up: bool
+    born_ms: int = 0
 
 
 class LoadsTold(Message, frozen=True):
--- a/src/kingcupwheel/platform/ranks.py
+++ b/src/kingcupwheel/platform/ranks.py
@@ -17,6 +17,7 @@
 from kingcupwheel.lockstep.orders import Release
 from kingcupwheel.lockstep.state import RankCounts
 from kingcupwheel.lockstep.state import RankState
+from kingcupwheel.platform.decoding import Born
 from kingcupwheel.platform.decoding import decoded
 
 
@@ -57,12 +58,15 @@
     running: int = msgspec.field(default=0, name="InFlight")
     waiting: int = msgspec.field(default=0, name="QueueDepth")
     pace: float = 1.0
+    # Tells a server's lives apart; Unix milliseconds.
+    born: Born = 0
 
 
 class _Counts(msgspec.Struct):
     epoch: int = 0
     # Set by set, in one list.
     counts: list[int] = msgspec.field(default_factory=list, name="Counts")
+    born: Born = 0
 
 
 class _Held(msgspec.Struct):
@@ -128,7 +132,7 @@
 def decode_counts(raw: bytes) -> Result[RankCounts, str]:
     """Return what a rank counted."""
     return decoded(raw, _Counts).map(
-        lambda got: RankCounts(got.epoch, tuple(got.counts))
+        lambda got: RankCounts(got.epoch, tuple(got.counts), got.born)
     )
 
 
@@ -153,6 +157,7 @@
         running=report.running,
         waiting=report.waiting,
         pace=report.pace,
+        born_ms=report.born,
     )
 
 
--- a/src/kingcupwheel/platform/servers.py
+++ b/src/kingcupwheel/platform/servers.py
@@ -14,6 +14,7 @@
 from expression import Result
 
 from kingcupwheel.forwarding.backends import Backend
+from kingcupwheel.platform.decoding import Born
 from kingcupwheel.platform.decoding import decoded
 from kingcupwheel.utils.numbers import whole_number
 
@@ -39,6 +40,8 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     state: Literal["ready", "draining"]
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    # Unix milliseconds of its start; told apart from the rest in lower case.
+    born: Born = msgspec.field(default=0, name="born")
 
 
 def decode_server(stored: StoredObject) -> Result[Backend, str]:
@@ -60,7 +63,8 @@
             places=found.slots,
             leaving=found.state == "draining" or stored.leaving,
             cold_s=found.cold_remaining_ms / _MS,
-            born=stored.created,
+            created=stored.created,
+            born_ms=found.born,
         )
     )
 
--- a/tests/forwarding/test_following.py
+++ b/tests/forwarding/test_following.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import json
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -9,10 +10,13 @@
 from expression import Error
 from expression import Ok
 from expression import Result
+from hypothesis import given
+from hypothesis import strategies as st
 
 from kingcupwheel.forwarding.following import LONG_WATCH_S
 from kingcupwheel.forwarding.following import MANY_ENTRIES
 from kingcupwheel.forwarding.following import WATCH_S
+from kingcupwheel.forwarding.following import ServersFollower
 from kingcupwheel.forwarding.following import StoreFollower
 from kingcupwheel.forwarding.following import WatchPace
 from kingcupwheel.forwarding.following import configuration_pace
@@ -24,9 +28,11 @@
 from kingcupwheel.platform.objects import Listing
 from kingcupwheel.platform.objects import StoredObject
 from tests.forwarding.fleet import until
+from tests.platform.builders import server_entry
 
 
 if TYPE_CHECKING:
+    from kingcupwheel.forwarding.backends import Backend
     from kingcupwheel.platform.errors import WatchError
 
 HANGS_S = 0.4
@@ -118,3 +124,112 @@
     for steady_s in (3.0, 4.0, 6.0):
         pace = servers_pace(31, steady_s)
         assert pace.wait_s + DEFAULT_CALL_S <= max(steady_s, WATCH_S + DEFAULT_CALL_S)
+
+
+def entry(name: str, body: object = None, revision: int = 5) -> StoredObject:
+    raw = json.dumps(server_entry() if body is None else body).encode()
+    return StoredObject(name, revision, 3, raw, leaving=False)
+
+
+class Known:
+    """What a follower of the list passed on last."""
+
+    def __init__(self) -> None:
+        self.lives: set[str] = set()
+        self.gone: list[str] = []
+        self.follower = ServersFollower(self._note)
+
+    def _note(self, used: tuple[Backend, ...], gone: tuple[Backend, ...]) -> None:
+        self.lives = {one.life for one in used}
+        self.gone += [one.life for one in gone]
+
+    def lists(self, *objects: StoredObject) -> None:
+        self.follower.listed(objects, 0.0, away_s=0.0)
+
+    def sees(self, *objects: StoredObject) -> None:
+        changes = tuple(Change(one, removed=False) for one in objects)
+        self.follower.changed(changes, 0.0)
+
+
+@pytest.mark.parametrize("bad", [7, [], "x", {}, {"Service": "llm"}])
+def test_an_unreadable_entry_names_no_server_and_the_others_hold(bad: object) -> None:
+    """An entry comes from another writer: at the start, and later in a watch."""
+    known = Known()
+    known.lists(entry("i-1"), entry("i-2", bad), entry("i-3"))
+    assert known.lives == {"i-1", "i-3"}
+
+    known.sees(entry("i-4", bad))
+    assert known.lives == {"i-1", "i-3"}
+
+
+def test_a_good_entry_that_is_overwritten_is_used_again_once_it_is_good() -> None:
+    """Whether its server leaves can't be seen meanwhile, so nothing new goes there.
+
+    It is not taken for dead: what is lost on it is not held against the requests.
+    """
+    known = Known()
+    known.lists(entry("i-1"), entry("i-2"))
+
+    known.sees(entry("i-1", "overwritten"))
+    assert known.lives == {"i-2"}
+    assert known.gone == []
+
+    known.sees(entry("i-1", revision=9))
+    assert known.lives == {"i-1", "i-2"}
+
+
+def test_a_smaller_birth_never_replaces_a_greater_one() -> None:
+    """A write of the life that is over takes effect after the new life's own."""
+    known = Known()
+    known.lists(entry("i-1", server_entry(born=2_000)))
+
+    known.sees(entry("i-1", server_entry(born=1_000)))
+    known.lists(entry("i-1", server_entry(born=1_000)))
+
+    assert known.lives == {"i-1@2000"}
+    assert known.gone == []
+
+
+def test_a_server_reborn_under_its_id_ends_its_former_life() -> None:
+    """Its entry never vanishes, yet what the former life ran is gone."""
+    known = Known()
+    known.lists(entry("i-1", server_entry(born=1_000)))
+
+    known.sees(entry("i-1", server_entry(born=2_000)))
+
+    assert known.lives == {"i-1@2000"}
+    assert known.gone == ["i-1@1000"]
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["i-1", "i-2", "i-3"]),
+            st.one_of(
+                st.none(),
+                st.integers(0, 5).map(lambda born: server_entry(born=born)),
+                st.text(),
+                st.dictionaries(st.text(), st.integers()),
+            ),
+        )
+    )
+)
+def test_whatever_is_written_a_good_entry_is_used_and_births_only_rise(
+    written: list[tuple[str, object]],
+) -> None:
+    """Writers overwrite each other in any order; one server's entry is left alone."""
+    known = Known()
+    known.lists(entry("i-good"))
+    for name, body in written:
+        before = {life.split("@")[0]: life for life in known.lives}
+        known.sees(entry(name, body, revision=9))
+
+        after = {life.split("@")[0]: life for life in known.lives}
+        assert "i-good" in known.lives
+        assert set(before) - set(after) <= {name}
+        births = [
+            int(one[name].partition("@")[2] or 0)
+            for one in (before, after)
+            if name in one
+        ]
+        assert 0 in births or births == sorted(births)
