--- a/src/kingcupwheel/entry/tickets.py
+++ b/src/kingcupwheel/entry/tickets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from queue import Empty
 from queue import SimpleQueue
 from typing import TYPE_CHECKING
@@ -18,7 +19,8 @@
     """What a request asks of a group's queue.
 
     ``work`` is predicted work in tokens, ``size`` what its first byte's time grows
-    with; ``first_by`` is monotonic: when its first byte has to be there.
+    with; ``first_by`` is monotonic: when its first byte has to be there. From
+    ``on_time_by`` on it is later than its caller is promised.
     """
 
     request_id: str
@@ -27,6 +29,7 @@
     work: float
     size: float
     first_by: float
+    on_time_by: float = math.inf
 
 
 class Place(NamedTuple):
--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -4,8 +4,6 @@
 
 import http.client
 from dataclasses import dataclass
-from functools import partial
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -25,7 +23,6 @@
 
     from kingcupwheel.forwarding.connections import Connections
     from kingcupwheel.forwarding.heads import AnswerHead
-    from kingcupwheel.forwarding.pulse import Pulse
     from kingcupwheel.forwarding.watchdog import Watched
 
 # Read at a time; an event of a stream has some hundred bytes.
@@ -143,14 +140,6 @@
         self._connection.close()
 
 
-def _beat(pulse: Pulse, instance: str) -> None:
-    pulse.beat(instance, monotonic())
-
-
-def _others_live(pulse: Pulse, instance: str) -> bool:
-    return pulse.others_live(instance, monotonic())
-
-
 class ServerCalls:
     """Sends requests to servers; safe from any thread."""
 
@@ -166,14 +155,16 @@
         address: str,
         watched: Watched,
         silence_s: float,
-        pulse: Pulse | None,
+        on_data: Callable[[], None],
         fresh: bool,
+        may_give_up: Callable[[], bool],
     ) -> Sent:
         """Send the request once and wait for the head of its answer.
 
         ``fresh`` asks for a new connection: what may run only once must not cross the
-        close of a kept one, after which nobody knows whether it has run. With a
-        ``pulse`` a silent server is given up only while others of its service go on.
+        close of a kept one, after which nobody knows whether it has run. A silent
+        server is given up only when ``may_give_up`` says so; ``on_data`` is called
+        whenever the server has sent a part of its answer.
         """
         connection = None if fresh else self._connections.take(life)
         if connection is None:
@@ -182,14 +173,10 @@
             except NotConnectedError as error:
                 return NotSent(f"no connection: {error}")
         assert connection.sock is not None, "an open connection has a socket"
-        if pulse is None:
-            watched.attach(connection.sock, silence_s, instance)
-        else:
-            others_live = partial(_others_live, pulse, instance)
-            watched.attach(connection.sock, silence_s, instance, others_live)
+        watched.attach(connection.sock, silence_s, instance, may_give_up)
         sent = self._exchange(request, connection, watched)
-        if isinstance(sent, Answered) and pulse is not None:
-            sent.answer.on_data = partial(_beat, pulse, instance)
+        if isinstance(sent, Answered):
+            sent.answer.on_data = on_data
         if not isinstance(sent, Answered):
             watched.detach()
             connection.close()
