--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -36,8 +36,7 @@
     second) are from its agent's last report, ``heard_age_s`` old. ``own_in_flight``
     counts this entry's attempts on it now, ``own_at_report`` those it had when the
     report came. ``started_age_s`` is how long its server has been up,
-    ``suspects_running`` how many suspects this entry knows to run on it. One that
-    ``lags`` gets only what the others have no room for.
+    ``suspects_running`` how many suspects this entry knows to run on it.
     """
 
     name: str
@@ -53,7 +52,6 @@
     state: ServerState = ServerState.HEALTHY
     own_at_report: int = 0
     suspects_running: int = 0
-    lags: bool = False
 
     @property
     def held(self) -> float:
--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -101,7 +101,6 @@
         if not proven:
             # Those left are on probe and busy; others were kept from this ask alone.
             return UNTRIED_FULL if ask.avoid or ask.suspect else ALL_FULL
-        proven = [one for one in proven if not one.lags] or proven
         home = self._home(proven, ask)
         if home is not None:
             return Placed(home.name, "home of the prefix", _weigh([home]))
--- a/src/kingcupwheel/decisions/queueing.py
+++ b/src/kingcupwheel/decisions/queueing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from heapq import heappop
 from heapq import heappush
@@ -48,8 +47,7 @@
     """A request that waits for a place on a server.
 
     ``work`` is predicted work in tokens; the times are monotonic seconds, and
-    ``deadline_at`` is when it must have left the queue at the latest. If it leaves
-    after ``on_time_until`` its first byte is later than its caller is promised.
+    ``deadline_at`` is when it must have left the queue at the latest.
     """
 
     request_id: str
@@ -58,15 +56,6 @@
     work: float
     deadline_at: float
     queued_at: float
-    on_time_until: float = math.inf
-
-
-class _FlowKey(NamedTuple):
-    """Flows of requests that will be late come after all others."""
-
-    late: bool
-    organisation: str
-    priority: int
 
 
 class Queued(NamedTuple):
@@ -106,11 +95,6 @@
     times the requests or the work of others. Harm prevented: in a common line the flood
     of one makes all wait; a long line answers everybody too late. ``limit`` bounds the
     requests held here, and so memory and threads.
-
-    What can still be on time goes before what can't. Load: for some seconds there is
-    room for two thirds of the requests. Harm prevented: in one line each waits until it
-    is late itself, so that nobody is served on time. Those that are late already still
-    get what is left, until their deadline.
     """
 
     def __init__(
@@ -123,14 +107,9 @@
         self._limit = limit
         self._max_wait_s = max_wait_s
         self._quantum = quantum
-        self._flow_by_key: dict[_FlowKey, _Flow] = {}
-        self._turns_by_late: dict[bool, deque[_FlowKey]] = {
-            False: deque(),
-            True: deque(),
-        }
+        self._flow_by_key: dict[tuple[str, int], _Flow] = {}
+        self._turns: deque[tuple[str, int]] = deque()
         self._waiting_by_id: dict[str, Waiting] = {}
-        self._key_by_id: dict[str, _FlowKey] = {}
-        self._on_time: list[tuple[float, str]] = []
         self._deadlines: list[tuple[float, str]] = []
         self._expired: list[Waiting] = []
         self._drain = DrainRate()
@@ -146,15 +125,13 @@
 
     def push(self, waiting: Waiting, now: float) -> Queued | Refuse:
         """Queue a request, or refuse it at once with a time to come back."""
-        self._demote(now)
         ahead = len(self)
-        late = waiting.on_time_until <= now
-        key = _FlowKey(late, waiting.organisation, waiting.priority)
+        key = (waiting.organisation, waiting.priority)
         flow = self._flow_by_key.get(key) or _Flow(waiting.priority)
         if len(flow.requests) >= FREE_PLACES_FACTOR * (self._limit - ahead):
             wait_s = self._drain.seconds(self.work, now)
             return self._refuse("queue", f"{ahead} requests wait", wait_s, waiting, now)
-        wait_s = self._predicted_wait(key, flow, waiting.work, now)
+        wait_s = self._predicted_wait(flow, waiting.work, now)
         left_s = waiting.deadline_at - now
         if wait_s > left_s:
             detail = f"predicted wait {wait_s:.1f} s, deadline in {left_s:.1f} s"
@@ -170,20 +147,15 @@
     def peek(self, now: float) -> Waiting | None:
         """Return the request whose turn it is, or None if none waits in time."""
         self._drop_expired(now)
-        self._demote(now)
-        return self._peek(late=False) or self._peek(late=True)
-
-    def _peek(self, *, late: bool) -> Waiting | None:
-        turns = self._turns_by_late[late]
         passed = 0
-        while turns:
-            flow = self._flow_by_key[turns[0]]
+        while self._turns:
+            flow = self._flow_by_key[self._turns[0]]
             if flow.takes_turn(self._quantum):
                 return flow.requests[0]
-            turns.rotate(-1)
+            self._turns.rotate(-1)
             passed += 1
-            if passed == len(turns):
-                self._skip_rounds(turns)
+            if passed == len(self._turns):
+                self._skip_rounds()
         return None
 
     def pop(self, now: float) -> Waiting | None:
@@ -191,9 +163,13 @@
         waiting = self.peek(now)
         if waiting is None:
             return None
-        flow = self._flow_by_key[self._key_by_id[waiting.request_id]]
+        key = self._turns[0]
+        flow = self._flow_by_key[key]
+        flow.requests.popleft()
         flow.deficit -= waiting.work
-        self._take_out(waiting)
+        flow.backlog -= waiting.work
+        del self._waiting_by_id[waiting.request_id]
+        self._drop_if_empty(key, flow)
         # What finds a place at once says nothing about how fast a backlog drains.
         if now > waiting.queued_at:
             self._drain.took(waiting.work, now)
@@ -202,10 +178,14 @@
 
     def remove(self, request_id: str, now: float) -> Waiting | None:
         """Take a request out, for instance when its caller has left."""
-        waiting = self._waiting_by_id.get(request_id)
+        waiting = self._waiting_by_id.pop(request_id, None)
         if waiting is None:
             return None
-        self._take_out(waiting)
+        key = (waiting.organisation, waiting.priority)
+        flow = self._flow_by_key[key]
+        flow.requests.remove(waiting)
+        flow.backlog -= waiting.work
+        self._drop_if_empty(key, flow)
         self._note_if_empty(now)
         return waiting
 
@@ -216,48 +196,22 @@
         self._expired = []
         return expired
 
-    def _add(self, key: _FlowKey, flow: _Flow, waiting: Waiting) -> None:
-        self._join(key, flow, waiting)
-        heappush(self._deadlines, (waiting.deadline_at, waiting.request_id))
-        if not key.late:
-            heappush(self._on_time, (waiting.on_time_until, waiting.request_id))
-
-    def _join(self, key: _FlowKey, flow: _Flow, waiting: Waiting) -> None:
+    def _add(self, key: tuple[str, int], flow: _Flow, waiting: Waiting) -> None:
         if not flow.requests:
             self._flow_by_key[key] = flow
-            self._turns_by_late[key.late].append(key)
+            self._turns.append(key)
         flow.requests.append(waiting)
         flow.backlog += waiting.work
         self._waiting_by_id[waiting.request_id] = waiting
-        self._key_by_id[waiting.request_id] = key
-
-    def _take_out(self, waiting: Waiting) -> None:
-        del self._waiting_by_id[waiting.request_id]
-        key = self._key_by_id.pop(waiting.request_id)
-        flow = self._flow_by_key[key]
-        flow.requests.remove(waiting)
-        flow.backlog -= waiting.work
-        self._drop_if_empty(key, flow)
+        heappush(self._deadlines, (waiting.deadline_at, waiting.request_id))
 
-    def _demote(self, now: float) -> None:
-        """Let what can no longer be on time wait behind what can."""
-        while self._on_time and self._on_time[0][0] <= now:
-            _, request_id = heappop(self._on_time)
-            waiting = self._waiting_by_id.get(request_id)
-            if waiting is None or waiting.on_time_until > now:
-                continue
-            self._take_out(waiting)
-            key = _FlowKey(True, waiting.organisation, waiting.priority)
-            flow = self._flow_by_key.get(key) or _Flow(waiting.priority)
-            self._join(key, flow, waiting)
-
-    def _skip_rounds(self, turns: deque[_FlowKey]) -> None:
+    def _skip_rounds(self) -> None:
         """Grant at once the rounds in which nobody's deficit would suffice.
 
         Load: requests of some 100,000 tokens alone in the queue. Harm prevented: some
         hundred rounds over all flows for one decision.
         """
-        flows = [self._flow_by_key[key] for key in turns]
+        flows = self._flow_by_key.values()
         rounds = min(
             (flow.requests[0].work - flow.deficit) // (self._quantum * flow.weight)
             for flow in flows
@@ -265,11 +219,11 @@
         for flow in flows:
             flow.deficit += max(0.0, rounds) * self._quantum * flow.weight
 
-    def _drop_if_empty(self, key: _FlowKey, flow: _Flow) -> None:
+    def _drop_if_empty(self, key: tuple[str, int], flow: _Flow) -> None:
         if flow.requests:
             return
         del self._flow_by_key[key]
-        self._turns_by_late[key.late].remove(key)
+        self._turns.remove(key)
 
     def _note_if_empty(self, now: float) -> None:
         if not self._waiting_by_id:
@@ -283,21 +237,17 @@
                 self.remove(request_id, now)
                 self._expired.append(waiting)
 
-    def _predicted_wait(
-        self, key: _FlowKey, own: _Flow, work: float, now: float
-    ) -> float:
+    def _predicted_wait(self, own: _Flow, work: float, now: float) -> float:
         """Return the seconds until a new request of ``own`` would be taken.
 
         Until then every other flow is served its weight's part of what ``own`` is, or
-        what it has and is filled up with meanwhile; what is late waits behind the rest.
+        what it has and is filled up with meanwhile.
         """
         mine = own.backlog + work
         before = own.backlog
-        for other, flow in self._flow_by_key.items():
-            if other.late == key.late and flow is not own:
+        for flow in self._flow_by_key.values():
+            if flow is not own:
                 before += min(REFILL * flow.backlog, mine * flow.weight / own.weight)
-            elif key.late and not other.late:
-                before += REFILL * flow.backlog
         return WAIT_MARGIN * self._drain.seconds(before, now)
 
     def _refuse(
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -71,15 +71,13 @@
     def submit(self, wanted: Wanted, ask: Ask) -> Ticket | Refuse:
         """Queue the request, then place what can be placed."""
         now = monotonic()
-        first_byte_s = self._first_byte_s(wanted, now)
         waiting = Waiting(
             request_id=wanted.request_id,
             organisation=wanted.organisation,
             priority=wanted.priority,
             work=wanted.work,
-            deadline_at=wanted.first_by - first_byte_s,
+            deadline_at=self._leave_queue_by(wanted),
             queued_at=now,
-            on_time_until=wanted.on_time_by - first_byte_s,
         )
         ticket = Ticket(waiting, ask)
         with self._lock:
@@ -90,11 +88,11 @@
             self._pump(now)
         return ticket
 
-    def _first_byte_s(self, wanted: Wanted, now: float) -> float:
+    def _leave_queue_by(self, wanted: Wanted) -> float:
         # Placed just before its deadline, a request would be run in vain: its first
         # byte takes as long as ever.
         with self._lock:
-            return self._first_byte.bound_s(wanted.size, now)
+            return wanted.first_by - self._first_byte.bound_s(wanted.size, monotonic())
 
     def _enqueue(self, ticket: Ticket, now: float) -> Refuse | None:
         if ticket.ask.suspect or ticket.ask.avoid:
@@ -260,5 +258,4 @@
         started_age_s=now - server.first_heard_at,
         own_at_report=server.in_flight_at_beat,
         suspects_running=server.suspects,
-        lags=server.lags,
     )
--- a/src/kingcupwheel/entry/servers.py
+++ b/src/kingcupwheel/entry/servers.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-import msgspec
-
 
 if TYPE_CHECKING:
     from kingcupwheel.messages.membership import Beat
@@ -51,8 +49,6 @@
         self.former_in_flight = 0
         self.in_flight_at_beat = 0
         self.suspects = 0
-        # It is in time only where others have no room; see ``Candidate.lags``.
-        self.lags = False
         self.listed = True
         self.gone = False
 
@@ -168,16 +164,6 @@
             self._alive(server, now)
         return Restarted(address, beat.incarnation) if restarted else None
 
-    def use(self, address: str, *, up: bool, lags: bool) -> None:
-        """Note whether new work may go there, and whether it is behind others."""
-        with self._lock:
-            server = self._by_address.get(address)
-            if server is None or server.beat is None:
-                return
-            server.lags = lags
-            if server.beat.server_up != up:
-                server.beat = msgspec.structs.replace(server.beat, server_up=up)
-
     def is_living(self, address: str, incarnation: str) -> bool:
         """Return whether this life of the server there is not known to be over."""
         with self._lock:
--- a/src/kingcupwheel/entry/tickets.py
+++ b/src/kingcupwheel/entry/tickets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from queue import Empty
 from queue import SimpleQueue
 from typing import TYPE_CHECKING
@@ -19,8 +18,7 @@
     """What a request asks of a group's queue.
 
     ``work`` is predicted work in tokens, ``size`` what its first byte's time grows
-    with; ``first_by`` is monotonic: when its first byte has to be there. From
-    ``on_time_by`` on it is later than its caller is promised.
+    with; ``first_by`` is monotonic: when its first byte has to be there.
     """
 
     request_id: str
@@ -29,7 +27,6 @@
     work: float
     size: float
     first_by: float
-    on_time_by: float = math.inf
 
 
 class Place(NamedTuple):
--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -4,6 +4,8 @@
 
 import http.client
 from dataclasses import dataclass
+from functools import partial
+from time import monotonic
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -23,6 +25,7 @@
 
     from kingcupwheel.forwarding.connections import Connections
     from kingcupwheel.forwarding.heads import AnswerHead
+    from kingcupwheel.forwarding.pulse import Pulse
     from kingcupwheel.forwarding.watchdog import Watched
 
 # Read at a time; an event of a stream has some hundred bytes.
@@ -140,6 +143,14 @@
         self._connection.close()
 
 
+def _beat(pulse: Pulse, instance: str) -> None:
+    pulse.beat(instance, monotonic())
+
+
+def _others_live(pulse: Pulse, instance: str) -> bool:
+    return pulse.others_live(instance, monotonic())
+
+
 class ServerCalls:
     """Sends requests to servers; safe from any thread."""
 
@@ -155,16 +166,14 @@
         address: str,
         watched: Watched,
         silence_s: float,
-        on_data: Callable[[], None],
+        pulse: Pulse | None,
         fresh: bool,
-        may_give_up: Callable[[], bool],
     ) -> Sent:
         """Send the request once and wait for the head of its answer.
 
         ``fresh`` asks for a new connection: what may run only once must not cross the
-        close of a kept one, after which nobody knows whether it has run. A silent
-        server is given up only when ``may_give_up`` says so; ``on_data`` is called
-        whenever the server has sent a part of its answer.
+        close of a kept one, after which nobody knows whether it has run. With a
+        ``pulse`` a silent server is given up only while others of its service go on.
         """
         connection = None if fresh else self._connections.take(life)
         if connection is None:
@@ -173,10 +182,14 @@
             except NotConnectedError as error:
                 return NotSent(f"no connection: {error}")
         assert connection.sock is not None, "an open connection has a socket"
-        watched.attach(connection.sock, silence_s, instance, may_give_up)
+        if pulse is None:
+            watched.attach(connection.sock, silence_s, instance)
+        else:
+            others_live = partial(_others_live, pulse, instance)
+            watched.attach(connection.sock, silence_s, instance, others_live)
         sent = self._exchange(request, connection, watched)
-        if isinstance(sent, Answered):
-            sent.answer.on_data = on_data
+        if isinstance(sent, Answered) and pulse is not None:
+            sent.answer.on_data = partial(_beat, pulse, instance)
         if not isinstance(sent, Answered):
             watched.detach()
             connection.close()
--- a/src/kingcupwheel/forwarding/closures.py
+++ b/src/kingcupwheel/forwarding/closures.py
@@ -1,4 +1,4 @@
-"""Whether a group of lock-stepped servers turns everything away. Pure.
+"""Whether a service of lock-stepped servers turns everything away. Pure.
 
 Failure: a rank's machine ends and its group forms anew, for seconds. Symptom: every
 server of the group turns requests away, idle as it is; a caller that is refused comes
@@ -20,15 +20,15 @@
 
 
 class Closures:
-    """What one entry was told by a group's servers; guarded by its owner."""
+    """What one entry was told by a service's servers; guarded by its owner."""
 
     def __init__(self) -> None:
         self._turned_away_at: dict[str, float] = {}
 
     def turned_away(self, server: str, *, quiet_s: float, now: float) -> bool:
-        """Note a request turned away; return whether the whole group does that.
+        """Note a request turned away; return whether the whole service does that.
 
-        ``quiet_s`` is how long ago any server of the group sent something.
+        ``quiet_s`` is how long ago any server of the service sent something.
         """
         self._turned_away_at = {
             name: at for name, at in self._turned_away_at.items() if now - at < WITHIN_S
--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -56,37 +56,10 @@
 
     def turned_away(self, place: Place, service: str, *, streamed: bool) -> None:
         """Note that a server turned a request away: it is full, or its group closed."""
-        group = self.book.rank_group_of(place, service)
         if streamed and self.guards.is_closed(
-            group, place.server, quiet_s=self.pulses.of(group).quiet_s(monotonic())
+            service, place.server, quiet_s=self.pulses.of(service).quiet_s(monotonic())
         ):
-            log.info(
-                "group-closed", service=service, group=group.name, server=place.server
-            )
-            self.book.closed(group)
+            log.info("service-closed", service=service, server=place.server)
+            self.book.closed(service)
         else:
             self.book.full(place)
-
-    def heard_from(self, place: Place, service: str) -> None:
-        """Note that a server sent a part of an answer."""
-        group = self.book.rank_group_of(place, service)
-        self.pulses.of(group).beat(place.server, monotonic())
-
-    def is_better_off(self, place: Place, service: str, *, begun: bool) -> bool:
-        """Return whether a stream of a silent server can go on elsewhere.
-
-        Either the server is silent while others of its group go on, or the whole group
-        stands still and another one goes on.
-
-        Load: all callers come back at once when the power does, and first events take
-        seconds at every server. Harm prevented: a request that has not ``begun`` at a
-        full server that lives is ended, or read anew at another full one, though it was
-        about to begin.
-        """
-        now = monotonic()
-        group = self.book.rank_group_of(place, service)
-        if self.pulses.of(group).others_live(place.server, now):
-            return begun or not self.book.is_told_full(place, now)
-        return self.book.goes_on_beside(group, now) and self.book.has_ample_room_beside(
-            group
-        )
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -86,9 +86,6 @@
         self._leaving = Event()
         self._stopped = Event()
         self._refresh_at = 0.0
-        # The version that the pauses below are of.
-        self._gaps_of = 0
-        self._gap_s_by_service: dict[str, float] = {}
         self._store = ObjectStore(settings.platform.url)
         self._metrics = EntryMetrics()
         self._currency = Currency()
@@ -107,16 +104,15 @@
         )
         self._guards = Guards(budget, lambda: self._neighbours.sharing)
         connections = Connections()
-        pulses = Pulses()
         self._context = ForwardContext(
             data_centre=settings.data_centre,
             currency=self._currency,
             dispatchers=dispatchers,
-            book=ServerBook(table, dispatchers, pulses),
+            book=ServerBook(table, dispatchers),
             calls=ServerCalls(connections),
             connections=connections,
             guards=self._guards,
-            pulses=pulses,
+            pulses=Pulses(),
             watchdog=Watchdog(),
             metrics=self._metrics,
         )
@@ -299,43 +295,12 @@
             servers.info("streams-moved", servers=sorted(slow), streams=moved)
 
     def _note_standstills(self, now: float) -> None:
-        """Log when all servers of a group fall silent together, and go on."""
-        streams_by_group = self._context.book.in_flight_by_group()
-        has_turned = False
-        for group, pulse in self._context.pulses.items():
-            streams = streams_by_group.get(group, 0)
+        """Log when all servers of a service fall silent together, and go on."""
+        for service, pulse in self._context.pulses.items():
+            streams = self._context.book.in_flight(service)
             quiet_s = pulse.quiet_s(now)
             if pulse.turned(streams=streams, now=now):
-                has_turned = True
+                event = "service-silent" if pulse.stands_still else "service-heard"
                 servers.info(
-                    "group-silent" if pulse.stands_still else "group-heard",
-                    service=group.service,
-                    group=group.name,
-                    streams=streams,
-                    quiet_s=round(quiet_s, 2),
+                    event, service=service, streams=streams, quiet_s=round(quiet_s, 2)
                 )
-            if pulse.timed(self._gap_s(group.service)):
-                has_turned = True
-                servers.info(
-                    "group-lags" if pulse.lags else "group-in-time",
-                    service=group.service,
-                    group=group.name,
-                    pass_ms=round(pulse.pass_s() * _MS, 1),
-                )
-        if has_turned:
-            self._context.book.groups_turned(now)
-
-    def _gap_s(self, service: str) -> float:
-        """Return the longest good pause of a service's streams, 0 if none is told."""
-        current = self._currency.current
-        if current is None:
-            return 0.0
-        if self._gaps_of != current.version:
-            self._gaps_of = current.version
-            engines = {
-                name: current.engine_of(name) for name in current.services_by_name
-            }
-            self._gap_s_by_service = {
-                name: engine.gap_s for name, engine in engines.items() if engine
-            }
-        return self._gap_s_by_service.get(service, 0.0)
--- a/src/kingcupwheel/forwarding/greeting.py
+++ b/src/kingcupwheel/forwarding/greeting.py
@@ -12,7 +12,7 @@
 from kingcupwheel.messages.membership import Hello
 from kingcupwheel.messages.membership import LoadsAsk
 from kingcupwheel.messages.membership import LoadsTold
-from kingcupwheel.messages.membership import server_told
+from kingcupwheel.messages.membership import ServerTold
 
 
 if TYPE_CHECKING:
@@ -55,7 +55,7 @@
     def told(self, link: Link, message: Beat | LoadsTold) -> None:
         """Take in what an agent says of its server, or of those of a data centre."""
         if isinstance(message, Beat):
-            self._book.agents_say((server_told(message),))
+            self._book.agents_say((_server_told(message),))
             return
         if isinstance(link, Outgoing):
             self._heads.heard(link.address, monotonic())
@@ -98,3 +98,10 @@
             agent = f"{backend.address.rpartition(':')[0]}:{port}"
             found.setdefault(backend.data_centre, []).append(agent)
     return found
+
+
+def _server_told(beat: Beat) -> ServerTold:
+    load = beat.load
+    return ServerTold(
+        beat.name, load.running, load.queued, load.pace, beat.server_up, beat.born_ms
+    )
--- a/src/kingcupwheel/forwarding/guards.py
+++ b/src/kingcupwheel/forwarding/guards.py
@@ -20,8 +20,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from kingcupwheel.forwarding.pulse import RankGroup
-
 # How long after a lost answer its server may be found gone, in seconds: a platform
 # lists a dead server until it has missed three heartbeats.
 DEATH_SHOWS_S = 8.0
@@ -52,7 +50,7 @@
         self._suspects = Suspects()
         self._lost: deque[tuple[float, str, str]] = deque(maxlen=_LOST_AT_MOST)
         self._budgets_by_service: dict[str, WindowBudget] = {}
-        self._closures_by_group: dict[RankGroup, Closures] = {}
+        self._closures_by_service: dict[str, Closures] = {}
         self._lock = Lock()
 
     def verdict(self, fingerprint: str) -> Quarantined | Suspect | None:
@@ -120,10 +118,10 @@
                 floor=self._budget.floor * _BUDGET_PART / max(1, self._entries()),
             )
 
-    def is_closed(self, group: RankGroup, server: str, *, quiet_s: float) -> bool:
-        """Note a request turned away; return whether the whole group does that."""
+    def is_closed(self, service: str, server: str, *, quiet_s: float) -> bool:
+        """Note a request turned away; return whether the whole service does that."""
         with self._lock:
-            closures = self._closures_by_group.setdefault(group, Closures())
+            closures = self._closures_by_service.setdefault(service, Closures())
             return closures.turned_away(server, quiet_s=quiet_s, now=monotonic())
 
     def _of(self, service: str) -> WindowBudget:
--- a/src/kingcupwheel/forwarding/placing.py
+++ b/src/kingcupwheel/forwarding/placing.py
@@ -13,7 +13,6 @@
 from kingcupwheel.entry.tickets import Wanted
 from kingcupwheel.forwarding.endings import retry_after
 from kingcupwheel.forwarding.requests import LEAST_URGENT
-from kingcupwheel.forwarding.times import WAY_S
 from kingcupwheel.forwarding.watchdog import Cut
 
 
@@ -88,5 +87,4 @@
         work=request.work,
         size=request.head.prompt_tokens,
         first_by=request.times.first_by,
-        on_time_by=request.received_at + request.route.aim_s - WAY_S,
     )
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
 from time import monotonic
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -79,10 +78,6 @@
         self._suspect = False
         self._last_event = request.head.last_event
         self._sent_at = 0.0
-        # Budget for one more send was taken when a silent server was given up.
-        self._reserved = False
-        # The server that the request was sent to last has begun to answer.
-        self._begun = False
 
     def answer(self) -> Answer:
         """Return the answer, or the refusal that is final."""
@@ -182,7 +177,7 @@
         if self._watched.cut is Cut.TIME_UP:
             left_s = 0.0
         wants = may_go_again(self._sends, self._may, left_s)
-        budget = wants and self._takes_budget()
+        budget = wants and self._context.guards.may_send_again(request.service)
         step = follows(
             came, self._sends, self._may, left_s=left_s, within_budget=budget
         )
@@ -201,11 +196,6 @@
         self._context.metrics.sends.labels(came.value).inc()
         return refusal_after(step, why, request.id)
 
-    def _takes_budget(self) -> bool:
-        """Return whether the budget allows one more send; one may be reserved."""
-        reserved, self._reserved = self._reserved, False
-        return reserved or self._context.guards.may_send_again(self._request.service)
-
     def _place(self) -> Place | Refusal:
         """Wait for a place; a refusal promises "not run" only if nothing was sent."""
         found = wait_for_place(
@@ -247,7 +237,6 @@
         request = self._request
         now = monotonic()
         self._sent_at = now
-        self._begun = False
         call = ServerCall(
             instance=place.server,
             left_s=max(0.001, request.times.over_at - now),
@@ -267,6 +256,7 @@
         )
         silence_s = request.times.silence_s if again else float("inf")
         self._watched.may_move = again and request.route.resumable
+        streamed = request.route.streamed
         return self._context.calls.send(
             outgoing,
             instance=place.server,
@@ -274,35 +264,12 @@
             address=place.address,
             watched=self._watched,
             silence_s=silence_s,
-            on_data=partial(self._heard_from, place),
+            pulse=self._context.pulses.of(request.service) if streamed else None,
             fresh=not request.route.may_rerun,
-            may_give_up=partial(self._may_give_up, place),
         )
 
-    def _heard_from(self, place: Place) -> None:
-        """Note a sign of life; plain servers answer too seldom for it to tell."""
-        if self._request.route.streamed:
-            self._context.heard_from(place, self._request.service)
-
-    def _may_give_up(self, place: Place) -> bool:
-        """Return whether a silent server is given up; asked when it is silent for long.
-
-        Load: a group of ranks stands still as a whole, or a rank's connection has gone
-        silent. Harm prevented: answers that would have come are ended for want of a
-        place or of budget elsewhere, or are moved to a rank that stands still as well.
-        """
-        request = self._request
-        if request.route.streamed and not self._context.is_better_off(
-            place, request.service, begun=self._begun
-        ):
-            return False
-        if not self._reserved:
-            self._reserved = self._context.guards.may_send_again(request.service)
-        return self._reserved
-
     def _saw_first_byte(self) -> None:
         """Note how long the server took; waits before this send were not its own."""
-        self._begun = True
         seconds = monotonic() - self._sent_at
         self._dispatcher.saw_first_byte(seconds, self._request.head.prompt_tokens)
 
--- a/src/kingcupwheel/forwarding/serverbook.py
+++ b/src/kingcupwheel/forwarding/serverbook.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from kingcupwheel.forwarding.pulse import RankGroup
 from kingcupwheel.manifest.schema import ServerGroup
 from kingcupwheel.messages.membership import Beat
 from kingcupwheel.messages.membership import Load
@@ -28,7 +27,6 @@
     from kingcupwheel.entry.tickets import Place
     from kingcupwheel.forwarding.backends import Backend
     from kingcupwheel.forwarding.heads import ReportedLoad
-    from kingcupwheel.forwarding.pulse import Pulses
     from kingcupwheel.messages.membership import ServerTold
 
 log = lines_of("servers")
@@ -45,10 +43,6 @@
 # part of the service's servers is as slow.
 AVOIDED_PACE = 2.5
 AVOIDED_SHARE = 0.25
-# Streams of a group that stands still are moved while the others' places are less than
-# this part taken: a moved stream is late already and reads its prompt again, so it may
-# not cost others' streams theirs.
-MOVING_LOAD = 0.7
 # An entry whose address another server has is passed over for so long, in seconds: a
 # wrong one then costs one request turned away in ten seconds, and one that was right
 # after all is soon used again.
@@ -60,12 +54,8 @@
 class ServerBook:
     """Feeds the server table; safe from any thread."""
 
-    def __init__(
-        self, servers: ServerTable, dispatchers: Dispatchers, pulses: Pulses
-    ) -> None:
+    def __init__(self, servers: ServerTable, dispatchers: Dispatchers) -> None:
         self._servers = servers
-        self._pulses = pulses
-        self._rank_groups_by_address: dict[str, RankGroup] = {}
         self._dispatchers = dispatchers
         self._backends_by_address: dict[str, Backend] = {}
         self._groups_by_service: dict[str, ServerGroup] = {}
@@ -92,113 +82,6 @@
         with self._servers.lock:
             return sum(one.in_flight for one in self._servers.of_group(service))
 
-    def rank_group(self, backend: Backend) -> RankGroup:
-        """Return the servers that run each pass together with this one."""
-        known = self._rank_groups_by_address.get(backend.address)
-        if known is not None and known.service == backend.service:
-            return known
-        return RankGroup(backend.service, "")
-
-    def is_told_full(self, place: Place, now: float) -> bool:
-        """Return whether its agent says that the server has no place free.
-
-        Word of a moment ago only: a request that has had no answer yet may then be
-        waiting there, and the server is not the worse for it.
-        """
-        agent_at = self._agent_heard_at.get(place.address, float("-inf"))
-        server = self._servers.by_address(place.address)
-        if now - agent_at > _AGENT_S or server is None or server.beat is None:
-            return False
-        load = server.beat.load
-        return load.running + load.queued >= server.beat.load.capacity
-
-    def rank_group_of(self, place: Place, service: str) -> RankGroup:
-        """Return the group of a server that a request of ``service`` was given to."""
-        backend = self._backends_by_address.get(place.address)
-        if backend is None or backend.service != service:
-            return RankGroup(service, "")
-        return self.rank_group(backend)
-
-    def in_flight_by_group(self) -> dict[RankGroup, int]:
-        """Return how many requests this entry has under way in each group."""
-        found: dict[RankGroup, int] = {}
-        for backend in self.backends:
-            server = self._servers.by_address(backend.address)
-            group = self.rank_group(backend)
-            here = 0 if server is None else server.own_in_flight
-            found[group] = found.get(group, 0) + here
-        return found
-
-    def goes_on_beside(self, group: RankGroup, now: float) -> bool:
-        """Return whether another group of the service makes passes and is open."""
-        others = {self.rank_group(one) for one in self.backends}
-        return any(
-            other.service == group.service
-            and other.name not in ("", group.name)
-            and not self._pulses.of(other).stands_still
-            and not self._pulses.of(other).is_closed(now)
-            for other in others
-        )
-
-    def _is_shunned(self, backend: Backend, now: float) -> bool:
-        """Return whether nothing new goes to a server because of its whole group.
-
-        Load: a rank is frozen or dead, and its group stands still or forms anew for
-        seconds; another group of the service goes on. Harm prevented: half of all new
-        requests, and of those moved, are given to servers that begin nothing. Where all
-        groups stand still they are used as before: whichever goes on first serves.
-        """
-        group = self.rank_group(backend)
-        pulse = self._pulses.of(group)
-        if not (pulse.stands_still or pulse.is_closed(now)):
-            return False
-        return self.goes_on_beside(group, now)
-
-    def _lags(self, backend: Backend) -> bool:
-        """Return whether its group's passes take too long while another's don't.
-
-        Load: one rank of a group is many times slower, and its passes take three times
-        a good pause until its experts have moved. Harm prevented: half of all new
-        streams begin where each of their events is late, though another group has room.
-        What that one has no room for still goes here: late is better than refused.
-        """
-        group = self.rank_group(backend)
-        if not self._pulses.of(group).lags:
-            return False
-        others = {self.rank_group(one) for one in self.backends} - {group}
-        return any(
-            other.service == group.service
-            and other.name
-            and not self._pulses.of(other).lags
-            for other in others
-        )
-
-    def has_ample_room_beside(self, group: RankGroup) -> bool:
-        """Return whether other groups of the service are far from full."""
-        held = places = 0.0
-        for backend in self.backends:
-            server = self._servers.by_address(backend.address)
-            beside = backend.service == group.service
-            if not beside or self.rank_group(backend) == group or server is None:
-                continue
-            if server.in_service:
-                load = server.known_beat.load
-                held += max(load.running + load.queued, server.own_in_flight)
-                places += load.capacity
-        return held < MOVING_LOAD * places
-
-    def groups_turned(self, now: float) -> None:
-        """Use or shun servers anew after a group has come to stand still or gone on."""
-        for backend in self.backends:
-            server = self._servers.by_address(backend.address)
-            if server is None or server.beat is None:
-                continue
-            up = not self._is_shunned(backend, now) and not self._avoided(backend, now)
-            # Only this is new: the load is as old as the last word of it.
-            self._servers.use(backend.address, up=up, lags=self._lags(backend))
-        for service in tuple(self._groups_by_service):
-            self._dispatchers.pump(service)
-
     def group_of(self, service: str) -> ServerGroup:
         """Return the group that a service's requests queue for."""
         with self._lock:
@@ -286,15 +169,15 @@
             return None
         return backend
 
-    def closed(self, group: RankGroup) -> None:
-        """Note that all servers of a group turn requests away for now.
+    def closed(self, service: str) -> None:
+        """Note that all servers of a service turn requests away for now.
 
         Requests wait in the queue. A server whose agent says that it is up is used
         again at once, the others when they are next looked at.
         """
         now = monotonic()
         for backend in tuple(self._backends_by_address.values()):
-            if self.rank_group(backend) == group:
+            if backend.service == service:
                 self._heard(backend, _load(0, 0), now, up=False)
 
     def misdirected(self, place: Place) -> None:
@@ -333,19 +216,9 @@
             if told.born_ms > backend.born_ms:
                 backend = self._reborn(backend, told.born_ms, now)
         self._agent_heard_at[address] = now
-        group = RankGroup(backend.service, told.rank_group)
-        self._rank_groups_by_address[address] = group
-        self._pulses.of(group).told(
-            backend.instance,
-            step=told.step,
-            busy=told.running + told.queued > 0,
-            is_open=told.up,
-            now=now,
-        )
         if told.pace >= AVOIDED_PACE:
             self._slow_at[address] = now
         up = told.up and not self._avoided(backend, now)
-        up = up and not self._is_shunned(backend, now)
         load = Load(told.running, told.queued, 0, 0.0, 0.0, 0.0, told.pace)
         self._heard(backend, load, now, up=up)
 
@@ -400,8 +273,7 @@
                 server = self._servers.by_address(address)
                 if server is not None:
                     told = _load(min(server.own_in_flight, backend.places), 0)
-                    up = not self._is_shunned(backend, now)
-                    self._heard(backend, told, now, up=up)
+                    self._heard(backend, told, now)
         for service in self._groups_by_service:
             self._dispatchers.pump(service)
 
@@ -415,7 +287,6 @@
             told, capacity=places_at_pace(backend.places, told.pace)
         )
         self._servers.heard(backend.address, _beat(backend, load, up=up), now)
-        self._servers.use(backend.address, up=up, lags=self._lags(backend))
 
 
 def places_at_pace(places: int, pace: float) -> int:
--- a/src/kingcupwheel/lockstep/boards.py
+++ b/src/kingcupwheel/lockstep/boards.py
@@ -15,7 +15,7 @@
 from kingcupwheel.link.links import Outgoing
 from kingcupwheel.messages.membership import Hello
 from kingcupwheel.messages.membership import LoadsTold
-from kingcupwheel.messages.membership import server_told
+from kingcupwheel.messages.membership import ServerTold
 
 
 if TYPE_CHECKING:
@@ -23,7 +23,6 @@
     from kingcupwheel.link.links import Link
     from kingcupwheel.messages.membership import Beat
     from kingcupwheel.messages.membership import LoadsAsk
-    from kingcupwheel.messages.membership import ServerTold
 
 # Members are asked to tell their loads so often, in seconds; they go on for four.
 _GREET_S = 1.0
@@ -68,8 +67,17 @@
         """Take in the load of a member."""
         if not isinstance(link, Outgoing):
             return
+        load = beat.load
+        told = ServerTold(
+            beat.name,
+            load.running,
+            load.queued,
+            load.pace,
+            beat.server_up,
+            beat.born_ms,
+        )
         with self._lock:
-            self._heard_by_member[link.address] = _Heard(server_told(beat), now)
+            self._heard_by_member[link.address] = _Heard(told, now)
 
     def on_tick(self, now: float) -> None:
         """Greet members and tell entries when it is time."""
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -61,10 +61,6 @@
 COUNT_S = 0.15
 # How often an agent that does not coordinate looks whether it has to.
 _LOOK_S = 0.4
-# The same while its group is not open, in seconds: a group that has just formed runs on
-# the first map, at three times the skew, until somebody takes charge of it. The server
-# beside the agent is asked, which costs nothing.
-_FORMING_LOOK_S = 0.1
 # How long an order is repeated by the agent before it tells how far it came.
 _PREPARE_S = 0.4
 _ORDER_S = 0.25
@@ -159,7 +155,7 @@
     def _take_charge(self) -> float:
         own = self._client.state()
         if own.is_error() or not own.ok.is_open:
-            return _FORMING_LOOK_S
+            return _LOOK_S
         self._rescues = own.ok.rank != 0
         if self._rescues and own.ok.rank not in RESCUERS:
             return _LOOK_S
--- a/src/kingcupwheel/lockstep/daemon.py
+++ b/src/kingcupwheel/lockstep/daemon.py
@@ -204,8 +204,6 @@
             manifest_version=0,
             crashed=(),
             born_ms=state.born_ms,
-            rank_group=state.group,
-            step=state.step,
         )
         for link in links:
             self._hub.send(link, beat)
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -41,9 +41,7 @@
     ``token`` rolls with the agent's own clock; a dispatch that names an old one is
     refused, which bounds how long tombstones live. ``crashed`` are pairs of a
     fingerprint that was running when the server died and the death's name, for a while.
-    ``born_ms`` is when the server itself started (Unix milliseconds, 0: not told),
-    ``rank_group`` names the servers that run each pass together with it, and ``step``
-    is the last pass that it began.
+    ``born_ms`` is when the server itself started (Unix milliseconds, 0: not told).
     """
 
     name: str
@@ -57,8 +55,6 @@
     manifest_version: int
     crashed: tuple[tuple[str, int], ...]
     born_ms: int = 0
-    rank_group: str = ""
-    step: int = 0
 
 
 class LoadsAsk(Message, frozen=True):
@@ -85,23 +81,6 @@
     pace: float
     up: bool
     born_ms: int = 0
-    rank_group: str = ""
-    step: int = 0
-
-
-def server_told(beat: Beat) -> ServerTold:
-    """Return what an agent's heartbeat tells of its server."""
-    load = beat.load
-    return ServerTold(
-        beat.name,
-        load.running,
-        load.queued,
-        load.pace,
-        beat.server_up,
-        beat.born_ms,
-        beat.rank_group,
-        beat.step,
-    )
 
 
 class LoadsTold(Message, frozen=True):
