--- /dev/null
+++ b/tools/ablations.py
@@ -0,0 +1,227 @@
+"""Copies of the sources, each with one mechanism switched off.
+
+``python -m tools.ablations FOLDER [NAME ...]`` writes a copy for each name (for all if
+none is given) into FOLDER/NAME, to be played beside the sources themselves. A mechanism
+is switched off by replacing a few lines, so the product carries no switches; lines that
+are no longer there are an error, and a test holds the list against the sources.
+"""
+
+from __future__ import annotations
+
+import shutil
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+
+ROOT = Path(__file__).parents[1]
+_PACKAGE = Path("src/kingcupwheel")
+# What a build and a play need.
+_COPIED = ("src", "deploy", "requirements", "pyproject.toml")
+
+
+class Edit(NamedTuple):
+    """Lines of one file, below the package, and what stands in their place."""
+
+    path: str
+    old: str
+    new: str
+
+
+_FLOW_KEY = """key = (waiting.organisation, waiting.priority)
+        flow = self._flow_by_key"""
+_ONE_FLOW = """key = ("", 0)
+        flow = self._flow_by_key"""
+
+ABLATIONS: dict[str, tuple[Edit, ...]] = {
+    "two-choices": (
+        Edit(
+            "decisions/placement.py",
+            "best = min(drawn, key=lambda candidate: _cost(candidate, ask))",
+            "best = drawn[0]",
+        ),
+    ),
+    "own-data-centre-first": (
+        Edit("forwarding/placing.py", "near_first=True", "near_first=False"),
+        Edit("forwarding/placing.py", "FAR_LOAD = 0.25", "FAR_LOAD = 0.0"),
+    ),
+    "own-in-flight": (
+        Edit(
+            "decisions/candidates.py",
+            "return max(reported + change, float(self.own_in_flight))",
+            "return float(reported)",
+        ),
+    ),
+    "health": (
+        Edit(
+            "entry/dispatching.py",
+            "state_by_name = self._health.states(loads, now)",
+            "state_by_name = {one.name: ServerState.HEALTHY for one in loads}",
+        ),
+    ),
+    "probes": (
+        Edit("decisions/placement.py", "PROBE_SHARE = 0.02", "PROBE_SHARE = 0.0"),
+    ),
+    "closed-groups-wait": (
+        Edit(
+            "forwarding/guards.py",
+            "return closures.turned_away(server, quiet_s=quiet_s, now=monotonic())",
+            "return False",
+        ),
+    ),
+    "full-servers-are-not-silent": (
+        Edit(
+            "forwarding/runs.py",
+            "if not self._begun and context.book.is_told_full(place, now):",
+            "if now < 0.0:",
+        ),
+    ),
+    "silent-servers-given-up": (
+        Edit(
+            "forwarding/runs.py",
+            'silence_s = request.times.silence_s if again else float("inf")',
+            'silence_s = float("inf")',
+        ),
+    ),
+    "admission-bounds": (
+        Edit("decisions/queueing.py", "if wait_s > left_s:", "if wait_s < 0.0:"),
+    ),
+    "fair-flows": (
+        Edit(
+            "decisions/queueing.py",
+            _FLOW_KEY + ".g",
+            _ONE_FLOW + ".g",
+        ),
+        Edit(
+            "decisions/queueing.py",
+            _FLOW_KEY + "[",
+            _ONE_FLOW + "[",
+        ),
+    ),
+    "retry-budget": (
+        Edit(
+            "decisions/retries.py",
+            "if len(self._retries) + 1 > floor + share * len(self._firsts):",
+            "if floor < 0.0:",
+        ),
+    ),
+    "retry-after-spread": (
+        Edit(
+            "forwarding/guards.py",
+            "return base_s * (1.0 + 0.5 * stable_fraction(request_id))",
+            "return base_s",
+        ),
+    ),
+    "map-changes": (
+        Edit(
+            "lockstep/balancing.py",
+            "if found is None or not self._is_worth_it(found):",
+            "if found is not None or found is None:",
+        ),
+    ),
+    "jumps": (
+        Edit(
+            "lockstep/popularity.py",
+            "return 0.0 < by_chance < self.moved and self.moved > LEAST_JUMP",
+            "return by_chance < 0.0",
+        ),
+        Edit(
+            "lockstep/popularity.py",
+            "JUMP_DISTANCE = 0.33",
+            "JUMP_DISTANCE = 9.0",
+        ),
+    ),
+    "small-gains-left": (
+        Edit("lockstep/balancing.py", "SHORT_PASS_GAIN = 0.3", "SHORT_PASS_GAIN = 0.0"),
+        Edit(
+            "lockstep/balancing.py",
+            "SKEW_GAIN_A_COPYING_S = 0.018",
+            "SKEW_GAIN_A_COPYING_S = 0.0",
+        ),
+    ),
+    "slow-ranks-avoided": (
+        Edit(
+            "forwarding/serverbook.py",
+            "AVOIDED_PACE = 2.5",
+            'AVOIDED_PACE = float("inf")',
+        ),
+    ),
+    "slow-ranks-given-less": (
+        Edit("forwarding/serverbook.py", "if pace <= SLOW_PACE:", "if pace > 0.0:"),
+    ),
+    "slow-ranks-relieved-of-experts": (
+        Edit(
+            "lockstep/balancing.py",
+            "paces = [group.states_by_rank[rank].pace for rank in range(group.ranks)]",
+            "paces = [1.0 for _ in range(group.ranks)]",
+        ),
+    ),
+    "rescuers": (
+        Edit("lockstep/coordinator.py", "RESCUERS = (1, 2)", "RESCUERS = ()"),
+    ),
+    "direct-orders": (
+        Edit(
+            "lockstep/direct.py",
+            "if not asks_by_server:",
+            "if not asks_by_server or asks_by_server:",
+        ),
+    ),
+    "branches": (
+        Edit(
+            "lockstep/asking.py",
+            "head = self._heads_by_agent.get(address, address)",
+            "head = address",
+        ),
+    ),
+    "load-boards": (
+        Edit("forwarding/loadheads.py", "DIRECT_AGENTS = 24", "DIRECT_AGENTS = 10_000"),
+    ),
+    "long-watches": (
+        Edit("forwarding/following.py", "MANY_ENTRIES = 10", "MANY_ENTRIES = 10_000"),
+    ),
+}
+
+
+def switched_off(name: str, root: Path = ROOT) -> dict[Path, str]:
+    """Return the changed files by path; ValueError if a line is not there just once."""
+    texts: dict[Path, str] = {}
+    for edit in ABLATIONS[name]:
+        path = _PACKAGE / edit.path
+        text = texts.get(path) or (root / path).read_text()
+        if text.count(edit.old) != 1:
+            raise ValueError(
+                f"{name}: {path} has {edit.old!r} {text.count(edit.old)} x"
+            )
+        texts[path] = text.replace(edit.old, edit.new)
+    return texts
+
+
+def write_copy(name: str, folder: Path) -> Path:
+    """Write the sources with one mechanism switched off; return the copy's folder."""
+    texts = switched_off(name)
+    copy = folder / name
+    copy.mkdir(parents=True)
+    ignored = shutil.ignore_patterns("__pycache__")
+    for part in _COPIED:
+        source = ROOT / part
+        if source.is_dir():
+            shutil.copytree(source, copy / part, ignore=ignored)
+        else:
+            shutil.copy2(source, copy / part)
+    for path, text in texts.items():
+        (copy / path).write_text(text)
+    return copy
+
+
+def main() -> None:
+    """Write the copies asked for."""
+    if len(sys.argv) < 2:
+        raise SystemExit(__doc__)
+    for name in sys.argv[2:] or ABLATIONS:
+        if name not in ABLATIONS:
+            raise SystemExit(f"no mechanism {name!r}; there are {', '.join(ABLATIONS)}")
+        print(write_copy(name, Path(sys.argv[1])))
+
+
+if __name__ == "__main__":
+    main()
