--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -286,8 +286,8 @@
         Load: a group of ranks stands still, or all callers come back at once when the
         power does and first events take seconds at every server. Harm prevented: an
         answer that was about to come is ended because no other send is within the
-        budget, or read anew by a server that is as full. Of 88 answers of a day that
-        ended as unknown 14 are left.
+        budget, or read anew by a server that is as full. Within a quarter of a second
+        after such a return 38 callers were told 502, as counted in one day's log.
         """
         context, service = self._context, self._request.service
         if self._request.route.streamed:
--- a/src/kingcupwheel/forwarding/serverbook.py
+++ b/src/kingcupwheel/forwarding/serverbook.py
@@ -9,6 +9,7 @@
 from threading import Lock
 from time import monotonic
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import msgspec
 
@@ -21,6 +22,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from kingcupwheel.entry.dispatchers import Dispatchers
     from kingcupwheel.entry.servers import ServerTable
@@ -51,6 +53,17 @@
 _LONG_UP_S = 3600.0
 
 
+class _Refuted(NamedTuple):
+    """A server's claim to an address is wrong for lives born by then."""
+
+    born_ms: int
+    until: float
+
+
+def _claim(backend: Backend) -> tuple[str, str]:
+    return backend.instance, backend.address
+
+
 class ServerBook:
     """Feeds the server table; safe from any thread."""
 
@@ -62,7 +75,7 @@
         self._agent_heard_at: dict[str, float] = {}
         self._slow_at: dict[str, float] = {}
         self._listed: tuple[Backend, ...] = ()
-        self._refuted_until: dict[str, float] = {}
+        self._refuted: dict[tuple[str, str], _Refuted] = {}
         # Held while a list is taken over, so that an older one never follows a newer.
         self._listing = Lock()
         self._lock = Lock()
@@ -98,10 +111,7 @@
         """Use the servers listed last, less those whose claim was refuted."""
         with self._lock:
             before = self._backends_by_address
-            by_address = {
-                address: _latest(backend, before.get(address))
-                for address, backend in self._claimants(now).items()
-            }
+            by_address = self._claimants(before, now)
             self._backends_by_address = by_address
             self._groups_by_service = _groups(by_address.values())
         self._servers.keep(tuple(map(_instance, by_address.values())), now)
@@ -112,20 +122,24 @@
         for service in {backend.service for backend in by_address.values()}:
             self._dispatchers.pump(service)
 
-    def _claimants(self, now: float) -> dict[str, Backend]:
+    def _claimants(
+        self, before: Mapping[str, Backend], now: float
+    ) -> dict[str, Backend]:
         """Return one server by address: of several entries the latest not refuted.
 
         Failure: a server dies and is back before its old entry has lapsed, or another
         writer's entry names its address. Symptom: every request for the address names
         the wrong server and is turned away. The server there tells which is wrong.
         """
-        self._refuted_until = {
-            life: until for life, until in self._refuted_until.items() if now < until
+        self._refuted = {
+            claim: found for claim, found in self._refuted.items() if now < found.until
         }
         by_address: dict[str, Backend] = {}
-        for backend in self._listed:
+        for listed in self._listed:
+            backend = _latest(listed, before.get(listed.address))
             known = by_address.get(backend.address)
-            if backend.life in self._refuted_until:
+            refuted = self._refuted.get(_claim(backend))
+            if refuted is not None and backend.born_ms <= refuted.born_ms:
                 continue
             if known is None or known.is_before(backend):
                 by_address[backend.address] = backend
@@ -205,7 +219,8 @@
         now = monotonic()
         log.info("claim-refuted", server=backend.life, address=backend.address)
         with self._listing:
-            self._refuted_until[backend.life] = now + REFUTED_S
+            found = _Refuted(backend.born_ms, now + REFUTED_S)
+            self._refuted[_claim(backend)] = found
             self._apply(now)
 
     def agents_say(self, told: Iterable[ServerTold]) -> None:
--- a/tests/forwarding/test_serverbook.py
+++ b/tests/forwarding/test_serverbook.py
@@ -247,3 +247,28 @@
     now = time.monotonic()
     assert places.book.is_told_full(place, now)
     assert not places.book.is_told_full(place, now + 5.0)
+
+
+def test_a_new_server_at_an_address_is_used_though_its_agent_spoke_first() -> None:
+    """A server is replaced by another one at its address; the old entry lapses later.
+
+    The agent there tells a later birth, which seems a new life of the old server. That
+    one is refuted as well, or each request is turned away until the old entry is gone.
+    """
+    places = Places()
+    only(places, backend(1, born_ms=1_000))
+    places.book.agents_say(says(1, born=2_000))
+    place = places.ask()
+    assert place is not None
+
+    places.book.misdirected(place)
+    only(places, backend(1, born_ms=1_000))
+    places.book.agents_say(says(1, born=2_000))
+    assert places.ask() is None
+
+    only(
+        places,
+        backend(1, born_ms=1_000),
+        backend(9, address="10.0.0.1:80", created=7, born_ms=2_000),
+    )
+    assert places.servers(2) == {"i-9"}
