--- /dev/null
+++ b/src/kingcupwheel/forwarding/addressclaims.py
@@ -0,0 +1,76 @@
+"""Which of several listed servers has an address. Pure: times are arguments.
+
+Failure: a server dies and is back before its old entry has lapsed, or another writer's
+entry names its address. Symptom: every request for the address names the wrong server
+and is turned away. The server there tells which is wrong.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from kingcupwheel.forwarding.backends import Backend
+
+# An entry whose address another server has is passed over for so long, in seconds: a
+# wrong one then costs one request turned away in ten seconds, and one that was right
+# after all is soon used again.
+REFUTED_S = 10.0
+
+
+class _Refuted(NamedTuple):
+    """A server's claim to an address is wrong for lives born by then."""
+
+    born_ms: int
+    until: float
+
+
+class AddressClaims:
+    """The claims that servers have refuted; guarded by its owner."""
+
+    def __init__(self) -> None:
+        self._refuted: dict[tuple[str, str], _Refuted] = {}
+
+    def refute(self, backend: Backend, now: float) -> None:
+        """Note that the server at its address says that it is not this one."""
+        found = _Refuted(backend.born_ms, now + REFUTED_S)
+        self._refuted[_claim(backend)] = found
+
+    def holders(
+        self, listed: Iterable[Backend], before: Mapping[str, Backend], now: float
+    ) -> dict[str, Backend]:
+        """Return one server by address: of several entries the latest not refuted.
+
+        ``before`` are the servers by address as known until now.
+        """
+        self._refuted = {
+            claim: found for claim, found in self._refuted.items() if now < found.until
+        }
+        by_address: dict[str, Backend] = {}
+        for one in listed:
+            backend = _latest(one, before.get(one.address))
+            known = by_address.get(backend.address)
+            refuted = self._refuted.get(_claim(backend))
+            if refuted is not None and backend.born_ms <= refuted.born_ms:
+                continue
+            if known is None or known.is_before(backend):
+                by_address[backend.address] = backend
+        return by_address
+
+
+def _claim(backend: Backend) -> tuple[str, str]:
+    return backend.instance, backend.address
+
+
+def _latest(listed: Backend, known: Backend | None) -> Backend:
+    """Return the listed server, in the life that its agent has told already."""
+    if known is None or known.instance != listed.instance:
+        return listed
+    if listed.born_ms and listed.born_ms < known.born_ms:
+        return listed._replace(born_ms=known.born_ms)
+    return listed
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -20,7 +20,6 @@
 from kingcupwheel.forwarding.context import ForwardContext
 from kingcupwheel.forwarding.currency import Currency
 from kingcupwheel.forwarding.following import ConfigurationFollower
-from kingcupwheel.forwarding.following import ServersFollower
 from kingcupwheel.forwarding.following import StoreFollower
 from kingcupwheel.forwarding.following import configuration_pace
 from kingcupwheel.forwarding.following import servers_pace
@@ -30,6 +29,7 @@
 from kingcupwheel.forwarding.neighbours import Neighbours
 from kingcupwheel.forwarding.pulse import Pulses
 from kingcupwheel.forwarding.serverbook import ServerBook
+from kingcupwheel.forwarding.serverlist import ServersFollower
 from kingcupwheel.forwarding.watchdog import Watchdog
 from kingcupwheel.link.hub import Hub
 from kingcupwheel.messages.membership import Beat
--- a/src/kingcupwheel/forwarding/serverbook.py
+++ b/src/kingcupwheel/forwarding/serverbook.py
@@ -9,10 +9,10 @@
 from threading import Lock
 from time import monotonic
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 import msgspec
 
+from kingcupwheel.forwarding.addressclaims import AddressClaims
 from kingcupwheel.manifest.schema import ServerGroup
 from kingcupwheel.messages.membership import Beat
 from kingcupwheel.messages.membership import Load
@@ -22,7 +22,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Mapping
 
     from kingcupwheel.entry.dispatchers import Dispatchers
     from kingcupwheel.entry.servers import ServerTable
@@ -45,25 +44,10 @@
 # part of the service's servers is as slow.
 AVOIDED_PACE = 2.5
 AVOIDED_SHARE = 0.25
-# An entry whose address another server has is passed over for so long, in seconds: a
-# wrong one then costs one request turned away in ten seconds, and one that was right
-# after all is soon used again.
-REFUTED_S = 10.0
 # A server that was told to be warm has been up for this long, for placement's sake.
 _LONG_UP_S = 3600.0
 
 
-class _Refuted(NamedTuple):
-    """A server's claim to an address is wrong for lives born by then."""
-
-    born_ms: int
-    until: float
-
-
-def _claim(backend: Backend) -> tuple[str, str]:
-    return backend.instance, backend.address
-
-
 class ServerBook:
     """Feeds the server table; safe from any thread."""
 
@@ -75,7 +59,7 @@
         self._agent_heard_at: dict[str, float] = {}
         self._slow_at: dict[str, float] = {}
         self._listed: tuple[Backend, ...] = ()
-        self._refuted: dict[tuple[str, str], _Refuted] = {}
+        self._claims = AddressClaims()
         # Held while a list is taken over, so that an older one never follows a newer.
         self._listing = Lock()
         self._lock = Lock()
@@ -111,7 +95,7 @@
         """Use the servers listed last, less those whose claim was refuted."""
         with self._lock:
             before = self._backends_by_address
-            by_address = self._claimants(before, now)
+            by_address = self._claims.holders(self._listed, before, now)
             self._backends_by_address = by_address
             self._groups_by_service = _groups(by_address.values())
         self._servers.keep(tuple(map(_instance, by_address.values())), now)
@@ -122,29 +106,6 @@
         for service in {backend.service for backend in by_address.values()}:
             self._dispatchers.pump(service)
 
-    def _claimants(
-        self, before: Mapping[str, Backend], now: float
-    ) -> dict[str, Backend]:
-        """Return one server by address: of several entries the latest not refuted.
-
-        Failure: a server dies and is back before its old entry has lapsed, or another
-        writer's entry names its address. Symptom: every request for the address names
-        the wrong server and is turned away. The server there tells which is wrong.
-        """
-        self._refuted = {
-            claim: found for claim, found in self._refuted.items() if now < found.until
-        }
-        by_address: dict[str, Backend] = {}
-        for listed in self._listed:
-            backend = _latest(listed, before.get(listed.address))
-            known = by_address.get(backend.address)
-            refuted = self._refuted.get(_claim(backend))
-            if refuted is not None and backend.born_ms <= refuted.born_ms:
-                continue
-            if known is None or known.is_before(backend):
-                by_address[backend.address] = backend
-        return by_address
-
     def _new_life(self, backend: Backend, now: float) -> None:
         self._servers.heard(backend.address, _beat(backend, _load(0, 0)), now)
         self._heard(backend, _load(0, 0), now)
@@ -219,8 +180,7 @@
         now = monotonic()
         log.info("claim-refuted", server=backend.life, address=backend.address)
         with self._listing:
-            found = _Refuted(backend.born_ms, now + REFUTED_S)
-            self._refuted[_claim(backend)] = found
+            self._claims.refute(backend, now)
             self._apply(now)
 
     def agents_say(self, told: Iterable[ServerTold]) -> None:
@@ -333,15 +293,6 @@
     return Load(running, waiting, 0, 0.0, 0.0, 0.0)
 
 
-def _latest(listed: Backend, known: Backend | None) -> Backend:
-    """Return the listed server, in the life that its agent has told already."""
-    if known is None or known.instance != listed.instance:
-        return listed
-    if listed.born_ms and listed.born_ms < known.born_ms:
-        return listed._replace(born_ms=known.born_ms)
-    return listed
-
-
 def _groups(backends: Iterable[Backend]) -> dict[str, ServerGroup]:
     places_by_service: dict[str, int] = {}
     for backend in backends:
--- a/tests/forwarding/test_following.py
+++ b/tests/forwarding/test_following.py
@@ -16,11 +16,11 @@
 from kingcupwheel.forwarding.following import LONG_WATCH_S
 from kingcupwheel.forwarding.following import MANY_ENTRIES
 from kingcupwheel.forwarding.following import WATCH_S
-from kingcupwheel.forwarding.following import ServersFollower
 from kingcupwheel.forwarding.following import StoreFollower
 from kingcupwheel.forwarding.following import WatchPace
 from kingcupwheel.forwarding.following import configuration_pace
 from kingcupwheel.forwarding.following import servers_pace
+from kingcupwheel.forwarding.serverlist import ServersFollower
 from kingcupwheel.platform.errors import Unavailable
 from kingcupwheel.platform.objects import DEFAULT_CALL_S
 from kingcupwheel.platform.objects import Change
