--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -131,8 +131,15 @@
         return f"cut: {type(error).__name__}"
 
     def end(self, life: str, connections: Connections) -> None:
-        """Keep the connection if its answer was whole, else close it."""
-        self._watched.detach()
+        """Keep the connection if its answer was whole, else close it.
+
+        A server that is still at work on an answer learns by a reset that it is not
+        wanted; see ``watchdog``.
+        """
+        if self.is_whole:
+            self._watched.detach()
+        else:
+            self._watched.abandon()
         head = self.head
         keeps = self.is_whole and head.framed and not head.closes
         if keeps and 200 <= head.status < 300:
@@ -140,6 +147,7 @@
             return
         # An answer that came before its request was read leaves bytes on the way; its
         # connection is not used again.
+        self._response.close()
         self._connection.close()
 
 
--- a/src/kingcupwheel/forwarding/watchdog.py
+++ b/src/kingcupwheel/forwarding/watchdog.py
@@ -9,6 +9,7 @@
 import contextlib
 import select
 import socket
+import struct
 from enum import Enum
 from threading import Condition
 from threading import Lock
@@ -25,6 +26,9 @@
 # half a second; a plain service's time limit is under a second.
 LOOK_S = 0.05
 
+# On and with no time to linger: closing the socket resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class Cut(Enum):
     """Why a wait was ended."""
@@ -85,7 +89,7 @@
             self._silence_s = silence_s
             self._silent_at = monotonic() + silence_s
             if self.is_over:
-                _shut_down(server)
+                _abort(server)
 
     def progressed(self, silence_s: float | None = None) -> None:
         """Note that the server sent something; from now on expect it so often."""
@@ -99,6 +103,13 @@
             self._server = None
             self.instance = ""
 
+    def abandon(self) -> None:
+        """Stop watching the socket, whose answer nobody will read to its end."""
+        with self._lock:
+            if self._server is not None:
+                _abort(self._server)
+        self.detach()
+
     def look(self, now: float, *, caller_gone: bool) -> None:
         """End the wait if it is over."""
         if self.is_over:
@@ -119,7 +130,7 @@
         with self._lock:
             self._cut = cut
             if self._server is not None:
-                _shut_down(self._server)
+                _abort(self._server)
 
 
 class Watchdog:
@@ -211,7 +222,15 @@
         return True
 
 
-def _shut_down(server: socket.socket) -> None:
+def _abort(server: socket.socket) -> None:
+    """Wake the thread that reads from the socket, whose close then is a reset.
+
+    Failure: the server's machine is frozen and has not acknowledged the request.
+    Symptom: after an orderly close the kernel goes on retransmitting, and the server
+    begins the request when its machine wakes, seconds after its caller has left. A
+    reset drops what is not yet delivered.
+    """
     # It may have been closed by the other side already.
     with contextlib.suppress(OSError):
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         server.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/forwarding/test_calls.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+import socket
+from threading import Thread
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import pytest
+
+from kingcupwheel.forwarding.calls import Answered
+from kingcupwheel.forwarding.calls import Lost
+from kingcupwheel.forwarding.calls import Outgoing
+from kingcupwheel.forwarding.calls import ServerCalls
+from kingcupwheel.forwarding.connections import Connections
+from kingcupwheel.forwarding.watchdog import Cut
+from kingcupwheel.forwarding.watchdog import Watched
+from tests.forwarding.fleet import PATIENCE_S
+from tests.forwarding.fleet import until
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.forwarding.calls import Sent
+
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Response-Signature: s\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n"
+)
+
+
+class Call:
+    """One request to a server that this test plays on a bare socket."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.watched = Watched(None, monotonic() + PATIENCE_S)
+        self.connections = Connections()
+        self.sent: list[Sent] = []
+        self.thread = Thread(target=self._send, daemon=True)
+        self.thread.start()
+        self.server, _ = self.listener.accept()
+        self.server.settimeout(PATIENCE_S)
+        until(lambda: b"body" in self.server.recv(65_536, socket.MSG_PEEK))
+
+    def _send(self) -> None:
+        host, port = self.listener.getsockname()
+        self.sent.append(
+            ServerCalls(self.connections).send(
+                Outgoing("POST", "/x", {}, b"body", "a-1"),
+                instance="i-1",
+                life="i-1",
+                address=f"{host}:{port}",
+                watched=self.watched,
+                silence_s=PATIENCE_S,
+                pulse=None,
+                fresh=False,
+                may_give_up=lambda: True,
+            )
+        )
+
+    def was_reset(self) -> bool:
+        """Return whether the server's kernel was told to drop the connection."""
+        return self.server.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
+@pytest.mark.parametrize("cut", [Cut.CALLER_LEFT, Cut.TIME_UP, Cut.SILENT, Cut.SLOW])
+def test_a_request_given_up_before_its_answer_is_reset_at_its_server(cut: Cut) -> None:
+    """A frozen server must not begin the request of a caller that left meanwhile."""
+    call = Call()
+
+    call.watched.end(cut)
+    call.thread.join(PATIENCE_S)
+
+    assert call.sent == [Lost(cut.value)]
+    assert call.was_reset()
+
+
+def test_an_answer_given_up_midway_is_reset_at_its_server() -> None:
+    """A frozen server must not go on with an answer that nobody reads any more."""
+    call = Call()
+    call.server.sendall(HEAD)
+    call.thread.join(PATIENCE_S)
+    (sent,) = call.sent
+    assert isinstance(sent, Answered)
+    assert sent.answer.read() == b"first"
+
+    sent.answer.end("i-1", call.connections)
+
+    assert call.was_reset()
+
+
+def test_a_whole_answer_ends_without_a_reset() -> None:
+    call = Call()
+    call.server.sendall(HEAD.replace(b"\r\n\r\n5", b"\r\nConnection: close\r\n\r\n5"))
+    call.server.sendall(b"0\r\n\r\n")
+    call.thread.join(PATIENCE_S)
+    (sent,) = call.sent
+    assert isinstance(sent, Answered)
+    assert sent.answer.read_whole(1000) == b"first"
+
+    sent.answer.end("i-1", call.connections)
+
+    assert not call.was_reset()
