--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -92,11 +92,14 @@
 def wait_for_run(context: Any, key: str) -> None:
     """Wait until a backend server counts the run."""
     world = context.world
-    wait_until(
-        lambda: world.runs_by_idempotency_key().get(key, 0) > 0,
-        f"a run of {key}",
-        SEEN_TIMEOUT_S,
-    )
+    try:
+        wait_until(
+            lambda: world.runs_by_idempotency_key().get(key, 0) > 0,
+            f"a run of {key}",
+            SEEN_TIMEOUT_S,
+        )
+    except TimeoutError as error:
+        raise TimeoutError(f"{error}; replies so far: {world.replies_in()}") from error
 
 
 @when("{name} has {count:d} runs")
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -50,7 +50,7 @@
         world.fleet.add_entry(f"entry-{number}", data_centre=f"dc-{number}")
     submitted = world.fleet.submit(manifest())
     assert submitted.returncode == 0, submitted.stderr
-    time.sleep(2)
+    world.fleet.wait_known()
 
 
 def _start(
@@ -71,7 +71,7 @@
     if engines:
         world.fleet.wait_ready(KEY, COMPLETIONS, {"prompt": "ready", "max_tokens": 1})
     else:
-        time.sleep(2)
+        world.fleet.wait_known()
 
 
 @given("service {name} takes {delay_ms:d} ms for each call")
--- a/features/world.py
+++ b/features/world.py
@@ -86,6 +86,11 @@
         self.replies_by_name[name] = reply
         self.replies.append(reply)
 
+    def replies_in(self) -> dict[str, Answered]:
+        """Return the replies that have come, by name, without waiting."""
+        pending = self._pending_by_name.items()
+        return {name: one.result() for name, one in pending if one.done()}
+
     def wait_for_replies(self) -> None:
         """Wait for every call that was started."""
         for name in list(self._pending_by_name):
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -347,6 +347,24 @@
                 START_TIMEOUT_S,
             )
 
+    def wait_known(self) -> None:
+        """Wait until every entry has the manifest and may use every agent."""
+        for name, entry in self.entries.items():
+            wait_until(
+                lambda entry=entry: self._knows_all(entry),  # type: ignore[misc]
+                f"the manifest and every agent at {name}",
+                START_TIMEOUT_S,
+            )
+
+    def _knows_all(self, entry: Entry) -> bool:
+        try:
+            answer = self._http.request("GET", f"http://{entry.operators}/status")
+        except urllib3.exceptions.HTTPError:
+            return False
+        status = msgspec.json.decode(answer.data)
+        in_service = {row["server"] for row in status["servers"] if row["in_service"]}
+        return bool(status["manifest_version"]) and in_service >= self.agents.keys()
+
 
 def _serves(caller: Caller, http: str, path: str, body: Any) -> bool:
     reply = caller.call(http, path, body)
