--- a/src/kingcupwheel/lockstep/change.py
+++ b/src/kingcupwheel/lockstep/change.py
@@ -3,12 +3,19 @@
 Pure: phases and reports in, phases and orders out. Orders may get no answer, be lost or
 be carried out seconds later, so each is given again until the rank's report shows it.
 
-Safety rests on three facts. Rank 0 holds a pass before any rank is armed for it, so
-no pass begins on two maps while some ranks are armed. The hold is released only when
+Safety rests on three facts. A rank holds a pass before any rank is armed for it, so no
+pass begins on two maps while some ranks are armed. The hold is released only when
 every rank is armed with one version, or when every rank has prepared a higher one,
 which makes each older arming void even if its order arrives later. Only the agent
-beside rank 0 gives orders, and each names the epoch, so a former coordinator's orders
-are void.
+beside rank 0 begins changes, and each order names the epoch, so a former coordinator's
+orders are void.
+
+Failure: the machine of rank 0 is frozen right after it gave a hold. Symptom: the whole
+group stands still until it wakes, seconds later, and then has the backlog of all that
+time. Two rules let the other agents end such a hold without that machine. The pass is
+held at another machine's rank, which takes the release from them as well. And rank 0
+is armed last, after all others, so that while another rank is not armed rank 0 is not
+either, and it never will be once that rank has prepared a higher version.
 """
 
 from __future__ import annotations
@@ -39,6 +46,11 @@
 # takes some 15 ms, a pass under load as long.
 PASSES_AHEAD = 4
 
+# The rank that coordinates, and is armed last.
+FIRST = 0
+# The rank that holds the pass; in a group of one it is the same.
+HOLDER = 1
+
 # Versions skipped by a coordinator that finds orders of a former life: more than that
 # life can have given without any rank showing them.
 VERSIONS_SKIPPED = 16
@@ -59,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Holding:
-    """All ranks are prepared; rank 0 is to hold the pass ``step``."""
+    """All ranks are prepared; the holder is to hold the pass ``step``."""
 
     version: int
     layers: Layers
@@ -86,19 +98,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Settling:
-    """Released; the map is in force once the pass begins."""
+    """Released; the map is in force once the pass ``step`` begins."""
 
     version: int
     layers: Layers
+    step: int
 
 
 @dataclass(frozen=True, slots=True)
 class Voiding:
-    """A held pass of a former life: a higher version makes older armings void."""
+    """The held pass ``step`` is released once all versions up to ``over`` are void.
+
+    They are on a rank that is not armed and has prepared a higher one, ``version`` if
+    it has none yet.
+    """
 
     version: int
     layers: Layers
     step: int
+    over: int
 
 
 Phase = Idle | Preparing | Holding | Arming | Releasing | Settling | Voiding
@@ -121,7 +139,36 @@
     @property
     def own(self) -> RankState:
         """The report of rank 0, beside the coordinator."""
-        return self.states_by_rank[0]
+        return self.states_by_rank[FIRST]
+
+    @property
+    def holder(self) -> int:
+        """The rank that holds passes."""
+        return min(HOLDER, self.ranks - 1)
+
+    @property
+    def held(self) -> int | None:
+        """The pass that waits to be released at some rank."""
+        states = self.states_by_rank.values()
+        return next((one.held for one in states if one.held is not None), None)
+
+    def holds(self, step: int) -> bool:
+        """Return whether ``step`` or an earlier pass is held.
+
+        One that is later is held for another change, by the coordinator alone.
+        """
+        return self.held is not None and self.held <= step
+
+    @property
+    def step(self) -> int:
+        """The last pass that any rank shows begun."""
+        return max(one.step for one in self.states_by_rank.values())
+
+    @property
+    def newest(self) -> int:
+        """The highest version that any rank shows prepared or armed."""
+        states = self.states_by_rank.values()
+        return max(max(one.prepared, one.armed) for one in states)
 
     @property
     def highest(self) -> int:
@@ -135,10 +182,31 @@
 
     def all_armed(self, version: int) -> bool:
         """Return whether every rank shows ``version`` armed or in force."""
+        return all(_has(one, version) for one in self.states_by_rank.values())
+
+    def others_armed(self, version: int) -> bool:
+        """Return whether every rank but 0 shows ``version`` armed or in force."""
         return all(
-            version in (one.armed, one.version) for one in self.states_by_rank.values()
+            _has(one, version)
+            for rank, one in self.states_by_rank.items()
+            if rank != FIRST
         )
 
+    def is_void(self, version: int) -> bool:
+        """Return whether a rank that is not armed has prepared a higher version.
+
+        It can't be armed with ``version`` any more, so nobody can complete that one.
+        """
+        return any(_is_void(one, version) for one in self.states_by_rank.values())
+
+
+def _has(state: RankState, version: int) -> bool:
+    return version in (state.armed, state.version)
+
+
+def _is_void(state: RankState, version: int) -> bool:
+    return state.prepared > version and not state.armed
+
 
 def advance(phase: Phase, group: Group) -> Phase:
     """Return the phase that the reports lead to."""
@@ -150,50 +218,76 @@
 
 
 def _next(phase: Phase, group: Group) -> Phase:
-    own = group.own
     match phase:
+        case Preparing() | Holding() | Arming() if group.is_void(phase.version):
+            return _overtaken(phase, group)
         case Preparing(version, layers) if group.all_prepared(version):
-            return Holding(version, layers, own.step + PASSES_AHEAD)
-        case Holding(version, layers) if own.held is not None:
+            return Holding(version, layers, group.step + PASSES_AHEAD)
+        case Holding(version, layers) if group.held is not None:
             # A hold of a former life may have come late and keeps this one out; every
             # rank is prepared, and its pass has not begun either, so it serves as well.
-            return Arming(version, layers, own.held)
-        case Holding(version, layers, step) if own.step >= step:
+            return Arming(version, layers, group.held)
+        case Holding(version, layers, step) if group.step >= step:
             # A hold that comes too late is refused, so a later pass may be asked for.
-            return Holding(version, layers, own.step + PASSES_AHEAD)
+            return Holding(version, layers, group.step + PASSES_AHEAD)
         case Arming(version, layers, step) if group.all_armed(version):
             return Releasing(version, layers, step)
-        case Releasing(version, layers) if own.held is None:
-            return Settling(version, layers)
-        case Settling() if own.held is not None:
-            # A copy of the hold came after its release; every rank is armed.
-            return Releasing(phase.version, phase.layers, own.held)
-        case Settling(version) if own.version == version:
+        case Releasing(version, layers, step) if not group.holds(step):
+            return Settling(version, layers, step)
+        case Settling(version, layers, step) if group.holds(step):
+            # A copy of a hold came after the release; every rank is armed.
+            return Releasing(version, layers, step)
+        case Settling(version) if group.own.version == version:
             return Idle()
-        case Voiding(version) if own.held is None and group.all_prepared(version):
+        case Voiding(step=step) if not group.holds(step) and group.step >= step:
+            # Not before the pass has begun: orders of another agent that ends the same
+            # hold may be on their way, and would release a new one of the same pass.
             return Idle()
     return phase
 
 
+def _overtaken(phase: Preparing | Holding | Arming, group: Group) -> Phase:
+    """Return what follows a change that another agent made void.
+
+    It did so while this agent's machine was frozen, and may not have released the pass.
+    """
+    match phase:
+        case Preparing():
+            return Idle()
+        case Holding(version, layers, step) | Arming(version, layers, step):
+            return Voiding(group.highest + VERSIONS_SKIPPED, layers, step, version)
+
+
 def taken_up(group: Group, layers: Layers) -> Phase:
     """Return the phase to go on from with a hold that this life did not order.
 
-    ``layers`` is the map in force. If every rank has one version prepared or armed, the
-    former life may have released the pass already by an order still on its way: only
-    going forward is right. Otherwise it can't have, and nobody can complete that
-    version any more once a higher one is prepared.
+    ``layers`` is the map in force. If every rank has one version prepared and some are
+    armed with it, the others may be as well by orders on their way, and the pass may
+    have been released: only going forward is right. Otherwise it can't have, and nobody
+    can complete that version any more once a higher one is prepared. While no rank is
+    armed the version may itself be one that makes others void, so it is not completed.
     """
-    if group.own.held is None:
+    if group.held is None:
         return Idle()
-    newest = max(max(one.prepared, one.armed) for one in group.states_by_rank.values())
-    shown = all(newest in (one.prepared, one.armed) for one in _states(group))
-    if newest and shown:
-        return Arming(newest, (), group.own.held)
-    return Voiding(group.highest + VERSIONS_SKIPPED, layers, group.own.held)
+    newest = group.newest
+    states = group.states_by_rank.values()
+    shown = all(newest in (one.prepared, one.armed) for one in states)
+    if shown and any(one.armed == newest for one in states):
+        return Arming(newest, (), group.held)
+    return Voiding(group.highest + VERSIONS_SKIPPED, layers, group.held, newest)
 
 
-def _states(group: Group) -> tuple[RankState, ...]:
-    return tuple(group.states_by_rank.values())
+def taken_up_without_first(group: Group, layers: Layers) -> Phase:
+    """Return the phase to go on from while rank 0 and its agent can't be reached.
+
+    Rank 0 is armed last. If another rank is not armed, it is not either, and the change
+    is made void; else it may be, and its pass may have been released, so that nobody
+    but rank 0's agent can tell.
+    """
+    newest = group.newest
+    if group.held is None or group.others_armed(newest):
+        return Idle()
+    return Voiding(group.highest + VERSIONS_SKIPPED, layers, group.held, newest)
 
 
 def wants(phase: Phase, group: Group) -> tuple[Want, ...]:
@@ -204,29 +298,42 @@
             prepare = Prepare(epoch, version, layers)
             return _for_ranks(group, prepare, lambda one: one.prepared == version)
         case Holding(_, _, step):
-            return (Want(0, Hold(epoch, step)),)
+            return (Want(group.holder, Hold(epoch, step)),)
         case Arming(version, _, step):
             arm = Arm(epoch, version, step)
-            return _for_ranks(
-                group, arm, lambda one: version in (one.armed, one.version)
-            )
-        case Releasing(_, _, step):
-            return (Want(0, Release(epoch, step)),)
+            found = _for_ranks(group, arm, lambda one: _has(one, version))
+            return tuple(want for want in found if want.rank != FIRST) or found
+        case Releasing(step=step):
+            return _releases(group, step)
         case Voiding():
             return _voiding(phase, group)
         case _:
             return ()
 
 
+def _releases(group: Group, step: int) -> tuple[Want, ...]:
+    return tuple(
+        Want(rank, Release(group.epoch, state.held))
+        for rank, state in group.states_by_rank.items()
+        if state.held is not None and state.held <= step
+    )
+
+
 def _voiding(phase: Voiding, group: Group) -> tuple[Want, ...]:
-    if group.all_prepared(phase.version):
-        return (Want(0, Release(group.epoch, phase.step)),)
+    """Return what makes older armings void, and then releases the pass.
+
+    A rank that is not armed prepares the higher version first. While none has, an agent
+    that was frozen may wake and find all ranks armed, so none may be disarmed.
+    """
+    if all(_is_void(one, phase.over) for one in group.states_by_rank.values()):
+        return _releases(group, phase.step)
+    prepare = Prepare(group.epoch, phase.version, phase.layers)
     found: list[Want] = []
     for rank, state in group.states_by_rank.items():
         if state.armed:
-            found.append(Want(rank, Disarm(group.epoch, state.armed)))
-        elif state.prepared != phase.version:
-            prepare = Prepare(group.epoch, phase.version, phase.layers)
+            if group.is_void(state.armed):
+                found.append(Want(rank, Disarm(group.epoch, state.armed)))
+        elif not _is_void(state, phase.over):
             found.append(Want(rank, prepare))
     return tuple(found)
 
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -5,9 +5,12 @@
 epoch can't be. A former life's orders are dealt with when this one finds a held pass.
 
 Failure: that agent is frozen, or killed, between a hold and its release. Symptom: the
-whole group stands still until it is back. The agents of two other ranks then complete
-the change, and do nothing else: every rank is prepared for it before a pass is held, so
-it can always be completed, and completing it twice does no harm.
+whole group stands still until it is back. The agents of two other ranks then end the
+change, and do nothing else. If rank 0's server answers they complete it: every rank is
+prepared before a pass is held, and completing it twice does no harm. If its whole
+machine is frozen they make the change void. For that the hold is given past the agents,
+to a server on another machine, so that what gave it and what holds it are not lost
+together.
 """
 
 from __future__ import annotations
@@ -19,16 +22,21 @@
 
 from kingcupwheel.lockstep.asking import Question
 from kingcupwheel.lockstep.balancing import Balancer
+from kingcupwheel.lockstep.change import FIRST
 from kingcupwheel.lockstep.change import Arming
 from kingcupwheel.lockstep.change import Group
 from kingcupwheel.lockstep.change import Idle
 from kingcupwheel.lockstep.change import Preparing
 from kingcupwheel.lockstep.change import Releasing
 from kingcupwheel.lockstep.change import Settling
+from kingcupwheel.lockstep.change import Voiding
 from kingcupwheel.lockstep.change import advance
 from kingcupwheel.lockstep.change import taken_up
+from kingcupwheel.lockstep.change import taken_up_without_first
 from kingcupwheel.lockstep.change import wants
 from kingcupwheel.lockstep.direct import DirectPanel
+from kingcupwheel.lockstep.orders import Hold
+from kingcupwheel.lockstep.orders import Release
 from kingcupwheel.lockstep.rosters import Roster
 from kingcupwheel.lockstep.rosters import heads_of
 from kingcupwheel.lockstep.rosters import layers_of
@@ -69,8 +77,10 @@
 PREPARING_LIMIT_S = 4.0
 
 
-# Ranks whose agents complete a change that rank 0's leaves unfinished.
+# Ranks whose agents end a change that rank 0's leaves unfinished.
 RESCUERS = (1, 2)
+# Longest time for that, in seconds; past it they read everything anew.
+RESCUE_LIMIT_S = 2.0
 # How often they look at their own rank, in seconds.
 RESCUE_LOOK_S = 0.15
 
@@ -171,7 +181,8 @@
         )
         answers = self._with_direct(answers, servers_by_agent)
         ranks = ranks_of(own.ok, answers)
-        if len(ranks) < own.ok.ranks:
+        lacks_first = self._rescues and set(ranks) == set(range(1, own.ok.ranks))
+        if len(ranks) < own.ok.ranks and not lacks_first:
             log.info(
                 "ranks-missing",
                 found=sorted(ranks),
@@ -181,14 +192,15 @@
             )
             return _LOOK_S
         agents = {rank: found.agent for rank, found in ranks.items()}
-        self._roster = Roster(own.ok.epoch, agents, servers_by_agent)
+        self._roster = Roster(own.ok.epoch, own.ok.ranks, agents, servers_by_agent)
         self._panel.branch(self._roster.heads)
         self._states = {rank: found.state for rank, found in ranks.items()}
-        self._layers = layers_of(ranks, shape)
+        self._layers = layers_of(ranks, own.ok.ranks, shape)
         self._balancer = Balancer(shape)
-        self._phase = taken_up(self._group(self._roster), self._layers)
-        if self._rescues and not isinstance(self._phase, Arming):
-            # Only a change that every rank is prepared for may be completed from here.
+        self._started_at = monotonic()
+        begin = taken_up_without_first if lacks_first else taken_up
+        self._phase = begin(self._group(self._roster), self._layers)
+        if self._rescues and isinstance(self._phase, Idle):
             self._forget()
             return _LOOK_S
         log.info(
@@ -196,7 +208,8 @@
             epoch=own.ok.epoch,
             ranks=own.ok.ranks,
             version=own.ok.version,
-            held=own.ok.held,
+            held=self._group(self._roster).held,
+            found=len(ranks),
             phase=type(self._phase).__name__,
         )
         return 0.0
@@ -218,7 +231,7 @@
         return answers
 
     def _group(self, roster: Roster) -> Group:
-        return Group(roster.epoch, len(roster.agents_by_rank), self._states)
+        return Group(roster.epoch, roster.ranks, self._states)
 
     def _balance(self) -> float:
         roster, balancer = self._roster, self._balancer
@@ -233,7 +246,7 @@
         if not self._take_in(answers):
             return _LOOK_S
         group = self._group(roster)
-        if group.own.held is not None:
+        if group.held is not None:
             # A hold of a former life came late; see ``taken_up``.
             self._phase = taken_up(group, self._layers)
             return 0.0
@@ -249,15 +262,24 @@
     def _go_on(self) -> None:
         roster = self._roster
         assert roster is not None, "changes need a roster"
+        if self._rescues and monotonic() - self._started_at > RESCUE_LIMIT_S:
+            self._forget()
+            return
         asked = wants(self._phase, self._group(roster))
         if not asked:
             self._look(roster)
             return
         wait_s = _PREPARE_S if isinstance(self._phase, Preparing) else _ORDER_S
-        questions = {
-            roster.agents_by_rank[want.rank]: Question(Tell.STATE, want.order, wait_s)
-            for want in asked
-        }
+        questions: dict[str, Question] = {}
+        for want in asked:
+            agent = roster.agents_by_rank[want.rank]
+            if isinstance(want.order, Hold | Release):
+                # See the module: what gives it and what holds it must not be lost
+                # together.
+                self._direct.give(roster.server_of(agent), want.order)
+                questions[agent] = Question()
+            else:
+                questions[agent] = Question(Tell.STATE, want.order, wait_s)
         answers = self._panel.ask(
             {one: asks for one, asks in questions.items() if one not in self._silent}
         )
@@ -290,33 +312,42 @@
                 answers[agent] = told[server]
 
     def _look(self, roster: Roster) -> None:
-        own = roster.agents_by_rank[0]
-        answers = {} if own in self._silent else self._panel.ask({own: Question()})
-        if own not in answers:
-            server = roster.server_of(own)
-            told = self._direct.ask({server: RankAsk(0, Tell.STATE)})
-            if server in told:
-                answers[own] = told[server]
+        ranks = {FIRST, self._group(roster).holder} & roster.agents_by_rank.keys()
+        agents = {roster.agents_by_rank[rank] for rank in ranks}
+        answers = self._panel.ask(dict.fromkeys(agents - self._silent, Question()))
+        servers = {roster.server_of(one): one for one in agents - answers.keys()}
+        told = self._direct.ask({one: RankAsk(0, Tell.STATE) for one in servers})
+        answers.update({servers[server]: one for server, one in told.items()})
         if self._take_in(answers):
             self._advance(roster)
 
     def _advance(self, roster: Roster) -> None:
         before = self._phase
-        self._phase = advance(before, self._group(roster))
-        own = self._states[0]
+        group = self._group(roster)
+        self._phase = advance(before, group)
         log.debug(
             "phase",
             phase=type(self._phase).__name__,
-            step=own.step,
-            held=own.held,
+            held=group.held,
             armed=[rank for rank, one in self._states.items() if one.armed],
             prepared=[rank for rank, one in self._states.items() if one.prepared],
         )
-        released = isinstance(self._phase, Settling | Idle)
-        if released and isinstance(before, Arming | Releasing):
-            self._released(before)
-        elif isinstance(self._phase, Preparing):
-            self._give_up_if_stuck()
+        match before:
+            case Preparing(version) if isinstance(self._phase, Idle):
+                self._voided(version)
+            case Voiding(over=version) if isinstance(self._phase, Idle):
+                self._voided(version)
+            case Arming() | Releasing() if isinstance(self._phase, Settling | Idle):
+                self._released(before)
+            case _ if isinstance(self._phase, Preparing):
+                self._give_up_if_stuck()
+
+    def _voided(self, version: int) -> None:
+        """Note a change that was ended without coming into force."""
+        took_s = monotonic() - self._started_at
+        log.info("change-voided", version=version, ms=round(took_s * 1000))
+        self._metrics.changes.labels("voided").inc()
+        self._forget()
 
     def _released(self, change: Arming | Releasing) -> None:
         took_s = monotonic() - self._started_at
--- a/src/kingcupwheel/lockstep/direct.py
+++ b/src/kingcupwheel/lockstep/direct.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from kingcupwheel.lockstep.orders import RankOrder
     from kingcupwheel.messages.lockstep import RankAsk
     from kingcupwheel.messages.lockstep import RankTold
 
@@ -33,6 +34,14 @@
 
     def __init__(self) -> None:
         self._pool: ThreadPoolExecutor | None = None
+        self._clients: dict[str, RankClient] = {}
+
+    def give(self, server: str, order: RankOrder) -> None:
+        """Give an order once; whether it was carried out is for the report to show."""
+        if server not in self._clients:
+            self._clients = {server: RankClient(f"http://{server}")}
+        given = self._clients[server].give(order)
+        log.debug("order-given", order=type(order).__name__, answer=str(given))
 
     def ask(self, asks_by_server: Mapping[str, RankAsk]) -> dict[str, RankTold]:
         """Return what servers tell, by address; silent ones are left out."""
--- a/src/kingcupwheel/lockstep/rosters.py
+++ b/src/kingcupwheel/lockstep/rosters.py
@@ -27,9 +27,14 @@
 
 
 class Roster(NamedTuple):
-    """Where the ranks of one epoch are: addresses of agents, and of servers."""
+    """Where the ranks of one epoch are: addresses of agents, and of servers.
+
+    ``ranks`` is the group's size; rank 0 may be missing from ``agents_by_rank`` for an
+    agent that ends a hold without it.
+    """
 
     epoch: int
+    ranks: int
     agents_by_rank: Mapping[int, str]
     servers_by_agent: Mapping[str, Beside]
 
@@ -81,9 +86,21 @@
     )
 
 
-def layers_of(ranks: Mapping[int, Found], shape: EngineShape) -> Layers:
-    """Return the map in force, put together from each rank's experts."""
-    places = [ranks[rank].places for rank in range(len(ranks))]
-    if not all(len(one) == shape.layers for one in places):
-        return dealt_in_turn(len(ranks), shape.layers, shape.experts)
-    return tuple(tuple(one[layer] for one in places) for layer in range(shape.layers))
+def layers_of(ranks: Mapping[int, Found], size: int, shape: EngineShape) -> Layers:
+    """Return the map in force, put together from each rank's experts.
+
+    A rank that is missing is given the experts that no other one has.
+    """
+    if not all(len(one.places) == shape.layers for one in ranks.values()):
+        return dealt_in_turn(size, shape.layers, shape.experts)
+    return tuple(_layer_of(ranks, size, shape, layer) for layer in range(shape.layers))
+
+
+def _layer_of(
+    ranks: Mapping[int, Found], size: int, shape: EngineShape, layer: int
+) -> tuple[tuple[int, ...], ...]:
+    held = {expert for one in ranks.values() for expert in one.places[layer]}
+    rest = tuple(one for one in range(shape.experts) if one not in held) or (0,)
+    return tuple(
+        ranks[rank].places[layer] if rank in ranks else rest for rank in range(size)
+    )
