--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -25,6 +25,7 @@
 from kingcupwheel.lockstep.change import FIRST
 from kingcupwheel.lockstep.change import Arming
 from kingcupwheel.lockstep.change import Group
+from kingcupwheel.lockstep.change import Holding
 from kingcupwheel.lockstep.change import Idle
 from kingcupwheel.lockstep.change import Preparing
 from kingcupwheel.lockstep.change import Releasing
@@ -265,6 +266,11 @@
         if self._rescues and monotonic() - self._started_at > RESCUE_LIMIT_S:
             self._forget()
             return
+        if isinstance(self._phase, Holding):
+            if not self._all_answer(roster):
+                return
+            # The pass that was to be held may have begun meanwhile.
+            self._advance(roster)
         asked = wants(self._phase, self._group(roster))
         if not asked:
             self._look(roster)
@@ -292,6 +298,22 @@
         if self._take_in(answers):
             self._advance(roster)
 
+    def _all_answer(self, roster: Roster) -> bool:
+        """Return whether every rank answers right now, which a hold waits for.
+
+        Failure: a machine freezes after its rank has prepared. Symptom: the pass is
+        held, that rank can't be armed, and the whole group stands still until the
+        machine wakes. Without a hold passes go on with the map in force meanwhile.
+        """
+        agents = set(roster.agents_by_rank.values())
+        answers = self._states_of(roster, agents)
+        if not self._take_in(answers):
+            return False
+        if answers.keys() < agents:
+            self._give_up_if_stuck()
+            return False
+        return True
+
     def _order_directly(
         self,
         roster: Roster,
@@ -314,12 +336,17 @@
     def _look(self, roster: Roster) -> None:
         ranks = {FIRST, self._group(roster).holder} & roster.agents_by_rank.keys()
         agents = {roster.agents_by_rank[rank] for rank in ranks}
+        answers = self._states_of(roster, agents)
+        if self._take_in(answers):
+            self._advance(roster)
+
+    def _states_of(self, roster: Roster, agents: set[str]) -> dict[str, RankTold]:
+        """Return the states of ranks by agent, from servers where agents are silent."""
         answers = self._panel.ask(dict.fromkeys(agents - self._silent, Question()))
         servers = {roster.server_of(one): one for one in agents - answers.keys()}
         told = self._direct.ask({one: RankAsk(0, Tell.STATE) for one in servers})
         answers.update({servers[server]: one for server, one in told.items()})
-        if self._take_in(answers):
-            self._advance(roster)
+        return answers
 
     def _advance(self, roster: Roster) -> None:
         before = self._phase
--- a/tests/standins/lockstep_group.py
+++ b/tests/standins/lockstep_group.py
@@ -24,6 +24,8 @@
 
     def do_GET(self) -> None:  # noqa: N802
         rank = self.stand_in
+        if self._is_lost(rank):
+            return
         if self.path == "/v1/report":
             self.reply_json(rank.report())
         elif self.path == "/v1/picked":
@@ -31,8 +33,15 @@
         else:
             self.reply_json(rank.lists())
 
+    def _is_lost(self, rank: RankStandIn) -> bool:
+        if rank.is_frozen.is_set():
+            self.close_connection = True
+        return rank.is_frozen.is_set()
+
     def do_POST(self) -> None:  # noqa: N802
         order = json.loads(self.read_body())
+        if self._is_lost(self.stand_in):
+            return
         status = self.stand_in.order(order)
         if status == 0:
             self.close_connection = True
@@ -57,10 +66,16 @@
         self.maps: dict[int, Any] = {0: group.first_map}
         self.counts = [0] * (group.layers * group.experts)
         self.lost = 0.0
+        # Whether its machine freezes as soon as a version is prepared.
+        self.freezes_prepared = False
+        self.is_frozen = Event()
 
     def report(self) -> dict[str, Any]:
         with self.group.lock:
             armed = self.armed
+            if self.freezes_prepared and self.prepared:
+                # This report still goes out.
+                self.is_frozen.set()
             return {
                 "group": {
                     "Name": "g",
