--- a/src/kingcupwheel/lockstep/balancing.py
+++ b/src/kingcupwheel/lockstep/balancing.py
@@ -22,8 +22,8 @@
     from collections.abc import Sequence
 
     from kingcupwheel.forwarding.configuration import EngineShape
-    from kingcupwheel.lockstep.change import Group
     from kingcupwheel.lockstep.change import Layers
+    from kingcupwheel.lockstep.group import Group
     from kingcupwheel.messages.lockstep import RankTold
 
 log = lines_of("maps")
--- a/src/kingcupwheel/lockstep/change.py
+++ b/src/kingcupwheel/lockstep/change.py
@@ -24,6 +24,9 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from kingcupwheel.lockstep.group import FIRST
+from kingcupwheel.lockstep.group import has_version
+from kingcupwheel.lockstep.group import is_void
 from kingcupwheel.lockstep.orders import Arm
 from kingcupwheel.lockstep.orders import Disarm
 from kingcupwheel.lockstep.orders import Hold
@@ -34,8 +37,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Mapping
 
+    from kingcupwheel.lockstep.group import Group
     from kingcupwheel.lockstep.state import RankState
 
 # Experts by layer and rank.
@@ -46,11 +49,6 @@
 # takes some 15 ms, a pass under load as long.
 PASSES_AHEAD = 4
 
-# The rank that coordinates, and is armed last.
-FIRST = 0
-# The rank that holds the pass; in a group of one it is the same.
-HOLDER = 1
-
 # Versions skipped by a coordinator that finds orders of a former life: more than that
 # life can have given without any rank showing them.
 VERSIONS_SKIPPED = 16
@@ -129,85 +127,6 @@
     order: RankOrder
 
 
-class Group(NamedTuple):
-    """The ranks' latest reports of one epoch, by rank."""
-
-    epoch: int
-    ranks: int
-    states_by_rank: Mapping[int, RankState]
-
-    @property
-    def own(self) -> RankState:
-        """The report of rank 0, beside the coordinator."""
-        return self.states_by_rank[FIRST]
-
-    @property
-    def holder(self) -> int:
-        """The rank that holds passes."""
-        return min(HOLDER, self.ranks - 1)
-
-    @property
-    def held(self) -> int | None:
-        """The pass that waits to be released at some rank."""
-        states = self.states_by_rank.values()
-        return next((one.held for one in states if one.held is not None), None)
-
-    def holds(self, step: int) -> bool:
-        """Return whether ``step`` or an earlier pass is held.
-
-        One that is later is held for another change, by the coordinator alone.
-        """
-        return self.held is not None and self.held <= step
-
-    @property
-    def step(self) -> int:
-        """The last pass that any rank shows begun."""
-        return max(one.step for one in self.states_by_rank.values())
-
-    @property
-    def newest(self) -> int:
-        """The highest version that any rank shows prepared or armed."""
-        states = self.states_by_rank.values()
-        return max(max(one.prepared, one.armed) for one in states)
-
-    @property
-    def highest(self) -> int:
-        """The highest version that any rank shows."""
-        states = self.states_by_rank.values()
-        return max(max(one.version, one.prepared, one.armed) for one in states)
-
-    def all_prepared(self, version: int) -> bool:
-        """Return whether every rank shows ``version`` prepared."""
-        return all(one.prepared == version for one in self.states_by_rank.values())
-
-    def all_armed(self, version: int) -> bool:
-        """Return whether every rank shows ``version`` armed or in force."""
-        return all(_has(one, version) for one in self.states_by_rank.values())
-
-    def others_armed(self, version: int) -> bool:
-        """Return whether every rank but 0 shows ``version`` armed or in force."""
-        return all(
-            _has(one, version)
-            for rank, one in self.states_by_rank.items()
-            if rank != FIRST
-        )
-
-    def is_void(self, version: int) -> bool:
-        """Return whether a rank that is not armed has prepared a higher version.
-
-        It can't be armed with ``version`` any more, so nobody can complete that one.
-        """
-        return any(_is_void(one, version) for one in self.states_by_rank.values())
-
-
-def _has(state: RankState, version: int) -> bool:
-    return version in (state.armed, state.version)
-
-
-def _is_void(state: RankState, version: int) -> bool:
-    return state.prepared > version and not state.armed
-
-
 def advance(phase: Phase, group: Group) -> Phase:
     """Return the phase that the reports lead to."""
     while True:
@@ -219,7 +138,7 @@
 
 def _next(phase: Phase, group: Group) -> Phase:
     match phase:
-        case Preparing() | Holding() | Arming() if group.is_void(phase.version):
+        case Preparing() | Holding() | Arming() if group.is_overtaken(phase.version):
             return _overtaken(phase, group)
         case Preparing(version, layers) if group.all_prepared(version):
             return Holding(version, layers, group.step + PASSES_AHEAD)
@@ -301,7 +220,7 @@
             return (Want(group.holder, Hold(epoch, step)),)
         case Arming(version, _, step):
             arm = Arm(epoch, version, step)
-            found = _for_ranks(group, arm, lambda one: _has(one, version))
+            found = _for_ranks(group, arm, lambda one: has_version(one, version))
             return tuple(want for want in found if want.rank != FIRST) or found
         case Releasing(step=step):
             return _releases(group, step)
@@ -325,15 +244,15 @@
     A rank that is not armed prepares the higher version first. While none has, an agent
     that was frozen may wake and find all ranks armed, so none may be disarmed.
     """
-    if all(_is_void(one, phase.over) for one in group.states_by_rank.values()):
+    if all(is_void(one, phase.over) for one in group.states_by_rank.values()):
         return _releases(group, phase.step)
     prepare = Prepare(group.epoch, phase.version, phase.layers)
     found: list[Want] = []
     for rank, state in group.states_by_rank.items():
         if state.armed:
-            if group.is_void(state.armed):
+            if group.is_overtaken(state.armed):
                 found.append(Want(rank, Disarm(group.epoch, state.armed)))
-        elif not _is_void(state, phase.over):
+        elif not is_void(state, phase.over):
             found.append(Want(rank, prepare))
     return tuple(found)
 
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -20,11 +20,8 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from kingcupwheel.lockstep.asking import Question
 from kingcupwheel.lockstep.balancing import Balancer
-from kingcupwheel.lockstep.change import FIRST
 from kingcupwheel.lockstep.change import Arming
-from kingcupwheel.lockstep.change import Group
 from kingcupwheel.lockstep.change import Holding
 from kingcupwheel.lockstep.change import Idle
 from kingcupwheel.lockstep.change import Preparing
@@ -35,16 +32,13 @@
 from kingcupwheel.lockstep.change import taken_up
 from kingcupwheel.lockstep.change import taken_up_without_first
 from kingcupwheel.lockstep.change import wants
-from kingcupwheel.lockstep.direct import DirectPanel
-from kingcupwheel.lockstep.orders import Hold
-from kingcupwheel.lockstep.orders import Release
+from kingcupwheel.lockstep.group import FIRST
+from kingcupwheel.lockstep.group import Group
+from kingcupwheel.lockstep.reaching import RankReach
 from kingcupwheel.lockstep.rosters import Roster
-from kingcupwheel.lockstep.rosters import heads_of
 from kingcupwheel.lockstep.rosters import layers_of
 from kingcupwheel.lockstep.rosters import ranks_of
 from kingcupwheel.lockstep.standstill import Standstill
-from kingcupwheel.messages.lockstep import RankAsk
-from kingcupwheel.messages.lockstep import Tell
 from kingcupwheel.telemetry.lines import lines_of
 
 
@@ -56,7 +50,6 @@
     from kingcupwheel.lockstep.asking import Panel
     from kingcupwheel.lockstep.change import Layers
     from kingcupwheel.lockstep.change import Phase
-    from kingcupwheel.lockstep.change import Want
     from kingcupwheel.lockstep.rosters import Beside
     from kingcupwheel.lockstep.state import RankState
     from kingcupwheel.messages.lockstep import RankTold
@@ -103,9 +96,8 @@
         shape: Callable[[], EngineShape | None],
     ) -> None:
         self._client = client
-        self._panel = panel
+        self._reach = RankReach(panel)
         self._metrics = metrics
-        self._direct = DirectPanel()
         self._find_servers = find_servers
         self._shape = shape
         self._roster: Roster | None = None
@@ -116,7 +108,6 @@
         self._started_at = 0.0
         self._standstill = Standstill()
         self._rescues = False
-        self._silent: set[str] = set()
         self._stopping = Event()
         self._thread = Thread(target=self._run, name="coordinator", daemon=True)
 
@@ -161,7 +152,7 @@
         self._phase = Idle()
         self._states = {}
         self._layers = ()
-        self._silent = set()
+        self._reach.forget()
 
     def _take_charge(self) -> float:
         own = self._client.state()
@@ -176,11 +167,7 @@
         if shape is None or not own.ok.ranks:
             return _LOOK_S
         servers_by_agent = self._find_servers()
-        self._panel.branch(heads_of(servers_by_agent, servers_by_agent))
-        answers = self._panel.ask(
-            dict.fromkeys(servers_by_agent, Question(Tell.PLACES))
-        )
-        answers = self._with_direct(answers, servers_by_agent)
+        answers = self._reach.places(servers_by_agent)
         ranks = ranks_of(own.ok, answers)
         lacks_first = self._rescues and set(ranks) == set(range(1, own.ok.ranks))
         if len(ranks) < own.ok.ranks and not lacks_first:
@@ -194,7 +181,7 @@
             return _LOOK_S
         agents = {rank: found.agent for rank, found in ranks.items()}
         self._roster = Roster(own.ok.epoch, own.ok.ranks, agents, servers_by_agent)
-        self._panel.branch(self._roster.heads)
+        self._reach.take_over(self._roster)
         self._states = {rank: found.state for rank, found in ranks.items()}
         self._layers = layers_of(ranks, own.ok.ranks, shape)
         self._balancer = Balancer(shape)
@@ -215,22 +202,6 @@
         )
         return 0.0
 
-    def _with_direct(
-        self, answers: dict[str, RankTold], servers_by_agent: Mapping[str, Beside]
-    ) -> dict[str, RankTold]:
-        """Ask servers themselves whose agents are silent."""
-        silent = [agent for agent in servers_by_agent if agent not in answers]
-        self._silent.update(silent)
-        ask = RankAsk(0, Tell.PLACES)
-        told = self._direct.ask(
-            {servers_by_agent[agent].server: ask for agent in silent}
-        )
-        for agent in silent:
-            server = servers_by_agent[agent].server
-            if server in told:
-                answers[agent] = told[server]
-        return answers
-
     def _group(self, roster: Roster) -> Group:
         return Group(roster.epoch, roster.ranks, self._states)
 
@@ -239,11 +210,8 @@
         assert roster is not None, "balanced only with a roster"
         assert balancer is not None, "made with the roster"
         began = monotonic()
-        questions = dict.fromkeys(roster.agents_by_rank.values(), Question(Tell.COUNTS))
-        answers = self._panel.ask(questions)
-        # Every agent is asked here again, so one that was silent may be back.
-        self._silent = set(questions) - set(answers)
-        self._metrics.silent.inc(len(self._silent))
+        answers, silent = self._reach.counts(roster)
+        self._metrics.silent.inc(silent)
         if not self._take_in(answers):
             return _LOOK_S
         group = self._group(roster)
@@ -276,25 +244,7 @@
             self._look(roster)
             return
         wait_s = _PREPARE_S if isinstance(self._phase, Preparing) else _ORDER_S
-        questions: dict[str, Question] = {}
-        for want in asked:
-            agent = roster.agents_by_rank[want.rank]
-            if isinstance(want.order, Hold | Release):
-                # See the module: what gives it and what holds it must not be lost
-                # together.
-                self._direct.give(roster.server_of(agent), want.order)
-                questions[agent] = Question()
-            else:
-                questions[agent] = Question(Tell.STATE, want.order, wait_s)
-        answers = self._panel.ask(
-            {one: asks for one, asks in questions.items() if one not in self._silent}
-        )
-        silent = [
-            want for want in asked if roster.agents_by_rank[want.rank] not in answers
-        ]
-        self._silent.update(roster.agents_by_rank[want.rank] for want in silent)
-        if silent:
-            self._order_directly(roster, silent, answers, int(wait_s * 1000))
+        answers = self._reach.order(roster, asked, wait_s)
         if self._take_in(answers):
             self._advance(roster)
 
@@ -305,49 +255,20 @@
         held, that rank can't be armed, and the whole group stands still until the
         machine wakes. Without a hold passes go on with the map in force meanwhile.
         """
-        agents = set(roster.agents_by_rank.values())
-        answers = self._states_of(roster, agents)
+        answers = self._reach.states(roster, roster.agents_by_rank)
         if not self._take_in(answers):
             return False
-        if answers.keys() < agents:
+        if len(answers) < len(roster.agents_by_rank):
             self._give_up_if_stuck()
             return False
         return True
 
-    def _order_directly(
-        self,
-        roster: Roster,
-        silent: list[Want],
-        answers: dict[str, RankTold],
-        wait_ms: int,
-    ) -> None:
-        """Give orders to servers whose agents are silent; see ``DirectPanel``."""
-        agents = [roster.agents_by_rank[want.rank] for want in silent]
-        servers = [roster.server_of(agent) for agent in agents]
-        asks = {
-            server: RankAsk(0, Tell.STATE, want.order, wait_ms)
-            for server, want in zip(servers, silent, strict=True)
-        }
-        told = self._direct.ask(asks)
-        for agent, server in zip(agents, servers, strict=True):
-            if server in told:
-                answers[agent] = told[server]
-
     def _look(self, roster: Roster) -> None:
         ranks = {FIRST, self._group(roster).holder} & roster.agents_by_rank.keys()
-        agents = {roster.agents_by_rank[rank] for rank in ranks}
-        answers = self._states_of(roster, agents)
+        answers = self._reach.states(roster, ranks)
         if self._take_in(answers):
             self._advance(roster)
 
-    def _states_of(self, roster: Roster, agents: set[str]) -> dict[str, RankTold]:
-        """Return the states of ranks by agent, from servers where agents are silent."""
-        answers = self._panel.ask(dict.fromkeys(agents - self._silent, Question()))
-        servers = {roster.server_of(one): one for one in agents - answers.keys()}
-        told = self._direct.ask({one: RankAsk(0, Tell.STATE) for one in servers})
-        answers.update({servers[server]: one for server, one in told.items()})
-        return answers
-
     def _advance(self, roster: Roster) -> None:
         before = self._phase
         group = self._group(roster)
--- /dev/null
+++ b/src/kingcupwheel/lockstep/reaching.py
@@ -0,0 +1,118 @@
+"""Asks a group's ranks through their agents, or the servers of silent agents."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kingcupwheel.lockstep.asking import Question
+from kingcupwheel.lockstep.direct import DirectPanel
+from kingcupwheel.lockstep.orders import Hold
+from kingcupwheel.lockstep.orders import Release
+from kingcupwheel.lockstep.rosters import heads_of
+from kingcupwheel.messages.lockstep import RankAsk
+from kingcupwheel.messages.lockstep import Tell
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from kingcupwheel.lockstep.asking import Panel
+    from kingcupwheel.lockstep.change import Want
+    from kingcupwheel.lockstep.rosters import Beside
+    from kingcupwheel.lockstep.rosters import Roster
+    from kingcupwheel.messages.lockstep import RankTold
+
+Answers = dict[str, "RankTold"]
+
+
+class RankReach:
+    """Answers are by the agents' addresses; belongs to one thread.
+
+    An agent that was silent is not asked again until ``counts`` or ``forget``: its
+    server is asked itself meanwhile.
+    """
+
+    def __init__(self, panel: Panel) -> None:
+        self._panel = panel
+        self._direct = DirectPanel()
+        self._silent: set[str] = set()
+
+    def forget(self) -> None:
+        """Ask every agent again."""
+        self._silent = set()
+
+    def take_over(self, roster: Roster) -> None:
+        """Ask the agents of ``roster`` through its heads from now on."""
+        self._panel.branch(roster.heads)
+
+    def places(self, servers_by_agent: Mapping[str, Beside]) -> Answers:
+        """Return states and experts of every rank that can be reached."""
+        self._panel.branch(heads_of(servers_by_agent, servers_by_agent))
+        answers = self._panel.ask(
+            dict.fromkeys(servers_by_agent, Question(Tell.PLACES))
+        )
+        asks = dict.fromkeys(servers_by_agent, RankAsk(0, Tell.PLACES))
+        servers = {one: beside.server for one, beside in servers_by_agent.items()}
+        self._ask_servers(asks, servers, answers)
+        return answers
+
+    def counts(self, roster: Roster) -> tuple[Answers, int]:
+        """Return states and counts, and how many agents were silent.
+
+        Servers are not asked for their counts: from afar that holds up every pass.
+        """
+        agents = tuple(roster.agents_by_rank.values())
+        answers = self._panel.ask(dict.fromkeys(agents, Question(Tell.COUNTS)))
+        self._silent = set(agents) - set(answers)
+        return answers, len(self._silent)
+
+    def states(self, roster: Roster, ranks: Iterable[int]) -> Answers:
+        """Return the states of ``ranks``."""
+        agents = [roster.agents_by_rank[rank] for rank in ranks]
+        asked = [one for one in agents if one not in self._silent]
+        answers = self._panel.ask(dict.fromkeys(asked, Question()))
+        asks = dict.fromkeys(agents, RankAsk(0, Tell.STATE))
+        self._ask_servers(asks, _servers(roster, agents), answers)
+        return answers
+
+    def order(self, roster: Roster, wanted: Iterable[Want], wait_s: float) -> Answers:
+        """Give the orders and return the states after them.
+
+        A hold and its release go to the server past its agent: what gives them and
+        what carries them out must not be lost together.
+        """
+        questions: dict[str, Question] = {}
+        asks: dict[str, RankAsk] = {}
+        for want in wanted:
+            agent = roster.agents_by_rank[want.rank]
+            if isinstance(want.order, Hold | Release):
+                self._direct.give(roster.server_of(agent), want.order)
+                questions[agent] = Question()
+                asks[agent] = RankAsk(0, Tell.STATE)
+            else:
+                questions[agent] = Question(Tell.STATE, want.order, wait_s)
+                asks[agent] = RankAsk(0, Tell.STATE, want.order, int(wait_s * 1000))
+        answers = self._panel.ask(
+            {one: asked for one, asked in questions.items() if one not in self._silent}
+        )
+        self._ask_servers(asks, _servers(roster, questions), answers)
+        return answers
+
+    def _ask_servers(
+        self, asks: Mapping[str, RankAsk], servers: Mapping[str, str], answers: Answers
+    ) -> None:
+        """Ask the servers whose agents are not among ``answers``, and add theirs."""
+        agents_by_server = {
+            servers[agent]: agent for agent in asks if agent not in answers
+        }
+        self._silent.update(agents_by_server.values())
+        told = self._direct.ask(
+            {server: asks[agent] for server, agent in agents_by_server.items()}
+        )
+        for server, one in told.items():
+            answers[agents_by_server[server]] = one
+
+
+def _servers(roster: Roster, agents: Iterable[str]) -> dict[str, str]:
+    return {agent: roster.server_of(agent) for agent in agents}
--- a/tests/lockstep/model.py
+++ b/tests/lockstep/model.py
@@ -12,9 +12,6 @@
 from dataclasses import replace
 from typing import NamedTuple
 
-from kingcupwheel.lockstep.change import FIRST
-from kingcupwheel.lockstep.change import HOLDER
-from kingcupwheel.lockstep.change import Group
 from kingcupwheel.lockstep.change import Idle
 from kingcupwheel.lockstep.change import Layers
 from kingcupwheel.lockstep.change import Phase
@@ -25,6 +22,9 @@
 from kingcupwheel.lockstep.change import taken_up
 from kingcupwheel.lockstep.change import taken_up_without_first
 from kingcupwheel.lockstep.change import wants
+from kingcupwheel.lockstep.group import FIRST
+from kingcupwheel.lockstep.group import HOLDER
+from kingcupwheel.lockstep.group import Group
 from kingcupwheel.lockstep.orders import Arm
 from kingcupwheel.lockstep.orders import Disarm
 from kingcupwheel.lockstep.orders import Hold
--- a/tests/lockstep/test_exhaustive.py
+++ b/tests/lockstep/test_exhaustive.py
@@ -4,12 +4,12 @@
 
 from functools import cache
 from random import Random
+from typing import TYPE_CHECKING
 
 import pytest
 
 from kingcupwheel.lockstep import change
 from kingcupwheel.lockstep.change import Arming
-from kingcupwheel.lockstep.change import Group
 from kingcupwheel.lockstep.change import Holding
 from kingcupwheel.lockstep.change import Idle
 from kingcupwheel.lockstep.change import Layers
@@ -32,6 +32,10 @@
 from tests.lockstep.model import start
 
 
+if TYPE_CHECKING:
+    from kingcupwheel.lockstep.group import Group
+
+
 # Two changes, a coordinator that dies once, an order without an answer and passes
 # enough for both changes to come into force.
 BOUNDS = Bounds(changes=2, lives=2, lost=1, steps=6)
