--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -258,7 +258,9 @@
         answers = self._reach.states(roster, roster.agents_by_rank)
         if not self._take_in(answers):
             return False
-        if len(answers) < len(roster.agents_by_rank):
+        # An agent may answer whose server does not.
+        shown = sum(one.state is not None for one in answers.values())
+        if shown < len(roster.agents_by_rank):
             self._give_up_if_stuck()
             return False
         return True
