--- a/src/kingcupwheel/lockstep/change.py
+++ b/src/kingcupwheel/lockstep/change.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -136,6 +137,29 @@
         phase = following
 
 
+class End(Enum):
+    """How a change ended: its map came into force, or never will."""
+
+    RELEASED = "released"
+    VOIDED = "voided"
+
+
+def ended(before: Phase, after: Phase, group: Group) -> End | None:
+    """Return how the change of ``before`` has ended by ``after``, None if it goes on.
+
+    Failure: an agent wakes and finds its change made void and the pass begun. Symptom:
+    it takes the map that never came into force for the one that experts are moved from.
+    """
+    match before:
+        case Preparing() | Holding() | Arming() if group.is_overtaken(before.version):
+            return End.VOIDED if isinstance(after, Idle) else None
+        case Voiding() if isinstance(after, Idle):
+            return End.VOIDED
+        case Arming() | Releasing() if isinstance(after, Settling | Idle):
+            return End.RELEASED
+    return None
+
+
 def _next(phase: Phase, group: Group) -> Phase:
     match phase:
         case Preparing() | Holding() | Arming() if group.is_overtaken(phase.version):
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -22,6 +22,7 @@
 
 from kingcupwheel.lockstep.balancing import Balancer
 from kingcupwheel.lockstep.change import Arming
+from kingcupwheel.lockstep.change import End
 from kingcupwheel.lockstep.change import Holding
 from kingcupwheel.lockstep.change import Idle
 from kingcupwheel.lockstep.change import Preparing
@@ -29,6 +30,7 @@
 from kingcupwheel.lockstep.change import Settling
 from kingcupwheel.lockstep.change import Voiding
 from kingcupwheel.lockstep.change import advance
+from kingcupwheel.lockstep.change import ended
 from kingcupwheel.lockstep.change import taken_up
 from kingcupwheel.lockstep.change import taken_up_without_first
 from kingcupwheel.lockstep.change import wants
@@ -239,6 +241,8 @@
                 return
             # The pass that was to be held may have begun meanwhile.
             self._advance(roster)
+            if self._roster is None:
+                return
         asked = wants(self._phase, self._group(roster))
         if not asked:
             self._look(roster)
@@ -282,25 +286,26 @@
             armed=[rank for rank, one in self._states.items() if one.armed],
             prepared=[rank for rank, one in self._states.items() if one.prepared],
         )
-        match before:
-            case Preparing(version) if isinstance(self._phase, Idle):
-                self._voided(version)
-            case Voiding(over=version) if isinstance(self._phase, Idle):
-                self._voided(version)
-            case Arming() | Releasing() if isinstance(self._phase, Settling | Idle):
+        match ended(before, self._phase, group):
+            case End.RELEASED:
                 self._released(before)
-            case _ if isinstance(self._phase, Preparing):
+            case End.VOIDED:
+                self._voided(before)
+            case None if isinstance(self._phase, Preparing):
                 self._give_up_if_stuck()
 
-    def _voided(self, version: int) -> None:
+    def _voided(self, change: Phase) -> None:
         """Note a change that was ended without coming into force."""
         took_s = monotonic() - self._started_at
+        assert not isinstance(change, Idle), "it was under way"
+        version = change.over if isinstance(change, Voiding) else change.version
         log.info("change-voided", version=version, ms=round(took_s * 1000))
         self._metrics.changes.labels("voided").inc()
         self._forget()
 
-    def _released(self, change: Arming | Releasing) -> None:
+    def _released(self, change: Phase) -> None:
         took_s = monotonic() - self._started_at
+        assert isinstance(change, Arming | Releasing), "nothing else is released"
         if change.layers:
             log.info("change-released", version=change.version, ms=round(took_s * 1000))
             self._metrics.changes.labels("released").inc()
