--- a/src/kingcupwheel/forwarding/application.py
+++ b/src/kingcupwheel/forwarding/application.py
@@ -58,14 +58,19 @@
         self._knowledge = knowledge
         self._name = name
         self._closes = closes
-        self._in_progress = 0
-        self._ids: set[str] = set()
+        self._came_at_by_id: dict[str, float] = {}
         self._lock = Lock()
 
     @property
     def in_progress(self) -> int:
-        """Requests not yet answered to their end."""
-        return self._in_progress
+        """How many requests are not yet answered to their end."""
+        return len(self._came_at_by_id)
+
+    @property
+    def came_at_by_id(self) -> dict[str, float]:
+        """When each request in progress came, monotonic."""
+        with self._lock:
+            return dict(self._came_at_by_id)
 
     def __call__(
         self, environ: Environ, start_response: Callable[..., Any]
@@ -75,7 +80,7 @@
         if self._closes():
             exchange.close_after()
         received = exchange.received(self._name, self._body_limit())
-        received = received._replace(id=self._enter(received.id))
+        received = received._replace(id=self._enter(received))
         try:
             body = self._answer(exchange, received)
         except BaseException:
@@ -88,22 +93,20 @@
         limits = RequestLimits() if configuration is None else configuration.limits
         return limits.body_bytes
 
-    def _enter(self, wanted: str) -> str:
+    def _enter(self, received: Received) -> str:
         """Count a request in; return its id, made different from those under way."""
         with self._lock:
-            self._in_progress += 1
-            found = wanted
+            found = received.id
             number = 2
-            while found in self._ids:
-                found = f"{wanted}~{number}"
+            while found in self._came_at_by_id:
+                found = f"{received.id}~{number}"
                 number += 1
-            self._ids.add(found)
+            self._came_at_by_id[found] = received.at
         return found
 
     def _leave(self, request_id: str) -> None:
         with self._lock:
-            self._in_progress -= 1
-            self._ids.discard(request_id)
+            self._came_at_by_id.pop(request_id, None)
 
     def _until_sent(self, body: Iterable[bytes], request_id: str) -> Iterator[bytes]:
         try:
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -53,6 +53,7 @@
     from kingcupwheel.settings.schema import Settings
 
 log = lines_of("process")
+requests = lines_of("requests")
 servers = lines_of("servers")
 
 # Threads for pages that are answered at once.
@@ -227,10 +228,25 @@
             Event().wait(_LOOK_S)
         while self._application.in_progress and monotonic() < end_at:
             Event().wait(_LOOK_S)
-        left = self._application.in_progress
+        left = self._application.came_at_by_id
         for follower in self._followers:
             follower.stop()
-        log.info("stopped", cut=left, took_s=round(monotonic() - began, 2))
+        self._log_cut(left, began)
+        log.info("stopped", cut=len(left), took_s=round(monotonic() - began, 2))
+
+    def _log_cut(self, came_at_by_id: dict[str, float], began: float) -> None:
+        """Log requests that the end of the process cuts; their threads can't any more.
+
+        ``came_after_s`` counts from the signal to stop, negative before it.
+        """
+        now = monotonic()
+        for request_id, came_at in came_at_by_id.items():
+            requests.warning(
+                "cut-by-stop",
+                id=request_id,
+                came_after_s=round(came_at - began, 3),
+                took_s=round(now - came_at, 3),
+            )
 
     def _knowledge(self) -> Knowledge:
         return Knowledge(
--- a/src/kingcupwheel/trace/lines.py
+++ b/src/kingcupwheel/trace/lines.py
@@ -19,7 +19,7 @@
 # its first line, in seconds.
 BELIEFS_BEFORE_S = 5.0
 _BELIEF_PARTS = frozenset({"store", "peers", "process", "log", "servers"})
-_FINAL = frozenset({"finished", "refused"})
+_FINAL = frozenset({"finished", "refused", "cut-by-stop"})
 
 
 class LogLine(NamedTuple):
@@ -149,6 +149,11 @@
                 f"Ended with status {get('status')} ({get('how')}), {get('bytes')} "
                 f"bytes, {get('took_s')} s after it came.{why}"
             )
+        case "cut-by-stop":
+            return (
+                f"Cut {get('took_s')} s after it came, as the process ended; it came "
+                f"{get('came_after_s')} s after the signal to stop."
+            )
         case "refused":
             return (
                 f"Refused with status {get('status')} ({get('how')}): {get('why')} "
--- a/tests/trace/test_lines.py
+++ b/tests/trace/test_lines.py
@@ -45,6 +45,15 @@
     assert found.gaps == ("its end: the process died, or later lines are not here",)
 
 
+def test_a_request_cut_by_a_planned_stop_has_a_whole_story_that_says_so() -> None:
+    cut = line(102.0, "requests", "cut-by-stop", id="a1", came_after_s=4.9, took_s=1.6)
+
+    found = story("a1", [*LINES[:4], cut])
+
+    assert found.gaps == ()
+    assert "it came 4.9 s after the signal to stop" in text(found)
+
+
 def test_lines_behind_a_collectors_time_are_read() -> None:
     found = story("b2", [f"12:00:01 entry-1 {one}" for one in LINES])
 
