--- /dev/null
+++ b/tests/forwarding/test_stopping.py
@@ -0,0 +1,140 @@
+"""Planned stops of an entry: what is taken, what is finished, what is refused."""
+
+from __future__ import annotations
+
+import time
+from threading import Thread
+from typing import TYPE_CHECKING
+
+from tests.forwarding.builders import route
+from tests.forwarding.fleet import until
+from tests.standins.backend import Behaviour
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.forwarding.daemon import ForwardingDaemon
+    from tests.forwarding.fleet import Answer
+    from tests.forwarding.fleet import Fleet
+
+GRACE_S = 3.0
+SLOW_ROUTE = route(
+    Name="slow",
+    PathPrefix="/slow/",
+    Kind="non_idempotent",
+    MaxAttempts=1,
+    TimeoutMs=9000,
+)
+
+
+class Sent:
+    """A request in a thread of its own, and when its answer ended."""
+
+    def __init__(self, fleet: Fleet, target: str) -> None:
+        self.answer: Answer | None = None
+        self.ended_at = float("inf")
+        self._fleet = fleet
+        self._target = target
+        self._thread = Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self) -> None:
+        self.answer = self._fleet.send(
+            self._target, X_Attempt_Id=self._target, X_Deadline_Ms="9000"
+        )
+        self.ended_at = time.monotonic()
+
+    def join(self) -> Answer:
+        """Wait for the answer."""
+        self._thread.join()
+        assert self.answer is not None
+        return self.answer
+
+
+class Stop:
+    """A planned stop in a thread of its own; its process would end at ``ended_at``."""
+
+    def __init__(self, entry: ForwardingDaemon) -> None:
+        self.began_at = time.monotonic()
+        self.ended_at = 0.0
+        self._entry = entry
+        self._thread = Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self) -> None:
+        self._entry.stop()
+        self.ended_at = time.monotonic()
+
+    def join(self) -> None:
+        """Wait for the end."""
+        self._thread.join()
+
+    def wait_until(self, after_s: float) -> None:
+        """Sleep until so long after the signal."""
+        time.sleep(max(0.0, self.began_at + after_s - time.monotonic()))
+
+
+# Guards against a stream taken late in a stop, sent on and cut as the process ends.
+def test_a_stream_that_would_outlast_a_stop_is_refused_and_not_sent_on(
+    fleet: Fleet,
+) -> None:
+    server = fleet.add_server("i-1")
+    server.behaviour = Behaviour(events=10, event_gap_s=GRACE_S * 0.05)
+    entry = fleet.add_entry(grace_s=GRACE_S)
+    stop = Stop(entry)
+    stop.wait_until(GRACE_S * 0.3)
+    early = Sent(fleet, "/stream/early")
+    stop.wait_until(GRACE_S * 0.62)
+
+    late = Sent(fleet, "/stream/late")
+    answer = late.join()
+    stop.join()
+
+    assert early.join().whole
+    assert early.ended_at <= stop.ended_at
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0.0
+    assert answer.headers["connection"] == "close"
+    assert late.ended_at <= stop.ended_at
+    assert [one.target for one in server.arrivals] == ["/stream/early"]
+
+
+# Guards against an answer cut by a stop though the platform leaves it time to end.
+def test_a_stop_lets_answers_end_until_just_before_the_grace_is_over(
+    fleet: Fleet,
+) -> None:
+    fleet.add_server("i-1").behaviour = Behaviour(
+        events=10, event_gap_s=GRACE_S * 0.083
+    )
+    entry = fleet.add_entry(grace_s=GRACE_S)
+    stop = Stop(entry)
+
+    answer = Sent(fleet, "/stream/long")
+    stop.join()
+
+    assert answer.join().whole
+    assert answer.ended_at <= stop.ended_at
+    assert stop.ended_at - stop.began_at < GRACE_S
+
+
+# Guards against a request that waits for a place when the process ends: it gets no
+# answer, and its caller can't know that it never ran.
+def test_what_still_waits_for_a_place_when_a_stop_ends_is_told_that_it_has_not_run(
+    fleet: Fleet,
+) -> None:
+    server = fleet.add_server("i-1")
+    fleet.store.put("servers", "i-1", server.entry("app", Slots=1))
+    server.behaviour = Behaviour(hangs_s=GRACE_S * 2)
+    fleet.configure(2, Routes=[SLOW_ROUTE])
+    entry = fleet.add_entry(grace_s=GRACE_S)
+    running = Sent(fleet, "/slow/1")
+    until(lambda: bool(server.arrivals))
+    waiting = Sent(fleet, "/slow/2")
+
+    stop = Stop(entry)
+    stop.join()
+
+    assert waiting.join().status == 503
+    assert waiting.ended_at <= stop.ended_at
+    assert running.join().status in (502, 504)
+    assert running.ended_at <= stop.ended_at
+    assert [one.target for one in server.arrivals] == ["/slow/1"]
