--- a/src/kingcupwheel/forwarding/application.py
+++ b/src/kingcupwheel/forwarding/application.py
@@ -34,6 +34,7 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from kingcupwheel.decisions.stopping import Stopping
     from kingcupwheel.entry.answers import Answer
     from kingcupwheel.forwarding.admitting import Knowledge
     from kingcupwheel.forwarding.context import ForwardContext
@@ -52,12 +53,11 @@
         knowledge: Callable[[], Knowledge],
         *,
         name: str,
-        closes: Callable[[], bool],
     ) -> None:
         self._context = context
         self._knowledge = knowledge
         self._name = name
-        self._closes = closes
+        self._stopping: Stopping | None = None
         self._came_at_by_id: dict[str, float] = {}
         self._lock = Lock()
 
@@ -72,12 +72,20 @@
         with self._lock:
             return dict(self._came_at_by_id)
 
+    def stop(self, stopping: Stopping) -> None:
+        """End what is in progress in time for this planned stop.
+
+        Each answer from now on closes its connection.
+        """
+        self._stopping = stopping
+        self._context.watchdog.end_by(stopping.answers_end_at)
+
     def __call__(
         self, environ: Environ, start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer one request."""
         exchange = _Exchange(environ, start_response)
-        if self._closes():
+        if self._stopping is not None:
             exchange.close_after()
         received = exchange.received(self._name, self._body_limit())
         received = received._replace(id=self._enter(received))
--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -187,7 +187,10 @@
             except NotConnectedError as error:
                 return NotSent(f"no connection: {error}")
         assert connection.sock is not None, "an open connection has a socket"
-        watched.attach(connection.sock, silence_s, instance, may_give_up)
+        if not watched.attach(connection.sock, silence_s, instance, may_give_up):
+            watched.detach()
+            connection.close()
+            return NotSent("the request was over before it was sent")
         sent = self._exchange(request, connection, watched)
         if isinstance(sent, Answered) and pulse is not None:
             sent.answer.on_data = partial(_beat, pulse, instance)
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -7,6 +7,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
+from kingcupwheel.decisions.stopping import Stopping
 from kingcupwheel.entry.dispatchers import Dispatchers
 from kingcupwheel.entry.gateway import HttpServer
 from kingcupwheel.entry.servers import ServerTable
@@ -68,10 +69,6 @@
 # A denial of a route or key needs knowledge no older than two watches and a slow
 # answer.
 _DENYING_S = 3.6
-# Parts of the grace that the platform leaves: how long new requests are taken from
-# callers that have kept this address, and when the process ends at the latest.
-_ACCEPTING_PART = 0.55
-_ENDING_PART = 0.8
 _LOOK_S = 0.05
 _MS = 1000.0
 
@@ -133,7 +130,6 @@
             self._context,
             self._knowledge,
             name=settings.name,
-            closes=self._leaving.is_set,
         )
         self._servers = self._make_servers()
         self._caretaker = Caretaker(self._store, self._currency, self._neighbours)
@@ -213,27 +209,29 @@
         Failure: callers keep this entry's address for some seconds after it has begun
         to leave. Symptom: their connections are refused, or a request that was read is
         cut. New requests are therefore taken for a while, each on a connection that is
-        closed after its answer; then what is in progress ends.
+        closed after its answer, and what is in progress ends before the process does.
         """
         began = monotonic()
-        grace_s = self._forwarding.grace_s
+        stopping = Stopping(began, self._forwarding.grace_s)
         self._leaving.set()
+        self._application.stop(stopping)
         self._neighbours.leave()
         log.info("leaving", in_progress=self._application.in_progress)
-        accept_until = began + grace_s * _ACCEPTING_PART
-        end_at = began + grace_s * _ENDING_PART
         self._caretaker.stop()
         self._neighbours.withdraw(self._store)
-        while monotonic() < accept_until:
-            Event().wait(_LOOK_S)
-        while self._application.in_progress and monotonic() < end_at:
+        while monotonic() < stopping.stays_until:
             Event().wait(_LOOK_S)
+        self._wait_for_answers(stopping)
         left = self._application.came_at_by_id
         for follower in self._followers:
             follower.stop()
         self._log_cut(left, began)
         log.info("stopped", cut=len(left), took_s=round(monotonic() - began, 2))
 
+    def _wait_for_answers(self, stopping: Stopping) -> None:
+        while self._application.in_progress and monotonic() < stopping.ends_at:
+            Event().wait(_LOOK_S)
+
     def _log_cut(self, came_at_by_id: dict[str, float], began: float) -> None:
         """Log requests that the end of the process cuts; their threads can't any more.
 
--- a/src/kingcupwheel/forwarding/placing.py
+++ b/src/kingcupwheel/forwarding/placing.py
@@ -7,6 +7,7 @@
 
 from kingcupwheel.decisions.candidates import Ask
 from kingcupwheel.entry.refusals import CALLER_LEFT
+from kingcupwheel.entry.refusals import LEAVING
 from kingcupwheel.entry.refusals import Refusal
 from kingcupwheel.entry.tickets import Place
 from kingcupwheel.entry.tickets import Ticket
@@ -68,13 +69,18 @@
     while True:
         place = ticket.wait(_LOOK_S)
         if isinstance(place, Place):
-            return place
-        if place is not None:
+            if not watched.is_over:
+                return place
+            dispatcher.release(place)
+        elif place is not None:
             return Hindered(place.limit, place.why, retry_after(request.id))
         if watched.is_over:
             dispatcher.withdraw(ticket)
             if watched.cut is Cut.CALLER_LEFT:
                 return CALLER_LEFT
+            if watched.cut is Cut.STOPPING:
+                why = Cut.STOPPING.value
+                return Hindered(LEAVING.limit, why, retry_after(request.id))
             return Hindered("time-up", "no place", retry_after(request.id))
         dispatcher.pump()
 
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -25,6 +25,7 @@
 from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.heads import ServerCall
 from kingcupwheel.forwarding.outcomes import Came
+from kingcupwheel.forwarding.outcomes import Follows
 from kingcupwheel.forwarding.outcomes import May
 from kingcupwheel.forwarding.outcomes import Sends
 from kingcupwheel.forwarding.outcomes import follows
@@ -153,7 +154,8 @@
         match sent:
             case NotSent(why):
                 came = Came.NOT_SENT
-                self._dispatcher.failed(place)
+                if not self._watched.is_over:
+                    self._dispatcher.failed(place)
             case TurnedAway(why, other_instance, faulty):
                 came = Came.TURNED_AWAY
                 if other_instance and faulty in ("", place.server):
@@ -179,13 +181,15 @@
         if came is Came.LOST and self._watched.cut is None:
             self._context.guards.lost(request.fingerprint, place.incarnation)
         left_s = request.times.over_at - monotonic()
-        if self._watched.cut is Cut.TIME_UP:
+        if self._watched.is_over:
             left_s = 0.0
         wants = may_go_again(self._sends, self._may, left_s)
         budget = wants and self._takes_budget()
         step = follows(
             came, self._sends, self._may, left_s=left_s, within_budget=budget
         )
+        if step is Follows.TIMEOUT and self._watched.cut is Cut.STOPPING:
+            step = Follows.UNKNOWN
         log.info(
             "send-ended",
             id=request.id,
--- a/src/kingcupwheel/forwarding/watchdog.py
+++ b/src/kingcupwheel/forwarding/watchdog.py
@@ -37,6 +37,7 @@
     TIME_UP = "the time is up"
     SILENT = "the server is silent"
     SLOW = "the server is slow"
+    STOPPING = "the entry stops"
 
 
 class Watched:
@@ -63,10 +64,15 @@
         """Why the wait was ended, if it was; a silent server's end is forgotten."""
         return self._cut
 
+    @property
+    def waits_for_server(self) -> bool:
+        """Whether a server has been asked and its answer is awaited."""
+        return self._server is not None
+
     @property
     def is_over(self) -> bool:
         """Whether nothing more can come of the request."""
-        return self._cut in (Cut.CALLER_LEFT, Cut.TIME_UP)
+        return self._cut in (Cut.CALLER_LEFT, Cut.TIME_UP, Cut.STOPPING)
 
     def attach(
         self,
@@ -74,11 +80,12 @@
         silence_s: float,
         instance: str = "",
         may_give_up: Callable[[], bool] = lambda: True,
-    ) -> None:
+    ) -> bool:
         """Watch a server's socket from now on; end it when over, or silent so long.
 
-        A silent server is given up only when ``may_give_up`` says so; it is asked
-        once the silence is too long, and again at each look until it does.
+        Returns False if the wait is over already: nothing may be sent then. A silent
+        server is given up only when ``may_give_up`` says so; it is asked once the
+        silence is too long, and again at each look until it does.
         """
         with self._lock:
             if not self.is_over:
@@ -88,8 +95,7 @@
             self._may_give_up = may_give_up
             self._silence_s = silence_s
             self._silent_at = monotonic() + silence_s
-            if self.is_over:
-                _abort(server)
+            return not self.is_over
 
     def progressed(self, silence_s: float | None = None) -> None:
         """Note that the server sent something; from now on expect it so often."""
@@ -110,14 +116,16 @@
                 _abort(self._server)
         self.detach()
 
-    def look(self, now: float, *, caller_gone: bool) -> None:
-        """End the wait if it is over."""
+    def look(self, now: float, *, caller_gone: bool, stop_at: float) -> None:
+        """End the wait if it is over; at ``stop_at`` (monotonic) every wait is."""
         if self.is_over:
             return
         if caller_gone:
             self.end(Cut.CALLER_LEFT)
         elif now >= self.time_up_at:
             self.end(Cut.TIME_UP)
+        elif now >= stop_at:
+            self.end(Cut.STOPPING)
         elif self._is_silent(now):
             self.end(Cut.SILENT)
 
@@ -140,6 +148,7 @@
         self._watched: set[Watched] = set()
         self._changed = Condition()
         self._stopping = False
+        self._end_at = float("inf")
         self._thread = Thread(target=self._run, name="watchdog", daemon=True)
 
     def start(self) -> None:
@@ -152,6 +161,10 @@
             self._stopping = True
             self._changed.notify_all()
 
+    def end_by(self, at: float) -> None:
+        """End every wait at this time (monotonic), also those that begin later."""
+        self._end_at = at
+
     def watch(self, watched: Watched) -> None:
         """Look at this request until ``forget``."""
         with self._changed:
@@ -189,8 +202,10 @@
     def _look(self, watched: tuple[Watched, ...]) -> None:
         gone = _gone_callers(watched)
         now = monotonic()
-        for one in watched:
-            one.look(now, caller_gone=one in gone)
+        # Those without a server go first: a place that another one's end sets free must
+        # not be given to a request that is over as well.
+        for one in sorted(watched, key=lambda one: one.waits_for_server):
+            one.look(now, caller_gone=one in gone, stop_at=self._end_at)
 
 
 def _gone_callers(watched: tuple[Watched, ...]) -> set[Watched]:
