--- /dev/null
+++ b/src/kingcupwheel/decisions/durations.py
@@ -0,0 +1,34 @@
+"""How long the longest answer of late took. Pure: times are arguments."""
+
+from __future__ import annotations
+
+
+# An answer counts for one to two of these spans, in seconds.
+SPAN_S = 5.0
+
+
+class LongestOfLate:
+    """Keeps a maximum over the present span and the one before; constant memory."""
+
+    def __init__(self) -> None:
+        self._span = 0
+        self._present_s = 0.0
+        self._before_s = 0.0
+
+    def saw(self, seconds: float, now: float) -> None:
+        """Note an answer that took so long and ended at ``now`` (monotonic)."""
+        self._turn(now)
+        self._present_s = max(self._present_s, seconds)
+
+    def longest_s(self, now: float) -> float:
+        """Return the seconds that the longest answer of late took, 0 without any."""
+        self._turn(now)
+        return max(self._present_s, self._before_s)
+
+    def _turn(self, now: float) -> None:
+        span = int(now // SPAN_S)
+        if span == self._span:
+            return
+        self._before_s = self._present_s if span == self._span + 1 else 0.0
+        self._present_s = 0.0
+        self._span = span
--- a/src/kingcupwheel/decisions/stopping.py
+++ b/src/kingcupwheel/decisions/stopping.py
@@ -1,4 +1,9 @@
-"""When an entry that stops ends what is in progress. Pure."""
+"""What an entry that stops still takes, and when it ends what is in progress. Pure.
+
+Failure: an entry goes on taking requests until its process is gone. Symptom: a stream
+that was taken late is sent to a server and cut midway, though other entries could have
+run it whole.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +11,8 @@
 
 
 # Parts of the grace, counted from the signal to stop.
+# Everything is taken for so long: callers keep the entry's address for a while.
+_TAKING_PART = 0.35
 # The process stays at least so long, so that callers who still have its address are
 # answered and not reset.
 _STAYING_PART = 0.4
@@ -13,6 +20,11 @@
 _ANSWERING_PART = 0.9
 # The process ends by then, whatever is in progress.
 _ENDING_PART = 0.95
+# A request is taken late if it may last so many times the longest answer of late: the
+# wait for a place and a server that turns slow come on top.
+_LONGEST_FACTOR = 3.0
+# What an answer is expected to last at least, in seconds, when none was seen of late.
+_LEAST_S = 0.3
 
 
 class Stopping(NamedTuple):
@@ -35,3 +47,20 @@
     def ends_at(self) -> float:
         """When the process ends at the latest."""
         return self.began_at + _ENDING_PART * self.grace_s
+
+    def takes(self, now: float, *, over_at: float, longest_s: float) -> bool:
+        """Return whether a request that comes at ``now`` is taken.
+
+        ``over_at`` is when its time is up; ``longest_s`` is how long the longest answer
+        of late took, or has taken so far.
+
+        Load: callers that keep this entry's address, or have no other one while all
+        entries stop. Harm prevented: an answer that is cut by the end of the process.
+        What is refused has not run, and another entry can run it whole.
+        """
+        if now <= self.began_at + _TAKING_PART * self.grace_s:
+            return True
+        if over_at <= self.answers_end_at:
+            return True
+        expected_s = _LONGEST_FACTOR * max(longest_s, _LEAST_S)
+        return now + expected_s <= self.answers_end_at
--- a/src/kingcupwheel/forwarding/application.py
+++ b/src/kingcupwheel/forwarding/application.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from kingcupwheel.decisions.durations import LongestOfLate
 from kingcupwheel.entry.answers import RefusedAnswer
 from kingcupwheel.entry.answers import StreamedAnswer
 from kingcupwheel.entry.answers import WholeAnswer
@@ -16,11 +17,13 @@
 from kingcupwheel.entry.exchange import status_line
 from kingcupwheel.entry.gateway import CLOSE_KEY
 from kingcupwheel.entry.gateway import SOCKET_KEY
+from kingcupwheel.entry.refusals import LEAVING
 from kingcupwheel.entry.refusals import Refusal
 from kingcupwheel.entry.refusals import body_of
 from kingcupwheel.forwarding.admitting import Received
 from kingcupwheel.forwarding.admitting import admit
 from kingcupwheel.forwarding.configuration import RequestLimits
+from kingcupwheel.forwarding.guards import spread
 from kingcupwheel.forwarding.runs import ForwardRun
 from kingcupwheel.forwarding.watchdog import Watched
 from kingcupwheel.platform import pages
@@ -38,14 +41,23 @@
     from kingcupwheel.entry.answers import Answer
     from kingcupwheel.forwarding.admitting import Knowledge
     from kingcupwheel.forwarding.context import ForwardContext
+    from kingcupwheel.forwarding.requests import ForwardRequest
 
 log = lines_of("requests")
 
 Environ = dict[str, Any]
 
+# When a caller that an entry which stops refuses may come back, in seconds: at once if
+# another entry is there, else when this one may have started again.
+_ELSEWHERE_RETRY_S = 0.05
+_RESTART_RETRY_S = 1.0
+
 
 class ForwardApplication:
-    """Answers callers; ``knowledge`` returns the configuration for a new request."""
+    """Answers callers; ``knowledge`` returns the configuration for a new request.
+
+    ``others_live`` tells whether callers can be sent to another entry.
+    """
 
     def __init__(
         self,
@@ -53,11 +65,15 @@
         knowledge: Callable[[], Knowledge],
         *,
         name: str,
+        others_live: Callable[[], bool],
     ) -> None:
         self._context = context
         self._knowledge = knowledge
         self._name = name
+        self._others_live = others_live
         self._stopping: Stopping | None = None
+        self._closed = False
+        self._durations = LongestOfLate()
         self._came_at_by_id: dict[str, float] = {}
         self._lock = Lock()
 
@@ -73,13 +89,17 @@
             return dict(self._came_at_by_id)
 
     def stop(self, stopping: Stopping) -> None:
-        """End what is in progress in time for this planned stop.
+        """Take only what this planned stop leaves time for, and end the rest in time.
 
         Each answer from now on closes its connection.
         """
         self._stopping = stopping
         self._context.watchdog.end_by(stopping.answers_end_at)
 
+    def close(self) -> None:
+        """Take nothing more; what was counted in before is still answered."""
+        self._closed = True
+
     def __call__(
         self, environ: Environ, start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
@@ -113,8 +133,27 @@
         return found
 
     def _leave(self, request_id: str) -> None:
+        now = monotonic()
+        with self._lock:
+            came_at = self._came_at_by_id.pop(request_id, now)
+            self._durations.saw(now - came_at, now)
+
+    def _refusal_of_stop(self, request: ForwardRequest) -> Refusal | None:
+        """Return the refusal of what can't end before this process does."""
+        stopping = self._stopping
+        if stopping is None:
+            return None
+        now = monotonic()
         with self._lock:
-            self._came_at_by_id.pop(request_id, None)
+            ages = [now - came_at for came_at in self._came_at_by_id.values()]
+            longest_s = max(self._durations.longest_s(now), *ages)
+        over_at = request.times.over_at
+        if not self._closed and stopping.takes(
+            now, over_at=over_at, longest_s=longest_s
+        ):
+            return None
+        retry_s = _ELSEWHERE_RETRY_S if self._others_live() else _RESTART_RETRY_S
+        return LEAVING._replace(retry_after_s=spread(retry_s, request.id))
 
     def _until_sent(self, body: Iterable[bytes], request_id: str) -> Iterator[bytes]:
         try:
@@ -124,6 +163,8 @@
 
     def _answer(self, exchange: _Exchange, received: Received) -> Iterable[bytes]:
         request = admit(received, self._knowledge())
+        if not isinstance(request, Refusal):
+            request = self._refusal_of_stop(request) or request
         if isinstance(request, Refusal):
             self._log_refused(received, request)
             return exchange.pass_on(RefusedAnswer(request), received.id)
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -130,6 +130,7 @@
             self._context,
             self._knowledge,
             name=settings.name,
+            others_live=lambda: bool(self._neighbours.live()),
         )
         self._servers = self._make_servers()
         self._caretaker = Caretaker(self._store, self._currency, self._neighbours)
@@ -208,8 +209,8 @@
 
         Failure: callers keep this entry's address for some seconds after it has begun
         to leave. Symptom: their connections are refused, or a request that was read is
-        cut. New requests are therefore taken for a while, each on a connection that is
-        closed after its answer, and what is in progress ends before the process does.
+        cut. New requests are therefore taken while they can end in time, each on a
+        connection that is closed after its answer, and refused afterwards.
         """
         began = monotonic()
         stopping = Stopping(began, self._forwarding.grace_s)
@@ -222,6 +223,9 @@
         while monotonic() < stopping.stays_until:
             Event().wait(_LOOK_S)
         self._wait_for_answers(stopping)
+        # A request may have come since nothing was in progress; it is answered too.
+        self._application.close()
+        self._wait_for_answers(stopping)
         left = self._application.came_at_by_id
         for follower in self._followers:
             follower.stop()
--- a/tests/decisions/test_stopping.py
+++ b/tests/decisions/test_stopping.py
@@ -1,12 +1,57 @@
 from __future__ import annotations
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.decisions.durations import SPAN_S
+from kingcupwheel.decisions.durations import LongestOfLate
 from kingcupwheel.decisions.stopping import Stopping
 
 
 STOP = Stopping(100.0, 8.0)
+seconds = st.floats(0.0, 20.0)
+
+
+@given(came_s=seconds, lasts_s=seconds, longest_s=seconds)
+def test_what_is_taken_late_and_lasts_as_long_as_others_of_late_ends_in_time(
+    came_s: float, lasts_s: float, longest_s: float
+) -> None:
+    """A trickle of callers that have kept the address, answers of any length."""
+    now = STOP.began_at + came_s
+    over_at = now + lasts_s
+
+    taken = STOP.takes(now, over_at=over_at, longest_s=longest_s)
+
+    if taken and came_s > 3.0:
+        assert min(over_at, now + longest_s) <= STOP.answers_end_at
+
+
+def test_everything_is_taken_while_callers_may_still_have_the_address() -> None:
+    assert STOP.takes(102.7, over_at=111.0, longest_s=8.0)
+
+
+def test_a_stream_is_taken_late_only_while_answers_are_short() -> None:
+    assert STOP.takes(104.0, over_at=112.0, longest_s=0.9)
+    assert not STOP.takes(104.0, over_at=112.0, longest_s=1.6)
+
+
+def test_late_in_a_stop_only_what_is_over_in_time_is_taken() -> None:
+    """No answer was seen of late, so nothing tells that the next one is short."""
+    assert not STOP.takes(106.5, over_at=114.5, longest_s=0.0)
+    assert STOP.takes(106.5, over_at=107.1, longest_s=5.0)
 
 
 def test_answers_end_in_the_last_sixth_of_the_grace() -> None:
     assert STOP.grace_s * 5 / 6 < STOP.answers_end_at - STOP.began_at
     assert STOP.stays_until < STOP.answers_end_at < STOP.ends_at
     assert STOP.ends_at < STOP.began_at + STOP.grace_s
+
+
+def test_the_longest_answer_of_late_is_forgotten_after_two_spans() -> None:
+    durations = LongestOfLate()
+    durations.saw(4.0, 1.0)
+    durations.saw(0.5, 2.0)
+
+    assert durations.longest_s(3.0) == 4.0
+    assert durations.longest_s(SPAN_S + 1.0) == 4.0
+    assert durations.longest_s(2 * SPAN_S + 1.0) == 0.0
--- a/tests/forwarding/test_stopping.py
+++ b/tests/forwarding/test_stopping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from threading import Thread
 from typing import TYPE_CHECKING
@@ -138,3 +139,17 @@
     assert running.join().status in (502, 504)
     assert running.ended_at <= stop.ended_at
     assert [one.target for one in server.arrivals] == ["/slow/1"]
+
+
+# Guards against a request taken between the last look at what is in progress and the
+# end of the process.
+def test_nothing_is_taken_once_a_stop_has_nothing_in_progress(fleet: Fleet) -> None:
+    server = fleet.add_server("i-1")
+    entry = fleet.add_entry(grace_s=GRACE_S)
+    Stop(entry).join()
+
+    answer = fleet.send("/plain/late")
+
+    assert answer.status == 503
+    assert json.loads(answer.body)["error"]["reason"] == "entry-leaving"
+    assert server.arrivals == []
