--- a/src/kingcupwheel/entry/gateway.py
+++ b/src/kingcupwheel/entry/gateway.py
@@ -65,6 +65,7 @@
     ) -> None:
         host, _, port = listen.rpartition(":")
         self._listen = listen
+        self._threads = threads
         self._server = _Server(
             (host, int(port)),
             application,
@@ -84,6 +85,15 @@
         """The port listened on."""
         return int(self._server.bind_addr[1])
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered, and none waits for a thread.
+
+        A caller that has connected and sends nothing keeps a thread from being idle.
+        """
+        pool = self._server.requests
+        return not pool.qsize and bool(pool.idle >= self._threads)
+
     def bind(self) -> None:
         """Bind the address; raises CannotServeError."""
         try:
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -70,6 +70,9 @@
 # answer.
 _DENYING_S = 3.6
 _LOOK_S = 0.05
+# How long a stop waits for the last bytes of answers: a caller that has connected and
+# sends nothing must not hold it up.
+_LAST_BYTES_S = 0.5
 _MS = 1000.0
 
 
@@ -226,6 +229,7 @@
         # A request may have come since nothing was in progress; it is answered too.
         self._application.close()
         self._wait_for_answers(stopping)
+        self._wait_for_last_bytes(stopping)
         left = self._application.came_at_by_id
         for follower in self._followers:
             follower.stop()
@@ -236,6 +240,17 @@
         while self._application.in_progress and monotonic() < stopping.ends_at:
             Event().wait(_LOOK_S)
 
+    def _wait_for_last_bytes(self, stopping: Stopping) -> None:
+        """Wait until the HTTP server has written what the application is done with.
+
+        Failure: the process ends between the last event of a stream and the mark that
+        ends it. Symptom: the caller has it all and must take it for cut.
+        """
+        callers = self._servers[0]
+        until = min(monotonic() + _LAST_BYTES_S, stopping.ends_at)
+        while not callers.is_idle and monotonic() < until:
+            Event().wait(_LOOK_S)
+
     def _log_cut(self, came_at_by_id: dict[str, float], began: float) -> None:
         """Log requests that the end of the process cuts; their threads can't any more.
 
--- a/tests/forwarding/test_stopping.py
+++ b/tests/forwarding/test_stopping.py
@@ -7,17 +7,27 @@
 from threading import Thread
 from typing import TYPE_CHECKING
 
+from cheroot.makefile import StreamWriter
+
 from tests.forwarding.builders import route
 from tests.forwarding.fleet import until
 from tests.standins.backend import Behaviour
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import pytest
+
     from kingcupwheel.forwarding.daemon import ForwardingDaemon
     from tests.forwarding.fleet import Answer
     from tests.forwarding.fleet import Fleet
 
 GRACE_S = 3.0
+# The mark that ends an answer sent in chunks.
+LAST_CHUNK = b"0\r\n\r\n"
+# What a stop takes between two looks at what is in progress.
+LOOK_S = 0.05
 SLOW_ROUTE = route(
     Name="slow",
     PathPrefix="/slow/",
@@ -141,6 +151,34 @@
     assert [one.target for one in server.arrivals] == ["/slow/1"]
 
 
+# Guards against the end of the process between the last event and the mark that ends
+# the answer: the caller has every event and can't know that it has.
+def test_a_stop_waits_until_the_last_byte_of_an_answer_is_written(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    written_at: list[float] = []
+    write: Callable[[StreamWriter, bytes], int] = StreamWriter.write
+
+    def write_slowly(writer: StreamWriter, data: bytes) -> int:
+        if data == LAST_CHUNK:
+            time.sleep(2 * LOOK_S)
+        count = write(writer, data)
+        if data == LAST_CHUNK:
+            written_at.append(time.monotonic())
+        return count
+
+    monkeypatch.setattr(StreamWriter, "write", write_slowly)
+    fleet.add_server("i-1").behaviour = Behaviour(events=6, event_gap_s=GRACE_S * 0.1)
+    entry = fleet.add_entry(grace_s=GRACE_S)
+    answer = Sent(fleet, "/stream/last")
+
+    stop = Stop(entry)
+    stop.join()
+
+    assert answer.join().whole
+    assert written_at[0] <= stop.ended_at
+
+
 # Guards against a request taken between the last look at what is in progress and the
 # end of the process.
 def test_nothing_is_taken_once_a_stop_has_nothing_in_progress(fleet: Fleet) -> None:
