--- a/src/kingcupwheel/decisions/stopping.py
+++ b/src/kingcupwheel/decisions/stopping.py
@@ -64,3 +64,16 @@
             return True
         expected_s = _LONGEST_FACTOR * max(longest_s, _LEAST_S)
         return now + expected_s <= self.answers_end_at
+
+    def may_run(self, now: float, *, over_at: float, longest_s: float) -> bool:
+        """Return whether a request that gets its place at ``now`` is sent to a server.
+
+        Load: servers are full, and requests that were taken in time wait for a place.
+        Harm prevented: one that has not run is sent on and cut. Its wait is over, so
+        that the longest answer of late is allowed for once.
+        """
+        if now <= self.began_at + _TAKING_PART * self.grace_s:
+            return True
+        if over_at <= self.answers_end_at:
+            return True
+        return now + max(longest_s, _LEAST_S) <= self.answers_end_at
--- a/src/kingcupwheel/forwarding/application.py
+++ b/src/kingcupwheel/forwarding/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from threading import Lock
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -144,17 +145,30 @@
         if stopping is None:
             return None
         now = monotonic()
-        with self._lock:
-            ages = [now - came_at for came_at in self._came_at_by_id.values()]
-            longest_s = max(self._durations.longest_s(now), *ages)
         over_at = request.times.over_at
         if not self._closed and stopping.takes(
-            now, over_at=over_at, longest_s=longest_s
+            now, over_at=over_at, longest_s=self._longest_s(now)
         ):
             return None
         retry_s = _ELSEWHERE_RETRY_S if self._others_live() else _RESTART_RETRY_S
         return LEAVING._replace(retry_after_s=spread(retry_s, request.id))
 
+    def _may_run(self, request: ForwardRequest) -> bool:
+        """Return whether a request that no server has may still be sent to one."""
+        stopping = self._stopping
+        if stopping is None:
+            return True
+        now = monotonic()
+        return stopping.may_run(
+            now, over_at=request.times.over_at, longest_s=self._longest_s(now)
+        )
+
+    def _longest_s(self, now: float) -> float:
+        """Return how long the longest answer of late took, or has taken so far."""
+        with self._lock:
+            first_came_at = min(self._came_at_by_id.values(), default=now)
+            return max(self._durations.longest_s(now), now - first_came_at)
+
     def _until_sent(self, body: Iterable[bytes], request_id: str) -> Iterator[bytes]:
         try:
             yield from body
@@ -168,7 +182,9 @@
         if isinstance(request, Refusal):
             self._log_refused(received, request)
             return exchange.pass_on(RefusedAnswer(request), received.id)
-        watched = Watched(exchange.socket, request.times.over_at)
+        watched = Watched(
+            exchange.socket, request.times.over_at, partial(self._may_run, request)
+        )
         self._context.watchdog.watch(watched)
         try:
             answer = ForwardRun(self._context, request, watched).answer()
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -13,6 +13,7 @@
 from kingcupwheel.entry.answers import StreamedAnswer
 from kingcupwheel.entry.answers import WholeAnswer
 from kingcupwheel.entry.refusals import CALLER_LEFT
+from kingcupwheel.entry.refusals import LEAVING
 from kingcupwheel.entry.refusals import Refusal
 from kingcupwheel.entry.tickets import Place
 from kingcupwheel.forwarding.calls import Answered
@@ -22,6 +23,7 @@
 from kingcupwheel.forwarding.calls import TurnedAway
 from kingcupwheel.forwarding.endings import PASS_ON
 from kingcupwheel.forwarding.endings import refusal_after
+from kingcupwheel.forwarding.endings import retry_after
 from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.heads import ServerCall
 from kingcupwheel.forwarding.outcomes import Came
@@ -219,8 +221,12 @@
             Tried(self._tried, self._suspect, self._context.data_centre),
         )
         if isinstance(found, Place):
-            self._log_place(found)
-            return found
+            if self._sends.ran or self._watched.may_run():
+                self._log_place(found)
+                return found
+            self._release(found)
+            retry_s = retry_after(self._request.id)
+            found = Hindered(LEAVING.limit, Cut.STOPPING.value, retry_s)
         if isinstance(found, Hindered):
             return self._no_place(found)
         return found
--- a/src/kingcupwheel/forwarding/watchdog.py
+++ b/src/kingcupwheel/forwarding/watchdog.py
@@ -43,12 +43,19 @@
 class Watched:
     """One request's waits; its thread attaches the server's socket while it reads.
 
-    ``time_up_at`` is monotonic. ``instance`` is the server read from, and ``may_move``
+    ``time_up_at`` is monotonic. ``may_run`` tells whether a request that no server has
+    may still be sent to one. ``instance`` is the server read from, and ``may_move``
     tells that its stream can go on at another one.
     """
 
-    def __init__(self, caller: socket.socket | None, time_up_at: float) -> None:
+    def __init__(
+        self,
+        caller: socket.socket | None,
+        time_up_at: float,
+        may_run: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.caller = caller
+        self.may_run = may_run
         self.instance = ""
         self.may_move = False
         self.time_up_at = time_up_at
--- a/tests/decisions/test_stopping.py
+++ b/tests/decisions/test_stopping.py
@@ -41,6 +41,27 @@
     assert STOP.takes(106.5, over_at=107.1, longest_s=5.0)
 
 
+@given(placed_s=seconds, lasts_s=seconds, longest_s=seconds)
+def test_what_is_placed_late_and_runs_no_longer_than_others_of_late_ends_in_time(
+    placed_s: float, lasts_s: float, longest_s: float
+) -> None:
+    """Servers are full, so that requests get their place late in a stop."""
+    now = STOP.began_at + placed_s
+    over_at = now + lasts_s
+
+    sent = STOP.may_run(now, over_at=over_at, longest_s=longest_s)
+
+    if sent and placed_s > 3.0:
+        assert min(over_at, now + longest_s) <= STOP.answers_end_at
+
+
+def test_what_was_taken_may_wait_for_its_place() -> None:
+    """What bounds the taking allows for a wait; the place itself ends it."""
+    assert not STOP.takes(104.5, over_at=112.0, longest_s=1.2)
+    assert STOP.may_run(104.5, over_at=112.0, longest_s=1.2)
+    assert not STOP.may_run(106.5, over_at=112.0, longest_s=1.2)
+
+
 def test_answers_end_in_the_last_sixth_of_the_grace() -> None:
     assert STOP.grace_s * 5 / 6 < STOP.answers_end_at - STOP.began_at
     assert STOP.stays_until < STOP.answers_end_at < STOP.ends_at
--- a/tests/forwarding/test_stopping.py
+++ b/tests/forwarding/test_stopping.py
@@ -151,6 +151,27 @@
     assert [one.target for one in server.arrivals] == ["/slow/1"]
 
 
+# Guards against a request that got its place so late in a stop that its answer was cut,
+# though nobody had run it yet.
+def test_what_gets_its_place_too_late_in_a_stop_is_refused_and_not_sent_on(
+    fleet: Fleet,
+) -> None:
+    server = fleet.add_server("i-1")
+    fleet.store.put("servers", "i-1", server.entry("app", Slots=1))
+    server.behaviour = Behaviour(hangs_s=GRACE_S * 0.7)
+    fleet.configure(2, Routes=[SLOW_ROUTE])
+    entry = fleet.add_entry(grace_s=GRACE_S)
+    running = Sent(fleet, "/slow/1")
+    until(lambda: bool(server.arrivals))
+    waiting = Sent(fleet, "/slow/2")
+
+    Stop(entry).join()
+
+    assert running.join().status == 200
+    assert waiting.join().status == 503
+    assert [one.target for one in server.arrivals] == ["/slow/1"]
+
+
 # Guards against the end of the process between the last event and the mark that ends
 # the answer: the caller has every event and can't know that it has.
 def test_a_stop_waits_until_the_last_byte_of_an_answer_is_written(
