--- /dev/null
+++ b/tests/soak/planned/callers.py
@@ -0,0 +1,215 @@
+"""Callers that keep their connections open and use them for as long as they can."""
+
+from __future__ import annotations
+
+import http.client
+import select
+import time
+from random import Random
+from threading import Event
+from threading import Lock
+from threading import Thread
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from tests.forwarding.builders import KEY
+from tests.forwarding.fleet import Answer
+from tests.soak.planned.servers import WORK_HEADER
+from tests.soak.planned.world import ANSWER_S
+from tests.soak.planned.world import LONGEST_WORK_S
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from http.client import HTTPConnection
+
+    from tests.soak.planned.world import PlannedWorld
+    from tests.soak.processes import EntryProcess
+
+CALLERS = 12
+SHORTEST_PAUSE_S = 0.01
+LONGEST_PAUSE_S = 0.12
+# Of all sends this part opens a connection though others are kept.
+NEW_CONNECTION = 0.25
+KEPT_AT_MOST = 4
+CONNECT_S = 1.0
+# A caller reads on for so long after its own deadline before it leaves.
+_PATIENCE_S = ANSWER_S + 1.5
+_MS = 1000.0
+# Times that answers take, each as likely: most are short, some outlast a grace.
+_WORK_S = ((0.0, 0.05),) * 6 + ((0.1, 1.0),) * 2 + ((1.0, LONGEST_WORK_S),) * 2
+_BROKEN = (OSError, http.client.HTTPException)
+
+
+class PlannedCall(NamedTuple):
+    """One send of a caller and what it got; times are monotonic seconds.
+
+    ``read_at`` is when the answer's head came, 0 if none did. ``reset`` tells that the
+    connection was reset: what was sent on it had not all been read.
+    """
+
+    id: str
+    route: str
+    entry: str
+    connected_at: float
+    sent_at: float
+    last_byte_at: float
+    read_at: float
+    ended_at: float
+    reset: bool
+    answer: Answer
+
+
+class _Kept(NamedTuple):
+    connection: HTTPConnection
+    connected_at: float
+
+
+class PlannedCallers:
+    """Threads that send requests of every kind of route."""
+
+    def __init__(self, world: PlannedWorld, seed: int) -> None:
+        self._stopping = Event()
+        self._calls: list[PlannedCall] = []
+        self._lock = Lock()
+        self._callers = [
+            _Caller(world.entries, number, Random(seed * 100 + number), self._note)
+            for number in range(CALLERS)
+        ]
+        self._threads = [
+            Thread(target=caller.run, args=(self._stopping,))
+            for caller in self._callers
+        ]
+
+    @property
+    def calls(self) -> list[PlannedCall]:
+        with self._lock:
+            return list(self._calls)
+
+    def _note(self, call: PlannedCall) -> None:
+        with self._lock:
+            self._calls.append(call)
+
+    def start(self) -> None:
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def send(self) -> int:
+        """Send one short request on a new connection, later; return its status."""
+        caller = self._callers[0]
+        call = caller.send(new=True, work_s=0.0)
+        return 0 if call is None else call.answer.status
+
+
+class _Caller:
+    """One caller; used by one thread at a time."""
+
+    def __init__(
+        self,
+        entries: tuple[EntryProcess, ...],
+        number: int,
+        draw: Random,
+        note: Callable[[PlannedCall], None],
+    ) -> None:
+        self._entries = entries
+        self._number = number
+        self._draw = draw
+        self._note = note
+        self._sent = 0
+        self._kept: dict[str, list[_Kept]] = {entry.name: [] for entry in entries}
+
+    def run(self, stopping: Event) -> None:
+        """Send until told to stop; what is refused once is sent once more."""
+        while not stopping.wait(self._draw.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)):
+            work_s = self._draw.uniform(*self._draw.choice(_WORK_S))
+            call = self.send(new=self._draw.random() < NEW_CONNECTION, work_s=work_s)
+            if call is not None and call.answer.status == 503:
+                rest_s = float(call.answer.headers.get("retry-after", "0"))
+                if not stopping.wait(min(rest_s, ANSWER_S / 3)):
+                    self.send(new=True, work_s=work_s)
+
+    def send(self, *, new: bool, work_s: float) -> PlannedCall | None:
+        """Send one request to a random entry; None if it could not connect."""
+        entry = self._draw.choice(self._entries)
+        route = self._draw.choice(("plain", "once", "stream"))
+        self._sent += 1
+        name = f"c{self._number}-{self._sent}"
+        try:
+            used = None if new else self._take(entry.name)
+            used = used or _connect(entry.address)
+        except OSError:
+            return None
+        call = self._exchange(used, entry.name, route, name, work_s)
+        self._note(call)
+        return call
+
+    def _take(self, entry: str) -> _Kept | None:
+        """Return a kept connection that its entry has not closed."""
+        kept = self._kept[entry]
+        while kept:
+            one = kept.pop(self._draw.randrange(len(kept)))
+            if not select.select([one.connection.sock], [], [], 0)[0]:
+                return one
+            one.connection.close()
+        return None
+
+    def _exchange(
+        self, used: _Kept, entry: str, route: str, name: str, work_s: float
+    ) -> PlannedCall:
+        connection = used.connection
+        headers = {
+            "Host": "host.example",
+            "Authorization": f"Bearer {KEY}",
+            "X-Attempt-Id": name,
+            "X-Deadline-Ms": str(int(ANSWER_S * _MS)),
+            WORK_HEADER: str(int(work_s * _MS)),
+        }
+        method = "GET" if route == "plain" else "POST"
+        sent_at = last_byte_at = time.monotonic()
+        read_at = 0.0
+        reset = False
+        answer = Answer(0, {}, b"", whole=False)
+        try:
+            connection.request(method, f"/{route}/x", name.encode(), headers)
+            last_byte_at = time.monotonic()
+            response = connection.getresponse()
+            read_at = time.monotonic()
+            found = {key.lower(): value for key, value in response.getheaders()}
+            answer = Answer(response.status, found, b"", whole=False)
+            answer = answer._replace(body=response.read(), whole=True)
+            keeps = not response.will_close
+        except http.client.IncompleteRead as error:
+            answer = answer._replace(body=error.partial)
+            keeps = False
+        except _BROKEN as error:
+            reset = not isinstance(error, http.client.RemoteDisconnected)
+            keeps = False
+        ended_at = time.monotonic()
+        if keeps and len(self._kept[entry]) < KEPT_AT_MOST:
+            self._kept[entry].append(used)
+        else:
+            connection.close()
+        return PlannedCall(
+            name,
+            route,
+            entry,
+            used.connected_at,
+            sent_at,
+            last_byte_at,
+            read_at,
+            ended_at,
+            reset,
+            answer,
+        )
+
+
+def _connect(address: str) -> _Kept:
+    connection = http.client.HTTPConnection(address, timeout=CONNECT_S)
+    connection.connect()
+    connection.sock.settimeout(_PATIENCE_S)
+    return _Kept(connection, time.monotonic())
--- /dev/null
+++ b/tests/soak/planned/faults.py
@@ -0,0 +1,195 @@
+"""Planned work of the soak, drawn from a seed: stops, leaving and resting servers."""
+
+from __future__ import annotations
+
+import time
+from functools import partial
+from threading import Thread
+from typing import TYPE_CHECKING
+
+from tests.soak.planned.world import GRACE_S
+from tests.soak.planned.world import LONGEST_WORK_S
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from tests.soak.planned.world import PlannedWorld
+
+# A pause between two faults: some overlap, some find a fleet at rest.
+SHORTEST_S = 0.05
+LONGEST_S = 1.5
+# Between two of a series of stops: often all of them are asked within one grace.
+LONGEST_GAP_S = 0.9
+# A server goes on serving for so long after its word that it leaves.
+SHORTEST_LEAVE_S = 1.5
+LONGEST_LEAVE_S = 4.0
+LONGEST_AWAY_S = 1.5
+RESTS_S = (1.0, 2.0, 3.0)
+LONGEST_TROUBLE_S = 4.0
+# Servers that may be in trouble at once; the others can answer.
+TROUBLED = 4
+
+
+class Planned:
+    """Brings one fault after another; ``told`` is what it did, for the report."""
+
+    def __init__(self, world: PlannedWorld, draw: Random) -> None:
+        self._world = world
+        self._draw = draw
+        self.told: list[str] = []
+        self._troubled: set[int] = set()
+        self._threads: list[Thread] = []
+        self._kinds: tuple[Callable[[], None], ...] = (
+            self._stop_one,
+            self._stop_one,
+            self._stop_some,
+            self._stop_some,
+            self._stop_twice,
+            self._kill,
+            self._hang_up,
+            self._leave,
+            self._leave,
+            self._leave,
+            self._rest,
+            self._rest,
+            self._rest,
+            self._die,
+            self._slow,
+        )
+
+    def bring(self, count: int) -> None:
+        """Bring ``count`` faults and wait until each is over."""
+        for _ in range(count):
+            self._draw.choice(self._kinds)()
+            time.sleep(self._draw.uniform(SHORTEST_S, LONGEST_S))
+        for thread in self._threads:
+            thread.join()
+
+    def _tell(self, what: str) -> None:
+        self.told.append(f"{time.monotonic() - self._world.began_at:8.3f} s  {what}")
+
+    def _go_on(self, work: Callable[[], None]) -> None:
+        thread = Thread(target=work)
+        thread.start()
+        self._threads.append(thread)
+
+    def _stop_one(self) -> None:
+        entry = self._draw.choice(self._world.entries)
+        self._tell(f"SIGTERM to {entry.name}")
+        entry.terminate()
+
+    def _stop_some(self) -> None:
+        """Stop several entries one after the other, as a rolling restart does."""
+        count = self._draw.choice((2, 3))
+        for entry in self._draw.sample(self._world.entries, count):
+            self._tell(f"SIGTERM to {entry.name}")
+            entry.terminate()
+            time.sleep(self._draw.uniform(0.0, LONGEST_GAP_S))
+
+    def _stop_twice(self) -> None:
+        entry = self._draw.choice(self._world.entries)
+        self._tell(f"SIGTERM to {entry.name}, and again")
+        entry.terminate()
+        time.sleep(self._draw.uniform(0.0, GRACE_S / 2))
+        entry.terminate()
+
+    def _kill(self) -> None:
+        entry = self._draw.choice(self._world.entries)
+        self._tell(f"SIGKILL to {entry.name}")
+        entry.kill()
+
+    def _hang_up(self) -> None:
+        entry = self._draw.choice(self._world.entries)
+        self._tell(f"SIGHUP to {entry.name}")
+        entry.hang_up()
+
+    def _sound_server(self) -> int | None:
+        """Return a server that is in no trouble, and note that it is; None if few."""
+        sound = [
+            number
+            for number in range(len(self._world.servers))
+            if number not in self._troubled
+        ]
+        if len(self._troubled) >= TROUBLED:
+            return None
+        number = self._draw.choice(sound)
+        self._troubled.add(number)
+        return number
+
+    def _leave(self) -> None:
+        """Let a server leave: by its entry, its answers, both, or no word at all."""
+        number = self._sound_server()
+        if number is None:
+            return
+        way = self._draw.choice(("entry", "answers", "both", "answers, unlisted"))
+        late_s = self._draw.uniform(0.0, 0.5)
+        stays_s = self._draw.uniform(SHORTEST_LEAVE_S, LONGEST_LEAVE_S)
+        away_s = self._draw.uniform(0.1, LONGEST_AWAY_S)
+        self._tell(f"server i-{number} leaves for {stays_s:.1f} s, told by {way}")
+        self._go_on(partial(self._leaves, number, way, late_s, stays_s, away_s))
+
+    def _leaves(
+        self, number: int, way: str, late_s: float, stays_s: float, away_s: float
+    ) -> None:
+        world = self._world
+        if way in ("entry", "both"):
+            world.drain(number)
+        if way == "answers, unlisted":
+            world.unlist(number)
+        time.sleep(late_s)
+        if way != "entry":
+            world.servers[number].says_leaving = True
+        time.sleep(stays_s)
+        self._end(number, away_s, listed=way != "answers, unlisted")
+
+    def _die(self) -> None:
+        """Let a server end without a word and come back as a new life."""
+        number = self._sound_server()
+        if number is None:
+            return
+        away_s = self._draw.uniform(0.1, LONGEST_AWAY_S)
+        self._tell(f"server i-{number} ends for {away_s:.1f} s")
+        keeps_entry = self._draw.random() < 0.5
+        self._go_on(partial(self._end, number, away_s, listed=not keeps_entry))
+
+    def _end(self, number: int, away_s: float, *, listed: bool) -> None:
+        world = self._world
+        world.end_server(number)
+        if listed:
+            world.unlist(number)
+        time.sleep(away_s)
+        world.revive(number)
+        self._tell(f"server {world.servers[number].life} is there")
+        self._troubled.discard(number)
+
+    def _rest(self) -> None:
+        """Let a server, or a few, turn requests away and ask for rest."""
+        for _ in range(self._draw.choice((1, 1, 3))):
+            number = self._sound_server()
+            if number is None:
+                return
+            rest_s = self._draw.choice(RESTS_S)
+            lasts_s = self._draw.uniform(0.2, LONGEST_TROUBLE_S)
+            what = f"turns away for {lasts_s:.1f} s, asks for {rest_s:g} s"
+            self._tell(f"server i-{number} {what}")
+            self._world.servers[number].rest_s = rest_s
+            self._go_on(partial(self._recover, number, lasts_s))
+
+    def _slow(self) -> None:
+        number = self._sound_server()
+        if number is None:
+            return
+        slower_s = self._draw.uniform(0.3, LONGEST_WORK_S)
+        lasts_s = self._draw.uniform(0.2, LONGEST_TROUBLE_S)
+        self._tell(f"server i-{number} {slower_s:.1f} s slower for {lasts_s:.1f} s")
+        self._world.servers[number].slower_s = slower_s
+        self._go_on(partial(self._recover, number, lasts_s))
+
+    def _recover(self, number: int, lasts_s: float) -> None:
+        time.sleep(lasts_s)
+        server = self._world.servers[number]
+        server.rest_s = server.slower_s = 0.0
+        self._tell(f"server i-{number} has recovered")
+        self._troubled.discard(number)
--- /dev/null
+++ b/tests/soak/planned/judging.py
@@ -0,0 +1,210 @@
+"""What must hold around planned work, judged by what callers and servers saw.
+
+Each check returns a sentence for each thing that must not be.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from tests.soak.judging import answer_faults
+from tests.soak.planned.servers import End
+from tests.soak.planned.world import ANSWER_S
+from tests.soak.planned.world import GRACE_S
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from tests.soak.planned.records import Sent
+    from tests.soak.planned.servers import Arrival
+    from tests.soak.processes import Life
+
+# Parts of the grace: a request sent so early after SIGTERM may still be cut if its
+# server was at work in the last part.
+EARLY_PART = 3 / 8
+LAST_PART = 1 / 6
+# What is not passed on is refused within this time of its last byte.
+REFUSED_S = 0.2
+# A caller's own time is up, to within the way there and back.
+WAY_S = 0.15
+# After a server's word that it leaves has passed, its entry stops within this time.
+DRAIN_S = 1.0
+# A server that asked for rest gets so many requests, from this long after on.
+REST_AFTER_S = 0.5
+REST_REQUESTS = 2
+
+
+class ServerEnd(NamedTuple):
+    """When a server's life ended; monotonic seconds."""
+
+    began_at: float
+    ended_at: float
+
+
+def faults_found(
+    sent: Sequence[Sent],
+    arrivals: Sequence[Arrival],
+    lives_by_entry: Mapping[str, Sequence[Life]],
+    ends: Sequence[ServerEnd],
+) -> list[str]:
+    """Return every fault, by all checks."""
+    return [
+        *lost(sent),
+        *unanswered(sent, ends),
+        *overdue(lives_by_entry),
+        *drained(sent),
+        *pressed(sent, arrivals),
+        *untrue(sent),
+        *cut(sent),
+    ]
+
+
+def lost(sent: Iterable[Sent]) -> list[str]:
+    """Find requests that a stopping entry passed on and whose answer it cut."""
+    return [
+        f"LOST: {one}"
+        for one in sent
+        if _is_cut_around_stop(one) and not _may_be_cut(one)
+    ]
+
+
+def _is_cut_around_stop(one: Sent) -> bool:
+    asked_at = one.life.terminated_at
+    if asked_at is None or one.was_killed or one.call.answer.whole:
+        return False
+    return bool(one.arrivals) and one.call.ended_at >= asked_at
+
+
+def _may_be_cut(one: Sent) -> bool:
+    """Return whether a stop excuses the cut, or something else explains it."""
+    last = one.arrivals[-1]
+    if last.end is End.BROKE_OFF or _is_time_up(one):
+        return True
+    assert one.life.terminated_at is not None, "checked by the caller"
+    last_part_at = one.life.terminated_at + GRACE_S * (1 - LAST_PART)
+    is_early = one.after_stop_s <= GRACE_S * EARLY_PART
+    return is_early and last.ran and last.ended_at >= last_part_at
+
+
+def _is_time_up(one: Sent) -> bool:
+    return one.call.ended_at >= one.call.sent_at + ANSWER_S - WAY_S
+
+
+def unanswered(sent: Iterable[Sent], ends: Iterable[ServerEnd]) -> list[str]:
+    """Find requests that a stopping entry kept waiting though it did not pass them on.
+
+    A server that ends may have taken a request's connection and not read it: the entry
+    then truly says that it does not know.
+    """
+    ends = tuple(ends)
+    found = []
+    for one in sent:
+        if one.after_stop_s <= 0 or one.arrivals or one.was_killed:
+            continue
+        if not (_is_refused(one) or _is_unread(one) or _met_an_end(one, ends)):
+            found.append(f"UNANSWERED: {one}")
+    return found
+
+
+def _is_refused(one: Sent) -> bool:
+    answer = one.call.answer
+    return answer.status == 503 and answer.whole and _waited_s(one) <= REFUSED_S
+
+
+def _is_unread(one: Sent) -> bool:
+    """Return whether its connection ended at once, or unread as the process went."""
+    if one.call.answer.status:
+        return False
+    process_ended_at = one.life.ended_at or float("inf")
+    went = one.call.ended_at >= process_ended_at - REFUSED_S
+    return _waited_s(one) <= REFUSED_S or (one.call.reset and went)
+
+
+def _met_an_end(one: Sent, ends: Sequence[ServerEnd]) -> bool:
+    call = one.call
+    met = any(
+        end.began_at <= call.ended_at and call.last_byte_at <= end.ended_at
+        for end in ends
+    )
+    return met and call.answer.status == 502 and call.answer.whole
+
+
+def _waited_s(one: Sent) -> float:
+    return one.call.ended_at - one.call.last_byte_at
+
+
+def overdue(lives_by_entry: Mapping[str, Sequence[Life]]) -> list[str]:
+    """Find processes that outlived their grace."""
+    return [
+        f"OVERDUE: {name} was still there {GRACE_S} s after SIGTERM"
+        for name, lives in lives_by_entry.items()
+        for life in lives
+        if life.expired
+    ]
+
+
+def drained(sent: Sequence[Sent]) -> list[str]:
+    """Find requests at a server whose word that it leaves its entry has passed on."""
+    told_at: dict[tuple[int, str], float] = {}
+    for one in sent:
+        headers = one.call.answer.headers
+        if "server-leaving" in headers:
+            server = headers["x-response-signature"].removeprefix("signed-by-")
+            key = id(one.life), server
+            told_at[key] = min(one.call.read_at, told_at.get(key, float("inf")))
+    found = []
+    for one in sent:
+        for arrival in one.arrivals:
+            told = told_at.get((id(one.life), arrival.life), float("inf"))
+            late_s = one.call.sent_at - told
+            if late_s > DRAIN_S and arrival.end is not End.OTHER_LIFE:
+                found.append(f"DRAIN: {one}, told {late_s:.3f} s before")
+    return found
+
+
+def pressed(sent: Iterable[Sent], arrivals: Iterable[Arrival]) -> list[str]:
+    """Find servers that asked an entry for rest and did not get it."""
+    life_by_id = {one.call.id: one.life for one in sent}
+    entry_by_id = {one.call.id: one.call.entry for one in sent}
+    by_pair: dict[tuple[str, int], list[Arrival]] = defaultdict(list)
+    for arrival in arrivals:
+        by_pair[arrival.life, id(life_by_id[arrival.id])].append(arrival)
+    found = []
+    for (server, _), of_pair in by_pair.items():
+        for asked in of_pair:
+            begins = asked.ended_at + REST_AFTER_S
+            ends = asked.ended_at + asked.rest_s
+            came = [one.id for one in of_pair if begins < one.arrived_at < ends]
+            if asked.rest_s and len(came) > REST_REQUESTS:
+                entry = entry_by_id[asked.id]
+                what = f"{server} asked {entry} for {asked.rest_s:g} s of rest"
+                found.append(f"BUDGET: {what} beside {asked.id} and got {came}")
+    return found
+
+
+def untrue(sent: Iterable[Sent]) -> list[str]:
+    """Find answers that are not their request's own, and promises that were broken."""
+    return [
+        f"UNTRUE: {fault} ({one})"
+        for one in sent
+        for fault in answer_faults(one.call, one.runs)
+    ]
+
+
+def cut(sent: Iterable[Sent]) -> list[str]:
+    """Find connections that ended without an answer though nothing had happened."""
+    found = []
+    for one in sent:
+        ended_at = one.call.ended_at
+        signals = (one.life.terminated_at, one.life.killed_at)
+        if one.call.answer.whole or any(at and at <= ended_at for at in signals):
+            continue
+        broke_off = any(arrival.end is End.BROKE_OFF for arrival in one.arrivals)
+        if not broke_off and not _is_time_up(one):
+            found.append(f"CUT: {one}")
+    return found
--- /dev/null
+++ b/tests/soak/planned/test_judging.py
@@ -0,0 +1,147 @@
+"""The judge of planned work finds what it should and excuses only what it may."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.forwarding.fleet import Answer
+from tests.soak.planned.callers import PlannedCall
+from tests.soak.planned.judging import ServerEnd
+from tests.soak.planned.judging import cut
+from tests.soak.planned.judging import drained
+from tests.soak.planned.judging import lost
+from tests.soak.planned.judging import pressed
+from tests.soak.planned.judging import unanswered
+from tests.soak.planned.records import Sent
+from tests.soak.planned.servers import Arrival
+from tests.soak.planned.servers import End
+from tests.soak.planned.world import GRACE_S
+from tests.soak.processes import Life
+
+
+STOP_AT = 100.0
+GONE = Answer(0, {}, b"", whole=False)
+REFUSED = Answer(503, {}, b"", whole=True)
+UNKNOWN = Answer(502, {}, b"", whole=True)
+LEAVING = {"server-leaving": "1", "x-response-signature": "signed-by-i-1@5"}
+TOLD = Answer(200, LEAVING, b"", whole=True)
+
+
+def life(*, killed_at: float | None = None, ended_at: float | None = None) -> Life:
+    return Life(0.0, terminated_at=STOP_AT, killed_at=killed_at, ended_at=ended_at)
+
+
+def sent(
+    after_s: float,
+    took_s: float,
+    answer: Answer = GONE,
+    *arrivals: Arrival,
+    of: Life | None = None,
+    reset: bool = False,
+    name: str = "c1",
+) -> Sent:
+    """Return a call sent so long after SIGTERM."""
+    at = STOP_AT + after_s
+    call = PlannedCall(
+        id=name,
+        route="plain",
+        entry="entry-1",
+        connected_at=1.0,
+        sent_at=at,
+        last_byte_at=at,
+        read_at=at + took_s if answer.status else 0.0,
+        ended_at=at + took_s,
+        reset=reset,
+        answer=answer,
+    )
+    return Sent(call, of or life(), arrivals)
+
+
+def arrival(
+    after_s: float, took_s: float, end: End, *, rest_s: float = 0.0, name: str = "c1"
+) -> Arrival:
+    at = STOP_AT + after_s
+    return Arrival("i-1@5", name, at, end, at + took_s, rest_s)
+
+
+@pytest.mark.parametrize(
+    ("after_s", "took_s", "end", "killed_at", "count"),
+    [
+        pytest.param(0.2, 1.0, End.CALLER_LEFT, None, 1, id="cut early"),
+        pytest.param(0.8, 1.4, End.CALLER_LEFT, None, 0, id="sent early, cut late"),
+        pytest.param(1.0, 1.2, End.CALLER_LEFT, None, 1, id="sent late, cut late"),
+        pytest.param(-3.0, 4.0, End.CALLER_LEFT, None, 1, id="sent long before"),
+        pytest.param(0.2, 1.0, End.BROKE_OFF, None, 0, id="server broke off"),
+        pytest.param(-6.0, 8.0, End.CALLER_LEFT, None, 0, id="time up"),
+        pytest.param(0.2, 1.0, End.CALLER_LEFT, STOP_AT + 1, 0, id="killed"),
+    ],
+)
+def test_an_answer_that_a_stop_cut_is_lost_unless_it_is_excused(
+    after_s: float, took_s: float, end: End, killed_at: float | None, count: int
+) -> None:
+    of = life(killed_at=killed_at)
+    one = sent(after_s, took_s, GONE, arrival(after_s, took_s, end), of=of)
+
+    assert len(lost([one])) == count
+
+
+@pytest.mark.parametrize(
+    ("one", "count"),
+    [
+        pytest.param(sent(1.0, 0.1, REFUSED), 0, id="refused at once"),
+        pytest.param(sent(1.0, 0.3, REFUSED), 1, id="refused late"),
+        pytest.param(sent(1.0, 0.1), 0, id="closed at once"),
+        pytest.param(sent(1.0, 0.6), 1, id="read and closed late"),
+        pytest.param(sent(1.0, 0.6, reset=True), 1, id="reset, process alive"),
+        pytest.param(
+            sent(1.0, 0.6, reset=True, of=life(ended_at=STOP_AT + 1.6)),
+            0,
+            id="unread as the process goes",
+        ),
+        pytest.param(sent(1.0, 0.1, UNKNOWN), 1, id="unknown without a cause"),
+        pytest.param(sent(-1.0, 3.0), 0, id="sent before"),
+    ],
+)
+def test_what_a_stopping_entry_does_not_pass_on_is_refused_at_once(
+    one: Sent, count: int
+) -> None:
+    assert len(unanswered([one], [])) == count
+
+
+def test_an_entry_may_not_know_what_a_server_that_ended_did() -> None:
+    end = ServerEnd(STOP_AT + 0.99, STOP_AT + 1.05)
+
+    assert unanswered([sent(1.0, 0.1, UNKNOWN)], [end]) == []
+
+
+def test_a_request_at_a_server_that_said_it_leaves_is_found_after_a_second() -> None:
+    of = life()
+    told = sent(-9.0, 0.0, TOLD, of=of)
+    in_time = sent(-8.1, 0.1, TOLD, arrival(-8.1, 0.1, End.WHOLE), of=of)
+    late = sent(-7.9, 0.1, TOLD, arrival(-7.9, 0.1, End.WHOLE), of=of)
+    of_another_process = late._replace(life=life())
+
+    assert drained([told, in_time]) == []
+    assert drained([told, of_another_process]) == []
+    assert len(drained([told, late])) == 1
+
+
+def test_a_third_request_in_a_servers_rest_is_found() -> None:
+    of = life()
+    asked = arrival(0.0, 0.0, End.TURNED_AWAY, rest_s=2.0, name="c0")
+    times = (0.4, 0.6, 1.9, 2.1, 1.0)
+    came = [
+        arrival(at, 0.0, End.WHOLE, name=f"c{number}")
+        for number, at in enumerate(times, start=1)
+    ]
+    calls = [sent(0.0, 0.0, REFUSED, one, of=of, name=one.id) for one in (asked, *came)]
+
+    assert pressed(calls, [asked, *came[:4]]) == []
+    assert len(pressed(calls, [asked, *came])) == 1
+
+
+def test_a_cut_without_a_signal_or_an_ended_server_is_found() -> None:
+    calm = Life(started_at=0.0)
+
+    assert len(cut([sent(0.0, GRACE_S, of=calm)])) == 1
+    assert cut([sent(0.0, GRACE_S)]) == []
--- /dev/null
+++ b/tests/soak/planned/test_planned.py
@@ -0,0 +1,89 @@
+"""Planned work on real entry processes and servers under traffic, by seed.
+
+CI plays a few seeds; `python -m tests.soak.many --kind planned` plays fifty. The faults
+of a seed, every call and arrival, and the processes' logs stay in the test's folder.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.forwarding.fleet import until
+from tests.soak.planned.callers import PlannedCallers
+from tests.soak.planned.faults import Planned
+from tests.soak.planned.judging import ServerEnd
+from tests.soak.planned.judging import faults_found
+from tests.soak.planned.records import joined
+from tests.soak.planned.world import PlannedWorld
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+    from tests.soak.planned.records import Sent
+
+SEEDS = (1, 2)
+FAULTS = 12
+# After the last fault every entry is back and ready within this time, in seconds.
+RECOVERED_S = 15.0
+# Requests that must nearly all be served once the fleet has recovered.
+LAST_SENDS = 20
+
+
+def play(seed: int, folder: Path) -> list[str]:
+    """Play one seed; return what must not be, and what was brought about."""
+    world = PlannedWorld(folder)
+    callers = PlannedCallers(world, seed)
+    planned = Planned(world, Random(seed))
+    try:
+        until(world.ready, RECOVERED_S)
+        callers.start()
+        planned.bring(FAULTS)
+        until(world.ready, RECOVERED_S)
+        callers.stop()
+        world.quiet()
+        found = _after(callers)
+    finally:
+        callers.stop()
+        world.stop()
+    arrivals = world.arrivals()
+    lives_by_entry = {entry.name: entry.lives for entry in world.entries}
+    sent = joined(callers.calls, arrivals, lives_by_entry)
+    _record(folder, world, sent, planned.told)
+    ends = [ServerEnd(server.gone_at, server.ended_at) for server in world.ended]
+    found += faults_found(sent, arrivals, lives_by_entry, ends)
+    return [*found, *planned.told] if found else []
+
+
+def _after(callers: PlannedCallers) -> list[str]:
+    """Return what is still wrong once every fault is over."""
+    statuses = [callers.send() for _ in range(LAST_SENDS)]
+    bad = [status for status in statuses if status != 200]
+    if len(bad) > LAST_SENDS // 10:
+        return [f"UNSERVED: after the faults {len(bad)} of {LAST_SENDS}: {bad}"]
+    return []
+
+
+def _record(
+    folder: Path, world: PlannedWorld, sent: Iterable[Sent], told: list[str]
+) -> None:
+    lines = [f"{one.call.sent_at - world.began_at:8.3f} s  {one}" for one in sent]
+    text = "\n".join(sorted([*lines, *told])) + "\n"
+    (folder / "record.txt").write_text(text, encoding="utf-8")
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_planned_work_loses_nothing_and_servers_get_the_rest_they_ask_for(
+    seed: int, tmp_path: Path
+) -> None:
+    """Planned stops cut no answer; servers that leave or ask for rest are left alone.
+
+    Entries are stopped alone, one after the other and all within one grace, stopped
+    twice, killed and told to reload; servers leave, turn requests away, end, slow down
+    and come back as new lives at their addresses.
+    """
+    assert play(seed, tmp_path) == []
--- /dev/null
+++ b/tests/soak/planned/world.py
@@ -0,0 +1,131 @@
+"""Three entries as real processes and six servers of one service, on loopback."""
+
+from __future__ import annotations
+
+import time
+from threading import Event
+from threading import Thread
+from typing import TYPE_CHECKING
+
+from tests.forwarding.builders import configuration_spec
+from tests.forwarding.builders import routes
+from tests.forwarding.fleet import free_ports
+from tests.forwarding.fleet import get
+from tests.forwarding.fleet import until
+from tests.soak.planned.servers import PlannedServer
+from tests.soak.processes import EntryProcess
+from tests.soak.processes import entry_lines
+from tests.soak.processes import written
+from tests.standins.object_store import Door
+from tests.standins.object_store import StoredObjects
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from tests.soak.planned.servers import Arrival
+
+GRACE_S = 2.4
+# Every process and server has an IP of its own, so that nobody else takes its port
+# while it is away.
+ENTRY_HOSTS = ("127.0.0.41", "127.0.0.42", "127.0.0.43")
+SERVER_HOSTS = tuple(f"127.0.0.{number}" for number in range(51, 57))
+# Answers may last twice the grace.
+LONGEST_WORK_S = 2 * GRACE_S
+ANSWER_S = 8.0
+_MS = 1000.0
+_LOOK_S = 0.02
+# Work that lasts to the end is over by then.
+_QUIET_S = ANSWER_S + 2.0
+
+
+class PlannedWorld:
+    """Entries, servers and the store; the platform restarts and ends processes."""
+
+    def __init__(self, folder: Path) -> None:
+        self.began_at = time.monotonic()
+        self.objects = StoredObjects()
+        self._door = Door(self.objects)
+        self._door.start()
+        self._ports = free_ports(len(SERVER_HOSTS))
+        self.ended: list[PlannedServer] = []
+        self.servers = [self._server(number) for number in range(len(SERVER_HOSTS))]
+        times = {"TimeoutMs": ANSWER_S * _MS, "TargetLatencyMs": 1000, "MaxAttempts": 2}
+        spec = configuration_spec(Routes=[{**route, **times} for route in routes()])
+        self.objects.put("config", "main", spec)
+        self.entries = tuple(
+            self._entry(folder, f"entry-{number}", host)
+            for number, host in enumerate(ENTRY_HOSTS, start=1)
+        )
+        self._stopping = Event()
+        self._keepers = [Thread(target=self._keep, args=(one,)) for one in self.entries]
+        for keeper in self._keepers:
+            keeper.start()
+
+    def _entry(self, folder: Path, name: str, host: str) -> EntryProcess:
+        ports = free_ports(4)
+        lines = entry_lines(name, host, ports, store=self._door.url, grace_s=GRACE_S)
+        settings, log = written(folder, name, lines)
+        return EntryProcess(name, settings, log, ports, host)
+
+    def _server(self, number: int) -> PlannedServer:
+        """Start a new life of a server at its address and list it."""
+        born_ms = int(time.time() * _MS)
+        host, port = SERVER_HOSTS[number], self._ports[number]
+        server = PlannedServer(f"i-{number}", born_ms, host, port)
+        server.start()
+        self.objects.put("servers", server.instance, server.entry())
+        return server
+
+    def arrivals(self) -> list[Arrival]:
+        """Return what reached any life of a server, in the order of time."""
+        found = [
+            one for server in (*self.servers, *self.ended) for one in server.arrivals
+        ]
+        return sorted(found, key=lambda one: one.arrived_at)
+
+    def drain(self, number: int) -> None:
+        """Let a server say in the store that it leaves."""
+        server = self.servers[number]
+        self.objects.put("servers", server.instance, server.entry("draining"))
+
+    def unlist(self, number: int) -> None:
+        """Take a server's entry out of the store."""
+        self.objects.remove("servers", self.servers[number].instance)
+
+    def end_server(self, number: int) -> None:
+        """End a server's life."""
+        server = self.servers[number]
+        server.go()
+        self.ended.append(server)
+
+    def revive(self, number: int) -> None:
+        """Start a new life of a server that has ended, at its address."""
+        self.servers[number] = self._server(number)
+
+    def ready(self) -> bool:
+        """Return whether every entry says that it is ready."""
+        return all(
+            get(entry.ready, "/v1/ready").status == 200 for entry in self.entries
+        )
+
+    def quiet(self) -> None:
+        """Wait until no server works on anything."""
+        until(lambda: all(not server.running for server in self.servers), _QUIET_S)
+
+    def _keep(self, entry: EntryProcess) -> None:
+        while not self._stopping.wait(_LOOK_S):
+            entry.look()
+            entry.expire(GRACE_S)
+
+    def stop(self) -> None:
+        """End every process and stand-in."""
+        self._stopping.set()
+        for keeper in self._keepers:
+            keeper.join()
+        for entry in self.entries:
+            entry.stop()
+        for server in self.servers:
+            if not server.gone:
+                server.go()
+        self._door.stop()
