--- a/src/kingcupwheel/decisions/stopping.py
+++ b/src/kingcupwheel/decisions/stopping.py
@@ -48,11 +48,14 @@
         """When the process ends at the latest."""
         return self.began_at + _ENDING_PART * self.grace_s
 
-    def takes(self, now: float, *, over_at: float, longest_s: float) -> bool:
+    def takes(
+        self, now: float, *, over_at: float, longest_s: float, streamed: bool
+    ) -> bool:
         """Return whether a request that comes at ``now`` is taken.
 
         ``over_at`` is when its time is up; ``longest_s`` is how long the longest answer
-        of late took, or has taken so far.
+        of late took, or has taken so far. A guess by others is no bound for a stream:
+        unlike a whole answer, one that has begun can't be ended by a failure.
 
         Load: callers that keep this entry's address, or have no other one while all
         entries stop. Harm prevented: an answer that is cut by the end of the process.
@@ -62,5 +65,7 @@
             return True
         if over_at <= self.answers_end_at:
             return True
+        if streamed:
+            return False
         expected_s = _LONGEST_FACTOR * max(longest_s, _LEAST_S)
         return now + expected_s <= self.answers_end_at
--- a/src/kingcupwheel/forwarding/application.py
+++ b/src/kingcupwheel/forwarding/application.py
@@ -149,7 +149,10 @@
             longest_s = max(self._durations.longest_s(now), *ages)
         over_at = request.times.over_at
         if not self._closed and stopping.takes(
-            now, over_at=over_at, longest_s=longest_s
+            now,
+            over_at=over_at,
+            longest_s=longest_s,
+            streamed=request.route.streamed,
         ):
             return None
         retry_s = _ELSEWHERE_RETRY_S if self._others_live() else _RESTART_RETRY_S
--- a/tests/forwarding/test_stopping.py
+++ b/tests/forwarding/test_stopping.py
@@ -153,3 +153,20 @@
     assert answer.status == 503
     assert json.loads(answer.body)["error"]["reason"] == "entry-leaving"
     assert server.arrivals == []
+
+
+# Guards against a stream taken late in a stop by an entry that has seen no answer yet.
+def test_an_entry_that_has_just_started_takes_no_stream_late_in_a_stop(
+    fleet: Fleet,
+) -> None:
+    server = fleet.add_server("i-1")
+    server.behaviour = Behaviour(events=10, event_gap_s=GRACE_S * 0.06)
+    entry = fleet.add_entry(grace_s=GRACE_S)
+    stop = Stop(entry)
+    stop.wait_until(GRACE_S * 0.385)
+
+    answer = Sent(fleet, "/stream/late").join()
+    stop.join()
+
+    assert answer.status == 503
+    assert server.arrivals == []
