--- a/tests/soak/planned/test_judging.py
+++ b/tests/soak/planned/test_judging.py
@@ -22,6 +22,7 @@
 STOP_AT = 100.0
 GONE = Answer(0, {}, b"", whole=False)
 REFUSED = Answer(503, {}, b"", whole=True)
+HALF = Answer(503, {}, b"", whole=False)
 UNKNOWN = Answer(502, {}, b"", whole=True)
 LEAVING = {"server-leaving": "1", "x-response-signature": "signed-by-i-1@5"}
 TOLD = Answer(200, LEAVING, b"", whole=True)
@@ -92,6 +93,8 @@
         pytest.param(sent(1.0, 0.3, REFUSED), 1, id="refused late"),
         pytest.param(sent(1.0, 0.1), 0, id="closed at once"),
         pytest.param(sent(1.0, 0.6), 1, id="read and closed late"),
+        pytest.param(sent(1.0, 0.1, HALF), 0, id="half a refusal at once"),
+        pytest.param(sent(1.0, 0.3, HALF), 1, id="half a refusal late"),
         pytest.param(sent(1.0, 0.6, reset=True), 1, id="reset, process alive"),
         pytest.param(
             sent(1.0, 0.6, reset=True, of=life(ended_at=STOP_AT + 1.6)),
