--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -25,6 +25,7 @@
 
     from kingcupwheel.forwarding.connections import Connections
     from kingcupwheel.forwarding.heads import AnswerHead
+    from kingcupwheel.forwarding.heads import ServerNotice
     from kingcupwheel.forwarding.pulse import Pulse
     from kingcupwheel.forwarding.watchdog import Watched
 
@@ -58,6 +59,7 @@
     why: str
     other_instance: bool
     faulty: str
+    notice: ServerNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,7 +244,8 @@
         if head.attempt and head.attempt != request.attempt:
             return Lost("the answer was another request's")
         if head.not_run:
-            return TurnedAway(f"status {head.status}", head.other_instance, head.faulty)
+            why = f"status {head.status}"
+            return TurnedAway(why, head.other_instance, head.faulty, head.notice)
         if not head.signed:
             return Lost(f"an unsigned answer with status {head.status}")
         return Answered(ServerAnswer(head, response, connection, watched))
--- a/src/kingcupwheel/forwarding/heads.py
+++ b/src/kingcupwheel/forwarding/heads.py
@@ -43,6 +43,22 @@
     places: int
 
 
+class ServerNotice(NamedTuple):
+    """What a server's answer says of what the server wants of this process.
+
+    With ``leaving`` it takes nothing new any more. ``rest_s`` is for how long it wants
+    no request, None if it asks for no rest. ``unreadable`` names the headers whose
+    values say nothing that can be understood.
+    """
+
+    leaving: bool = False
+    rest_s: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
+NO_NOTICE = ServerNotice()
+
+
 class AnswerHead(NamedTuple):
     """The head of a server's answer.
 
@@ -63,4 +79,5 @@
     closes: bool
     idle_s: float | None
     load: ReportedLoad | None
+    notice: ServerNotice
     passed: tuple[tuple[str, str], ...]
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -23,6 +23,7 @@
 from kingcupwheel.forwarding.endings import PASS_ON
 from kingcupwheel.forwarding.endings import refusal_after
 from kingcupwheel.forwarding.exceptions import AnswerLostError
+from kingcupwheel.forwarding.heads import NO_NOTICE
 from kingcupwheel.forwarding.heads import ServerCall
 from kingcupwheel.forwarding.outcomes import Came
 from kingcupwheel.forwarding.outcomes import May
@@ -44,6 +45,7 @@
     from kingcupwheel.forwarding.calls import Sent
     from kingcupwheel.forwarding.calls import ServerAnswer
     from kingcupwheel.forwarding.context import ForwardContext
+    from kingcupwheel.forwarding.heads import ServerNotice
     from kingcupwheel.forwarding.requests import ForwardRequest
     from kingcupwheel.forwarding.watchdog import Watched
 
@@ -136,7 +138,8 @@
         if is_good:
             self.succeeded(place, monotonic() - self._sent_at)
             return self._pass_on(answer, body)
-        ended = self.after(place, Came.FAILED, f"status {head.status}")
+        why = f"status {head.status}"
+        ended = self.after(place, Came.FAILED, why, head.notice)
         if isinstance(ended, Refusal) and ended.limit == PASS_ON:
             return self._pass_on(answer, body)
         return ended
@@ -150,11 +153,12 @@
         self, place: Place, sent: NotSent | TurnedAway | Lost
     ) -> Refusal | None:
         self._release(place)
+        notice = NO_NOTICE
         match sent:
             case NotSent(why):
                 came = Came.NOT_SENT
                 self._dispatcher.failed(place)
-            case TurnedAway(why, other_instance, faulty):
+            case TurnedAway(why, other_instance, faulty, notice):
                 came = Came.TURNED_AWAY
                 if other_instance and faulty in ("", place.server):
                     self._context.misdirected(place)
@@ -165,9 +169,11 @@
                     )
             case Lost(why):
                 came = Came.LOST
-        return self.after(place, came, why)
+        return self.after(place, came, why, notice)
 
-    def after(self, place: Place, came: Came, why: str) -> Refusal | None:
+    def after(
+        self, place: Place, came: Came, why: str, notice: ServerNotice = NO_NOTICE
+    ) -> Refusal | None:
         """Return the refusal that follows a send, or None if another send does."""
         request = self._request
         self._sends = self._sends.after(came)
@@ -194,6 +200,8 @@
             why=why,
             ran=self._sends.ran,
             turned_away=self._sends.turned_away,
+            rest_s=notice.rest_s,
+            leaving=notice.leaving,
             left_s=round(left_s, 3),
             budget=budget,
             follows=step.value,
--- a/src/kingcupwheel/platform/headers.py
+++ b/src/kingcupwheel/platform/headers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import TYPE_CHECKING
 
 from kingcupwheel.forwarding.heads import AnswerHead
 from kingcupwheel.forwarding.heads import CallerHead
 from kingcupwheel.forwarding.heads import ReportedLoad
+from kingcupwheel.forwarding.heads import ServerNotice
 from kingcupwheel.utils.http_headers import HOP_BY_HOP
 from kingcupwheel.utils.http_headers import OF_ONE_REQUEST
 from kingcupwheel.utils.numbers import whole_number
@@ -33,6 +35,9 @@
 _SIGNATURE = "x-response-signature"
 _LOAD = "x-server-load"
 _FAULTY = "at-server"
+_LEAVING = "server-leaving"
+_REST = "retry-after"
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
 
 # What the system sets itself, whatever the caller sent, or keeps to itself.
 _OWN = frozenset(
@@ -96,11 +101,12 @@
         if name.lower() not in _ANSWER_DROPPED
     )
     length = headers.get("content-length", "")
+    not_run = _NOT_EXECUTED in headers or status == 421
     return AnswerHead(
         status=status,
         attempt=headers.get(_ATTEMPT, ""),
         signed=_SIGNATURE in headers,
-        not_run=_NOT_EXECUTED in headers or status == 421,
+        not_run=not_run,
         other_instance=status == 421,
         faulty=headers.get(_FAULTY, ""),
         length=whole_number(length),
@@ -108,10 +114,35 @@
         closes="close" in headers.get("connection", "").lower(),
         idle_s=_idle_s(headers.get("keep-alive", "")),
         load=_load(headers.get(_LOAD, "")),
+        notice=_notice(headers, turned_away=not_run and status == 503),
         passed=passed,
     )
 
 
+def _notice(headers: HTTPHeaderDict, *, turned_away: bool) -> ServerNotice:
+    leaving = _values(headers, _LEAVING)
+    rest = _values(headers, _REST) if turned_away else []
+    rest_s = _rest_s(rest)
+    unreadable = []
+    if leaving not in ([], ["0"], ["1"]):
+        unreadable.append(_LEAVING)
+    if rest and rest_s is None:
+        unreadable.append(_REST)
+    return ServerNotice(leaving == ["1"], rest_s, tuple(unreadable))
+
+
+def _values(headers: HTTPHeaderDict, name: str) -> list[str]:
+    return [value.strip() for value in headers.getlist(name)]
+
+
+def _rest_s(values: list[str]) -> float | None:
+    """Return seconds, which may have a fraction; a header that comes twice has none."""
+    if len(values) != 1 or _DECIMAL.fullmatch(values[0]) is None:
+        return None
+    seconds = float(values[0])
+    return seconds if math.isfinite(seconds) else None
+
+
 def _seconds(text: str) -> float | None:
     try:
         found = float(text) / _MS
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
+import pytest
 from urllib3 import HTTPHeaderDict
 
 from kingcupwheel.forwarding.heads import ReportedLoad
 from kingcupwheel.forwarding.heads import ServerCall
+from kingcupwheel.forwarding.heads import ServerNotice
 from kingcupwheel.platform.headers import read_answer_head
 from kingcupwheel.platform.headers import read_caller_head
 from kingcupwheel.platform.headers import server_headers
@@ -97,3 +99,73 @@
     assert read_answer_head(421, HTTPHeaderDict()).not_run
     assert not read_answer_head(503, HTTPHeaderDict()).not_run
     assert not read_answer_head(500, HTTPHeaderDict()).not_run
+
+
+def notice(status: int, *headers: tuple[str, str]) -> ServerNotice:
+    found = HTTPHeaderDict()
+    for name, value in headers:
+        found.add(name, value)
+    return read_answer_head(status, found).notice
+
+
+NOT_RUN = ("X-Not-Executed", "1")
+
+
+@pytest.mark.parametrize(
+    ("value", "rest_s"), [("3", 3.0), ("0.25", 0.25), (" 7 ", 7.0), ("0", 0.0)]
+)
+def test_a_server_that_turns_a_request_away_may_ask_for_rest(
+    value: str, rest_s: float
+) -> None:
+    found = notice(503, NOT_RUN, ("Retry-After", value))
+
+    assert found == ServerNotice(rest_s=rest_s)
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["", "soon", "-3", "+3", "nan", "inf", "1e9", "1_0", "3,4", "9" * 400, "²"],
+)
+def test_a_rest_that_is_no_number_of_seconds_is_no_rest(value: str) -> None:
+    found = notice(503, NOT_RUN, ("Retry-After", value))
+
+    assert found == ServerNotice(unreadable=("retry-after",))
+
+
+def test_a_rest_that_is_given_twice_is_no_rest() -> None:
+    twice = (("Retry-After", "3"), ("Retry-After", "3"))
+
+    assert notice(503, NOT_RUN, *twice).rest_s is None
+
+
+def test_only_a_request_turned_away_with_503_asks_for_rest() -> None:
+    asks = ("Retry-After", "3")
+
+    assert notice(503, asks) == ServerNotice()
+    assert notice(429, NOT_RUN, asks) == ServerNotice()
+    assert notice(421, asks) == ServerNotice()
+    assert notice(200, asks) == ServerNotice()
+
+
+def test_any_answer_may_say_that_its_server_leaves() -> None:
+    leaves = ("Server-Leaving", "1")
+
+    assert notice(200, leaves).leaving
+    assert notice(500, leaves).leaving
+    assert notice(503, NOT_RUN, leaves, ("Retry-After", "2")) == ServerNotice(True, 2.0)
+    assert notice(200, ("Server-Leaving", "0")) == ServerNotice()
+
+
+@pytest.mark.parametrize("value", ["", "true", "2", "1, 1"])
+def test_a_leaving_that_can_not_be_read_says_nothing(value: str) -> None:
+    found = notice(200, ("Server-Leaving", value))
+
+    assert found == ServerNotice(unreadable=("server-leaving",))
+
+
+def test_the_caller_gets_the_servers_notices_as_they_were() -> None:
+    headers = HTTPHeaderDict({"Server-Leaving": "1", "Retry-After": "soon"})
+
+    passed = read_answer_head(200, headers).passed
+
+    assert passed == (("Server-Leaving", "1"), ("Retry-After", "soon"))
