--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -36,7 +36,8 @@
     second) are from its agent's last report, ``heard_age_s`` old. ``own_in_flight``
     counts this entry's attempts on it now, ``own_at_report`` those it had when the
     report came. ``started_age_s`` is how long its server has been up,
-    ``suspects_running`` how many suspects this entry knows to run on it.
+    ``suspects_running`` how many suspects this entry knows to run on it. One that
+    rests does so until ``rests_until`` (monotonic).
     """
 
     name: str
@@ -52,6 +53,7 @@
     state: ServerState = ServerState.HEALTHY
     own_at_report: int = 0
     suspects_running: int = 0
+    rests_until: float = 0.0
 
     @property
     def held(self) -> float:
@@ -134,15 +136,19 @@
     """No server can take it now; ``reason`` is short and fixed.
 
     ``for_all`` tells that any other request would meet the same. If it is False, only
-    this one has to be set aside, and must not hold up those behind it.
+    this one has to be set aside, and must not hold up those behind it. ``rest_over_at``
+    is when the first rest ends, where nothing else could help sooner.
     """
 
     reason: str
     for_all: bool
+    rest_over_at: float | None = None
 
 
 NO_SERVERS = NoPlace("no server is in service", for_all=True)
 ALL_FULL = NoPlace("every server is full", for_all=True)
 ALL_TRIED = NoPlace("every server was tried", for_all=False)
 UNTRIED_FULL = NoPlace("every untried server is full", for_all=False)
+ALL_REST = NoPlace("every server rests or leaves", for_all=True)
+UNTRIED_REST = NoPlace("every untried server rests or leaves", for_all=False)
 SUSPECT_WAITS = NoPlace("every server runs another suspect", for_all=False)
--- a/src/kingcupwheel/decisions/group_health.py
+++ b/src/kingcupwheel/decisions/group_health.py
@@ -24,11 +24,15 @@
 
 
 class ServerLoad(NamedTuple):
-    """What a server holds: attempts running or queued, and how many it can run."""
+    """What a server holds: attempts running or queued, and how many it can run.
+
+    One that is not ``in_service`` has no room for what others hold.
+    """
 
     name: str
     held: float
     capacity: int
+    in_service: bool = True
 
 
 class GroupHealth:
@@ -66,16 +70,17 @@
         health_by_name = {name: self.of(name) for name in load_by_name}
         median_s = _median_latency(health_by_name)
         held = sum(load.held for load in load_by_name.values())
-        places = sum(load.capacity for load in load_by_name.values())
-        may_leave = int(len(load_by_name) * MAX_EJECTED_SHARE)
+        serving = [load for load in load_by_name.values() if load.in_service]
+        places = sum(load.capacity for load in serving)
+        may_leave = int(len(serving) * MAX_EJECTED_SHARE)
         state_by_name: dict[str, ServerState] = {}
         for name in sorted(load_by_name, key=lambda name: _rank(health_by_name, name)):
             load = load_by_name[name]
-            has_room = held <= places - load.capacity
+            has_room = held <= places - load.capacity * load.in_service
             may_eject = may_leave > 0 and has_room
             state = health_by_name[name].update(median_s, now, may_eject=may_eject)
             state_by_name[name] = state
-            if state in _OUT_OF_SERVICE:
+            if state in _OUT_OF_SERVICE and load.in_service:
                 may_leave -= 1
                 places -= load.capacity
         return state_by_name
--- a/src/kingcupwheel/decisions/health.py
+++ b/src/kingcupwheel/decisions/health.py
@@ -46,7 +46,8 @@
 
     ``HEALTHY`` its part, ``SLOW`` less, ``FAILING`` what the others have no room for
     (it failed just now, or too many are ejected already), ``PROBING`` single repeatable
-    requests, ``EJECTED`` nothing, ``LEAVING`` nothing ever again.
+    requests, ``EJECTED`` nothing, ``RESTING`` nothing until its rest is over, ``DOWN``
+    nothing until it is heard to be up, ``LEAVING`` nothing ever again.
     """
 
     HEALTHY = "healthy"
@@ -54,6 +55,8 @@
     FAILING = "failing"
     PROBING = "probing"
     EJECTED = "ejected"
+    RESTING = "resting"
+    DOWN = "down"
     LEAVING = "leaving"
 
 
--- /dev/null
+++ b/src/kingcupwheel/decisions/notices.py
@@ -0,0 +1,109 @@
+"""What servers said of themselves, by the life of a server that said it. Pure.
+
+Failure: a server asks for rest, and looks idle because nothing runs there. Symptom: it
+draws the requests that it wanted to be spared, turns them away, and their callers wait
+for another send or are refused.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+
+# The longest rest that is kept, in seconds. A server that names a longer one by mistake
+# is asked again after it, and asks for rest again if it meant it.
+MAX_REST_S = 120.0
+# A life that is off the list is remembered for so long, in seconds: an entry that was
+# overwritten or has lapsed comes back with the same life.
+ABSENT_S = 60.0
+# Lives remembered at most; a bound for memory only.
+MAX_LIVES = 4096
+
+
+class _Told:
+    """What one life said; ``absent_at`` is since when it is off the list."""
+
+    __slots__ = ("absent_at", "rests_until")
+
+    def __init__(self) -> None:
+        self.rests_until: float | None = None
+        self.absent_at: float | None = None
+
+
+class Notices:
+    """Keeps what servers asked for; guarded by its owner, times are monotonic."""
+
+    def __init__(self) -> None:
+        self._told_by_life: dict[str, _Told] = {}
+
+    def __len__(self) -> int:
+        return len(self._told_by_life)
+
+    def rest(self, life: str, for_s: float, now: float) -> bool:
+        """Note that a server asks for rest; return whether that is news.
+
+        A shorter wish does not end an earlier one: answers overtake each other.
+        """
+        until = now + min(for_s, MAX_REST_S)
+        known = self.rests_until(life)
+        if until <= now or (known is not None and until <= known):
+            return False
+        self._of(life).rests_until = until
+        return True
+
+    def rests_until(self, life: str) -> float | None:
+        """Return when the rest it asked for ends or has ended, None without one."""
+        told = self._told_by_life.get(life)
+        return None if told is None else told.rests_until
+
+    def rests(self, life: str, now: float) -> bool:
+        """Return whether it is to get nothing now for its rest's sake."""
+        until = self.rests_until(life)
+        return until is not None and now < until
+
+    def may_get(self, life: str, now: float) -> bool:
+        """Return whether a request may be sent to it now."""
+        return not self.rests(life, now)
+
+    def ended(self, now: float) -> tuple[str, ...]:
+        """Return, once, the lives whose rest is over."""
+        found = tuple(
+            life
+            for life, told in self._told_by_life.items()
+            if told.rests_until is not None and told.rests_until <= now
+        )
+        for life in found:
+            del self._told_by_life[life]
+        return found
+
+    def keep(self, lives: Collection[str], now: float) -> tuple[str, ...]:
+        """Forget lives that have been off the list for long; return them."""
+        for life, told in self._told_by_life.items():
+            if life in lives:
+                told.absent_at = None
+            elif told.absent_at is None:
+                told.absent_at = now
+        return self._forget(
+            life
+            for life, told in self._told_by_life.items()
+            if told.absent_at is not None and now - told.absent_at >= ABSENT_S
+        )
+
+    def _forget(self, lives: Iterable[str]) -> tuple[str, ...]:
+        found = tuple(lives)
+        for life in found:
+            del self._told_by_life[life]
+        return found
+
+    def _of(self, life: str) -> _Told:
+        found = self._told_by_life.get(life)
+        if found is None:
+            if len(self._told_by_life) >= MAX_LIVES:
+                # The one that said something first.
+                del self._told_by_life[next(iter(self._told_by_life))]
+            found = self._told_by_life[life] = _Told()
+        return found
--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -7,10 +7,12 @@
 
 from kingcupwheel.decisions.ages import relative
 from kingcupwheel.decisions.candidates import ALL_FULL
+from kingcupwheel.decisions.candidates import ALL_REST
 from kingcupwheel.decisions.candidates import ALL_TRIED
 from kingcupwheel.decisions.candidates import NO_SERVERS
 from kingcupwheel.decisions.candidates import SUSPECT_WAITS
 from kingcupwheel.decisions.candidates import UNTRIED_FULL
+from kingcupwheel.decisions.candidates import UNTRIED_REST
 from kingcupwheel.decisions.candidates import Ask
 from kingcupwheel.decisions.candidates import Candidate
 from kingcupwheel.decisions.candidates import NoPlace
@@ -31,6 +33,15 @@
 # compared, all entries would pick the same one from reports of the same second.
 CHOICES = 2
 
+GET_NOTHING = frozenset(
+    {
+        ServerState.EJECTED,
+        ServerState.RESTING,
+        ServerState.DOWN,
+        ServerState.LEAVING,
+    }
+)
+
 # Requests that go to a server on probe, as a share of the repeatable ones: at nine
 # requests a second an entry probes about every five seconds.
 PROBE_SHARE = 0.02
@@ -57,19 +68,16 @@
 
 def usable(candidates: Sequence[Candidate], ask: Ask) -> list[Candidate] | NoPlace:
     """Return the servers that may be given ``ask``, or why there are none."""
-    up = [
-        candidate
-        for candidate in relative(candidates)
-        if candidate.state not in (ServerState.LEAVING, ServerState.EJECTED)
-    ]
+    known = relative(candidates)
+    up = [candidate for candidate in known if candidate.state not in GET_NOTHING]
     if not up:
-        return NO_SERVERS
+        return _none_up(known, ask)
     with_room = [candidate for candidate in up if not candidate.is_full]
     if not with_room:
         return ALL_FULL
     untried = [candidate for candidate in with_room if candidate.name not in ask.avoid]
     if not untried:
-        return ALL_TRIED if ask.avoid.issuperset(_names(up)) else UNTRIED_FULL
+        return _none_untried(known, up, ask)
     if not ask.suspect:
         return untried
     # Failure: two suspects on one server, which dies. Symptom: the innocent one is
@@ -78,6 +86,38 @@
     return alone or SUSPECT_WAITS
 
 
+def _none_up(known: Sequence[Candidate], ask: Ask) -> NoPlace:
+    """Return what stands in the way of all; an ejected or silent server may be back."""
+    waited_for = [one for one in known if one.state is not ServerState.LEAVING]
+    rests = [one for one in waited_for if one.state is ServerState.RESTING]
+    if not rests or len(rests) < len(waited_for):
+        return NO_SERVERS
+    untried = [one for one in rests if one.name not in ask.avoid]
+    if not untried:
+        return ALL_TRIED._replace(rest_over_at=_first_over(rests))
+    reason = UNTRIED_REST if ask.avoid else ALL_REST
+    return reason._replace(rest_over_at=_first_over(untried))
+
+
+def _none_untried(
+    known: Sequence[Candidate], up: Sequence[Candidate], ask: Ask
+) -> NoPlace:
+    if not ask.avoid.issuperset(_names(up)):
+        return UNTRIED_FULL
+    rests = [
+        one
+        for one in known
+        if one.state is ServerState.RESTING and one.name not in ask.avoid
+    ]
+    if not rests:
+        return ALL_TRIED
+    return UNTRIED_REST._replace(rest_over_at=_first_over(rests))
+
+
+def _first_over(rests: Sequence[Candidate]) -> float:
+    return min(one.rests_until for one in rests)
+
+
 @placement_policies.register("two-choices")
 class TwoChoices:
     """The less loaded of two random servers, unless the prefix has a home with room.
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -15,6 +15,7 @@
 
 from kingcupwheel.decisions.admission import Refuse
 from kingcupwheel.decisions.candidates import ALL_TRIED
+from kingcupwheel.decisions.candidates import Ask
 from kingcupwheel.decisions.candidates import Candidate
 from kingcupwheel.decisions.candidates import NoPlace
 from kingcupwheel.decisions.candidates import Placed
@@ -22,6 +23,7 @@
 from kingcupwheel.decisions.group_health import ServerLoad
 from kingcupwheel.decisions.health import ServerState
 from kingcupwheel.decisions.latency import LatencyBound
+from kingcupwheel.decisions.placement import usable
 from kingcupwheel.decisions.queueing import FairQueue
 from kingcupwheel.decisions.queueing import Queued
 from kingcupwheel.decisions.queueing import Waiting
@@ -32,7 +34,6 @@
 
 
 if TYPE_CHECKING:
-    from kingcupwheel.decisions.candidates import Ask
     from kingcupwheel.entry.servers import Server
     from kingcupwheel.entry.servers import ServerTable
     from kingcupwheel.entry.tickets import Wanted
@@ -151,6 +152,15 @@
         with self._lock:
             self._health.of(place.server).failed(monotonic())
 
+    def rest_left_s(self) -> float:
+        """Return how long every server still rests or leaves, 0 if any may get work."""
+        now = monotonic()
+        with self._lock, self._servers.lock:
+            found = usable(self._candidates(self._heard(), now), Ask())
+        if not isinstance(found, NoPlace) or found.rest_over_at is None:
+            return 0.0
+        return max(0.0, found.rest_over_at - now)
+
     def restarted(self, server: str) -> None:
         """Forget the failures of a server's earlier life."""
         with self._lock:
@@ -170,8 +180,21 @@
         while (waiting := self._next(now)) is not None:
             if not self._place(waiting, now):
                 self._held = waiting
+                self._tell_in_vain(waiting, now)
                 return
 
+    def _tell_in_vain(self, held: Ticket, now: float) -> None:
+        """End the waits behind ``held`` that end before the first rest does."""
+        hindrance = held.hindrance
+        if hindrance is None or hindrance.rest_over_at is None:
+            return
+        waiting = self._tickets_by_request_id.values()
+        for ticket in [one for one in waiting if one not in self._aside]:
+            ended = _in_vain(ticket, hindrance, now)
+            if ended is not None:
+                self._forget(ticket)
+                ticket.give(ended)
+
     def _next(self, now: float) -> Ticket | None:
         if self._held is not None:
             held, self._held = self._held, None
@@ -195,37 +218,74 @@
 
     def _place(self, ticket: Ticket, now: float) -> bool:
         with self._servers.lock:
-            servers = {
-                server.name: server
-                for server in self._servers.of_group(self._group.name)
-                if server.beat is not None
-            }
+            servers = self._heard()
             decision = self._policy.place(
                 self._candidates(servers, now), ticket.ask, now, self._draw
             )
             match decision:
-                case NoPlace(reason) if decision != ALL_TRIED:
-                    ticket.last_hindrance = reason
-                    return False
-                case NoPlace(reason):
-                    # No wait brings a server that was not tried, so the caller is told.
-                    place: Place | TimedOut = TimedOut("no-server", reason)
+                case NoPlace():
+                    ticket.hindrance = decision
+                    place: Place | TimedOut | None = _in_vain(ticket, decision, now)
                 case Placed(server=name):
                     place = _take(servers[name], decision, ticket, now)
+        if place is None:
+            return False
         del self._tickets_by_request_id[ticket.waiting.request_id]
         ticket.give(place)
         return True
 
+    def _heard(self) -> dict[str, Server]:
+        return {
+            server.name: server
+            for server in self._servers.of_group(self._group.name)
+            if server.beat is not None
+        }
+
     def _candidates(self, servers: dict[str, Server], now: float) -> list[Candidate]:
         concurrency = self._group.concurrency
-        plain = [_candidate(server, concurrency, now) for server in servers.values()]
-        loads = [ServerLoad(one.name, one.held, one.capacity) for one in plain]
+        notices = self._servers.notices
+        plain = [
+            replace(
+                _candidate(server, concurrency, now),
+                rests_until=notices.rests_until(server.known_beat.incarnation) or 0.0,
+            )
+            for server in servers.values()
+        ]
+        kept_from = {
+            name: state
+            for name, server in servers.items()
+            if (state := self._kept_from(server, now)) is not None
+        }
+        loads = [
+            ServerLoad(one.name, one.held, one.capacity, one.name not in kept_from)
+            for one in plain
+        ]
         state_by_name = self._health.states(loads, now)
-        for name, server in servers.items():
-            if not server.in_service:
-                state_by_name[name] = ServerState.LEAVING
+        state_by_name.update(kept_from)
         return [replace(one, state=state_by_name[one.name]) for one in plain]
 
+    def _kept_from(self, server: Server, now: float) -> ServerState | None:
+        """Return why a server gets nothing, whatever became of what it got so far."""
+        if server.is_going:
+            return ServerState.LEAVING
+        if not server.in_service:
+            return ServerState.DOWN
+        if self._servers.notices.rests(server.known_beat.incarnation, now):
+            return ServerState.RESTING
+        return None
+
+
+def _in_vain(ticket: Ticket, hindrance: NoPlace, now: float) -> TimedOut | None:
+    """Return the end of a wait that can't bring a place, None if it can."""
+    over_at = hindrance.rest_over_at
+    rest_s = 0.0 if over_at is None else max(0.0, over_at - now)
+    if hindrance.reason == ALL_TRIED.reason:
+        # No wait brings a server that was not tried.
+        return TimedOut("no-server", hindrance.reason, rest_s)
+    if over_at is not None and over_at >= ticket.waiting.deadline_at:
+        return TimedOut("servers-rest", hindrance.reason, rest_s)
+    return None
+
 
 def _take(server: Server, decision: Placed, ticket: Ticket, now: float) -> Place:
     beat = server.known_beat
--- a/src/kingcupwheel/entry/servers.py
+++ b/src/kingcupwheel/entry/servers.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from kingcupwheel.decisions.notices import Notices
+
 
 if TYPE_CHECKING:
     from kingcupwheel.messages.membership import Beat
@@ -81,6 +83,11 @@
         assert self.beat is not None, "only servers that were heard are placed on"
         return self.beat
 
+    @property
+    def is_going(self) -> bool:
+        """Whether it is to get nothing ever again."""
+        return self.leaving or not self.listed
+
     @property
     def in_service(self) -> bool:
         """Whether new work may go there."""
@@ -95,6 +102,7 @@
         self._timings = timings
         self._by_address: dict[str, Server] = {}
         self._lock = Lock()
+        self._notices = Notices()
         self._checked_at: float | None = None
 
     @property
@@ -102,6 +110,11 @@
         """Guards the servers that ``of_group`` returns."""
         return self._lock
 
+    @property
+    def notices(self) -> Notices:
+        """What servers said of themselves; read and changed under ``lock`` only."""
+        return self._notices
+
     def keep(self, instances: tuple[Instance, ...], now: float) -> tuple[str, ...]:
         """Use just ``instances`` from now on; return addresses no longer used.
 
--- a/src/kingcupwheel/entry/tickets.py
+++ b/src/kingcupwheel/entry/tickets.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from kingcupwheel.decisions.candidates import Ask
+    from kingcupwheel.decisions.candidates import NoPlace
     from kingcupwheel.decisions.candidates import Placed
     from kingcupwheel.decisions.queueing import Waiting
 
@@ -45,12 +46,14 @@
 class TimedOut(NamedTuple):
     """The wait ended without a place.
 
-    ``limit`` is ``deadline``, or ``no-server`` where waiting could not help; ``why`` is
-    what stood in the way last.
+    ``limit`` is ``deadline``, or where waiting could not help ``no-server`` or
+    ``servers-rest``; ``why`` is what stood in the way last. ``rest_s`` is how long the
+    first rest still lasts where nothing but rests stands in the way, else 0.
     """
 
     limit: str
     why: str
+    rest_s: float = 0.0
 
 
 class Ticket:
@@ -59,10 +62,15 @@
     def __init__(self, waiting: Waiting, ask: Ask) -> None:
         self.waiting = waiting
         self.ask = ask
-        self.last_hindrance = "no server is known"
+        self.hindrance: NoPlace | None = None
         self.waiting_ahead = 0
         self._places: SimpleQueue[Place | TimedOut] = SimpleQueue()
 
+    @property
+    def last_hindrance(self) -> str:
+        """What stood in the way last."""
+        return "no server is known" if self.hindrance is None else self.hindrance.reason
+
     def give(self, place: Place | TimedOut) -> None:
         """End the wait."""
         self._places.put(place)
--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -52,6 +52,11 @@
     why: str
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """No byte was sent: the server may not get the request any more."""
+
+
 @dataclass(frozen=True, slots=True)
 class TurnedAway:
     """The server says that it has not run the request and never will."""
@@ -76,7 +81,7 @@
     answer: ServerAnswer
 
 
-Sent = NotSent | TurnedAway | Lost | Answered
+Sent = NotSent | Withheld | TurnedAway | Lost | Answered
 
 
 class ServerAnswer:
@@ -175,12 +180,14 @@
         pulse: Pulse | None,
         fresh: bool,
         may_give_up: Callable[[], bool],
+        may_begin: Callable[[], bool],
     ) -> Sent:
         """Send the request once and wait for the head of its answer.
 
         ``fresh`` asks for a new connection: what may run only once must not cross the
         close of a kept one, after which nobody knows whether it has run. A silent
-        server is given up only when ``may_give_up`` says so.
+        server is given up only when ``may_give_up`` says so. ``may_begin`` is asked in
+        the moment before bytes leave, since the place was given earlier.
         """
         connection = None if fresh else self._connections.take(life)
         if connection is None:
@@ -189,6 +196,9 @@
             except NotConnectedError as error:
                 return NotSent(f"no connection: {error}")
         assert connection.sock is not None, "an open connection has a socket"
+        if not may_begin():
+            connection.close()
+            return Withheld()
         watched.attach(connection.sock, silence_s, instance, may_give_up)
         sent = self._exchange(request, connection, watched)
         if isinstance(sent, Answered) and pulse is not None:
--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -17,6 +17,7 @@
     from kingcupwheel.forwarding.currency import Currency
     from kingcupwheel.forwarding.guards import Guards
     from kingcupwheel.forwarding.heads import ReportedLoad
+    from kingcupwheel.forwarding.heads import ServerNotice
     from kingcupwheel.forwarding.pulse import Pulses
     from kingcupwheel.forwarding.serverbook import ServerBook
     from kingcupwheel.forwarding.watchdog import Watchdog
@@ -49,6 +50,20 @@
         """Take in the load that an answer told."""
         self.book.saw_load(place, load)
 
+    def told(self, place: Place, notice: ServerNotice, request_id: str) -> None:
+        """Take in what an answer says of its server."""
+        for header in notice.unreadable:
+            self.metrics.notices.labels("unreadable").inc()
+            log.warning(
+                "notice-unreadable",
+                server=place.incarnation,
+                header=header,
+                id=request_id,
+            )
+        if notice.rest_s:
+            self.metrics.notices.labels("rest").inc()
+            self.book.rests(place, notice.rest_s, request_id)
+
     def misdirected(self, place: Place) -> None:
         """Note that another life of a server has its address."""
         self.connections.forget(place.incarnation)
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -282,6 +282,7 @@
     def _on_tick(self, now: float) -> None:
         self._neighbours.on_tick(now)
         self._note_standstills(now)
+        self._context.book.end_rests()
         if now - self._refresh_at >= _REFRESH_S:
             self._refresh_at = now
             self._context.book.refresh()
--- a/src/kingcupwheel/forwarding/endings.py
+++ b/src/kingcupwheel/forwarding/endings.py
@@ -14,12 +14,17 @@
 _RETRY_AFTER_S = 0.4
 
 
-def retry_after(request_id: str) -> float:
-    """Return when a request may come back, spread by its id."""
-    return spread(_RETRY_AFTER_S, request_id)
+def retry_after(request_id: str, rest_s: float = 0.0) -> float:
+    """Return when a request may come back, spread by its id.
 
+    ``rest_s`` is how long all servers still rest.
+    """
+    return spread(max(_RETRY_AFTER_S, rest_s), request_id)
 
-def refusal_after(step: Follows, why: str, request_id: str) -> Refusal | None:
+
+def refusal_after(
+    step: Follows, why: str, request_id: str, rest_s: float = 0.0
+) -> Refusal | None:
     """Return the refusal that follows a send, or None if another send does."""
     match step:
         case Follows.AGAIN:
@@ -28,7 +33,8 @@
             return Refusal(500, PASS_ON, why, outcome=Outcome.RAN)
         case Follows.REFUSE:
             message = f"No server took it: {why}."
-            return Refusal(503, "no-server-took-it", message, retry_after(request_id))
+            after_s = retry_after(request_id, rest_s)
+            return Refusal(503, "no-server-took-it", message, after_s)
         case Follows.UNKNOWN:
             message = f"It was sent to a server, and its answer is lost: {why}."
             return Refusal(502, "answer-lost", message, 0.0, Outcome.UNKNOWN)
--- a/src/kingcupwheel/forwarding/placing.py
+++ b/src/kingcupwheel/forwarding/placing.py
@@ -70,7 +70,8 @@
         if isinstance(place, Place):
             return place
         if place is not None:
-            return Hindered(place.limit, place.why, retry_after(request.id))
+            after_s = retry_after(request.id, place.rest_s)
+            return Hindered(place.limit, place.why, after_s)
         if watched.is_over:
             dispatcher.withdraw(ticket)
             if watched.cut is Cut.CALLER_LEFT:
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -20,12 +20,14 @@
 from kingcupwheel.forwarding.calls import NotSent
 from kingcupwheel.forwarding.calls import Outgoing
 from kingcupwheel.forwarding.calls import TurnedAway
+from kingcupwheel.forwarding.calls import Withheld
 from kingcupwheel.forwarding.endings import PASS_ON
 from kingcupwheel.forwarding.endings import refusal_after
 from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.heads import NO_NOTICE
 from kingcupwheel.forwarding.heads import ServerCall
 from kingcupwheel.forwarding.outcomes import Came
+from kingcupwheel.forwarding.outcomes import Follows
 from kingcupwheel.forwarding.outcomes import May
 from kingcupwheel.forwarding.outcomes import Sends
 from kingcupwheel.forwarding.outcomes import follows
@@ -113,6 +115,9 @@
             if isinstance(place, Refusal):
                 return place
             sent = self._send(place)
+            if isinstance(sent, Withheld):
+                self._withheld(place)
+                continue
             if isinstance(sent, Answered):
                 found = self._answered(place, sent.answer)
             else:
@@ -120,10 +125,17 @@
             if found is not None:
                 return found
 
+    def _withheld(self, place: Place) -> None:
+        """Give back a place that a notice overtook; the next one is on another life."""
+        self._release(place)
+        self._context.metrics.sends.labels("withheld").inc()
+        log.info("send-withheld", id=self._request.id, server=place.incarnation)
+
     def _answered(
         self, place: Place, answer: ServerAnswer
     ) -> Running | WholeAnswer | Refusal | None:
         head = answer.head
+        self._context.told(place, head.notice, self._request.id)
         self._context.saw_load(place, head.load)
         is_good = head.status < _SERVER_FAILED
         if is_good and self._request.route.streamed and head.status == 200:
@@ -152,17 +164,21 @@
     def _not_answered(
         self, place: Place, sent: NotSent | TurnedAway | Lost
     ) -> Refusal | None:
-        self._release(place)
         notice = NO_NOTICE
+        if isinstance(sent, TurnedAway) and not sent.other_instance:
+            # Before the place is released, which may give it to the next request.
+            notice = sent.notice
+            self._context.told(place, notice, self._request.id)
+        self._release(place)
         match sent:
             case NotSent(why):
                 came = Came.NOT_SENT
                 self._dispatcher.failed(place)
-            case TurnedAway(why, other_instance, faulty, notice):
+            case TurnedAway(why, other_instance, faulty):
                 came = Came.TURNED_AWAY
                 if other_instance and faulty in ("", place.server):
                     self._context.misdirected(place)
-                else:
+                elif not notice.rest_s:
                     request = self._request
                     self._context.turned_away(
                         place, request.service, streamed=request.route.streamed
@@ -207,7 +223,8 @@
             follows=step.value,
         )
         self._context.metrics.sends.labels(came.value).inc()
-        return refusal_after(step, why, request.id)
+        rest_s = self._dispatcher.rest_left_s() if step is Follows.REFUSE else 0.0
+        return refusal_after(step, why, request.id, rest_s)
 
     def _takes_budget(self) -> bool:
         """Return whether the budget allows one more send; one may be reserved."""
@@ -286,6 +303,7 @@
             pulse=self._context.pulses.of(request.service) if streamed else None,
             fresh=not request.route.may_rerun,
             may_give_up=partial(self._may_give_up, place),
+            may_begin=partial(self._context.book.may_send, place),
         )
 
     def _may_give_up(self, place: Place) -> bool:
--- a/src/kingcupwheel/forwarding/serverbook.py
+++ b/src/kingcupwheel/forwarding/serverbook.py
@@ -157,6 +157,38 @@
         load = server.beat.load
         return load.running + load.queued >= load.capacity
 
+    def rests(self, place: Place, for_s: float, request_id: str) -> None:
+        """Send nothing to a server for the time that it asked for."""
+        now = monotonic()
+        life = place.incarnation
+        with self._servers.lock:
+            is_news = self._servers.notices.rest(life, for_s, now)
+        if is_news:
+            log.info("rest-asked", server=life, for_s=round(for_s, 3), id=request_id)
+
+    def may_send(self, place: Place) -> bool:
+        """Return whether the life that a place is on may get a request now."""
+        with self._servers.lock:
+            return self._servers.notices.may_get(place.incarnation, monotonic())
+
+    def end_rests(self) -> None:
+        """Use servers again whose rest is over."""
+        with self._servers.lock:
+            ended = self._servers.notices.ended(monotonic())
+        if not ended:
+            return
+        for life in ended:
+            log.info("rest-ended", server=life)
+        for service in tuple(self._groups_by_service):
+            self._dispatchers.pump(service)
+
+    def _forget_notices(self, now: float) -> None:
+        lives = {one.life for one in tuple(self._backends_by_address.values())}
+        with self._servers.lock:
+            forgotten = self._servers.notices.keep(lives, now)
+        for life in forgotten:
+            log.info("notice-forgotten", server=life)
+
     def closed(self, service: str) -> None:
         """Note that all servers of a service turn requests away for now.
 
@@ -262,6 +294,7 @@
                 if server is not None:
                     told = _load(min(server.own_in_flight, backend.places), 0)
                     self._heard(backend, told, now)
+        self._forget_notices(now)
         for service in self._groups_by_service:
             self._dispatchers.pump(service)
 
--- a/src/kingcupwheel/telemetry/metrics.py
+++ b/src/kingcupwheel/telemetry/metrics.py
@@ -43,6 +43,12 @@
             ["came"],
             registry=registry,
         )
+        self.notices = Counter(
+            "kingcupwheel_server_notices",
+            "What servers said of themselves in answers, by kind.",
+            ["kind"],
+            registry=registry,
+        )
         self.took = Histogram(
             "kingcupwheel_answer_seconds",
             "From a request's arrival to its answer's end.",
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -91,3 +91,14 @@
 
     quiet = [budget.may_retry(200.0) for _ in range(10)]
     assert quiet.count(True) == 2
+
+
+def test_a_server_out_of_service_has_no_room_for_what_the_others_hold() -> None:
+    """Five of six rest: the last one, though it fails, is not ejected."""
+    group = healthy_group()
+    for _ in range(3):
+        group.of("server-0").failed(1.0)
+    rest = [load._replace(in_service=load.name == "server-0") for load in loads()]
+
+    assert group.states(rest, 1.0)["server-0"] is ServerState.FAILING
+    assert group.states(loads(), 1.0)["server-0"] is ServerState.EJECTED
--- /dev/null
+++ b/tests/decisions/test_notices.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupwheel.decisions import notices as module
+from kingcupwheel.decisions.notices import ABSENT_S
+from kingcupwheel.decisions.notices import MAX_REST_S
+from kingcupwheel.decisions.notices import Notices
+
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def test_a_rest_lasts_as_long_as_it_was_asked_for_and_is_told_over_once() -> None:
+    notices = Notices()
+    assert notices.rest("i-1", 3.0, 10.0)
+
+    assert not notices.may_get("i-1", 12.9)
+    assert notices.may_get("i-1", 13.0)
+    assert notices.may_get("i-2", 10.0)
+    assert notices.ended(12.9) == ()
+    assert notices.ended(13.0) == ("i-1",)
+    assert notices.ended(13.0) == ()
+
+
+def test_a_shorter_wish_that_comes_later_does_not_end_the_first_rest() -> None:
+    notices = Notices()
+    notices.rest("i-1", 5.0, 10.0)
+
+    assert not notices.rest("i-1", 1.0, 11.0)
+    assert notices.rests_until("i-1") == 15.0
+    assert notices.rest("i-1", 5.0, 11.0)
+    assert notices.rests_until("i-1") == 16.0
+
+
+def test_a_rest_of_nothing_is_none_and_one_for_ever_has_an_end() -> None:
+    notices = Notices()
+
+    assert not notices.rest("i-1", 0.0, 10.0)
+    assert len(notices) == 0
+    notices.rest("i-1", 1e12, 10.0)
+    assert notices.rests_until("i-1") == 10.0 + MAX_REST_S
+
+
+def test_a_life_that_comes_back_to_the_list_rests_on() -> None:
+    """An overwritten entry is back with the next heartbeat, its life the same."""
+    notices = Notices()
+    notices.rest("i-1", 100.0, 10.0)
+
+    assert notices.keep((), 11.0) == ()
+    assert not notices.may_get("i-1", 12.0)
+    assert notices.keep(("i-1",), 12.0) == ()
+    assert notices.keep((), 13.0) == ()
+    assert notices.keep((), 13.0 + ABSENT_S) == ("i-1",)
+    assert len(notices) == 0
+
+
+def test_what_is_remembered_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "MAX_LIVES", 5)
+    notices = Notices()
+    for number in range(9):
+        notices.rest(f"i-{number}", 5.0, 10.0)
+
+    assert len(notices) == 5
+    assert not notices.may_get("i-8", 11.0)
+
+
+LIVES = st.sampled_from(["i-1", "i-2", "i-2@7"])
+STEPS = st.lists(
+    st.tuples(LIVES, st.sampled_from(["rest", "keep", "ended"]), st.floats(0.0, 200.0)),
+    max_size=30,
+)
+
+
+@given(steps=STEPS, gaps=st.lists(st.floats(0.0, 20.0), min_size=30, max_size=30))
+def test_no_life_gets_anything_before_each_rest_that_it_asked_for_is_over(
+    steps: list[tuple[str, str, float]], gaps: list[float]
+) -> None:
+    """Whatever is said, listed and tidied up between, and whatever its other life."""
+    notices = Notices()
+    asked: dict[str, list[float]] = {"i-1": [], "i-2": [], "i-2@7": []}
+    now = 0.0
+    for (life, step, seconds), gap in zip(steps, gaps, strict=False):
+        now += gap
+        match step:
+            case "rest":
+                notices.rest(life, seconds, now)
+                asked[life].append(now + min(seconds, MAX_REST_S))
+            case "keep":
+                notices.keep({life} | set(asked), now)
+            case "ended":
+                notices.ended(now)
+        for one, ends in asked.items():
+            assert notices.may_get(one, now) == all(end <= now for end in ends)
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -55,6 +55,7 @@
                 pulse=None,
                 fresh=False,
                 may_give_up=lambda: True,
+                may_begin=lambda: True,
             )
         )
 
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -62,6 +62,8 @@
         found["Retry-After"] = behaviour.rest
     if behaviour.leaving:
         found["Server-Leaving"] = "1"
+    if behaviour.foreign:
+        found["X-Attempt-Id"] = "another"
     return found
 
 
