--- a/src/kingcupwheel/forwarding/application.py
+++ b/src/kingcupwheel/forwarding/application.py
@@ -147,7 +147,10 @@
         now = monotonic()
         over_at = request.times.over_at
         if not self._closed and stopping.takes(
-            now, over_at=over_at, longest_s=self._longest_s(now)
+            now,
+            over_at=over_at,
+            longest_s=self._longest_s(now),
+            streamed=request.route.streamed,
         ):
             return None
         retry_s = _ELSEWHERE_RETRY_S if self._others_live() else _RESTART_RETRY_S
