--- /dev/null
+++ b/src/kingcupwheel/platform/storecoding.py
@@ -0,0 +1,125 @@
+"""Reads and writes the JSON of the users' object store; any bytes may come in."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
+
+from kingcupwheel.platform.decoding import decoded
+from kingcupwheel.platform.stored import Change
+from kingcupwheel.platform.stored import Changes
+from kingcupwheel.platform.stored import Page
+from kingcupwheel.platform.stored import StoredObject
+from kingcupwheel.telemetry.lines import lines_of
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from expression import Result
+
+T = TypeVar("T")
+
+log = lines_of("store")
+
+# Of an object that can't be read so much goes into the log.
+_LOGGED_BYTES = 120
+
+
+class _Metadata(msgspec.Struct, rename="pascal"):
+    name: str = ""
+    revision: int = 0
+    # A revision too, not a time.
+    created: int = 0
+    # Marked for removal, held back by its finalizers.
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct, rename="pascal"):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Page(msgspec.Struct, rename="pascal"):
+    # Decoded one by one: an object of another shape must not cost the others.
+    items: list[msgspec.Raw] = []
+    more: bool = False
+    # The revision of the whole store, not of an object.
+    store_revision: int = 0
+
+
+class _Event(msgspec.Struct, rename="pascal"):
+    object: _Object
+    # The object is gone; it is sent as it was last.
+    tombstone: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[msgspec.Raw] = []
+    store_revision: int = msgspec.field(default=0, name="StoreRevision")
+
+
+def encode_object(metadata: Mapping[str, object], body: bytes) -> bytes:
+    """Return an object as it is written; ``body`` is its encoded specification."""
+    return msgspec.json.encode({"Metadata": metadata, "Spec": msgspec.Raw(body)})
+
+
+def decode_object(raw: bytes) -> Result[StoredObject, str]:
+    """Return one object, or what is wrong with it."""
+    return decoded(raw, _Object).map(_stored)
+
+
+def decode_page(raw: bytes) -> Result[Page, str]:
+    """Return a part of a list; objects that can't be read are left out."""
+    return decoded(raw, _Page).map(_page)
+
+
+def decode_changes(raw: bytes) -> Result[Changes, str]:
+    """Return what a watch tells; events that can't be read are left out."""
+    return decoded(raw, _Events).map(_changes)
+
+
+def _readable(raws: list[msgspec.Raw], kind: type[T]) -> list[T]:
+    """Return those that can be read.
+
+    Failure: another writer has put an object of another shape beside the servers'.
+    Symptom: the whole list is refused, and an entry that starts knows no server. What
+    can't be read names nothing that is used, so nothing is lost without it.
+    """
+    found: list[T] = []
+    for raw in raws:
+        read = decoded(raw, kind)
+        if read.is_error():
+            log.warning("object-unreadable", why=read.error, begins=_begins(raw))
+        else:
+            found.append(read.ok)
+    return found
+
+
+def _begins(raw: msgspec.Raw) -> str:
+    return bytes(raw)[:_LOGGED_BYTES].decode(errors="replace")
+
+
+def _page(found: _Page) -> Page:
+    objects = tuple(map(_stored, _readable(found.items, _Object)))
+    after = objects[-1].name if found.more and objects else ""
+    return Page(objects, found.store_revision, after)
+
+
+def _stored(item: _Object) -> StoredObject:
+    metadata = item.metadata
+    return StoredObject(
+        name=metadata.name,
+        revision=metadata.revision,
+        created=metadata.created,
+        body=bytes(item.spec),
+        leaving=metadata.deleting,
+    )
+
+
+def _changes(found: _Events) -> Changes:
+    events = _readable(found.events, _Event)
+    changes = (Change(_stored(one.object), one.tombstone) for one in events)
+    return Changes(tuple(changes), found.store_revision)
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -14,13 +14,13 @@
 from kingcupwheel.platform.configuration import decode_configuration
 from kingcupwheel.platform.headers import read_answer_head
 from kingcupwheel.platform.headers import read_caller_head
-from kingcupwheel.platform.objects import StoredObject
-from kingcupwheel.platform.objects import decode_changes
-from kingcupwheel.platform.objects import decode_page
 from kingcupwheel.platform.ranks import decode_counts
 from kingcupwheel.platform.ranks import decode_places
 from kingcupwheel.platform.ranks import decode_state
 from kingcupwheel.platform.servers import decode_server
+from kingcupwheel.platform.storecoding import decode_changes
+from kingcupwheel.platform.storecoding import decode_page
+from kingcupwheel.platform.stored import StoredObject
 from tests.platform.builders import server_entry
 
 
