--- /dev/null
+++ b/src/kingcupwheel/lockstep/charge.py
@@ -0,0 +1,87 @@
+"""What an agent knows of the group that it coordinates, and how far a change is."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.lockstep.change import Idle
+from kingcupwheel.lockstep.group import Group
+from kingcupwheel.telemetry.lines import lines_of
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from kingcupwheel.lockstep.balancing import Balancer
+    from kingcupwheel.lockstep.change import Layers
+    from kingcupwheel.lockstep.change import Phase
+    from kingcupwheel.lockstep.rosters import Roster
+    from kingcupwheel.lockstep.state import RankState
+    from kingcupwheel.messages.lockstep import RankTold
+
+log = lines_of("maps")
+
+
+class Charge:
+    """One epoch of a group, from when an agent takes charge of it until it is left.
+
+    ``layers`` is the map in force. ``rescues`` tells that the agent is not rank 0's and
+    only ends the change that it found. Belongs to one thread.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        states_by_rank: Mapping[int, RankState],
+        layers: Layers,
+        balancer: Balancer,
+        *,
+        rescues: bool,
+    ) -> None:
+        self.roster = roster
+        self.layers = layers
+        self.balancer = balancer
+        self.rescues = rescues
+        self.phase: Phase = Idle()
+        self.is_left = False
+        self._states_by_rank = dict(states_by_rank)
+        self._began_at = monotonic()
+
+    @property
+    def group(self) -> Group:
+        """The ranks' latest reports."""
+        return Group(self.roster.epoch, self.roster.ranks, self._states_by_rank)
+
+    @property
+    def change_took_s(self) -> float:
+        """Seconds since the change under way was begun or taken up."""
+        return monotonic() - self._began_at
+
+    def begin(self, phase: Phase) -> None:
+        """Begin a change, whose time counts from now."""
+        self.phase = phase
+        self._began_at = monotonic()
+
+    def leave(self) -> None:
+        """End the charge: everything is to be read anew."""
+        self.phase = Idle()
+        self.is_left = True
+
+    def take_in(self, answers: Mapping[str, RankTold]) -> bool:
+        """Take in states; leave and return False if the group is no longer the same."""
+        for rank, agent in self.roster.agents_by_rank.items():
+            told = answers.get(agent)
+            if told is None or told.state is None:
+                continue
+            known = self._states_by_rank.get(rank)
+            if not self.roster.goes_on(rank, known, told.state):
+                log.info("group-changed", rank=rank, epoch=told.state.epoch)
+                self.leave()
+                return False
+            if not told.state.is_open:
+                log.info("group-broken", rank=rank, epoch=told.state.epoch)
+                self.leave()
+                return False
+            self._states_by_rank[rank] = told.state
+        return True
--- /dev/null
+++ b/src/kingcupwheel/lockstep/ordering.py
@@ -0,0 +1,144 @@
+"""Gives the orders of the change under way, round after round, until it has ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kingcupwheel.lockstep.change import Arming
+from kingcupwheel.lockstep.change import End
+from kingcupwheel.lockstep.change import Holding
+from kingcupwheel.lockstep.change import Idle
+from kingcupwheel.lockstep.change import Preparing
+from kingcupwheel.lockstep.change import Releasing
+from kingcupwheel.lockstep.change import Voiding
+from kingcupwheel.lockstep.change import advance
+from kingcupwheel.lockstep.change import ended
+from kingcupwheel.lockstep.change import wants
+from kingcupwheel.lockstep.group import FIRST
+from kingcupwheel.telemetry.lines import lines_of
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.lockstep.change import Phase
+    from kingcupwheel.lockstep.charge import Charge
+    from kingcupwheel.lockstep.reaching import RankReach
+    from kingcupwheel.telemetry.metrics import RankMetrics
+
+log = lines_of("maps")
+
+# How long the agent repeats an order before it tells how far it came, in seconds.
+_PREPARE_S = 0.4
+_ORDER_S = 0.25
+# Longest preparation, in seconds. The longest copy takes 0.4; orders that get no answer
+# are through after some tries. Past it the ranks hold another map than believed here.
+PREPARING_LIMIT_S = 4.0
+# Longest time in which another rank's agent ends a change that rank 0's left, in
+# seconds; past it that agent reads everything anew.
+RESCUE_LIMIT_S = 2.0
+
+
+class OrderGiver:
+    """Takes a charge's change further; belongs to one thread."""
+
+    def __init__(self, reach: RankReach, metrics: RankMetrics) -> None:
+        self._reach = reach
+        self._metrics = metrics
+
+    def go_on(self, charge: Charge) -> None:
+        """Do one round: give the orders that are wanted, or look how far ranks are."""
+        if charge.rescues and charge.change_took_s > RESCUE_LIMIT_S:
+            charge.leave()
+            return
+        if isinstance(charge.phase, Holding):
+            if not self._all_answer(charge):
+                return
+            # The pass that was to be held may have begun meanwhile.
+            self._advance(charge)
+            if charge.is_left:
+                return
+        wanted = wants(charge.phase, charge.group)
+        if not wanted:
+            self._look(charge)
+            return
+        wait_s = _PREPARE_S if isinstance(charge.phase, Preparing) else _ORDER_S
+        answers = self._reach.order(charge.roster, wanted, wait_s)
+        if charge.take_in(answers):
+            self._advance(charge)
+
+    def _all_answer(self, charge: Charge) -> bool:
+        """Return whether every rank answers right now, which a hold waits for.
+
+        Failure: a machine freezes after its rank has prepared. Symptom: the pass is
+        held, that rank can't be armed, and the whole group stands still until the
+        machine wakes. Without a hold passes go on with the map in force meanwhile.
+        """
+        ranks = charge.roster.agents_by_rank
+        answers = self._reach.states(charge.roster, ranks)
+        if not charge.take_in(answers):
+            return False
+        # An agent may answer whose server does not.
+        shown = sum(one.state is not None for one in answers.values())
+        if shown < len(ranks):
+            self._give_up_if_stuck(charge)
+            return False
+        return True
+
+    def _look(self, charge: Charge) -> None:
+        ranks = {FIRST, charge.group.holder} & charge.roster.agents_by_rank.keys()
+        answers = self._reach.states(charge.roster, ranks)
+        if charge.take_in(answers):
+            self._advance(charge)
+
+    def _advance(self, charge: Charge) -> None:
+        before = charge.phase
+        group = charge.group
+        charge.phase = advance(before, group)
+        states = group.states_by_rank.items()
+        log.debug(
+            "phase",
+            phase=type(charge.phase).__name__,
+            held=group.held,
+            armed=[rank for rank, one in states if one.armed],
+            prepared=[rank for rank, one in states if one.prepared],
+        )
+        match ended(before, charge.phase, group):
+            case End.RELEASED:
+                self._released(charge, before)
+            case End.VOIDED:
+                self._voided(charge, before)
+            case None if isinstance(charge.phase, Preparing):
+                self._give_up_if_stuck(charge)
+
+    def _voided(self, charge: Charge, change: Phase) -> None:
+        """Note a change that was ended without coming into force."""
+        took_s = charge.change_took_s
+        assert not isinstance(change, Idle), "it was under way"
+        version = change.over if isinstance(change, Voiding) else change.version
+        log.info("change-voided", version=version, ms=round(took_s * 1000))
+        self._metrics.changes.labels("voided").inc()
+        charge.leave()
+
+    def _released(self, charge: Charge, change: Phase) -> None:
+        """Note a change whose map comes into force on every rank."""
+        took_s = charge.change_took_s
+        assert isinstance(change, Arming | Releasing), "nothing else is released"
+        if change.layers:
+            log.info("change-released", version=change.version, ms=round(took_s * 1000))
+            self._metrics.changes.labels("released").inc()
+            self._metrics.change_took.observe(took_s)
+            charge.layers = change.layers
+        else:
+            # Completed for a former life: only the ranks know what it holds.
+            log.info("change-completed", version=change.version)
+            self._metrics.changes.labels("completed").inc()
+            charge.leave()
+
+    def _give_up_if_stuck(self, charge: Charge) -> None:
+        """Read everything anew if ranks refuse to prepare.
+
+        Nothing is armed or held yet, so a change may be left at any time before.
+        """
+        if charge.change_took_s > PREPARING_LIMIT_S:
+            log.warning("change-stuck", version=charge.group.own.version)
+            self._metrics.changes.labels("stuck").inc()
+            charge.leave()
--- /dev/null
+++ b/src/kingcupwheel/lockstep/taking.py
@@ -0,0 +1,129 @@
+"""Whether an agent has to take charge of its group, and what it then begins with.
+
+The agent beside rank 0 does so whenever it has no charge.
+
+Failure: that agent is frozen, or killed, between a hold and its release. Symptom: the
+whole group stands still until it is back. The agents of two other ranks then end the
+change, and do nothing else. If rank 0's server answers they complete it: every rank is
+prepared before a pass is held, and completing it twice does no harm. If its whole
+machine is frozen they make the change void. For that the hold is given past the agents,
+to a server on another machine, so that what gave it and what holds it are not lost
+together.
+"""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from kingcupwheel.lockstep.balancing import Balancer
+from kingcupwheel.lockstep.change import Idle
+from kingcupwheel.lockstep.change import taken_up
+from kingcupwheel.lockstep.change import taken_up_without_first
+from kingcupwheel.lockstep.charge import Charge
+from kingcupwheel.lockstep.group import FIRST
+from kingcupwheel.lockstep.rosters import Roster
+from kingcupwheel.lockstep.rosters import layers_of
+from kingcupwheel.lockstep.rosters import ranks_of
+from kingcupwheel.lockstep.standstill import Standstill
+from kingcupwheel.telemetry.lines import lines_of
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from kingcupwheel.forwarding.configuration import EngineShape
+    from kingcupwheel.lockstep.reaching import RankReach
+    from kingcupwheel.lockstep.rosters import Beside
+    from kingcupwheel.lockstep.state import RankState
+    from kingcupwheel.platform.ranks import RankClient
+
+log = lines_of("maps")
+
+# How often an agent that does not coordinate looks whether it has to, in seconds.
+LOOK_S = 0.4
+# Ranks whose agents end a change that rank 0's leaves unfinished.
+RESCUERS = (1, 2)
+# How often they look at their own rank, in seconds.
+RESCUE_LOOK_S = 0.15
+
+
+class ChargeTaker:
+    """Looks at the rank beside this process, and then at its group, when it has to.
+
+    ``find_servers`` returns the addresses of the group's servers by their agents'
+    addresses, ``shape`` the engine's shape once it is known.
+    """
+
+    def __init__(
+        self,
+        client: RankClient,
+        reach: RankReach,
+        *,
+        find_servers: Callable[[], Mapping[str, Beside]],
+        shape: Callable[[], EngineShape | None],
+    ) -> None:
+        self._client = client
+        self._reach = reach
+        self._find_servers = find_servers
+        self._shape = shape
+        self._standstill = Standstill()
+
+    def look(self) -> Charge | float:
+        """Return the charge to take, or the seconds until the next look."""
+        own = self._client.state()
+        if own.is_error() or not own.ok.is_open:
+            return LOOK_S
+        rescues = own.ok.rank != FIRST
+        if rescues and own.ok.rank not in RESCUERS:
+            return LOOK_S
+        if rescues and not self._standstill.lasts(own.ok, monotonic()):
+            return RESCUE_LOOK_S
+        shape = self._shape()
+        if shape is None or not own.ok.ranks:
+            return LOOK_S
+        return self._take(own.ok, shape, rescues=rescues) or LOOK_S
+
+    def _take(
+        self, own: RankState, shape: EngineShape, *, rescues: bool
+    ) -> Charge | None:
+        """Return the charge of the group of ``own``, None if there is nothing to do."""
+        servers_by_agent = self._find_servers()
+        answers = self._reach.places(servers_by_agent)
+        ranks = ranks_of(own, answers)
+        lacks_first = rescues and set(ranks) == set(range(1, own.ranks))
+        if len(ranks) < own.ranks and not lacks_first:
+            log.info(
+                "ranks-missing",
+                found=sorted(ranks),
+                ranks=own.ranks,
+                listed=len(servers_by_agent),
+                answered=len(answers),
+            )
+            return None
+        agents = {rank: found.agent for rank, found in ranks.items()}
+        roster = Roster(own.epoch, own.ranks, agents, servers_by_agent)
+        self._reach.take_over(roster)
+        charge = Charge(
+            roster,
+            {rank: found.state for rank, found in ranks.items()},
+            layers_of(ranks, own.ranks, shape),
+            Balancer(shape),
+            rescues=rescues,
+        )
+        take_up = taken_up_without_first if lacks_first else taken_up
+        charge.begin(take_up(charge.group, charge.layers))
+        if rescues and isinstance(charge.phase, Idle):
+            self._reach.forget()
+            return None
+        log.info(
+            "rescuing" if rescues else "coordinating",
+            epoch=own.epoch,
+            ranks=own.ranks,
+            version=own.version,
+            held=charge.group.held,
+            found=len(ranks),
+            phase=type(charge.phase).__name__,
+        )
+        return charge
