--- a/src/kingcupwheel/console/commands/entry.py
+++ b/src/kingcupwheel/console/commands/entry.py
@@ -6,8 +6,8 @@
 
 import click
 
-from kingcupwheel.console.daemons import SETTINGS_VARIABLE
 from kingcupwheel.console.daemons import run_daemon
+from kingcupwheel.console.daemons import settings_option
 from kingcupwheel.settings.schema import Role
 
 
@@ -17,14 +17,7 @@
 
 
 @click.command("entry")
-@click.option(
-    "--settings",
-    "path",
-    required=True,
-    envvar=SETTINGS_VARIABLE,
-    type=click.Path(),
-    help="Settings file (YAML).",
-)
+@settings_option
 def command(path: str) -> None:
     """Serve callers until SIGTERM, then finish what is in progress."""
     run_daemon(path, Role.ENTRY, _make)
--- a/src/kingcupwheel/console/daemons.py
+++ b/src/kingcupwheel/console/daemons.py
@@ -36,6 +36,15 @@
 
 log = lines_of("process")
 
+settings_option = click.option(
+    "--settings",
+    "path",
+    required=True,
+    envvar=SETTINGS_VARIABLE,
+    type=click.Path(),
+    help="Settings file (YAML).",
+)
+
 
 class _Signals:
     """Notes that a planned stop or a reload was asked for.
--- a/tests/lockstep/builders.py
+++ b/tests/lockstep/builders.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from threading import Thread
 from typing import TYPE_CHECKING
+from typing import Any
 
 from kingcupwheel.lockstep.daemon import RankDaemon
 from kingcupwheel.lockstep.state import RankState
@@ -10,11 +12,19 @@
 from kingcupwheel.settings.schema import RankSettings
 from kingcupwheel.settings.schema import Role
 from kingcupwheel.settings.schema import Settings
+from tests.forwarding.builders import configuration_spec
+from tests.platform.builders import server_entry
+from tests.standins.object_store import Door
+from tests.standins.object_store import StoredObjects
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
     from kingcupwheel.link.links import Link
     from kingcupwheel.messages.base import Message
+    from tests.standins.lockstep_group import GroupStandIn
     from tests.standins.lockstep_group import RankStandIn
 
 
@@ -55,3 +65,31 @@
     )
     agent.start()
     return agent
+
+
+def started_store(
+    group: GroupStandIn, engine: dict[str, Any], zone_of: Callable[[int], str]
+) -> Door:
+    """Start a store with the group's engine and its servers, each in its zone."""
+    objects = StoredObjects()
+    service = {"Name": "llm", "Engine": engine}
+    objects.put("config", "main", configuration_spec(Services=[service]))
+    for rank in group.ranks:
+        entry = server_entry(Address=rank.address, Zone=zone_of(rank.number))
+        objects.put("servers", f"i-{rank.number}", entry)
+    door = Door(objects)
+    door.start()
+    return door
+
+
+def stop_together(
+    agents: Iterable[RankDaemon], group: GroupStandIn, door: Door
+) -> None:
+    """Stop everything, agents all at once: a coordinator's change needs the others."""
+    threads = [Thread(target=agent.stop) for agent in agents]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    group.stop()
+    door.stop()
