--- a/src/kingcupwheel/console/daemons.py
+++ b/src/kingcupwheel/console/daemons.py
@@ -32,6 +32,7 @@
 
 # Names the settings file if the command line does not.
 SETTINGS_VARIABLE = "KINGCUPWHEEL_SETTINGS"
+# How often a daemon looks whether it is to stop or to reload, in seconds.
 _LOOK_AGAIN_S = 0.1
 
 log = lines_of("process")
--- a/src/kingcupwheel/lockstep/coordinator.py
+++ b/src/kingcupwheel/lockstep/coordinator.py
@@ -140,10 +140,10 @@
             # A hold of a former life came late; see ``taken_up``.
             charge.phase = taken_up(group, charge.layers)
             return 0.0
-        found = charge.balancer.take(group, charge.layers, answers.values(), began)
-        if found is not None:
-            charge.begin(Preparing(group.highest + 1, found.layers))
-            self._metrics.copies.inc(found.copies)
-            self._metrics.skew.set(found.skew_before)
+        plan = charge.balancer.take(group, charge.layers, answers.values(), began)
+        if plan is not None:
+            charge.begin(Preparing(group.highest + 1, plan.layers))
+            self._metrics.copies.inc(plan.copies)
+            self._metrics.skew.set(plan.skew_before)
             return 0.0
         return max(_LEAST_PAUSE_S, COUNT_S - (monotonic() - began))
--- a/src/kingcupwheel/lockstep/taking.py
+++ b/src/kingcupwheel/lockstep/taking.py
@@ -92,6 +92,7 @@
         servers_by_agent = self._find_servers()
         answers = self._reach.places(servers_by_agent)
         ranks = ranks_of(own, answers)
+        # Rank 0 alone is missing: its whole machine is frozen or gone.
         lacks_first = rescues and set(ranks) == set(range(1, own.ranks))
         if len(ranks) < own.ranks and not lacks_first:
             log.info(
--- a/src/kingcupwheel/platform/storecoding.py
+++ b/src/kingcupwheel/platform/storecoding.py
@@ -28,7 +28,7 @@
 _LOGGED_BYTES = 120
 
 
-class _Metadata(msgspec.Struct, rename="pascal"):
+class _MetadataSent(msgspec.Struct, rename="pascal"):
     name: str = ""
     revision: int = 0
     # A revision too, not a time.
@@ -37,12 +37,12 @@
     deleting: bool = False
 
 
-class _Object(msgspec.Struct, rename="pascal"):
-    metadata: _Metadata
+class _ObjectSent(msgspec.Struct, rename="pascal"):
+    metadata: _MetadataSent
     spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
-class _Page(msgspec.Struct, rename="pascal"):
+class _PageSent(msgspec.Struct, rename="pascal"):
     # Decoded one by one: an object of another shape must not cost the others.
     items: list[msgspec.Raw] = []
     more: bool = False
@@ -50,13 +50,14 @@
     store_revision: int = 0
 
 
-class _Event(msgspec.Struct, rename="pascal"):
-    object: _Object
+class _EventSent(msgspec.Struct, rename="pascal"):
+    object: _ObjectSent
     # The object is gone; it is sent as it was last.
     tombstone: bool = False
 
 
-class _Events(msgspec.Struct):
+class _EventsSent(msgspec.Struct):
+    # Alone among the store's own fields it comes in lower case.
     events: list[msgspec.Raw] = []
     store_revision: int = msgspec.field(default=0, name="StoreRevision")
 
@@ -68,21 +69,21 @@
 
 def decode_object(raw: bytes) -> Result[StoredObject, str]:
     """Return one object, or what is wrong with it."""
-    return decoded(raw, _Object).map(_stored)
+    return decoded(raw, _ObjectSent).map(_stored)
 
 
 def decode_page(raw: bytes) -> Result[Page, str]:
     """Return a part of a list; objects that can't be read are left out."""
-    return decoded(raw, _Page).map(_page)
+    return decoded(raw, _PageSent).map(_page)
 
 
 def decode_changes(raw: bytes) -> Result[Changes, str]:
     """Return what a watch tells; events that can't be read are left out."""
-    return decoded(raw, _Events).map(_changes)
+    return decoded(raw, _EventsSent).map(_changes)
 
 
 def _readable(raws: list[msgspec.Raw], kind: type[T]) -> list[T]:
-    """Return those that can be read.
+    """Return those of ``raws`` that can be read as a ``kind``.
 
     Failure: another writer has put an object of another shape beside the servers'.
     Symptom: the whole list is refused, and an entry that starts knows no server. What
@@ -102,13 +103,13 @@
     return bytes(raw)[:_LOGGED_BYTES].decode(errors="replace")
 
 
-def _page(found: _Page) -> Page:
-    objects = tuple(map(_stored, _readable(found.items, _Object)))
+def _page(found: _PageSent) -> Page:
+    objects = tuple(map(_stored, _readable(found.items, _ObjectSent)))
     after = objects[-1].name if found.more and objects else ""
     return Page(objects, found.store_revision, after)
 
 
-def _stored(item: _Object) -> StoredObject:
+def _stored(item: _ObjectSent) -> StoredObject:
     metadata = item.metadata
     return StoredObject(
         name=metadata.name,
@@ -119,7 +120,7 @@
     )
 
 
-def _changes(found: _Events) -> Changes:
-    events = _readable(found.events, _Event)
+def _changes(found: _EventsSent) -> Changes:
+    events = _readable(found.events, _EventSent)
     changes = (Change(_stored(one.object), one.tombstone) for one in events)
     return Changes(tuple(changes), found.store_revision)
