--- a/src/kingcupwheel/console/daemons.py
+++ b/src/kingcupwheel/console/daemons.py
@@ -33,12 +33,22 @@
 
 # Names the settings file if the command line does not.
 SETTINGS_VARIABLE = "KINGCUPWHEEL_SETTINGS"
+# How often a daemon looks whether it is to stop or to reload, in seconds.
 _LOOK_AGAIN_S = 0.1
 # Bytes of the pipe that are read together, one for each signal.
 _SIGNALS_AT_ONCE = 512
 
 log = lines_of("process")
 
+settings_option = click.option(
+    "--settings",
+    "path",
+    required=True,
+    envvar=SETTINGS_VARIABLE,
+    type=click.Path(),
+    help="Settings file (YAML).",
+)
+
 
 class _Signals:
     """Notes that a planned stop or a reload was asked for.
