--- a/src/kingcupwheel/forwarding/following.py
+++ b/src/kingcupwheel/forwarding/following.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from kingcupwheel.forwarding.outage import Outage
 from kingcupwheel.platform.configuration import CONFIGURATION_KIND
 from kingcupwheel.platform.configuration import CONFIGURATION_NAME
 from kingcupwheel.platform.configuration import decode_configuration
@@ -103,7 +104,7 @@
         self._follower = follower
         self._clock = clock
         self._revision = 0
-        self._failed_since: float | None = None
+        self._outage = Outage()
         self._pause_s = _PAUSE_S
         self._stopping = Event()
         name = f"follow-{follower.kind}"
@@ -123,7 +124,7 @@
             asked_at = self._clock()
             why = self._watch(asked_at) if self._revision else self._list(asked_at)
             if why is None:
-                self._note_answer()
+                self._note_answer(began)
             else:
                 self._note_failure(why, began)
                 self._stopping.wait(self._pause_s)
@@ -133,8 +134,7 @@
         asked = self._store.listing(self._follower.kind)
         if asked.is_error():
             return asked.error
-        failed_since = self._failed_since
-        away_s = 0.0 if failed_since is None else monotonic() - failed_since
+        away_s = self._outage.away_s(monotonic())
         self._follower.listed(asked.ok.objects, asked_at, away_s=away_s)
         self._revision = asked.ok.revision
         return None
@@ -157,18 +157,16 @@
             self._stopping.wait(pace.pause_s)
         return None
 
-    def _note_answer(self) -> None:
+    def _note_answer(self, began: float) -> None:
         self._pause_s = _PAUSE_S
-        if self._failed_since is not None and self._revision:
-            away_s = round(monotonic() - self._failed_since, 2)
-            self._failed_since = None
+        if self._outage.is_on and self._revision:
+            away_s = round(self._outage.away_s(monotonic()), 2)
             log.info("store-regained", kind=self._follower.kind, away_s=away_s)
+        self._outage.answered(began)
 
     def _note_failure(self, why: PlatformError, began: float) -> None:
-        """Note since when the store is away: for a silent one since it was asked."""
-        if self._failed_since is None:
-            silent = isinstance(why, Unavailable) and why.silent
-            self._failed_since = began if silent else monotonic()
+        silent = isinstance(why, Unavailable) and why.silent
+        if self._outage.failed(began, monotonic(), silent=silent):
             log.warning("store-lost", kind=self._follower.kind, why=str(why))
 
 
--- /dev/null
+++ b/src/kingcupwheel/forwarding/outage.py
@@ -0,0 +1,48 @@
+"""Since when the store may have been away. Pure: times are arguments.
+
+A watch that the store accepted before an outage may wait through its beginning and end
+as in calm. Its answer shows only that the store took calls when it was asked, so an
+outage that follows may have begun right after that.
+"""
+
+from __future__ import annotations
+
+
+# A call that fails sooner was refused, in seconds; one that fails later had been taken
+# and was cut off, so the store was there until then.
+REFUSED_S = 0.25
+
+
+class Outage:
+    """The longest time for which the store may have been away, in seconds."""
+
+    def __init__(self) -> None:
+        self._taken_at: float | None = None
+        self._since: float | None = None
+
+    def answered(self, asked_at: float) -> None:
+        """Note a call that was asked at ``asked_at`` and answered: no outage now."""
+        self._taken_at = asked_at
+        self._since = None
+
+    def failed(self, asked_at: float, now: float, *, silent: bool) -> bool:
+        """Note a call that failed at ``now``; return whether it is the first to.
+
+        ``silent`` means that nothing came at all, however long the call lasted.
+        """
+        if self._since is not None:
+            return False
+        if now - asked_at > REFUSED_S and not silent:
+            self._since = now
+        else:
+            self._since = asked_at if self._taken_at is None else self._taken_at
+        return True
+
+    @property
+    def is_on(self) -> bool:
+        """Whether a call has failed since the last answer."""
+        return self._since is not None
+
+    def away_s(self, now: float) -> float:
+        """Return for how long the store may have been away; 0 if no call failed."""
+        return 0.0 if self._since is None else now - self._since
--- a/tests/forwarding/test_following.py
+++ b/tests/forwarding/test_following.py
@@ -99,6 +99,22 @@
     assert least_s <= recorder.away_s[1] < least_s + HANGS_S
 
 
+def test_an_outage_that_begins_during_a_watch_is_not_taken_for_a_short_one() -> None:
+    """A watch ends calmly in the outage, the next is refused, and the store is back.
+
+    Counted from the refusal the outage would look too short for entries to lapse, and
+    every server would be taken for gone.
+    """
+    calm = Ok(Changes((), 1))
+    refused = Error(Unavailable("status 503", sent=False))
+    store = ScriptedStore([(HANGS_S, calm), (0.0, refused)])
+    follower, recorder = follow(store, WatchPace(HANGS_S))
+    until(lambda: len(recorder.away_s) == 2)
+    follower.stop()
+
+    assert recorder.away_s[1] >= HANGS_S
+
+
 def test_news_that_come_together_are_one_call_among_many_entries() -> None:
     """75 servers start together; 31 entries would watch anew for each of them."""
     news = Change(StoredObject("i-1", 2, 2, b"{}", leaving=False), removed=False)
