--- a/src/kingcupwheel/decisions/durations.py
+++ b/src/kingcupwheel/decisions/durations.py
@@ -20,10 +20,10 @@
         self._turn(now)
         self._present_s = max(self._present_s, seconds)
 
-    def longest_s(self, now: float) -> float:
-        """Return the seconds that the longest answer of late took, 0 without any."""
+    def longest_s(self, now: float) -> float | None:
+        """Return the seconds that the longest answer of late took, None without any."""
         self._turn(now)
-        return max(self._present_s, self._before_s)
+        return max(self._present_s, self._before_s) or None
 
     def _turn(self, now: float) -> None:
         span = int(now // SPAN_S)
--- a/src/kingcupwheel/decisions/stopping.py
+++ b/src/kingcupwheel/decisions/stopping.py
@@ -23,7 +23,7 @@
 # A request is taken late if it may last so many times the longest answer of late: the
 # wait for a place and a server that turns slow come on top.
 _LONGEST_FACTOR = 3.0
-# What an answer is expected to last at least, in seconds, when none was seen of late.
+# What an answer is expected to last at least, in seconds.
 _LEAST_S = 0.3
 
 
@@ -48,11 +48,11 @@
         """When the process ends at the latest."""
         return self.began_at + _ENDING_PART * self.grace_s
 
-    def takes(self, now: float, *, over_at: float, longest_s: float) -> bool:
+    def takes(self, now: float, *, over_at: float, longest_s: float | None) -> bool:
         """Return whether a request that comes at ``now`` is taken.
 
         ``over_at`` is when its time is up; ``longest_s`` is how long the longest answer
-        of late took, or has taken so far.
+        of late took, or has taken so far, None if no answer tells how long they take.
 
         Load: callers that keep this entry's address, or have no other one while all
         entries stop. Harm prevented: an answer that is cut by the end of the process.
@@ -62,10 +62,12 @@
             return True
         if over_at <= self.answers_end_at:
             return True
+        if longest_s is None:
+            return False
         expected_s = _LONGEST_FACTOR * max(longest_s, _LEAST_S)
         return now + expected_s <= self.answers_end_at
 
-    def may_run(self, now: float, *, over_at: float, longest_s: float) -> bool:
+    def may_run(self, now: float, *, over_at: float, longest_s: float | None) -> bool:
         """Return whether a request that gets its place at ``now`` is sent to a server.
 
         Load: servers are full, and requests that were taken in time wait for a place.
@@ -76,4 +78,6 @@
             return True
         if over_at <= self.answers_end_at:
             return True
+        if longest_s is None:
+            return False
         return now + max(longest_s, _LEAST_S) <= self.answers_end_at
--- a/src/kingcupwheel/forwarding/application.py
+++ b/src/kingcupwheel/forwarding/application.py
@@ -74,7 +74,7 @@
         self._others_live = others_live
         self._stopping: Stopping | None = None
         self._closed = False
-        self._durations = LongestOfLate()
+        self._durations_by_route: dict[str, LongestOfLate] = {}
         self._came_at_by_id: dict[str, float] = {}
         self._lock = Lock()
 
@@ -134,10 +134,8 @@
         return found
 
     def _leave(self, request_id: str) -> None:
-        now = monotonic()
         with self._lock:
-            came_at = self._came_at_by_id.pop(request_id, now)
-            self._durations.saw(now - came_at, now)
+            self._came_at_by_id.pop(request_id, None)
 
     def _refusal_of_stop(self, request: ForwardRequest) -> Refusal | None:
         """Return the refusal of what can't end before this process does."""
@@ -147,7 +145,7 @@
         now = monotonic()
         over_at = request.times.over_at
         if not self._closed and stopping.takes(
-            now, over_at=over_at, longest_s=self._longest_s(now)
+            now, over_at=over_at, longest_s=self._longest_s(request, now)
         ):
             return None
         retry_s = _ELSEWHERE_RETRY_S if self._others_live() else _RESTART_RETRY_S
@@ -159,15 +157,31 @@
         if stopping is None:
             return True
         now = monotonic()
+        over_at = request.times.over_at
         return stopping.may_run(
-            now, over_at=request.times.over_at, longest_s=self._longest_s(now)
+            now, over_at=over_at, longest_s=self._longest_s(request, now)
         )
 
-    def _longest_s(self, now: float) -> float:
-        """Return how long the longest answer of late took, or has taken so far."""
+    def _longest_s(self, request: ForwardRequest, now: float) -> float | None:
+        """Return how long the longest answer of late took, or has taken so far.
+
+        None if its route had no answer of late: a lookup tells nothing of a stream.
+        """
         with self._lock:
+            durations = self._durations_by_route.get(request.route.name)
+            longest_s = None if durations is None else durations.longest_s(now)
+            if longest_s is None:
+                return None
             first_came_at = min(self._came_at_by_id.values(), default=now)
-            return max(self._durations.longest_s(now), now - first_came_at)
+            return max(longest_s, now - first_came_at)
+
+    def _note_duration(self, request: ForwardRequest) -> None:
+        now = monotonic()
+        with self._lock:
+            durations = self._durations_by_route.setdefault(
+                request.route.name, LongestOfLate()
+            )
+            durations.saw(now - request.received_at, now)
 
     def _until_sent(self, body: Iterable[bytes], request_id: str) -> Iterator[bytes]:
         try:
@@ -192,15 +206,19 @@
             self._context.watchdog.forget(watched)
             raise
         body = exchange.pass_on(answer, received.id)
-        return self._watched_until_sent(body, watched)
+        refused = isinstance(answer, RefusedAnswer)
+        return self._watched_until_sent(body, watched, None if refused else request)
 
     def _watched_until_sent(
-        self, body: Iterable[bytes], watched: Watched
+        self, body: Iterable[bytes], watched: Watched, answered: ForwardRequest | None
     ) -> Iterator[bytes]:
+        """Yield ``body``; how long ``answered`` took tells of what comes later."""
         try:
             yield from body
         finally:
             self._context.watchdog.forget(watched)
+            if answered is not None:
+                self._note_duration(answered)
 
     def _log_refused(self, received: Received, refusal: Refusal) -> None:
         knowledge = self._knowledge()
