--- a/src/kingcupwheel/forwarding/watchdog.py
+++ b/src/kingcupwheel/forwarding/watchdog.py
@@ -141,8 +141,10 @@
         return late and self._may_give_up()
 
     def end(self, cut: Cut) -> None:
-        """End the wait for this reason."""
+        """End the wait for this reason; one that is over keeps its own."""
         with self._lock:
+            if self.is_over:
+                return
             self._cut = cut
             if self._server is not None:
                 _abort(self._server)
--- a/tests/forwarding/test_stopping.py
+++ b/tests/forwarding/test_stopping.py
@@ -10,6 +10,8 @@
 import pytest
 from cheroot.makefile import StreamWriter
 
+from kingcupwheel.forwarding.watchdog import Cut
+from kingcupwheel.forwarding.watchdog import Watched
 from tests.forwarding.builders import route
 from tests.forwarding.fleet import until
 from tests.standins.backend import Behaviour
@@ -245,3 +247,14 @@
     assert answer.status == 503
     assert json.loads(answer.body)["error"]["reason"] == "entry-leaving"
     assert server.arrivals == []
+
+
+# Guards against a stream that a stop, a deadline or its caller has ended, and that goes
+# on at another server because its own one was found slow at the same moment.
+def test_what_is_over_stays_over_when_its_server_is_found_slow() -> None:
+    watched = Watched(None, time.monotonic())
+    watched.end(Cut.STOPPING)
+
+    watched.end(Cut.SLOW)
+
+    assert watched.cut is Cut.STOPPING
