--- a/src/kingcupwheel/decisions/stopping.py
+++ b/src/kingcupwheel/decisions/stopping.py
@@ -11,7 +11,7 @@
 
 
 # Parts of the grace, counted from the signal to stop.
-# Everything is taken for so long: callers keep the address of an entry for some seconds.
+# Everything is taken for so long: callers keep an entry's address for some seconds.
 _TAKING_PART = 0.35
 # The process stays at least so long, so that callers who still have its address are
 # answered and not reset.
