--- a/src/kingcupwheel/decisions/durations.py
+++ b/src/kingcupwheel/decisions/durations.py
@@ -1,4 +1,4 @@
-"""How long the longest answer of late took. Pure: times are arguments."""
+"""How long the longest recent answer took. Pure: times are arguments."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 SPAN_S = 5.0
 
 
-class LongestOfLate:
+class RecentLongest:
     """Keeps a maximum over the present span and the one before; constant memory."""
 
     def __init__(self) -> None:
@@ -21,7 +21,7 @@
         self._present_s = max(self._present_s, seconds)
 
     def longest_s(self, now: float) -> float | None:
-        """Return the seconds that the longest answer of late took, None without any."""
+        """Return the seconds that the longest recent answer took, None without any."""
         self._turn(now)
         return max(self._present_s, self._before_s) or None
 
--- a/src/kingcupwheel/decisions/stopping.py
+++ b/src/kingcupwheel/decisions/stopping.py
@@ -20,7 +20,7 @@
 _ANSWERING_PART = 0.9
 # The process ends by then, whatever is in progress.
 _ENDING_PART = 0.95
-# A request is taken late if it may last so many times the longest answer of late: the
+# A request is taken late if it may last so many times the longest recent answer: the
 # wait for a place and a server that turns slow come on top.
 _LONGEST_FACTOR = 3.0
 # What an answer is expected to last at least, in seconds.
@@ -53,8 +53,8 @@
     ) -> bool:
         """Return whether a request that comes at ``now`` is taken.
 
-        ``over_at`` is when its time is up; ``longest_s`` is how long the longest answer
-        of late took, or has taken so far, None if no answer tells how long they take.
+        ``over_at`` is when its time is up; ``longest_s`` is how long the longest recent
+        answer took, or has taken so far, None if no answer tells how long they take.
         A guess by others is no bound for a stream: unlike a whole answer, one that has
         begun can't be ended by a failure.
 
@@ -76,7 +76,7 @@
 
         Load: servers are full, and requests that were taken in time wait for a place.
         Harm prevented: one that has not run is sent on and cut. Its wait is over, so
-        that the longest answer of late is allowed for once.
+        that the longest recent answer is allowed for once.
         """
         if now <= self.began_at + _TAKING_PART * self.grace_s:
             return True
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -12,9 +12,7 @@
 from kingcupwheel.entry.gateway import HttpServer
 from kingcupwheel.entry.servers import ServerTable
 from kingcupwheel.forwarding.admitting import Knowledge
-from kingcupwheel.forwarding.application import AddressesPage
 from kingcupwheel.forwarding.application import ForwardApplication
-from kingcupwheel.forwarding.application import ReadyPage
 from kingcupwheel.forwarding.calls import ServerCalls
 from kingcupwheel.forwarding.caretaking import Caretaker
 from kingcupwheel.forwarding.connections import Connections
@@ -28,6 +26,8 @@
 from kingcupwheel.forwarding.guards import Budget
 from kingcupwheel.forwarding.guards import Guards
 from kingcupwheel.forwarding.neighbours import Neighbours
+from kingcupwheel.forwarding.pages import AddressesPage
+from kingcupwheel.forwarding.pages import ReadyPage
 from kingcupwheel.forwarding.pulse import Pulses
 from kingcupwheel.forwarding.serverbook import ServerBook
 from kingcupwheel.forwarding.serverlist import ServersFollower
--- /dev/null
+++ b/src/kingcupwheel/forwarding/exchange.py
@@ -0,0 +1,97 @@
+"""Reads a caller's request off the HTTP server and writes its answer."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from kingcupwheel.entry.answers import RefusedAnswer
+from kingcupwheel.entry.answers import StreamedAnswer
+from kingcupwheel.entry.answers import WholeAnswer
+from kingcupwheel.entry.exchange import headers_of
+from kingcupwheel.entry.exchange import status_line
+from kingcupwheel.entry.gateway import CLOSE_KEY
+from kingcupwheel.entry.gateway import SOCKET_KEY
+from kingcupwheel.entry.refusals import body_of
+from kingcupwheel.forwarding.admitting import Received
+from kingcupwheel.platform.headers import attempt_of
+from kingcupwheel.utils.request_ids import new_request_id
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from kingcupwheel.entry.answers import Answer
+    from kingcupwheel.entry.refusals import Refusal
+
+Environ = dict[str, Any]
+
+
+class Exchange:
+    """Reads a request and writes its answer; belongs to one thread."""
+
+    def __init__(self, environ: Environ, start_response: Callable[..., Any]) -> None:
+        self._environ = environ
+        self._start_response = start_response
+        self._at = monotonic()
+
+    @property
+    def socket(self) -> Any:
+        """The caller's connection, None outside the HTTP server."""
+        return self._environ.get(SOCKET_KEY)
+
+    def close_after(self) -> None:
+        """Close the connection after this answer."""
+        close = self._environ.get(CLOSE_KEY)
+        if close is not None:
+            close()
+
+    def received(self, entry: str, body_limit: int) -> Received:
+        """Read the request; of a body over the limit no more than shows that it is.
+
+        Its connection is closed then: what is left of it would look like a request.
+        """
+        headers = headers_of(self._environ)
+        target = self._environ.get("REQUEST_URI") or self._environ["PATH_INFO"]
+        if isinstance(target, bytes):
+            target = target.decode("latin-1")
+        body = self._environ["wsgi.input"].read(body_limit + 1)
+        if len(body) > body_limit:
+            self.close_after()
+        own = str(new_request_id(entry, now=self._at))
+        return Received(
+            id=attempt_of(headers) or own,
+            method=str(self._environ["REQUEST_METHOD"]),
+            target=target,
+            headers=headers,
+            body=body,
+            at=self._at,
+        )
+
+    def pass_on(self, answer: Answer, request_id: str) -> Iterable[bytes]:
+        """Send what a request came to."""
+        match answer:
+            case RefusedAnswer(refusal):
+                return self._refuse(refusal, request_id)
+            case WholeAnswer(status, headers, body):
+                length = ("Content-Length", str(len(body)))
+                self._start_response(status_line(status), [*headers, length])
+                return (body,)
+            case StreamedAnswer(status, headers, stream):
+                self._start_response(status_line(status), list(headers))
+                return stream
+
+    def _refuse(self, refusal: Refusal, request_id: str) -> Iterable[bytes]:
+        body = msgspec.json.encode({"error": body_of(refusal, request_id)})
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        if refusal.retry_after_s > 0:
+            headers.append(("Retry-After", f"{refusal.retry_after_s:.2f}"))
+        self._start_response(status_line(refusal.status), headers)
+        return (body,)
--- /dev/null
+++ b/src/kingcupwheel/forwarding/pages.py
@@ -0,0 +1,66 @@
+"""What an entry tells the platform and callers of itself and the other entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from kingcupwheel.entry.exchange import status_line
+from kingcupwheel.platform import pages
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from typing import Any
+
+    from kingcupwheel.forwarding.exchange import Environ
+
+
+class ReadyPage:
+    """Tells the platform whether this entry can answer callers."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def __call__(
+        self, environ: Environ, start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one question."""
+        status = 404
+        if environ["PATH_INFO"] == pages.READY_PATH:
+            status = 200 if self._is_ready() else 503
+        start_response(status_line(status), [("Content-Length", "0")])
+        return (b"",)
+
+
+class AddressesPage:
+    """Tells callers which entries to connect to.
+
+    ``addresses`` returns those for a caller in the data centre it is given.
+    """
+
+    def __init__(
+        self, addresses: Callable[[str], tuple[str, ...]], keep_s: float
+    ) -> None:
+        self._addresses = addresses
+        self._keep_s = keep_s
+
+    def __call__(
+        self, environ: Environ, start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one question."""
+        if environ["PATH_INFO"] != pages.ADDRESSES_PATH:
+            start_response(status_line(404), [("Content-Length", "0")])
+            return (b"",)
+        asked = pages.asked_data_centre(str(environ.get("QUERY_STRING", "")))
+        found = self._addresses(asked)
+        if not found:
+            start_response(status_line(503), [("Content-Length", "0")])
+            return (b"",)
+        body = pages.addresses_body(found, self._keep_s)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(status_line(200), headers)
+        return (body,)
