--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -28,6 +28,7 @@
 from kingcupwheel.forwarding.neighbours import Neighbours
 from kingcupwheel.forwarding.pages import AddressesPage
 from kingcupwheel.forwarding.pages import ReadyPage
+from kingcupwheel.forwarding.plannedstop import PlannedStop
 from kingcupwheel.forwarding.pulse import Pulses
 from kingcupwheel.forwarding.serverbook import ServerBook
 from kingcupwheel.forwarding.serverlist import ServersFollower
@@ -54,7 +55,6 @@
     from kingcupwheel.settings.schema import Settings
 
 log = lines_of("process")
-requests = lines_of("requests")
 servers = lines_of("servers")
 
 # Threads for pages that are answered at once.
@@ -69,10 +69,6 @@
 # A denial of a route or key needs knowledge no older than two watches and a slow
 # answer.
 _DENYING_S = 3.6
-_LOOK_S = 0.05
-# How long a stop waits for the last bytes of answers: a caller that has connected and
-# sends nothing must not hold it up.
-_LAST_BYTES_S = 0.5
 _MS = 1000.0
 
 
@@ -223,47 +219,10 @@
         log.info("leaving", in_progress=self._application.in_progress)
         self._caretaker.stop()
         self._neighbours.withdraw(self._store)
-        while monotonic() < stopping.stays_until:
-            Event().wait(_LOOK_S)
-        self._wait_for_answers(stopping)
-        # A request may have come since nothing was in progress; it is answered too.
-        self._application.close()
-        self._wait_for_answers(stopping)
-        self._wait_for_last_bytes(stopping)
-        left = self._application.came_at_by_id
+        cut = PlannedStop(stopping, self._application, self._servers[0]).wait()
         for follower in self._followers:
             follower.stop()
-        self._log_cut(left, began)
-        log.info("stopped", cut=len(left), took_s=round(monotonic() - began, 2))
-
-    def _wait_for_answers(self, stopping: Stopping) -> None:
-        while self._application.in_progress and monotonic() < stopping.ends_at:
-            Event().wait(_LOOK_S)
-
-    def _wait_for_last_bytes(self, stopping: Stopping) -> None:
-        """Wait until the HTTP server has written what the application is done with.
-
-        Failure: the process ends between the last event of a stream and the mark that
-        ends it. Symptom: the caller has it all and must take it for cut.
-        """
-        callers = self._servers[0]
-        until = min(monotonic() + _LAST_BYTES_S, stopping.ends_at)
-        while not callers.is_idle and monotonic() < until:
-            Event().wait(_LOOK_S)
-
-    def _log_cut(self, came_at_by_id: dict[str, float], began: float) -> None:
-        """Log requests that the end of the process cuts; their threads can't any more.
-
-        ``came_after_s`` counts from the signal to stop, negative before it.
-        """
-        now = monotonic()
-        for request_id, came_at in came_at_by_id.items():
-            requests.warning(
-                "cut-by-stop",
-                id=request_id,
-                came_after_s=round(came_at - began, 3),
-                took_s=round(now - came_at, 3),
-            )
+        log.info("stopped", cut=cut, took_s=round(monotonic() - began, 2))
 
     def _knowledge(self) -> Knowledge:
         return Knowledge(
