--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -74,7 +74,7 @@
         return _none_up(known, ask)
     with_room = [candidate for candidate in up if not candidate.is_full]
     if not with_room:
-        return ALL_FULL
+        return _none_with_room(known, ask)
     untried = [candidate for candidate in with_room if candidate.name not in ask.avoid]
     if not untried:
         return _none_untried(known, up, ask)
@@ -99,6 +99,18 @@
     return reason._replace(rest_over_at=_first_over(untried))
 
 
+def _none_with_room(known: Sequence[Candidate], ask: Ask) -> NoPlace:
+    """Return what stands in the way; room on a server already tried is no help."""
+    waited_for = [
+        one
+        for one in known
+        if one.state is not ServerState.LEAVING and one.name not in ask.avoid
+    ]
+    if waited_for and all(one.state is ServerState.RESTING for one in waited_for):
+        return UNTRIED_REST._replace(rest_over_at=_first_over(waited_for))
+    return ALL_FULL
+
+
 def _none_untried(
     known: Sequence[Candidate], up: Sequence[Candidate], ask: Ask
 ) -> NoPlace:
