--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -181,7 +181,7 @@
                 came = Came.TURNED_AWAY
                 if other_instance and faulty in ("", place.server):
                     self._context.misdirected(place)
-                elif not notice.rest_s:
+                elif not (notice.rest_s or notice.leaving):
                     request = self._request
                     self._context.turned_away(
                         place, request.service, streamed=request.route.streamed
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -108,6 +108,29 @@
     assert asked == []
 
 
+def test_servers_that_leave_are_not_a_group_that_is_closed(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """They turn requests away for good; others of the service would be kept out."""
+    asked: list[str] = []
+
+    def is_closed(_: Guards, service: str, server: str, *, quiet_s: float) -> bool:
+        asked.append(server)
+        return True
+
+    monkeypatch.setattr(Guards, "is_closed", is_closed)
+    for number in (1, 2):
+        server = fleet.add_server(f"i-{number}")
+        server.behaviour = Behaviour(not_run=True, leaving=True)
+    entry = fleet.add_entry()
+    until(lambda: len(entry._context.book.backends) == 2)
+
+    fleet.send("/stream/x")
+
+    assert [len(server.arrivals) for server in fleet.servers] == [1, 1]
+    assert asked == []
+
+
 def test_a_rest_that_can_not_be_read_changes_nothing(fleet: Fleet) -> None:
     server = fleet.add_server("i-1")
     server.behaviour = Behaviour(not_run=True, rest="a while")
