--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -13,6 +13,7 @@
 
 from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.exceptions import NotConnectedError
+from kingcupwheel.forwarding.heads import NO_NOTICE
 from kingcupwheel.platform.headers import read_answer_head
 
 
@@ -69,9 +70,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """It was sent and may have run; no answer can be had."""
+    """It was sent and may have run; no answer can be had.
+
+    ``notice`` is what the head of an answer said that came too early to be passed on.
+    """
 
     why: str
+    notice: ServerNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,10 +244,12 @@
         found = self._head(request, connection, watched)
         if isinstance(found, TurnedAway):
             return found
+        notice = NO_NOTICE
         if isinstance(found, Answered):
+            notice = found.answer.head.notice
             watched.detach()
             connection.close()
-        return Lost(f"cut while it was sent: {why}")
+        return Lost(f"cut while it was sent: {why}", notice)
 
     def _head(
         self, request: Outgoing, connection: HTTPConnection, watched: Watched
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -167,7 +167,9 @@
         self, place: Place, sent: NotSent | TurnedAway | Lost
     ) -> Refusal | None:
         notice = NO_NOTICE
-        if isinstance(sent, TurnedAway) and not sent.other_instance:
+        if isinstance(sent, Lost) or (
+            isinstance(sent, TurnedAway) and not sent.other_instance
+        ):
             # Before the place is released, which may give it to the next request.
             notice = sent.notice
             self._context.told(place, notice, self._request.id)
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -4,14 +4,17 @@
 from threading import Thread
 from time import monotonic
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
+from urllib3.connection import HTTPConnection
 
 from kingcupwheel.forwarding.calls import Answered
 from kingcupwheel.forwarding.calls import Lost
 from kingcupwheel.forwarding.calls import Outgoing
 from kingcupwheel.forwarding.calls import ServerCalls
 from kingcupwheel.forwarding.connections import Connections
+from kingcupwheel.forwarding.heads import ServerNotice
 from kingcupwheel.forwarding.watchdog import Cut
 from kingcupwheel.forwarding.watchdog import Watched
 from tests.forwarding.fleet import PATIENCE_S
@@ -102,3 +105,24 @@
     sent.answer.end("i-1", call.connections)
 
     assert not call.was_reset()
+
+
+def test_an_answer_before_the_whole_body_was_read_still_says_that_its_server_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """DRAIN: its answer is not passed on, and the next requests go there as before."""
+    request = HTTPConnection.request
+
+    def cut(connection: HTTPConnection, *args: Any, **keys: Any) -> None:
+        request(connection, *args, **keys)
+        raise BrokenPipeError
+
+    monkeypatch.setattr(HTTPConnection, "request", cut)
+    call = Call()
+
+    call.server.sendall(HEAD.replace(b"\r\n\r\n5", b"\r\nServer-Leaving: 1\r\n\r\n5"))
+    call.thread.join(PATIENCE_S)
+
+    (sent,) = call.sent
+    assert isinstance(sent, Lost)
+    assert sent.notice == ServerNotice(leaving=True)
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -5,8 +5,10 @@
 import time
 from threading import Thread
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
+from urllib3.connection import HTTPConnection
 
 from kingcupwheel.forwarding.guards import Guards
 from tests.forwarding.fleet import until
@@ -14,8 +16,6 @@
 
 
 if TYPE_CHECKING:
-    from urllib3.connection import HTTPConnection
-
     from tests.forwarding.fleet import Fleet
 
 REST_S = 2.0
@@ -216,6 +216,27 @@
     assert statuses == [200] * 10
 
 
+def test_a_server_that_answers_before_it_has_read_the_body_is_heard_to_leave(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """DRAIN: the answer can not be passed on, and requests would go on as before."""
+    request = HTTPConnection.request
+
+    def cut(connection: HTTPConnection, method: str, url: str, **keys: Any) -> None:
+        request(connection, method, url, **keys)
+        if url.startswith("/once/"):
+            raise BrokenPipeError
+
+    monkeypatch.setattr(HTTPConnection, "request", cut)
+    leaver = fleet.add_server("i-1")
+    leaver.behaviour = Behaviour(leaving=True)
+    entry = fleet.add_entry()
+
+    assert fleet.send("/once/x").status == 502
+
+    assert entry._context.book.is_leaving("i-1")
+
+
 def test_a_stream_begun_before_its_server_said_that_it_leaves_is_finished(
     fleet: Fleet,
 ) -> None:
