--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -152,11 +152,14 @@
         with self._lock:
             self._health.of(place.server).failed(monotonic())
 
-    def rest_left_s(self) -> float:
-        """Return how long every server still rests or leaves, 0 if any may get work."""
+    def rest_left_s(self, avoid: frozenset[str] = frozenset()) -> float:
+        """Return how long every server but ``avoid`` still rests or leaves.
+
+        It is 0 if any of them may get work, or if none of them rests.
+        """
         now = monotonic()
         with self._lock, self._servers.lock:
-            found = usable(self._candidates(self._heard(), now), Ask())
+            found = usable(self._candidates(self._heard(), now), Ask(avoid=avoid))
         if not isinstance(found, NoPlace) or found.rest_over_at is None:
             return 0.0
         return max(0.0, found.rest_over_at - now)
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -333,9 +333,16 @@
                 return False
             if not self._begun and context.book.is_told_full(place, now):
                 return False
+        if self._others_rest(place):
+            return False
         self._reserved = self._reserved or context.guards.may_send_again(service)
         return self._reserved
 
+    def _others_rest(self, place: Place) -> bool:
+        """Return whether all other servers rest until another send is too late."""
+        rest_s = self._dispatcher.rest_left_s(self._tried | {place.server})
+        return rest_s > 0.0 and monotonic() + rest_s >= self._request.times.first_by
+
     def _saw_first_byte(self) -> None:
         """Note how long the server took; waits before this send were not its own."""
         self._begun = True
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -11,6 +11,7 @@
 from urllib3.connection import HTTPConnection
 
 from kingcupwheel.forwarding.guards import Guards
+from tests.forwarding.builders import route
 from tests.forwarding.fleet import until
 from tests.standins.backend import Behaviour
 
@@ -108,6 +109,23 @@
     assert asked == []
 
 
+def test_a_silent_server_is_not_given_up_while_all_others_rest(fleet: Fleet) -> None:
+    """Its answer is ended for nothing, and the caller is told 502 while it comes."""
+    fleet.configure(Routes=[route(TimeoutMs=6000)])
+    slow = fleet.add_server("i-1")
+    slow.behaviour = Behaviour(hangs_s=3.5)
+    fleet.add_server("i-2")
+    entry = fleet.add_entry()
+    until(lambda: len(entry._context.book.backends) == 2)
+    table = entry._context.book._servers
+    with table.lock:
+        table.notices.rest("i-2", 60.0, time.monotonic())
+
+    assert fleet.send("/plain/x", X_Deadline_Ms="6000").status == 200
+
+    assert len(slow.arrivals) == 1
+
+
 def test_servers_that_leave_are_not_a_group_that_is_closed(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
