--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -167,7 +167,9 @@
         self, place: Place, sent: NotSent | TurnedAway | Lost
     ) -> Refusal | None:
         notice = NO_NOTICE
-        if isinstance(sent, TurnedAway) and not sent.other_instance:
+        if isinstance(sent, Lost) or (
+            isinstance(sent, TurnedAway) and not sent.other_instance
+        ):
             # Before the place is released, which may give it to the next request.
             notice = sent.notice
             self._context.told(place, notice, self._request.id)
@@ -181,7 +183,7 @@
                 came = Came.TURNED_AWAY
                 if other_instance and faulty in ("", place.server):
                     self._context.misdirected(place)
-                elif not notice.rest_s:
+                elif not (notice.rest_s or notice.leaving):
                     request = self._request
                     self._context.turned_away(
                         place, request.service, streamed=request.route.streamed
@@ -331,9 +333,16 @@
                 return False
             if not self._begun and context.book.is_told_full(place, now):
                 return False
+        if self._others_rest(place):
+            return False
         self._reserved = self._reserved or context.guards.may_send_again(service)
         return self._reserved
 
+    def _others_rest(self, place: Place) -> bool:
+        """Return whether all other servers rest until another send is too late."""
+        rest_s = self._dispatcher.rest_left_s(self._tried | {place.server})
+        return rest_s > 0.0 and monotonic() + rest_s >= self._request.times.first_by
+
     def _saw_first_byte(self) -> None:
         """Note how long the server took; waits before this send were not its own."""
         self._begun = True
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -5,17 +5,18 @@
 import time
 from threading import Thread
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
+from urllib3.connection import HTTPConnection
 
 from kingcupwheel.forwarding.guards import Guards
+from tests.forwarding.builders import route
 from tests.forwarding.fleet import until
 from tests.standins.backend import Behaviour
 
 
 if TYPE_CHECKING:
-    from urllib3.connection import HTTPConnection
-
     from tests.forwarding.fleet import Fleet
 
 REST_S = 2.0
@@ -108,6 +109,46 @@
     assert asked == []
 
 
+def test_a_silent_server_is_not_given_up_while_all_others_rest(fleet: Fleet) -> None:
+    """Its answer is ended for nothing, and the caller is told 502 while it comes."""
+    fleet.configure(Routes=[route(TimeoutMs=6000)])
+    slow = fleet.add_server("i-1")
+    slow.behaviour = Behaviour(hangs_s=3.5)
+    fleet.add_server("i-2")
+    entry = fleet.add_entry()
+    until(lambda: len(entry._context.book.backends) == 2)
+    table = entry._context.book._servers
+    with table.lock:
+        table.notices.rest("i-2", 60.0, time.monotonic())
+
+    assert fleet.send("/plain/x", X_Deadline_Ms="6000").status == 200
+
+    assert len(slow.arrivals) == 1
+
+
+def test_servers_that_leave_are_not_a_group_that_is_closed(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """They turn requests away for good; others of the service would be kept out."""
+    asked: list[str] = []
+
+    def is_closed(_: Guards, service: str, server: str, *, quiet_s: float) -> bool:
+        asked.append(server)
+        return True
+
+    monkeypatch.setattr(Guards, "is_closed", is_closed)
+    for number in (1, 2):
+        server = fleet.add_server(f"i-{number}")
+        server.behaviour = Behaviour(not_run=True, leaving=True)
+    entry = fleet.add_entry()
+    until(lambda: len(entry._context.book.backends) == 2)
+
+    fleet.send("/stream/x")
+
+    assert [len(server.arrivals) for server in fleet.servers] == [1, 1]
+    assert asked == []
+
+
 def test_a_rest_that_can_not_be_read_changes_nothing(fleet: Fleet) -> None:
     server = fleet.add_server("i-1")
     server.behaviour = Behaviour(not_run=True, rest="a while")
@@ -193,6 +234,27 @@
     assert statuses == [200] * 10
 
 
+def test_a_server_that_answers_before_it_has_read_the_body_is_heard_to_leave(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """DRAIN: the answer can not be passed on, and requests would go on as before."""
+    request = HTTPConnection.request
+
+    def cut(connection: HTTPConnection, method: str, url: str, **keys: Any) -> None:
+        request(connection, method, url, **keys)
+        if url.startswith("/once/"):
+            raise BrokenPipeError
+
+    monkeypatch.setattr(HTTPConnection, "request", cut)
+    leaver = fleet.add_server("i-1")
+    leaver.behaviour = Behaviour(leaving=True)
+    entry = fleet.add_entry()
+
+    assert fleet.send("/once/x").status == 502
+
+    assert entry._context.book.is_leaving("i-1")
+
+
 def test_a_stream_begun_before_its_server_said_that_it_leaves_is_finished(
     fleet: Fleet,
 ) -> None:
