--- a/src/kingcupwheel/decisions/notices.py
+++ b/src/kingcupwheel/decisions/notices.py
@@ -2,7 +2,8 @@
 
 Failure: a server asks for rest, and looks idle because nothing runs there. Symptom: it
 draws the requests that it wanted to be spared, turns them away, and their callers wait
-for another send or are refused.
+for another send or are refused. Failure: a server says that it leaves before the list
+does. Symptom: requests reach it that are cut when it goes.
 """
 
 from __future__ import annotations
@@ -27,9 +28,10 @@
 class _Told:
     """What one life said; ``absent_at`` is since when it is off the list."""
 
-    __slots__ = ("absent_at", "rests_until")
+    __slots__ = ("absent_at", "leaving", "rests_until")
 
     def __init__(self) -> None:
+        self.leaving = False
         self.rests_until: float | None = None
         self.absent_at: float | None = None
 
@@ -55,6 +57,18 @@
         self._of(life).rests_until = until
         return True
 
+    def leaves(self, life: str) -> bool:
+        """Note that a server says that it leaves; return whether that is news."""
+        told = self._of(life)
+        is_news = not told.leaving
+        told.leaving = True
+        return is_news
+
+    def is_leaving(self, life: str) -> bool:
+        """Return whether it said that it leaves, which holds until it is gone."""
+        told = self._told_by_life.get(life)
+        return told is not None and told.leaving
+
     def rests_until(self, life: str) -> float | None:
         """Return when the rest it asked for ends or has ended, None without one."""
         told = self._told_by_life.get(life)
@@ -67,7 +81,7 @@
 
     def may_get(self, life: str, now: float) -> bool:
         """Return whether a request may be sent to it now."""
-        return not self.rests(life, now)
+        return not self.is_leaving(life) and not self.rests(life, now)
 
     def ended(self, now: float) -> tuple[str, ...]:
         """Return, once, the lives whose rest is over."""
@@ -77,7 +91,10 @@
             if told.rests_until is not None and told.rests_until <= now
         )
         for life in found:
-            del self._told_by_life[life]
+            if self._told_by_life[life].leaving:
+                self._told_by_life[life].rests_until = None
+            else:
+                del self._told_by_life[life]
         return found
 
     def keep(self, lives: Collection[str], now: float) -> tuple[str, ...]:
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -266,11 +266,12 @@
 
     def _kept_from(self, server: Server, now: float) -> ServerState | None:
         """Return why a server gets nothing, whatever became of what it got so far."""
-        if server.is_going:
+        life = server.known_beat.incarnation
+        if server.is_going or self._servers.notices.is_leaving(life):
             return ServerState.LEAVING
         if not server.in_service:
             return ServerState.DOWN
-        if self._servers.notices.rests(server.known_beat.incarnation, now):
+        if self._servers.notices.rests(life, now):
             return ServerState.RESTING
         return None
 
--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from kingcupwheel.entry.dispatchers import Dispatchers
     from kingcupwheel.entry.tickets import Place
+    from kingcupwheel.forwarding.calls import ServerAnswer
     from kingcupwheel.forwarding.calls import ServerCalls
     from kingcupwheel.forwarding.connections import Connections
     from kingcupwheel.forwarding.currency import Currency
@@ -63,6 +64,15 @@
         if notice.rest_s:
             self.metrics.notices.labels("rest").inc()
             self.book.rests(place, notice.rest_s, request_id)
+        if notice.leaving and self.book.leaves(place, request_id):
+            self.metrics.notices.labels("leaving").inc()
+            self.connections.forget(place.incarnation)
+
+    def ended(self, place: Place, answer: ServerAnswer) -> None:
+        """Keep the connection of an answer that ended, unless its server leaves."""
+        answer.end(place.incarnation, self.connections)
+        if self.book.is_leaving(place.incarnation):
+            self.connections.forget(place.incarnation)
 
     def misdirected(self, place: Place) -> None:
         """Note that another life of a server has its address."""
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -263,7 +263,7 @@
         for backend in gone:
             self._context.connections.forget(backend.life)
             self._context.pulses.forget(backend.instance)
-            if not backend.leaving:
+            if not backend.leaving and not self._context.book.is_leaving(backend.life):
                 self._guards.gone(backend.life)
 
     def _on_message(self, link: Link, message: Message) -> None:
--- a/src/kingcupwheel/forwarding/runs.py
+++ b/src/kingcupwheel/forwarding/runs.py
@@ -353,7 +353,7 @@
 
     def end(self, place: Place, answer: ServerAnswer) -> None:
         """End an answer's connection and give its place back; called once."""
-        answer.end(place.incarnation, self._context.connections)
+        self._context.ended(place, answer)
         self._release(place)
 
     def _release(self, place: Place) -> None:
--- a/src/kingcupwheel/forwarding/serverbook.py
+++ b/src/kingcupwheel/forwarding/serverbook.py
@@ -166,6 +166,20 @@
         if is_news:
             log.info("rest-asked", server=life, for_s=round(for_s, 3), id=request_id)
 
+    def leaves(self, place: Place, request_id: str) -> bool:
+        """Send nothing to a server that says that it leaves; return if that is news."""
+        life = place.incarnation
+        with self._servers.lock:
+            is_news = self._servers.notices.leaves(life)
+        if is_news:
+            log.info("server-leaves", server=life, id=request_id)
+        return is_news
+
+    def is_leaving(self, life: str) -> bool:
+        """Return whether that life of a server said that it leaves."""
+        with self._servers.lock:
+            return self._servers.notices.is_leaving(life)
+
     def may_send(self, place: Place) -> bool:
         """Return whether the life that a place is on may get a request now."""
         with self._servers.lock:
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import time
+from threading import Thread
 from typing import TYPE_CHECKING
 
+import pytest
+
 from kingcupwheel.forwarding.guards import Guards
 from tests.forwarding.fleet import until
 from tests.standins.backend import Behaviour
 
 
 if TYPE_CHECKING:
-    import pytest
     from urllib3.connection import HTTPConnection
 
     from tests.forwarding.fleet import Fleet
@@ -167,3 +169,91 @@
     assert statuses == [200] * 4
     assert tired.arrivals == []
     assert len(good.arrivals) == 4
+
+
+@pytest.mark.parametrize("not_run", [False, True], ids=["served", "turned-away"])
+def test_a_server_that_said_that_it_leaves_gets_nothing_more(
+    fleet: Fleet, *, not_run: bool
+) -> None:
+    """DRAIN: the list does not say so, and requests go on until the server is gone."""
+    leaver = fleet.add_server("i-1")
+    leaver.behaviour = Behaviour(leaving=True, not_run=not_run)
+    fleet.add_entry()
+    answer = fleet.send("/plain/x")
+    assert answer.status == (503 if not_run else 200)
+    assert answer.headers.get("server-leaving", "1") == "1"
+    assert not_run or "server-leaving" in answer.headers
+    good = fleet.add_server("i-2")
+    until(lambda: fleet.send("/plain/x").status == 200)
+
+    statuses = [fleet.send("/plain/x").status for _ in range(10)]
+
+    assert len(leaver.arrivals) == 1
+    assert len(good.arrivals) == 11
+    assert statuses == [200] * 10
+
+
+def test_a_stream_begun_before_its_server_said_that_it_leaves_is_finished(
+    fleet: Fleet,
+) -> None:
+    """Its connection is not kept afterwards, nor are those that were idle before."""
+    server = fleet.add_server("i-1")
+    entry = fleet.add_entry()
+    kept = entry._context.connections._kept_by_life
+    assert fleet.send("/plain/x").status == 200
+    assert kept.get("i-1")
+    server.behaviour = Behaviour(events=10, event_gap_s=0.1)
+    whole: list[bool] = []
+    stream = Thread(target=lambda: whole.append(fleet.send("/stream/x").whole))
+    stream.start()
+    until(lambda: len(server.arrivals) == 2)
+    server.behaviour = Behaviour(leaving=True)
+
+    assert fleet.send("/plain/y", X_Attempt_Id="attempt-2").status == 200
+    assert not kept.get("i-1")
+    stream.join()
+
+    assert whole == [True]
+    assert not kept.get("i-1")
+
+
+def test_a_new_life_of_a_server_that_left_is_used(fleet: Fleet) -> None:
+    server = fleet.add_server("i-1")
+    fleet.store.put("servers", "i-1", server.entry("app", born=1_000))
+    entry = fleet.add_entry()
+    server.behaviour = Behaviour(leaving=True)
+    assert fleet.send("/plain/x").status == 200
+    assert entry._context.book.is_leaving("i-1@1000")
+    server.behaviour = Behaviour()
+
+    fleet.store.put("servers", "i-1", server.entry("app", born=2_000))
+
+    until(lambda: fleet.send("/plain/x").status == 200)
+
+
+def test_a_server_that_said_that_it_leaves_did_not_die_of_its_requests(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Some leave without a word on the list: their entry is removed."""
+    died: list[str] = []
+
+    def gone(_: Guards, life: str) -> tuple[str, ...]:
+        died.append(life)
+        return ()
+
+    monkeypatch.setattr(Guards, "gone", gone)
+    for number in (1, 2):
+        server = fleet.add_server(f"i-{number}")
+        server.behaviour = Behaviour(leaving=number == 1)
+    entry = fleet.add_entry()
+    until(lambda: len(entry._context.book.backends) == 2)
+    until(
+        lambda: bool(fleet.send("/plain/x") and entry._context.book.is_leaving("i-1"))
+    )
+
+    for number in (1, 2):
+        fleet.store.remove("servers", f"i-{number}")
+
+    until(lambda: died == ["i-2"])
+    until(lambda: not entry._context.book.backends)
+    assert died == ["i-2"]
