--- /dev/null
+++ b/tests/soak/planned/stalls.py
@@ -0,0 +1,44 @@
+"""Measures how long this machine leaves a thread that wants to run waiting."""
+
+from __future__ import annotations
+
+import time
+from threading import Event
+from threading import Thread
+from typing import NamedTuple
+
+
+_LOOK_S = 0.01
+# Shorter ones are usual.
+NOTED_S = 0.05
+
+
+class Stall(NamedTuple):
+    """A thread woke so late, at this time (monotonic)."""
+
+    at: float
+    late_s: float
+
+
+class StallMeter:
+    """Notes stalls until stopped; what else runs on the machine shows in them."""
+
+    def __init__(self) -> None:
+        self.stalls: list[Stall] = []
+        self._stopping = Event()
+        self._thread = Thread(target=self._run, name="stalls", daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        before = time.monotonic()
+        while not self._stopping.is_set():
+            time.sleep(_LOOK_S)
+            now = time.monotonic()
+            if now - before - _LOOK_S > NOTED_S:
+                self.stalls.append(Stall(now, now - before - _LOOK_S))
+            before = now
+
+    def stop(self) -> None:
+        """Measure no more."""
+        self._stopping.set()
+        self._thread.join()
--- a/tests/soak/planned/test_planned.py
+++ b/tests/soak/planned/test_planned.py
@@ -17,6 +17,7 @@
 from tests.soak.planned.judging import ServerEnd
 from tests.soak.planned.judging import faults_found
 from tests.soak.planned.records import joined
+from tests.soak.planned.stalls import StallMeter
 from tests.soak.planned.world import PlannedWorld
 
 
@@ -36,6 +37,7 @@
 
 def play(seed: int, folder: Path) -> list[str]:
     """Play one seed; return what must not be, and what was brought about."""
+    meter = StallMeter()
     world = PlannedWorld(folder)
     callers = PlannedCallers(world, seed)
     planned = Planned(world, Random(seed))
@@ -50,6 +52,11 @@
     finally:
         callers.stop()
         world.stop()
+        meter.stop()
+    planned.told += [
+        f"{stall.at - world.began_at:8.3f} s  the soak woke {stall.late_s:.3f} s late"
+        for stall in meter.stalls
+    ]
     arrivals = world.arrivals()
     lives_by_entry = {entry.name: entry.lives for entry in world.entries}
     sent = joined(callers.calls, arrivals, lives_by_entry)
