--- a/tests/soak/planned/test_planned.py
+++ b/tests/soak/planned/test_planned.py
@@ -59,6 +59,12 @@
     ]
     arrivals = world.arrivals()
     lives_by_entry = {entry.name: entry.lives for entry in world.entries}
+    planned.told += [
+        f"{life.ended_at - world.began_at:8.3f} s  process of {name} has ended"
+        for name, lives in lives_by_entry.items()
+        for life in lives
+        if life.ended_at is not None
+    ]
     sent = joined(callers.calls, arrivals, lives_by_entry)
     _record(folder, world, sent, planned.told)
     ends = [ServerEnd(server.gone_at, server.ended_at) for server in world.ended]
