--- a/tests/soak/planned/test_judging.py
+++ b/tests/soak/planned/test_judging.py
@@ -91,6 +91,8 @@
     [
         pytest.param(sent(1.0, 0.1, REFUSED), 0, id="refused at once"),
         pytest.param(sent(1.0, 0.3, REFUSED), 1, id="refused late"),
+        pytest.param(sent(0.5, 0.8, REFUSED), 0, id="early, waited for a place"),
+        pytest.param(sent(0.5, 0.8), 1, id="early, waited for nothing"),
         pytest.param(sent(1.0, 0.1), 0, id="closed at once"),
         pytest.param(sent(1.0, 0.6), 1, id="read and closed late"),
         pytest.param(sent(1.0, 0.1, HALF), 0, id="half a refusal at once"),
