--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -184,7 +184,7 @@
         """Log that the settings were read again; the log level is set already."""
         logger.info("Settings read again; log level %s.", settings.log_level.value)
 
-    def stop(self) -> None:
+    def stop(self, asked_at: float | None = None) -> None:
         """Stop gracefully: return once what ran has ended and was delivered.
 
         Nothing bounds the wait but the progress of what runs.
--- a/src/kingcupwheel/console/daemons.py
+++ b/src/kingcupwheel/console/daemons.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from importlib import import_module
+from time import monotonic
 from typing import TYPE_CHECKING
 from typing import NoReturn
 from typing import Protocol
@@ -55,7 +56,7 @@
 
     A second signal to stop changes nothing.
 
-    The handler only sets a flag. It runs between any two steps of the main thread, and
+    The handler only notes a time. It runs between any two steps of the main thread, and
     an ``Event`` whose lock that thread holds just then would wait for itself: the
     symptom is a process that a quick second SIGTERM leaves hanging. The interpreter
     writes to a pipe for each signal, which ends the wait at once: a planned stop has a
@@ -63,7 +64,7 @@
     """
 
     def __init__(self) -> None:
-        self._told = False
+        self._asked_at: float | None = None
         self._reload = False
         self._came, wakes = os.pipe()
         os.set_blocking(self._came, False)
@@ -73,18 +74,23 @@
             signal.signal(number, self._note)
         signal.signal(signal.SIGHUP, self._note_reload)
 
-    def wait(self, reload: Callable[[], None]) -> None:
-        """Return once a stop was asked for; call ``reload`` for each reload."""
-        while not self._told:
+    def wait(self, reload: Callable[[], None]) -> float:
+        """Return when a stop was asked for (monotonic), once one was.
+
+        Calls ``reload`` for each reload.
+        """
+        while self._asked_at is None:
             select.select([self._came], [], [], _LOOK_AGAIN_S)
             with contextlib.suppress(BlockingIOError):
                 os.read(self._came, _SIGNALS_AT_ONCE)
             if self._reload:
                 self._reload = False
                 reload()
+        return self._asked_at
 
     def _note(self, *_: object) -> None:
-        self._told = True
+        if self._asked_at is None:
+            self._asked_at = monotonic()
 
     def _note_reload(self, *_: object) -> None:
         self._reload = True
@@ -96,8 +102,12 @@
     def start(self) -> None:
         """Return once it serves."""
 
-    def stop(self) -> None:
-        """Return once everything in progress has ended."""
+    def stop(self, asked_at: float | None = None) -> None:
+        """Return once everything in progress has ended.
+
+        ``asked_at`` is when the signal came (monotonic), now if it is not given; the
+        daemon may have been starting then.
+        """
 
     def reload(self, settings: Settings) -> None:
         """Take over what may change while the process runs."""
@@ -121,8 +131,8 @@
     except KingcupwheelError as error:
         click.echo(f"kingcupwheel: {error}", err=True)
         sys.exit(ExitCode.FAILED)
-    told.wait(lambda: _reload(path, role, daemon))
-    daemon.stop()
+    asked_at = told.wait(lambda: _reload(path, role, daemon))
+    daemon.stop(asked_at)
     if line_log is not None:
         line_log.stop()
     sys.stdout.flush()
--- a/src/kingcupwheel/entry/daemon.py
+++ b/src/kingcupwheel/entry/daemon.py
@@ -174,7 +174,7 @@
         """Log that the settings were read again; the log level is set already."""
         logger.info("Settings read again; log level %s.", settings.log_level.value)
 
-    def stop(self) -> None:
+    def stop(self, asked_at: float | None = None) -> None:
         """Stop gracefully: refuse new work after a while, finish what is in progress.
 
         Nothing bounds the wait for requests in progress; their own progress does.
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -207,15 +207,17 @@
         """Take over what may change while the process runs."""
         log.info("reloaded", log_level=settings.log_level.value)
 
-    def stop(self) -> None:
+    def stop(self, asked_at: float | None = None) -> None:
         """Stop gracefully: out of the directory, then finish what is in progress.
 
         Failure: callers keep this entry's address for some seconds after it has begun
         to leave. Symptom: their connections are refused, or a request that was read is
         cut. New requests are therefore taken while they can end in time, each on a
         connection that is closed after its answer, and refused afterwards.
+
+        The grace counts from ``asked_at`` (monotonic), from now if it is not given.
         """
-        began = monotonic()
+        began = monotonic() if asked_at is None else asked_at
         stopping = Stopping(began, self._forwarding.grace_s)
         self._leaving.set()
         self._application.stop(stopping)
--- a/src/kingcupwheel/lockstep/daemon.py
+++ b/src/kingcupwheel/lockstep/daemon.py
@@ -124,7 +124,7 @@
         """Take over what may change while the process runs."""
         log.info("reloaded", log_level=settings.log_level.value)
 
-    def stop(self) -> None:
+    def stop(self, asked_at: float | None = None) -> None:
         """Finish the change under way, so that no pass stays held, then end."""
         log.info("leaving")
         self._coordinator.stop()
--- a/tests/forwarding/test_stopping.py
+++ b/tests/forwarding/test_stopping.py
@@ -275,3 +275,21 @@
     watched.end(Cut.SLOW)
 
     assert watched.cut is Cut.STOPPING
+
+
+# Guards against a stop that outlives its grace: its signal came in the start.
+def test_a_stop_ends_within_the_grace_that_is_counted_from_its_signal(
+    fleet: Fleet,
+) -> None:
+    server = fleet.add_server("i-1")
+    server.behaviour = Behaviour(events=10, event_gap_s=GRACE_S * 0.2)
+    asked_at = time.monotonic()
+    time.sleep(GRACE_S * 0.2)
+    entry = fleet.add_entry(grace_s=GRACE_S)
+    stream = Sent(fleet, "/stream/x")
+    until(lambda: bool(server.arrivals))
+
+    entry.stop(asked_at)
+
+    assert time.monotonic() - asked_at < GRACE_S
+    stream.join()
