--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -96,6 +96,11 @@
         """Whether a further attempt would have to wait at the server."""
         return self.load >= 1.0
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the server holds no attempt, as far as the entry can know."""
+        return self.held <= 0.0
+
 
 class Ask(NamedTuple):
     """What is to be placed.
--- a/src/kingcupwheel/entry/dispatching.py
+++ b/src/kingcupwheel/entry/dispatching.py
@@ -81,7 +81,10 @@
             queued_at=now,
         )
         ticket = Ticket(waiting, ask)
+        is_late = waiting.deadline_at <= now < wanted.first_by
         with self._lock:
+            if is_late and self._place_on_idle(ticket, now):
+                return ticket
             refused = self._enqueue(ticket, now)
             if refused is not None:
                 return refused
@@ -237,6 +240,26 @@
         ticket.give(place)
         return True
 
+    def _place_on_idle(self, ticket: Ticket, now: float) -> bool:
+        """Place a request whose first byte is predicted too late, if a server idles.
+
+        Load: a busy moment, and then idle servers. Harm prevented: the slow first bytes
+        of that moment still put the bound over callers' patience, so requests are
+        refused though nothing waits. A place where nothing runs is taken from nobody,
+        and what is seen there corrects the bound.
+        """
+        if len(self._queue) or self._held is not None:
+            return False
+        with self._servers.lock:
+            servers = self._heard()
+            idle = [one for one in self._candidates(servers, now) if one.is_idle]
+            decision = self._policy.place(idle, ticket.ask, now, self._draw)
+            if not isinstance(decision, Placed):
+                return False
+            place = _take(servers[decision.server], decision, ticket, now)
+        ticket.give(place)
+        return True
+
     def _heard(self) -> dict[str, Server]:
         return {
             server.name: server
