--- a/tests/forwarding/test_daemon.py
+++ b/tests/forwarding/test_daemon.py
@@ -435,3 +435,20 @@
 
     assert answer.status == 200
     assert sum(server.runs for server in fleet.servers) == 1
+
+
+def test_a_slow_first_event_costs_no_later_caller_its_idle_server(
+    fleet: Fleet,
+) -> None:
+    """A stream begins late in a busy moment; then the server idles.
+
+    The next callers, less patient, would get 503 for a second: they might be late.
+    """
+    server = fleet.add_server("i-1")
+    fleet.add_entry()
+    server.behaviour = Behaviour(events=1, hangs_s=0.9)
+    fleet.send("/stream/slow", X_Deadline_Ms="8000")
+    server.behaviour = Behaviour()
+    time.sleep(0.3)
+
+    assert [fleet.send(f"/once/{number}").status for number in range(3)] == [200] * 3
