--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -63,6 +63,12 @@
                 header=header,
                 id=request_id,
             )
+        if notice.rate_limit is not None:
+            self.metrics.server_notices.labels("limit").inc()
+        if notice.is_limit_readable:
+            self.server_registry.record_rate_limit(
+                reservation, notice.rate_limit, request_id
+            )
         if notice.backoff_s:
             self.metrics.server_notices.labels("rest").inc()
             self.server_registry.record_backoff(
--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -254,6 +254,7 @@
             turned_away=self._counts.rejected,
             rest_s=notice.backoff_s,
             leaving=notice.is_leaving,
+            limit_per_s=notice.rate_limit,
             left_s=round(time_left_s, 3),
             budget=is_within_budget,
             follows=step.value,
--- a/src/kingcupwheel/forwarding/http_metadata.py
+++ b/src/kingcupwheel/forwarding/http_metadata.py
@@ -48,12 +48,16 @@
     """Notice in a server's answer about its availability.
 
     A server that ``is_leaving`` accepts no new requests. ``backoff_s`` is for how
-    long it requests a backoff, None if it requests none. ``unreadable_headers`` are the
-    names of headers with invalid values.
+    long it requests a backoff, None if it requests none. ``rate_limit`` is the number
+    of requests per second that it accepts from all entries together, None if it names
+    no limit; without ``is_limit_readable`` it says nothing about limits.
+    ``unreadable_headers`` are the names of headers with invalid values.
     """
 
     is_leaving: bool = False
     backoff_s: float | None = None
+    rate_limit: float | None = None
+    is_limit_readable: bool = True
     unreadable_headers: tuple[str, ...] = ()
 
 
--- a/src/kingcupwheel/forwarding/server_registry.py
+++ b/src/kingcupwheel/forwarding/server_registry.py
@@ -198,6 +198,23 @@
             log.info("server-leaves", server=incarnation, id=request_id)
         return is_new
 
+    def record_rate_limit(
+        self, reservation: Reservation, rate: float | None, request_id: str
+    ) -> None:
+        """Record the rate limit that an answer names, None if it names none."""
+        incarnation = reservation.incarnation
+        with self._server_table.lock:
+            before = self._server_table.notices.rate_limit(incarnation)
+            is_new = self._server_table.notices.record_rate_limit(incarnation, rate)
+        if is_new:
+            log.info(
+                "limit-lifted" if rate is None else "limit-named",
+                server=incarnation,
+                per_s=rate,
+                before=before,
+                id=request_id,
+            )
+
     def is_leaving(self, incarnation: str) -> bool:
         """Return whether this incarnation of a server has announced that it leaves."""
         with self._server_table.lock:
--- a/src/kingcupwheel/platform/headers.py
+++ b/src/kingcupwheel/platform/headers.py
@@ -37,6 +37,7 @@
 _AT_SERVER = "at-server"
 _SERVER_LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
+_SERVER_LIMIT = "server-limit"
 _DECIMAL_PATTERN = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
 
 # Set by the system, or not passed on: the caller's own values are always removed.
@@ -54,6 +55,8 @@
 _REMOVED_FROM_RESPONSES = HOP_BY_HOP_HEADERS | {"content-length", "date", "server"}
 _MS_PER_S = 1000.0
 _MAX_PRIORITY = 9
+# A larger rate is no limit that a server can mean.
+_MAX_RATE_LIMIT = 1_000_000.0
 
 
 def read_request_headers(headers: Mapping[str, str]) -> CallerMetadata:
@@ -129,12 +132,23 @@
     leaving = _header_values(headers, _SERVER_LEAVING)
     retry_after = _header_values(headers, _RETRY_AFTER) if is_refused else []
     retry_after_s = _parse_retry_after_s(retry_after)
+    limit = _header_values(headers, _SERVER_LIMIT)
+    rate_limit = _parse_rate_limit(limit)
     unreadable = []
     if leaving not in ([], ["0"], ["1"]):
         unreadable.append(_SERVER_LEAVING)
     if retry_after and retry_after_s is None:
         unreadable.append(_RETRY_AFTER)
-    return ServerNotice(leaving == ["1"], retry_after_s, tuple(unreadable))
+    is_limit_readable = not limit or rate_limit is not None
+    if not is_limit_readable:
+        unreadable.append(_SERVER_LIMIT)
+    return ServerNotice(
+        leaving == ["1"],
+        retry_after_s,
+        rate_limit,
+        is_limit_readable,
+        tuple(unreadable),
+    )
 
 
 def _header_values(headers: HTTPHeaderDict, name: str) -> list[str]:
@@ -143,10 +157,20 @@
 
 def _parse_retry_after_s(values: list[str]) -> float | None:
     """Return decimal seconds, or None if they are invalid or the header is repeated."""
+    return _parse_single_decimal(values)
+
+
+def _parse_rate_limit(values: list[str]) -> float | None:
+    """Return requests per second, or None if the value is invalid or repeated."""
+    rate = _parse_single_decimal(values)
+    return None if rate is None or rate > _MAX_RATE_LIMIT else rate
+
+
+def _parse_single_decimal(values: list[str]) -> float | None:
     if len(values) != 1 or _DECIMAL_PATTERN.fullmatch(values[0]) is None:
         return None
-    seconds = float(values[0])
-    return seconds if math.isfinite(seconds) else None
+    number = float(values[0])
+    return number if math.isfinite(number) else None
 
 
 def _parse_deadline_s(text: str) -> float | None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -150,6 +150,34 @@
     assert notice(200, retry_after) == ServerNotice()
 
 
+@pytest.mark.parametrize(
+    ("value", "rate"), [("1", 1.0), ("0.25", 0.25), ("0", 0.0), (" 500.0 ", 500.0)]
+)
+def test_server_limit_is_parsed_for_every_status(value: str, rate: float) -> None:
+    limit = ("Server-Limit", value)
+    for found in (notice(200, limit), notice(500, limit), notice(503, NOT_RUN, limit)):
+        assert found == ServerNotice(rate_limit=rate)
+
+
+@pytest.mark.parametrize(
+    "value", ["", "-1", "1e3", "nan", "inf", "1,5", "one", "1000001", "9" * 400]
+)
+def test_an_invalid_server_limit_is_unreadable(value: str) -> None:
+    found = notice(200, ("Server-Limit", value))
+
+    assert found == ServerNotice(
+        is_limit_readable=False, unreadable_headers=("server-limit",)
+    )
+
+
+def test_a_repeated_server_limit_is_unreadable() -> None:
+    found = notice(200, ("Server-Limit", "1"), ("Server-Limit", "1"))
+
+    assert found == ServerNotice(
+        is_limit_readable=False, unreadable_headers=("server-limit",)
+    )
+
+
 def test_server_leaving_is_parsed_for_every_status() -> None:
     server_leaving = ("Server-Leaving", "1")
 
