--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from kingcupwheel.decisions.server_health import ServerState
 
 
+if TYPE_CHECKING:
+    from kingcupwheel.decisions.rate_limits import LimitedAccess
+
 # A server that has just started has cold caches: with its full share of requests at
 # once, the first ones on it would be the slowest of the group.
 SLOW_START_S = 15.0
@@ -36,7 +41,8 @@
     ``own_in_flight`` is this entry's attempts on it now, ``own_in_flight_at_report``
     those when the report arrived. ``running_suspects`` is the number of crash suspects
     that this entry knows to run on it. ``backoff_until`` is the end of a backoff that
-    the server requested (monotonic seconds).
+    the server requested (monotonic seconds). ``limited_access`` is what the entry may
+    send under the server's rate limit, None without one.
     """
 
     name: str
@@ -53,6 +59,7 @@
     own_in_flight_at_report: int = 0
     running_suspects: int = 0
     backoff_until: float = 0.0
+    limited_access: LimitedAccess | None = None
 
     @property
     def estimated_in_flight(self) -> float:
@@ -137,17 +144,46 @@
     alternatives: tuple[CandidateLoad, ...] = ()
 
 
+class CombinedLimits(NamedTuple):
+    """What the rate limits of several servers allow.
+
+    ``rate`` is this entry's share of all of them, ``total_rate`` that of all entries
+    (requests/s). ``all_backoffs_end_at`` is when the first server without a limit ends
+    its backoff, infinite if there is none.
+    """
+
+    rate: float
+    total_rate: float
+    all_backoffs_end_at: float = math.inf
+
+
 class NoServerAvailable(NamedTuple):
     """No server can be selected now; ``reason`` is one of a few fixed texts.
 
     If ``applies_to_all`` is False, other requests may still be placed, and this one
     must not block those queued behind it. ``backoff_ends_at`` is the earliest end of a
-    server's backoff, set if no server can become available before it.
+    server's backoff, or time at which a rate limit allows a request, set if no server
+    can become available before it. ``rate_limits`` are what the limits among them
+    allow, None if there are only backoffs.
     """
 
     reason: str
     applies_to_all: bool
     backoff_ends_at: float | None = None
+    rate_limits: CombinedLimits | None = None
+
+    def available_at(self, requests_ahead: int) -> float | None:
+        """Return when a request behind ``requests_ahead`` others can be placed.
+
+        None if a server may become available earlier than its backoff or limit allows.
+        """
+        if self.backoff_ends_at is None or self.rate_limits is None:
+            return self.backoff_ends_at
+        limits = self.rate_limits
+        if limits.rate <= 0.0:
+            return limits.all_backoffs_end_at
+        at = self.backoff_ends_at + requests_ahead / limits.rate
+        return min(at, limits.all_backoffs_end_at)
 
 
 NO_SERVER_IN_SERVICE = NoServerAvailable("no server is in service", applies_to_all=True)
@@ -162,6 +198,12 @@
 UNTRIED_SERVERS_BACKING_OFF = NoServerAvailable(
     "every untried server rests or leaves", applies_to_all=False
 )
+ALL_SERVERS_LIMITED = NoServerAvailable(
+    "every server is at its rate limit, rests or leaves", applies_to_all=True
+)
+UNTRIED_SERVERS_LIMITED = NoServerAvailable(
+    "every untried server is at its rate limit, rests or leaves", applies_to_all=False
+)
 ALL_SERVERS_RUN_SUSPECTS = NoServerAvailable(
     "every server runs another suspect", applies_to_all=False
 )
--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Protocol
 
 from kingcupwheel.decisions.age_normalization import normalize_ages
 from kingcupwheel.decisions.candidates import ALL_SERVERS_BACKING_OFF
 from kingcupwheel.decisions.candidates import ALL_SERVERS_FULL
+from kingcupwheel.decisions.candidates import ALL_SERVERS_LIMITED
 from kingcupwheel.decisions.candidates import ALL_SERVERS_RUN_SUSPECTS
 from kingcupwheel.decisions.candidates import ALL_SERVERS_TRIED
 from kingcupwheel.decisions.candidates import NO_SERVER_IN_SERVICE
 from kingcupwheel.decisions.candidates import UNTRIED_SERVERS_BACKING_OFF
 from kingcupwheel.decisions.candidates import UNTRIED_SERVERS_FULL
+from kingcupwheel.decisions.candidates import UNTRIED_SERVERS_LIMITED
 from kingcupwheel.decisions.candidates import Candidate
 from kingcupwheel.decisions.candidates import CandidateLoad
+from kingcupwheel.decisions.candidates import CombinedLimits
 from kingcupwheel.decisions.candidates import NoServerAvailable
 from kingcupwheel.decisions.candidates import PlacementRequest
 from kingcupwheel.decisions.candidates import SelectedServer
@@ -37,10 +41,13 @@
     {
         ServerState.EJECTED,
         ServerState.BACKING_OFF,
+        ServerState.RATE_LIMITED,
         ServerState.DOWN,
         ServerState.LEAVING,
     }
 )
+# States that end at a known time.
+TIMED_STATES = frozenset({ServerState.BACKING_OFF, ServerState.RATE_LIMITED})
 
 # Fraction of the repeatable requests sent to a probed server: at 9 requests per second
 # an entry probes about every 5 s.
@@ -110,20 +117,17 @@
     Backoffs are the reason only if no ejected or silent server could return earlier.
     """
     not_leaving = [one for one in candidates if one.state is not ServerState.LEAVING]
-    backing_off = [one for one in not_leaving if one.state is ServerState.BACKING_OFF]
-    if not backing_off or len(backing_off) < len(not_leaving):
+    timed = [one for one in not_leaving if one.state in TIMED_STATES]
+    if not timed or len(timed) < len(not_leaving):
         return NO_SERVER_IN_SERVICE
-    untried = [one for one in backing_off if one.name not in request.excluded_servers]
+    untried = [one for one in timed if one.name not in request.excluded_servers]
     if not untried:
-        return ALL_SERVERS_TRIED._replace(
-            backoff_ends_at=_earliest_backoff_end(backing_off)
-        )
-    reason = (
-        UNTRIED_SERVERS_BACKING_OFF
-        if request.excluded_servers
-        else ALL_SERVERS_BACKING_OFF
-    )
-    return reason._replace(backoff_ends_at=_earliest_backoff_end(untried))
+        return _with_times(ALL_SERVERS_TRIED, timed)
+    if request.excluded_servers:
+        return _explain_untried_timed(untried)
+    if any(one.state is ServerState.RATE_LIMITED for one in untried):
+        return _with_times(ALL_SERVERS_LIMITED, untried)
+    return _with_times(ALL_SERVERS_BACKING_OFF, untried)
 
 
 def _explain_none_with_capacity(
@@ -136,10 +140,8 @@
         if one.state is not ServerState.LEAVING
         and one.name not in request.excluded_servers
     ]
-    if untried and all(one.state is ServerState.BACKING_OFF for one in untried):
-        return UNTRIED_SERVERS_BACKING_OFF._replace(
-            backoff_ends_at=_earliest_backoff_end(untried)
-        )
+    if untried and all(one.state in TIMED_STATES for one in untried):
+        return _explain_untried_timed(untried)
     return ALL_SERVERS_FULL
 
 
@@ -150,21 +152,38 @@
 ) -> NoServerAvailable:
     if not request.excluded_servers.issuperset(_names(available)):
         return UNTRIED_SERVERS_FULL
-    backing_off = [
+    timed = [
         one
         for one in candidates
-        if one.state is ServerState.BACKING_OFF
-        and one.name not in request.excluded_servers
+        if one.state in TIMED_STATES and one.name not in request.excluded_servers
     ]
-    if not backing_off:
-        return ALL_SERVERS_TRIED
-    return UNTRIED_SERVERS_BACKING_OFF._replace(
-        backoff_ends_at=_earliest_backoff_end(backing_off)
-    )
+    return _explain_untried_timed(timed) if timed else ALL_SERVERS_TRIED
 
 
-def _earliest_backoff_end(backing_off: Sequence[Candidate]) -> float:
-    return min(one.backoff_until for one in backing_off)
+def _explain_untried_timed(untried: Sequence[Candidate]) -> NoServerAvailable:
+    if any(one.state is ServerState.RATE_LIMITED for one in untried):
+        return _with_times(UNTRIED_SERVERS_LIMITED, untried)
+    return _with_times(UNTRIED_SERVERS_BACKING_OFF, untried)
+
+
+def _with_times(
+    reason: NoServerAvailable, timed: Sequence[Candidate]
+) -> NoServerAvailable:
+    """Add when the first of these servers becomes available, and their limits."""
+    limited = [one for one in timed if one.state is ServerState.RATE_LIMITED]
+    resting = [one for one in timed if one.state is ServerState.BACKING_OFF]
+    rest_ends = [one.backoff_until for one in resting if one.limited_access is None]
+    access = [one.limited_access for one in timed if one.limited_access is not None]
+    return reason._replace(
+        backoff_ends_at=min(one.backoff_until for one in timed),
+        rate_limits=CombinedLimits(
+            sum(one.rate for one in access),
+            sum(one.total_rate for one in access),
+            min(rest_ends, default=math.inf),
+        )
+        if limited
+        else None,
+    )
 
 
 @placement_policies.register("two-choices")
@@ -191,6 +210,7 @@
         unprobed, probed = _split_probed(eligible)
         if probed and (not unprobed or _should_probe(request, rng)):
             return SelectedServer(rng.choice(probed).name, "probe of an ejected server")
+        unprobed = _prefer_unlimited(unprobed)
         if not unprobed:
             # Only busy probed servers are left; other servers may be closed to this
             # request alone.
@@ -199,6 +219,9 @@
                 if request.excluded_servers or request.is_suspect
                 else ALL_SERVERS_FULL
             )
+        limit_probe = _find_limit_probe(eligible, request)
+        if limit_probe is not None:
+            return SelectedServer(limit_probe.name, "probe of a rate limit")
         affinity_server = self._find_affinity_server(unprobed, request)
         if affinity_server is not None:
             return SelectedServer(
@@ -247,6 +270,32 @@
     return unprobed, [one for one in probed if one.own_in_flight == 0]
 
 
+def _prefer_unlimited(servers: list[Candidate]) -> list[Candidate]:
+    """Return the servers without a rate limit, or all if there are none.
+
+    A share of a limit is kept for requests that no other server has capacity for.
+    """
+    return [one for one in servers if one.limited_access is None] or servers
+
+
+def _find_limit_probe(
+    eligible: Sequence[Candidate], request: PlacementRequest
+) -> Candidate | None:
+    """Return a server from which no entry has heard for long, if there is one.
+
+    The other servers may take all requests, so that nobody would learn that a server
+    has lifted its limit.
+    """
+    if request.is_suspect:
+        return None
+    due = [
+        one
+        for one in eligible
+        if one.limited_access is not None and one.limited_access.is_probe_due
+    ]
+    return due[0] if due else None
+
+
 def _should_probe(request: PlacementRequest, rng: Random) -> bool:
     # A probe may fail, so that only repeatable requests are used.
     return (
--- a/src/kingcupwheel/decisions/server_health.py
+++ b/src/kingcupwheel/decisions/server_health.py
@@ -47,7 +47,8 @@
     ``HEALTHY``: its full share. ``SLOW``: a reduced share. ``FAILING``: only requests
     that the others have no capacity for, since it has just failed or too many servers
     are ejected already. ``PROBING``: single repeatable requests. ``EJECTED``: none.
-    ``BACKING_OFF``: none until its requested backoff ends. ``DOWN``: none until it is
+    ``BACKING_OFF``: none until its requested backoff ends. ``RATE_LIMITED``: none until
+    the entry's share of the server's rate limit allows one. ``DOWN``: none until it is
     reported up. ``LEAVING``: none, permanently.
     """
 
@@ -57,6 +58,7 @@
     PROBING = "probing"
     EJECTED = "ejected"
     BACKING_OFF = "resting"
+    RATE_LIMITED = "rate-limited"
     DOWN = "down"
     LEAVING = "leaving"
 
--- a/src/kingcupwheel/decisions/server_notices.py
+++ b/src/kingcupwheel/decisions/server_notices.py
@@ -28,11 +28,10 @@
 class _Notice:
     """Notices of one incarnation; ``absent_at`` is when it was first found unlisted."""
 
-    __slots__ = ("absent_at", "backoff_until", "is_leaving", "rate_limit")
+    __slots__ = ("absent_at", "backoff_until", "is_leaving")
 
     def __init__(self) -> None:
         self.is_leaving = False
-        self.rate_limit: float | None = None
         self.backoff_until: float | None = None
         self.absent_at: float | None = None
 
@@ -65,18 +64,6 @@
         notice.is_leaving = True
         return is_new
 
-    def record_rate_limit(self, incarnation: str, rate: float | None) -> bool:
-        """Record the named limit (requests/s, None: none); return if it changed."""
-        if rate == self.rate_limit(incarnation):
-            return False
-        self._get_or_create(incarnation).rate_limit = rate
-        return True
-
-    def rate_limit(self, incarnation: str) -> float | None:
-        """Return the rate limit that the server last named, None without a limit."""
-        notice = self._notice_by_incarnation.get(incarnation)
-        return None if notice is None else notice.rate_limit
-
     def is_leaving(self, incarnation: str) -> bool:
         """Return whether the server has announced that it leaves."""
         notice = self._notice_by_incarnation.get(incarnation)
@@ -106,9 +93,8 @@
             if notice.backoff_until is not None and notice.backoff_until <= now
         )
         for incarnation in ended:
-            notice = self._notice_by_incarnation[incarnation]
-            if notice.is_leaving or notice.rate_limit is not None:
-                notice.backoff_until = None
+            if self._notice_by_incarnation[incarnation].is_leaving:
+                self._notice_by_incarnation[incarnation].backoff_until = None
             else:
                 del self._notice_by_incarnation[incarnation]
         return ended
--- a/src/kingcupwheel/entry/group_dispatcher.py
+++ b/src/kingcupwheel/entry/group_dispatcher.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import replace
 from random import Random
@@ -175,10 +176,10 @@
     def get_backoff_left_s(
         self, excluded_servers: frozenset[str] = frozenset()
     ) -> float:
-        """Return the time until the first backoff of the eligible servers ends.
+        """Return the time until a backoff or rate limit lets a server take a request.
 
         It is 0 if any server outside ``excluded_servers`` may get work, or if none of
-        them is backing off.
+        them is backing off or limited.
         """
         now = monotonic()
         with self._lock, self._servers.lock:
@@ -186,12 +187,9 @@
                 self._build_candidates(self._get_reporting_servers_by_name(), now),
                 PlacementRequest(excluded_servers=excluded_servers),
             )
-        if (
-            not isinstance(selection, NoServerAvailable)
-            or selection.backoff_ends_at is None
-        ):
+        if not isinstance(selection, NoServerAvailable):
             return 0.0
-        return max(0.0, selection.backoff_ends_at - now)
+        return _backoff_left_s(selection, 0, now)
 
     def reset_server_health(self, server: str) -> None:
         """Forget the failures of a server's earlier incarnation."""
@@ -216,17 +214,26 @@
                 return
 
     def _fail_unplaceable(self, blocked_ticket: PlacementTicket, now: float) -> None:
-        """Fail the tickets that expire before the first backoff ends.
+        """Fail the tickets that backoffs and rate limits let no server take in time.
 
-        They wait behind ``blocked_ticket``, which no server can take before then.
+        They wait behind ``blocked_ticket``. Under a rate limit the servers take one
+        after the other, so each ticket that is kept delays those after it.
         """
         blocked_by = blocked_ticket.blocked_by
         if blocked_by is None or blocked_by.backoff_ends_at is None:
             return
-        tickets = self._tickets_by_request_id.values()
-        for ticket in [one for one in tickets if one not in self._constrained]:
-            failure = _find_placement_failure(ticket, blocked_by, now)
-            if failure is not None:
+        waiting = [
+            one
+            for one in self._tickets_by_request_id.values()
+            if one is not blocked_ticket and one not in self._constrained
+        ]
+        waiting.sort(key=lambda one: (-one.queued.priority, one.queued.queued_at))
+        kept = 0
+        for ticket in (blocked_ticket, *waiting):
+            failure = _find_placement_failure(ticket, blocked_by, now, kept)
+            if failure is None:
+                kept += 1
+            else:
                 self._remove(ticket)
                 ticket.complete(failure)
 
@@ -267,7 +274,7 @@
                         _find_placement_failure(ticket, decision, now)
                     )
                 case SelectedServer(server=name):
-                    result = _reserve(servers[name], decision, ticket, now)
+                    result = self._reserve(servers[name], decision, ticket, now)
         if result is None:
             return False
         del self._tickets_by_request_id[ticket.queued.request_id]
@@ -294,10 +301,22 @@
             )
             if not isinstance(decision, SelectedServer):
                 return False
-            reservation = _reserve(servers[decision.server], decision, ticket, now)
+            reservation = self._reserve(servers[decision.server], decision, ticket, now)
         ticket.complete(reservation)
         return True
 
+    def _reserve(
+        self,
+        server: Server,
+        decision: SelectedServer,
+        ticket: PlacementTicket,
+        now: float,
+    ) -> Reservation:
+        permit_expires_at = self._servers.rate_limits.acquire(
+            server.known_heartbeat.incarnation, now
+        )
+        return _build_reservation(server, decision, ticket, now, permit_expires_at)
+
     def _get_reporting_servers_by_name(self) -> dict[str, Server]:
         return {
             server.name: server
@@ -309,26 +328,26 @@
         self, servers: dict[str, Server], now: float
     ) -> list[Candidate]:
         concurrency = self._group.concurrency
-        notices = self._servers.notices
         candidates = [
-            replace(
+            self._add_constraints(
                 _build_candidate(server, concurrency, now),
-                backoff_until=notices.backoff_until(server.known_heartbeat.incarnation)
-                or 0.0,
+                server.known_heartbeat.incarnation,
+                now,
             )
             for server in servers.values()
         ]
         excluding_state_by_name = {
-            name: state
-            for name, server in servers.items()
-            if (state := self._find_excluding_state(server, now)) is not None
+            one.name: state
+            for one in candidates
+            if (state := self._find_excluding_state(servers[one.name], one, now))
+            is not None
         }
         loads = [
             ServerLoad(
                 one.name,
                 one.estimated_in_flight,
                 one.capacity,
-                one.name not in excluding_state_by_name,
+                one.name not in excluding_state_by_name and one.limited_access is None,
             )
             for one in candidates
         ]
@@ -336,7 +355,19 @@
         state_by_name.update(excluding_state_by_name)
         return [replace(one, state=state_by_name[one.name]) for one in candidates]
 
-    def _find_excluding_state(self, server: Server, now: float) -> ServerState | None:
+    def _add_constraints(
+        self, candidate: Candidate, incarnation: str, now: float
+    ) -> Candidate:
+        """Add what the server asked for in its answers."""
+        backoff_until = self._servers.notices.backoff_until(incarnation) or 0.0
+        access = self._servers.rate_limits.get_access(incarnation, now)
+        if access is not None:
+            backoff_until = max(backoff_until, access.available_at)
+        return replace(candidate, backoff_until=backoff_until, limited_access=access)
+
+    def _find_excluding_state(
+        self, server: Server, candidate: Candidate, now: float
+    ) -> ServerState | None:
         """Return the state that excludes a server whatever its health, None if none."""
         incarnation = server.known_heartbeat.incarnation
         if server.is_draining or self._servers.notices.is_leaving(incarnation):
@@ -345,25 +376,53 @@
             return ServerState.DOWN
         if self._servers.notices.is_backing_off(incarnation, now):
             return ServerState.BACKING_OFF
+        access = candidate.limited_access
+        if access is not None and access.available_at > now:
+            return ServerState.RATE_LIMITED
         return None
 
 
 def _find_placement_failure(
-    ticket: PlacementTicket, blocked_by: NoServerAvailable, now: float
+    ticket: PlacementTicket,
+    blocked_by: NoServerAvailable,
+    now: float,
+    requests_ahead: int = 0,
 ) -> PlacementFailure | None:
     """Return why waiting can't lead to a placement, None if it can."""
-    backoff_ends_at = blocked_by.backoff_ends_at
-    backoff_left_s = 0.0 if backoff_ends_at is None else max(0.0, backoff_ends_at - now)
+    backoff_left_s = _backoff_left_s(blocked_by, requests_ahead, now)
     if blocked_by.reason == ALL_SERVERS_TRIED.reason:
         # Waiting does not add a server that was not tried.
         return PlacementFailure("no-server", blocked_by.reason, backoff_left_s)
-    if backoff_ends_at is not None and backoff_ends_at >= ticket.queued.deadline_at:
-        return PlacementFailure("servers-rest", blocked_by.reason, backoff_left_s)
+    available_at = blocked_by.available_at(requests_ahead)
+    if available_at is not None and available_at >= ticket.queued.deadline_at:
+        limit = "servers-rest" if blocked_by.rate_limits is None else "servers-limited"
+        return PlacementFailure(limit, blocked_by.reason, backoff_left_s)
     return None
 
 
-def _reserve(
-    server: Server, decision: SelectedServer, ticket: PlacementTicket, now: float
+def _backoff_left_s(
+    blocked_by: NoServerAvailable, requests_ahead: int, now: float
+) -> float:
+    """Return the time until a server can take a request behind so many others.
+
+    An entry without a share of the servers' limits can't tell; another entry's share
+    then allows the next request within the interval that the limits allow to all.
+    """
+    available_at = blocked_by.available_at(requests_ahead)
+    if available_at is None:
+        return 0.0
+    limits = blocked_by.rate_limits
+    if limits is not None and math.isinf(available_at):
+        return 1.0 / limits.total_rate
+    return max(0.0, available_at - now)
+
+
+def _build_reservation(
+    server: Server,
+    decision: SelectedServer,
+    ticket: PlacementTicket,
+    now: float,
+    permit_expires_at: float | None,
 ) -> Reservation:
     heartbeat = server.known_heartbeat
     server.in_flight += 1
@@ -377,6 +436,7 @@
         waited_s=now - ticket.queued.queued_at,
         work=ticket.queued.work,
         is_suspect=ticket.placement_request.is_suspect,
+        permit_expires_at=permit_expires_at,
     )
 
 
--- a/src/kingcupwheel/entry/placement_tickets.py
+++ b/src/kingcupwheel/entry/placement_tickets.py
@@ -32,7 +32,11 @@
 
 
 class Reservation(NamedTuple):
-    """Capacity reserved on a server, as of the server's latest heartbeat."""
+    """Capacity reserved on a server, as of the server's latest heartbeat.
+
+    ``permit_expires_at`` is until when it may be used if the server names a rate limit
+    (monotonic seconds), None if it had no limit.
+    """
 
     server: str
     address: str
@@ -42,14 +46,16 @@
     waited_s: float
     work: float
     is_suspect: bool
+    permit_expires_at: float | None = None
 
 
 class PlacementFailure(NamedTuple):
     """The wait ended without a reservation.
 
-    ``reason`` is ``deadline``, or ``no-server`` or ``servers-rest`` if waiting longer
-    would not help; ``detail`` is why the last placement failed. ``backoff_left_s`` is
-    the time until the first backoff ends if only backoffs prevent a placement, else 0.
+    ``reason`` is ``deadline``, or, if waiting longer would not help, ``no-server``,
+    ``servers-rest`` or ``servers-limited``; ``detail`` is why the last placement
+    failed. ``backoff_left_s`` is the time until a server could take the request if only
+    backoffs and rate limits prevent a placement, else 0.
     """
 
     reason: str
--- a/src/kingcupwheel/entry/server_table.py
+++ b/src/kingcupwheel/entry/server_table.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from kingcupwheel.decisions.rate_limits import RateLimits
 from kingcupwheel.decisions.server_notices import ServerNotices
 
 
@@ -110,6 +111,7 @@
         self._by_address: dict[str, Server] = {}
         self._lock = Lock()
         self._notices = ServerNotices()
+        self._rate_limits = RateLimits()
         self._checked_at: float | None = None
 
     @property
@@ -122,6 +124,11 @@
         """Servers' backoff and leaving notices; accessed only with ``lock`` held."""
         return self._notices
 
+    @property
+    def rate_limits(self) -> RateLimits:
+        """Servers' rate limits; accessed only with ``lock`` held."""
+        return self._rate_limits
+
     def set_instances(
         self, instances: tuple[Instance, ...], now: float
     ) -> tuple[str, ...]:
--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -19,6 +19,7 @@
     from kingcupwheel.forwarding.http_metadata import ReportedLoad
     from kingcupwheel.forwarding.http_metadata import ServerNotice
     from kingcupwheel.forwarding.liveness import LivenessTrackers
+    from kingcupwheel.forwarding.rate_limit_exchange import RateLimitExchange
     from kingcupwheel.forwarding.retry_guards import RetryGuards
     from kingcupwheel.forwarding.server_registry import ServerRegistry
     from kingcupwheel.forwarding.watchdog import Watchdog
@@ -36,6 +37,7 @@
     configuration_cache: ConfigurationCache
     dispatchers: DispatcherRegistry
     server_registry: ServerRegistry
+    rate_limits: RateLimitExchange
     server_client: ServerClient
     connection_pool: ConnectionPool
     retry_guards: RetryGuards
@@ -52,9 +54,17 @@
         self.server_registry.record_load(reservation, load)
 
     def record_notice(
-        self, reservation: Reservation, notice: ServerNotice, request_id: str
+        self,
+        reservation: Reservation,
+        notice: ServerNotice,
+        request_id: str,
+        *,
+        sent_at: float,
     ) -> None:
-        """Record what an answer says about its server: a backoff or a shutdown."""
+        """Record what an answer says about its server: a backoff, limit or shutdown.
+
+        The request was sent at ``sent_at`` (monotonic seconds).
+        """
         for header in notice.unreadable_headers:
             self.metrics.server_notices.labels("unreadable").inc()
             log.warning(
@@ -65,9 +75,9 @@
             )
         if notice.rate_limit is not None:
             self.metrics.server_notices.labels("limit").inc()
-        if notice.is_limit_readable:
-            self.server_registry.record_rate_limit(
-                reservation, notice.rate_limit, request_id
+        if notice.is_limit_known:
+            self.rate_limits.record_answer(
+                reservation, notice.rate_limit, sent_at=sent_at, request_id=request_id
             )
         if notice.backoff_s:
             self.metrics.server_notices.labels("rest").inc()
@@ -88,6 +98,15 @@
         if self.server_registry.is_leaving(reservation.incarnation):
             self.connection_pool.close_server(reservation.incarnation)
 
+    def may_send(self, reservation: Reservation) -> bool:
+        """Return whether the reserved server incarnation may get requests now."""
+        if not self.server_registry.may_send(reservation):
+            return False
+        if self.rate_limits.may_send(reservation):
+            return True
+        self.metrics.limited_sends.labels("withheld").inc()
+        return False
+
     def record_misdirection(self, reservation: Reservation) -> None:
         """Record that another incarnation of a server has its address."""
         self.connection_pool.close_server(reservation.incarnation)
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -23,6 +23,7 @@
 from kingcupwheel.forwarding.graceful_shutdown import GracefulShutdown
 from kingcupwheel.forwarding.liveness import LivenessTrackers
 from kingcupwheel.forwarding.load_poller import AgentLoadPoller
+from kingcupwheel.forwarding.rate_limit_exchange import RateLimitExchange
 from kingcupwheel.forwarding.retry_guards import RetryBudgetLimits
 from kingcupwheel.forwarding.retry_guards import RetryGuards
 from kingcupwheel.forwarding.server_list import ServerListHandler
@@ -106,6 +107,7 @@
             configuration_cache=self._configuration_cache,
             dispatchers=dispatchers,
             server_registry=ServerRegistry(table, dispatchers),
+            rate_limits=RateLimitExchange(table),
             server_client=ServerClient(connections),
             connection_pool=connections,
             retry_guards=self._guards,
@@ -124,7 +126,11 @@
             settings.name, settings.listen, settings.http, settings.data_centre
         )
         self._membership = EntryMembership(
-            own_entry, self._hub, self._configuration_cache, self._guards
+            own_entry,
+            self._hub,
+            self._configuration_cache,
+            self._guards,
+            self._context.rate_limits,
         )
         self._watchers = self._make_watchers()
         self._application = ForwardApplication(
@@ -260,6 +266,7 @@
         self._metrics.configuration_age_seconds.set(age_s)
         self._metrics.configuration_version.set(self._configuration_cache.version)
         self._metrics.live_entries.set(len(self._membership.live_entries()))
+        self._metrics.set_rate_limits(self._context.rate_limits.list_limits())
 
     def _on_server_list(
         self, backends: tuple[Backend, ...], removed: tuple[Backend, ...]
@@ -295,6 +302,9 @@
         if now - self._refresh_at >= _REFRESH_INTERVAL_S:
             self._refresh_at = now
             self._context.server_registry.refresh_unreported()
+            self._context.rate_limits.retain(
+                self._context.server_registry.known_incarnations
+            )
             self._abort_slow_streams()
         self._load_poller.on_tick(now)
 
--- a/src/kingcupwheel/forwarding/entry_membership.py
+++ b/src/kingcupwheel/forwarding/entry_membership.py
@@ -23,9 +23,11 @@
 
 if TYPE_CHECKING:
     from kingcupwheel.forwarding.configuration_cache import ConfigurationCache
+    from kingcupwheel.forwarding.rate_limit_exchange import RateLimitExchange
     from kingcupwheel.forwarding.retry_guards import RetryGuards
     from kingcupwheel.link.hub import MessageHub
     from kingcupwheel.link.links import Link
+    from kingcupwheel.messages.membership import ServerLimitReport
     from kingcupwheel.platform.object_store import ObjectStore
     from kingcupwheel.platform.object_store import StoredObject
 
@@ -42,6 +44,8 @@
 _FULL_LIST_FIRST = 4
 # Between two requests for the configuration to peers, in seconds.
 _REQUEST_INTERVAL_S = 0.5
+# Between a heartbeat and an early one that reports a changed rate limit, in seconds.
+_MIN_HEARTBEAT_INTERVAL_S = 0.2
 
 
 class EntryMembership:
@@ -53,17 +57,20 @@
         hub: MessageHub,
         configuration_cache: ConfigurationCache,
         guards: RetryGuards,
+        rate_limits: RateLimitExchange,
     ) -> None:
         self._own_entry = own_entry
         self._hub = hub
         self._configuration_cache = configuration_cache
         self._guards = guards
+        self._rate_limits = rate_limits
         self._peers = PeerTable(own_entry)
         self._incarnation = secrets.token_hex(4)
         self._heartbeat_at = 0.0
         self._heartbeat_count = 0
         self._requested_at = 0.0
         self._leaving = False
+        self._has_read_list = False
         self._revision = 0
         self._expired: list[EntryInfo] = []
         self._live_names: frozenset[str] = frozenset()
@@ -97,6 +104,7 @@
                 log.warning("entry-object-refused", name=one.name, why=str(error))
         with self._lock:
             self._peers.add_known(found, monotonic())
+            self._has_read_list = True
 
     def register(self, store: ObjectStore) -> bool:
         """Write this entry to the store; return whether that succeeded."""
@@ -131,17 +139,22 @@
 
     def on_tick(self, now: float) -> None:
         """Send heartbeats if the interval has passed; runs on the hub's thread."""
+        self._expedite_limits(now)
         with self._lock:
             due = now - self._heartbeat_at >= self._peers.heartbeat_interval_s()
             if not due:
                 return
             self._heartbeat_at = now
+            self._peers.mark_started(now)
             self._heartbeat_count += 1
             for address in self._peers.take_silent_addresses(now):
                 self._hub.reconnect(address)
             self._expired.extend(self._peers.remove_expired(now))
             peers = self._peers.known_entries
+            fleet = self._peers.describe_fleet(now, has_read_list=self._has_read_list)
             echoes = {peer.name: self._peers.echo_for(peer.name) for peer in peers}
+        self._rate_limits.update_fleet(fleet)
+        limits = self._rate_limits.list_reports()
         every = max(_FULL_LIST_EVERY, len(peers))
         includes_known = (
             self._heartbeat_count <= _FULL_LIST_FIRST
@@ -149,11 +162,23 @@
         )
         for peer in peers:
             known = peers if includes_known else ()
-            heartbeat = self._heartbeat(echoes[peer.name], known)
+            heartbeat = self._heartbeat(echoes[peer.name], known, limits)
             self._hub.send(OutgoingLink(peer.address, 0), heartbeat)
         self._log_live_changes()
 
-    def _heartbeat(self, echo: float, known: tuple[EntryInfo, ...]) -> EntryHeartbeat:
+    def _expedite_limits(self, now: float) -> None:
+        """Let a changed rate limit not wait for the next regular heartbeat."""
+        if now - self._heartbeat_at < _MIN_HEARTBEAT_INTERVAL_S:
+            return
+        if self._rate_limits.take_changed():
+            self._heartbeat_at = 0.0
+
+    def _heartbeat(
+        self,
+        echo: float,
+        known: tuple[EntryInfo, ...],
+        limits: tuple[ServerLimitReport, ...],
+    ) -> EntryHeartbeat:
         age_s = self._configuration_cache.age_s()
         return EntryHeartbeat(
             sender=self._own_entry,
@@ -165,6 +190,7 @@
             age_s=age_s if age_s < 3600.0 else -1.0,
             crashed=self._guards.recent_crashes,
             known_entries=known,
+            limits=limits,
         )
 
     def on_heartbeat(self, heartbeat: EntryHeartbeat) -> None:
@@ -173,6 +199,8 @@
         with self._lock:
             is_new = self._peers.record_heartbeat(heartbeat, now)
             self._peers.add_known(heartbeat.known_entries, now)
+        if heartbeat.limits:
+            self._record_limits(heartbeat)
         if heartbeat.crashed:
             self._guards.record_peer_crashes(heartbeat.crashed)
         if is_new:
@@ -191,6 +219,21 @@
             self._request_configuration(heartbeat, now)
         self._log_live_changes()
 
+    def _record_limits(self, heartbeat: EntryHeartbeat) -> None:
+        """Record a peer's rate limits.
+
+        The heartbeat was written after this entry's clock reading that it echoes, which
+        bounds the age of what it reports.
+        """
+        max_transit_s = (
+            max(0.0, self._configuration_cache.now() - heartbeat.echo)
+            if heartbeat.echo > 0.0
+            else float("inf")
+        )
+        self._rate_limits.record_reports(
+            heartbeat.sender.name, heartbeat.limits, max_transit_s
+        )
+
     def _request_configuration(self, heartbeat: EntryHeartbeat, now: float) -> None:
         if now - self._requested_at >= _REQUEST_INTERVAL_S:
             self._requested_at = now
--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -143,7 +143,7 @@
         self, reservation: Reservation, answer: ServerAnswer
     ) -> PlacedAnswer | BufferedAnswer | Refusal | None:
         head = answer.head
-        self._context.record_notice(reservation, head.notice, self._request.id)
+        self._record_notice(reservation, head.notice)
         self._context.record_load(reservation, head.load)
         is_success = head.status < _MIN_FAILURE_STATUS
         if is_success and self._request.route.is_streamed and head.status == 200:
@@ -168,6 +168,11 @@
             return self._whole_answer(answer, body)
         return refusal
 
+    def _record_notice(self, reservation: Reservation, notice: ServerNotice) -> None:
+        self._context.record_notice(
+            reservation, notice, self._request.id, sent_at=self._sent_at
+        )
+
     def _whole_answer(self, answer: ServerAnswer, body: bytes) -> BufferedAnswer:
         head = answer.head
         self.log_finished(head.status, len(body), "whole")
@@ -183,7 +188,7 @@
             # Recorded before the release, after which another request may get the
             # server.
             notice = result.notice
-            self._context.record_notice(reservation, notice, self._request.id)
+            self._record_notice(reservation, notice)
         self._release(reservation)
         match result:
             case NotSent(reason):
@@ -311,6 +316,8 @@
     def _log_placement(self, reservation: Reservation) -> None:
         request = self._request
         self._context.metrics.queue_wait_seconds.observe(reservation.waited_s)
+        if reservation.permit_expires_at is not None:
+            self._context.metrics.limited_sends.labels("placed").inc()
         log.info(
             "placed",
             id=request.id,
@@ -318,6 +325,7 @@
             why=reservation.decision.reason,
             weighed=[list(one) for one in reservation.decision.alternatives],
             waited_s=round(reservation.waited_s, 3),
+            limited=reservation.permit_expires_at is not None,
             send=self._counts.possibly_run + self._counts.rejected + 1,
             version=request.version,
             version_age_s=round(request.version_age_s, 2),
@@ -366,7 +374,7 @@
             else None,
             needs_new_connection=not request.route.is_idempotent,
             may_abort_silent=partial(self._may_abort_silent, reservation),
-            may_send=partial(self._context.server_registry.may_send, reservation),
+            may_send=partial(self._context.may_send, reservation),
         )
 
     def _may_abort_silent(self, reservation: Reservation) -> bool:
--- a/src/kingcupwheel/forwarding/http_metadata.py
+++ b/src/kingcupwheel/forwarding/http_metadata.py
@@ -50,18 +50,19 @@
     A server that ``is_leaving`` accepts no new requests. ``backoff_s`` is for how
     long it requests a backoff, None if it requests none. ``rate_limit`` is the number
     of requests per second that it accepts from all entries together, None if it names
-    no limit; without ``is_limit_readable`` it says nothing about limits.
-    ``unreadable_headers`` are the names of headers with invalid values.
+    no limit. Without ``is_limit_known`` the answer was not read or its limit is
+    invalid, which tells nothing about limits. ``unreadable_headers`` are the names of
+    headers with invalid values.
     """
 
     is_leaving: bool = False
     backoff_s: float | None = None
     rate_limit: float | None = None
-    is_limit_readable: bool = True
+    is_limit_known: bool = True
     unreadable_headers: tuple[str, ...] = ()
 
 
-NO_NOTICE = ServerNotice()
+NO_NOTICE = ServerNotice(is_limit_known=False)
 
 
 class AnswerHead(NamedTuple):
--- a/src/kingcupwheel/forwarding/peers.py
+++ b/src/kingcupwheel/forwarding/peers.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from kingcupwheel.decisions.limit_shares import EntryFleet
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,6 +31,12 @@
 # Time for which a silent entry is still sent heartbeats, in seconds: it may be frozen
 # or cut off for a while.
 PEER_EXPIRY_S = 60.0
+# Heartbeats after which the others know of an entry that has just started. A link that
+# loses packets delays two or three.
+_SETTLING_HEARTBEATS = 5
+# In a fleet of hundreds an entry must not wait for a minute; more of the others may
+# then still count one entry less.
+MAX_SETTLING_S = 10.0
 
 
 class _Peer:
@@ -61,6 +69,7 @@
         # Largest number of entries live at once. Budgets are divided by it, since
         # an entry that is cut off can't tell whether the others died.
         self._max_live_seen = 1
+        self._started_at: float | None = None
 
     @property
     def known_entries(self) -> tuple[EntryInfo, ...]:
@@ -124,6 +133,31 @@
             return max(self._max_live_seen, DEFAULT_FLEET_SIZE)
         return max(self._max_live_seen, known)
 
+    def describe_fleet(self, now: float, *, has_read_list: bool) -> EntryFleet:
+        """Return the entries that share what has to be split exactly.
+
+        ``has_read_list`` tells that the store's list of entries has been read; without
+        it an entry that knows no peer can't tell that it is alone. An entry that has
+        just started leaves the others the time to learn of it and to lower their
+        shares.
+        """
+        names = frozenset((self._own_entry.name, *self._by_name))
+        size = max(len(names), self._max_live_seen)
+        if len(names) == 1 and not has_read_list:
+            size = max(size, DEFAULT_FLEET_SIZE)
+        settling_s = min(
+            MAX_SETTLING_S, _SETTLING_HEARTBEATS * self.heartbeat_interval_s()
+        )
+        is_settled = self._started_at is not None and (
+            now - self._started_at >= settling_s
+        )
+        return EntryFleet(self._own_entry.name, names, size, is_settled)
+
+    def mark_started(self, now: float) -> None:
+        """Record the time of the first heartbeat to peers; later calls do nothing."""
+        if self._started_at is None:
+            self._started_at = now
+
     def echo_for(self, name: str) -> float:
         """Return the newest clock reading from the peer to echo, 0 before the first."""
         peer = self._by_name.get(name)
--- a/src/kingcupwheel/forwarding/server_registry.py
+++ b/src/kingcupwheel/forwarding/server_registry.py
@@ -74,6 +74,11 @@
         """The known servers."""
         return tuple(self._backends_by_address.values())
 
+    @property
+    def known_incarnations(self) -> frozenset[str]:
+        """The incarnations of the known servers."""
+        return frozenset(one.incarnation for one in self.backends)
+
     def in_flight_requests(self, service: str) -> int:
         """Return the number of this entry's requests at the servers of a service."""
         with self._server_table.lock:
@@ -198,23 +203,6 @@
             log.info("server-leaves", server=incarnation, id=request_id)
         return is_new
 
-    def record_rate_limit(
-        self, reservation: Reservation, rate: float | None, request_id: str
-    ) -> None:
-        """Record the rate limit that an answer names, None if it names none."""
-        incarnation = reservation.incarnation
-        with self._server_table.lock:
-            before = self._server_table.notices.rate_limit(incarnation)
-            is_new = self._server_table.notices.record_rate_limit(incarnation, rate)
-        if is_new:
-            log.info(
-                "limit-lifted" if rate is None else "limit-named",
-                server=incarnation,
-                per_s=rate,
-                before=before,
-                id=request_id,
-            )
-
     def is_leaving(self, incarnation: str) -> bool:
         """Return whether this incarnation of a server has announced that it leaves."""
         with self._server_table.lock:
@@ -239,11 +227,8 @@
             self._dispatchers.place_waiting(service)
 
     def _remove_old_notices(self, now: float) -> None:
-        incarnations = {
-            one.incarnation for one in tuple(self._backends_by_address.values())
-        }
         with self._server_table.lock:
-            forgotten = self._server_table.notices.retain(incarnations, now)
+            forgotten = self._server_table.notices.retain(self.known_incarnations, now)
         for incarnation in forgotten:
             log.info("notice-forgotten", server=incarnation)
 
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -114,12 +114,26 @@
     data_centre: str
 
 
+class ServerLimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """The rate limit of a server (requests/s) as observed by the sender itself.
+
+    The server made its answer between ``sent_age_s`` and ``received_age_s`` seconds
+    ago. ``rate`` is None if it has lifted its limit.
+    """
+
+    incarnation: str
+    rate: float | None
+    sent_age_s: float
+    received_age_s: float
+
+
 class EntryHeartbeat(Message, frozen=True, tag="EntryBeat"):
     """Heartbeat between entries on the users' platform, about twice a second.
 
     ``sent_at`` is read from the sender's clock; ``echo`` is the newest ``sent_at`` that
     the sender received from the receiver. Configuration ``version`` was the newest one
-    ``age_s`` before this was sent; a negative age means unknown.
+    ``age_s`` before this was sent; a negative age means unknown. ``limits`` are the
+    rate limits that the sender has observed itself.
     """
 
     sender: EntryInfo = msgspec.field(name="me")
@@ -131,6 +145,7 @@
     age_s: float
     crashed: tuple[tuple[str, int], ...]
     known_entries: tuple[EntryInfo, ...] = msgspec.field(name="known")
+    limits: tuple[ServerLimitReport, ...] = ()
 
 
 class ManifestRequest(Message, frozen=True, tag="ManifestWanted"):
--- a/src/kingcupwheel/platform/headers.py
+++ b/src/kingcupwheel/platform/headers.py
@@ -139,14 +139,14 @@
         unreadable.append(_SERVER_LEAVING)
     if retry_after and retry_after_s is None:
         unreadable.append(_RETRY_AFTER)
-    is_limit_readable = not limit or rate_limit is not None
-    if not is_limit_readable:
+    is_limit_known = not limit or rate_limit is not None
+    if not is_limit_known:
         unreadable.append(_SERVER_LIMIT)
     return ServerNotice(
         leaving == ["1"],
         retry_after_s,
         rate_limit,
-        is_limit_readable,
+        is_limit_known,
         tuple(unreadable),
     )
 
--- a/src/kingcupwheel/telemetry/metrics.py
+++ b/src/kingcupwheel/telemetry/metrics.py
@@ -49,6 +49,24 @@
             ["kind"],
             registry=registry,
         )
+        self.limited_sends = Counter(
+            "kingcupwheel_limited_sends",
+            "Sends to servers with a rate limit: placed or withheld before the send.",
+            ["came"],
+            registry=registry,
+        )
+        self.server_rate_limit = Gauge(
+            "kingcupwheel_server_rate_limit",
+            "Requests per second that a server takes from all entries together.",
+            ["server"],
+            registry=registry,
+        )
+        self.server_rate_share = Gauge(
+            "kingcupwheel_server_rate_share",
+            "Requests per second of a server's limit that this entry may send.",
+            ["server"],
+            registry=registry,
+        )
         self.answer_seconds = Histogram(
             "kingcupwheel_answer_seconds",
             "From a request's arrival to its answer's end.",
@@ -83,6 +101,14 @@
         self.answers.labels(service, str(status), how).inc()
         self.answer_seconds.labels(service).observe(took_s)
 
+    def set_rate_limits(self, limits: Iterable[tuple[str, float, float]]) -> None:
+        """Replace the limited servers: incarnation, limit and own share."""
+        self.server_rate_limit.clear()
+        self.server_rate_share.clear()
+        for incarnation, limit, share in limits:
+            self.server_rate_limit.labels(incarnation).set(limit)
+            self.server_rate_share.labels(incarnation).set(share)
+
 
 class RankMetrics:
     """Metrics of a rank's agent; thread-safe."""
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -65,6 +65,7 @@
         not in (
             ServerState.EJECTED,
             ServerState.BACKING_OFF,
+            ServerState.RATE_LIMITED,
             ServerState.DOWN,
             ServerState.LEAVING,
         )
