--- a/src/kingcupwheel/decisions/rate_limits.py
+++ b/src/kingcupwheel/decisions/rate_limits.py
@@ -193,6 +193,7 @@
             limit = self._limit_by_incarnation[incarnation] = _Limit(
                 observed, is_own=is_own
             )
+            limit.update_share(incarnation, self._fleet, now)
             return LimitChange(None, observed.rate)
         before = limit.observation
         merged = merge_observations(before, observed)
@@ -202,12 +203,11 @@
         limit.is_own = is_own
         if merged.rate == before.rate:
             return None
+        if before.rate is None:
+            limit.fleet = None
         limit.accrue(now)
-        if before.rate is not None and merged.rate is not None:
+        if merged.rate is not None:
             limit.update_share(incarnation, self._fleet, now)
-        else:
-            limit.fleet = None
-            limit.tokens = 0.0
         return LimitChange(before.rate, merged.rate)
 
     def _evict_oldest(self) -> None:
@@ -249,8 +249,7 @@
         )
 
     def _refresh(self, incarnation: str, limit: _Limit, now: float) -> None:
-        if limit.fleet is not None:
-            limit.accrue(now)
+        limit.accrue(now)
         if limit.fleet is not self._fleet:
             limit.update_share(incarnation, self._fleet, now)
 
