--- a/src/kingcupwheel/forwarding/peers.py
+++ b/src/kingcupwheel/forwarding/peers.py
@@ -66,8 +66,9 @@
     def __init__(self, own_entry: EntryInfo) -> None:
         self._own_entry = own_entry
         self._by_name: dict[str, _Peer] = {}
-        # Largest number of entries live at once. Budgets are divided by it, since
-        # an entry that is cut off can't tell whether the others died.
+        # Largest number of entries live at once, less those that have left in order.
+        # Budgets are divided by it, since an entry that is cut off can't tell whether
+        # the others died.
         self._max_live_seen = 1
         self._started_at: float | None = None
 
@@ -190,7 +191,10 @@
             if now - max(peer.heard_at, peer.added_at) > PEER_EXPIRY_S
         )
         for entry in expired:
-            del self._by_name[entry.name]
+            last_heartbeat = self._by_name.pop(entry.name).last_heartbeat
+            if last_heartbeat is not None and last_heartbeat.leaving:
+                # It has ended in order, so that its part of the budgets is free.
+                self._max_live_seen = max(1, self._max_live_seen - 1)
         return expired
 
 
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -2,6 +2,7 @@
 
 from kingcupwheel.forwarding.peers import DEFAULT_FLEET_SIZE
 from kingcupwheel.forwarding.peers import HEARTBEAT_INTERVAL_S
+from kingcupwheel.forwarding.peers import PEER_EXPIRY_S
 from kingcupwheel.forwarding.peers import PeerTable
 from kingcupwheel.forwarding.peers import confirmation_from
 from kingcupwheel.messages.membership import EntryHeartbeat
@@ -95,3 +96,46 @@
 
     assert peers.take_silent_addresses(late) == (entry("2").address,)
     assert peers.take_silent_addresses(late + 0.1) == ()
+
+
+def test_an_entry_that_left_in_order_frees_its_part_of_the_budgets() -> None:
+    """Guards against parts that nobody uses for good after a fleet has shrunk."""
+    peers = PeerTable(entry("1"))
+    for name in ("2", "3"):
+        peers.record_heartbeat(heartbeat(name), 0.0)
+    peers.record_heartbeat(heartbeat("3", leaving=True), 1.0)
+    peers.record_heartbeat(heartbeat("2"), 50.0)
+
+    peers.remove_expired(1.0 + PEER_EXPIRY_S + 1.0)
+
+    assert peers.describe_fleet(62.0, has_read_list=True).size == 2
+
+
+def test_a_silent_entry_keeps_its_part_of_the_budgets() -> None:
+    """Guards against a part used twice when an entry is cut off for long."""
+    peers = PeerTable(entry("1"))
+    for name in ("2", "3"):
+        peers.record_heartbeat(heartbeat(name), 0.0)
+
+    peers.remove_expired(2 * PEER_EXPIRY_S)
+
+    fleet = peers.describe_fleet(2 * PEER_EXPIRY_S, has_read_list=True)
+    assert fleet.names == {"1"}
+    assert fleet.size == 3
+
+
+def test_a_started_entry_settles_when_the_others_have_heard_of_it() -> None:
+    peers = PeerTable(entry("1"))
+    assert not peers.describe_fleet(100.0, has_read_list=True).is_settled
+
+    peers.mark_started(100.0)
+
+    assert not peers.describe_fleet(101.9, has_read_list=True).is_settled
+    assert peers.describe_fleet(102.1, has_read_list=True).is_settled
+
+
+def test_an_entry_that_has_not_read_the_list_does_not_take_itself_for_alone() -> None:
+    peers = PeerTable(entry("1"))
+
+    assert peers.describe_fleet(0.0, has_read_list=False).size == DEFAULT_FLEET_SIZE
+    assert peers.describe_fleet(0.0, has_read_list=True).size == 1
