--- a/src/kingcupwheel/entry/group_dispatcher.py
+++ b/src/kingcupwheel/entry/group_dispatcher.py
@@ -182,14 +182,29 @@
         them is backing off or limited.
         """
         now = monotonic()
+        selection = self._find_unavailability(excluded_servers, now)
+        return 0.0 if selection is None else _backoff_left_s(selection, 0, now)
+
+    def may_place_before(
+        self, deadline_at: float, excluded_servers: frozenset[str]
+    ) -> bool:
+        """Return whether a server outside ``excluded_servers`` may get work in time.
+
+        False only if backoffs and rate limits prevent it until ``deadline_at``.
+        """
+        selection = self._find_unavailability(excluded_servers, monotonic())
+        available_at = None if selection is None else selection.available_at(0)
+        return available_at is None or available_at < deadline_at
+
+    def _find_unavailability(
+        self, excluded_servers: frozenset[str], now: float
+    ) -> NoServerAvailable | None:
         with self._lock, self._servers.lock:
             selection = select_eligible(
                 self._build_candidates(self._get_reporting_servers_by_name(), now),
                 PlacementRequest(excluded_servers=excluded_servers),
             )
-        if not isinstance(selection, NoServerAvailable):
-            return 0.0
-        return _backoff_left_s(selection, 0, now)
+        return selection if isinstance(selection, NoServerAvailable) else None
 
     def reset_server_health(self, server: str) -> None:
         """Forget the failures of a server's earlier incarnation."""
--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -199,7 +199,7 @@
                 outcome = AttemptOutcome.REJECTED
                 if is_other_instance and faulty_server in ("", reservation.server):
                     self._context.record_misdirection(reservation)
-                elif not (notice.backoff_s or notice.is_leaving):
+                elif not notice.explains_rejection:
                     request = self._request
                     self._context.record_rejection(
                         reservation,
@@ -398,24 +398,16 @@
                 reservation, now
             ):
                 return False
-        if self._are_others_backing_off(reservation):
+        if not self._dispatcher.may_place_before(
+            self._request.deadlines.first_byte_deadline_at,
+            self._tried_servers | {reservation.server},
+        ):
             return False
         self._has_reserved_retry = (
             self._has_reserved_retry or context.retry_guards.consume_retry(service)
         )
         return self._has_reserved_retry
 
-    def _are_others_backing_off(self, reservation: Reservation) -> bool:
-        """Return whether all others are backing off until too late for a retry."""
-        backoff_left_s = self._dispatcher.get_backoff_left_s(
-            self._tried_servers | {reservation.server}
-        )
-        return (
-            backoff_left_s > 0.0
-            and monotonic() + backoff_left_s
-            >= self._request.deadlines.first_byte_deadline_at
-        )
-
     def _record_first_byte(self) -> None:
         """Record the time to first byte, counted from the send to this server."""
         self._has_answer_begun = True
--- a/src/kingcupwheel/forwarding/http_metadata.py
+++ b/src/kingcupwheel/forwarding/http_metadata.py
@@ -61,6 +61,12 @@
     is_limit_known: bool = True
     unreadable_headers: tuple[str, ...] = ()
 
+    @property
+    def explains_rejection(self) -> bool:
+        """Whether the server rejects requests for a reason other than a failure."""
+        has_limit = self.rate_limit is not None
+        return bool(self.backoff_s) or self.is_leaving or has_limit
+
 
 NO_NOTICE = ServerNotice(is_limit_known=False)
 
