--- a/tests/soak/planned/invariants.py
+++ b/tests/soak/planned/invariants.py
@@ -13,6 +13,9 @@
 from tests.soak.planned.fleet import REQUEST_TIMEOUT_S
 from tests.soak.planned.fleet import SHUTDOWN_GRACE_S
 from tests.soak.planned.servers import RequestOutcome
+from tests.standins.rate_limits import WINDOW_S
+from tests.standins.rate_limits import allowed_requests
+from tests.standins.rate_limits import most_requests_in_window
 
 
 if TYPE_CHECKING:
@@ -21,6 +24,7 @@
     from collections.abc import Sequence
 
     from tests.soak.planned.records import RequestRecord
+    from tests.soak.planned.servers import LimitPeriod
     from tests.soak.planned.servers import ServerRequest
     from tests.soak.processes import ProcessRun
 
@@ -39,6 +43,11 @@
 # counted from BACKOFF_START_DELAY_S after its answer.
 BACKOFF_START_DELAY_S = 0.5
 MAX_BACKOFF_REQUESTS = 2
+# A rate limit counts from this time after a server first named it, for entries that
+# passed such an answer on so long ago, or that have run so long.
+LIMIT_START_DELAY_S = 3.0
+LIMIT_REACTION_S = 0.5
+LIMIT_TELLING_S = 3.0
 
 
 class ServerShutdown(NamedTuple):
@@ -240,6 +249,80 @@
     return violations
 
 
+def find_limit_violations(
+    records: Iterable[RequestRecord],
+    requests: Iterable[ServerRequest],
+    limit_periods_by_server: Mapping[str, Sequence[LimitPeriod]],
+) -> list[str]:
+    """Find servers that received more than their rate limit allows in some window.
+
+    A request counts if its process had passed on an answer with the limit, or had the
+    time to be told by its peers. It counts from some time after the server first named
+    the limit to anybody.
+    """
+    record_by_id = {record.call.id: record for record in records}
+    requests_by_server: dict[str, list[ServerRequest]] = defaultdict(list)
+    for request in requests:
+        requests_by_server[request.incarnation].append(request)
+    violations = []
+    for server, periods in limit_periods_by_server.items():
+        received = requests_by_server[server]
+        for period, ended_at in _with_ends(periods):
+            if period.rate is None:
+                continue
+            counted = _find_limited_requests(
+                received, record_by_id, period.began_at, ended_at
+            )
+            most = most_requests_in_window(one.arrived_at for one in counted)
+            allowed = allowed_requests(period.rate)
+            if most > allowed:
+                ids = [
+                    f"{one.id} {one.arrived_at - period.began_at:.3f} s"
+                    for one in counted
+                ]
+                violations.append(
+                    f"LIMIT: {server} named {period.rate:g} a second and got {most} "
+                    f"requests in {WINDOW_S:g} s, {allowed:g} allowed: {ids}"
+                )
+    return violations
+
+
+def _with_ends(
+    periods: Sequence[LimitPeriod],
+) -> list[tuple[LimitPeriod, float]]:
+    ends = [*(period.began_at for period in periods[1:]), float("inf")]
+    return list(zip(periods, ends, strict=False))
+
+
+def _find_limited_requests(
+    received: Sequence[ServerRequest],
+    record_by_id: Mapping[str, RequestRecord],
+    began_at: float,
+    ended_at: float,
+) -> list[ServerRequest]:
+    """Return the requests in a period that the limit named in it applies to."""
+    answered = [one for one in received if began_at <= one.limit_answered_at < ended_at]
+    if not answered:
+        return []
+    counts_from = min(one.limit_answered_at for one in answered) + LIMIT_START_DELAY_S
+    passed_on_at: dict[int, float] = {}
+    for one in answered:
+        key = id(record_by_id[one.id].process_run)
+        passed_on_at[key] = min(
+            one.limit_answered_at, passed_on_at.get(key, float("inf"))
+        )
+    counted = []
+    for one in received:
+        run = record_by_id[one.id].process_run
+        bound_from = min(
+            passed_on_at.get(id(run), float("inf")) + LIMIT_REACTION_S,
+            run.started_at + LIMIT_TELLING_S,
+        )
+        if max(counts_from, bound_from) <= one.arrived_at < ended_at:
+            counted.append(one)
+    return counted
+
+
 def find_untrue_answers(records: Iterable[RequestRecord]) -> list[str]:
     """Find answers that belong to another request or contradict the server records."""
     return [
