--- a/src/kingcupwheel/decisions/candidates.py
+++ b/src/kingcupwheel/decisions/candidates.py
@@ -11,7 +11,7 @@
 
 
 if TYPE_CHECKING:
-    from kingcupwheel.decisions.rate_limits import LimitedAccess
+    from kingcupwheel.decisions.limit_state import LimitedAccess
 
 # A server that has just started has cold caches: with its full share of requests at
 # once, the first ones on it would be the slowest of the group.
--- a/tests/decisions/test_rate_limits.py
+++ b/tests/decisions/test_rate_limits.py
@@ -233,6 +233,28 @@
     assert limits.list_reports(10.0) == ()
 
 
+def test_a_limit_is_reported_on_though_a_peer_saw_it_later() -> None:
+    """Guards against a new entry that nobody tells once that peer is gone."""
+    limits = limits_of(0, 3)
+    limits.record_answer(SERVER, 1.0, sent_at=5.0, now=5.1)
+    report = LimitReport(SERVER, 1.0, sent_age_s=0.2, received_age_s=0.1)
+
+    limits.record_report(report, max_transit_s=0.1, now=9.0)
+
+    assert [one.rate for one in limits.list_reports(9.0)] == [1.0]
+
+
+def test_a_limit_that_a_peer_saw_lifted_is_not_reported_on() -> None:
+    limits = limits_of(0, 3)
+    limits.record_answer(SERVER, 1.0, sent_at=5.0, now=5.1)
+    report = LimitReport(SERVER, None, sent_age_s=0.2, received_age_s=0.1)
+
+    limits.record_report(report, max_transit_s=0.1, now=9.0)
+
+    assert limits.get_rate(SERVER) is None
+    assert limits.list_reports(9.0) == ()
+
+
 def test_a_report_of_uncertain_age_does_not_lift_a_limit() -> None:
     limits = limits_of(0, 2)
     limits.record_answer(SERVER, 1.0, sent_at=5.0, now=5.1)
--- a/tests/entry/test_dispatcher_limits.py
+++ b/tests/entry/test_dispatcher_limits.py
@@ -6,8 +6,8 @@
 import pytest
 
 from kingcupwheel.decisions.limit_shares import EntryFleet
+from kingcupwheel.decisions.limit_state import PROBE_AFTER_S
 from kingcupwheel.decisions.rate_limits import PERMIT_VALIDITY_S
-from kingcupwheel.decisions.rate_limits import PROBE_AFTER_S
 from tests.entry.test_dispatcher_backoff import DispatcherHarness
 
 
