--- a/src/kingcupwheel/entry/group_dispatcher.py
+++ b/src/kingcupwheel/entry/group_dispatcher.py
@@ -6,17 +6,13 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
-from dataclasses import replace
 from random import Random
 from threading import Lock
 from time import monotonic
 from typing import TYPE_CHECKING
 
 from kingcupwheel.decisions.admission import LimitRefusal
-from kingcupwheel.decisions.candidates import ALL_SERVERS_TRIED
-from kingcupwheel.decisions.candidates import Candidate
 from kingcupwheel.decisions.candidates import NoServerAvailable
 from kingcupwheel.decisions.candidates import PlacementRequest
 from kingcupwheel.decisions.candidates import SelectedServer
@@ -25,9 +21,10 @@
 from kingcupwheel.decisions.fair_queue import QueuedRequest
 from kingcupwheel.decisions.first_byte_latency import FirstByteLatencyBound
 from kingcupwheel.decisions.group_health import GroupHealth
-from kingcupwheel.decisions.group_health import ServerLoad
 from kingcupwheel.decisions.placement import select_eligible
-from kingcupwheel.decisions.server_health import ServerState
+from kingcupwheel.entry.candidate_builder import CandidateBuilder
+from kingcupwheel.entry.placement_failures import backoff_left_s
+from kingcupwheel.entry.placement_failures import find_placement_failure
 from kingcupwheel.entry.placement_tickets import PlacementFailure
 from kingcupwheel.entry.placement_tickets import PlacementTicket
 from kingcupwheel.entry.placement_tickets import Reservation
@@ -57,6 +54,7 @@
         self._policy = placement_policies.get(group.placement)()
         self._queue = FairQueue(max_requests=group.queue)
         self._health = GroupHealth()
+        self._candidates = CandidateBuilder(group, servers, self._health)
         self._first_byte_latency = FirstByteLatencyBound()
         self._tickets_by_request_id: dict[str, PlacementTicket] = {}
         self._blocked_head: PlacementTicket | None = None
@@ -183,7 +181,7 @@
         """
         now = monotonic()
         selection = self._find_unavailability(excluded_servers, now)
-        return 0.0 if selection is None else _backoff_left_s(selection, 0, now)
+        return 0.0 if selection is None else backoff_left_s(selection, 0, now)
 
     def may_place_before(
         self, deadline_at: float, excluded_servers: frozenset[str]
@@ -201,7 +199,7 @@
     ) -> NoServerAvailable | None:
         with self._lock, self._servers.lock:
             selection = select_eligible(
-                self._build_candidates(self._get_reporting_servers_by_name(), now),
+                self._candidates.build(self._get_reporting_servers_by_name(), now),
                 PlacementRequest(excluded_servers=excluded_servers),
             )
         return selection if isinstance(selection, NoServerAvailable) else None
@@ -245,7 +243,7 @@
         waiting.sort(key=lambda one: (-one.queued.priority, one.queued.queued_at))
         kept = 0
         for ticket in (blocked_ticket, *waiting):
-            failure = _find_placement_failure(ticket, blocked_by, now, kept)
+            failure = find_placement_failure(ticket, blocked_by, now, kept)
             if failure is None:
                 kept += 1
             else:
@@ -277,7 +275,7 @@
         with self._servers.lock:
             servers = self._get_reporting_servers_by_name()
             decision = self._policy.place(
-                self._build_candidates(servers, now),
+                self._candidates.build(servers, now),
                 ticket.placement_request,
                 now,
                 self._random,
@@ -286,7 +284,7 @@
                 case NoServerAvailable():
                     ticket.blocked_by = decision
                     result: Reservation | PlacementFailure | None = (
-                        _find_placement_failure(ticket, decision, now)
+                        find_placement_failure(ticket, decision, now)
                     )
                 case SelectedServer(server=name):
                     result = self._reserve(servers[name], decision, ticket, now)
@@ -309,7 +307,7 @@
         with self._servers.lock:
             servers = self._get_reporting_servers_by_name()
             idle_candidates = [
-                one for one in self._build_candidates(servers, now) if one.is_idle
+                one for one in self._candidates.build(servers, now) if one.is_idle
             ]
             decision = self._policy.place(
                 idle_candidates, ticket.placement_request, now, self._random
@@ -339,98 +337,6 @@
             if server.last_heartbeat is not None
         }
 
-    def _build_candidates(
-        self, servers: dict[str, Server], now: float
-    ) -> list[Candidate]:
-        concurrency = self._group.concurrency
-        candidates = [
-            self._add_constraints(
-                _build_candidate(server, concurrency, now),
-                server.known_heartbeat.incarnation,
-                now,
-            )
-            for server in servers.values()
-        ]
-        excluding_state_by_name = {
-            one.name: state
-            for one in candidates
-            if (state := self._find_excluding_state(servers[one.name], one, now))
-            is not None
-        }
-        loads = [
-            ServerLoad(
-                one.name,
-                one.estimated_in_flight,
-                one.capacity,
-                one.name not in excluding_state_by_name and one.limited_access is None,
-            )
-            for one in candidates
-        ]
-        state_by_name = self._health.update_states(loads, now)
-        state_by_name.update(excluding_state_by_name)
-        return [replace(one, state=state_by_name[one.name]) for one in candidates]
-
-    def _add_constraints(
-        self, candidate: Candidate, incarnation: str, now: float
-    ) -> Candidate:
-        """Add what the server asked for in its answers."""
-        backoff_until = self._servers.notices.backoff_until(incarnation) or 0.0
-        access = self._servers.rate_limits.get_access(incarnation, now)
-        if access is not None:
-            backoff_until = max(backoff_until, access.available_at)
-        return replace(candidate, backoff_until=backoff_until, limited_access=access)
-
-    def _find_excluding_state(
-        self, server: Server, candidate: Candidate, now: float
-    ) -> ServerState | None:
-        """Return the state that excludes a server whatever its health, None if none."""
-        incarnation = server.known_heartbeat.incarnation
-        if server.is_draining or self._servers.notices.is_leaving(incarnation):
-            return ServerState.LEAVING
-        if not server.is_in_service:
-            return ServerState.DOWN
-        if self._servers.notices.is_backing_off(incarnation, now):
-            return ServerState.BACKING_OFF
-        access = candidate.limited_access
-        if access is not None and access.available_at > now:
-            return ServerState.RATE_LIMITED
-        return None
-
-
-def _find_placement_failure(
-    ticket: PlacementTicket,
-    blocked_by: NoServerAvailable,
-    now: float,
-    requests_ahead: int = 0,
-) -> PlacementFailure | None:
-    """Return why waiting can't lead to a placement, None if it can."""
-    backoff_left_s = _backoff_left_s(blocked_by, requests_ahead, now)
-    if blocked_by.reason == ALL_SERVERS_TRIED.reason:
-        # Waiting does not add a server that was not tried.
-        return PlacementFailure("no-server", blocked_by.reason, backoff_left_s)
-    available_at = blocked_by.available_at(requests_ahead)
-    if available_at is not None and available_at >= ticket.queued.deadline_at:
-        limit = "servers-rest" if blocked_by.rate_limits is None else "servers-limited"
-        return PlacementFailure(limit, blocked_by.reason, backoff_left_s)
-    return None
-
-
-def _backoff_left_s(
-    blocked_by: NoServerAvailable, requests_ahead: int, now: float
-) -> float:
-    """Return the time until a server can take a request behind so many others.
-
-    An entry without a share of the servers' limits can't tell; another entry's share
-    then allows the next request within the interval that the limits allow to all.
-    """
-    available_at = blocked_by.available_at(requests_ahead)
-    if available_at is None:
-        return 0.0
-    limits = blocked_by.rate_limits
-    if limits is not None and math.isinf(available_at):
-        return 1.0 / limits.total_rate
-    return max(0.0, available_at - now)
-
 
 def _build_reservation(
     server: Server,
@@ -453,21 +359,3 @@
         is_suspect=ticket.placement_request.is_suspect,
         permit_expires_at=permit_expires_at,
     )
-
-
-def _build_candidate(server: Server, concurrency: int, now: float) -> Candidate:
-    load = server.known_heartbeat.load
-    return Candidate(
-        name=server.name,
-        data_centre=server.instance.data_centre,
-        capacity=min(load.capacity, concurrency),
-        running=load.running,
-        queued=load.queued,
-        work=load.work,
-        work_per_s=load.rate,
-        own_in_flight=server.current_in_flight,
-        report_age_s=now - server.last_heard_at,
-        uptime_s=now - server.first_heard_at,
-        own_in_flight_at_report=server.in_flight_at_heartbeat,
-        running_suspects=server.suspect_count,
-    )
--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -59,11 +59,25 @@
     ),
     "health": (
         Edit(
-            "entry/group_dispatcher.py",
+            "entry/candidate_builder.py",
             "state_by_name = self._health.update_states(loads, now)",
             "state_by_name = {one.name: ServerState.HEALTHY for one in loads}",
         ),
     ),
+    "rate-limits": (
+        Edit(
+            "decisions/rate_limits.py",
+            "if observed.rate is None:",
+            "if observed.rate is None or self is not None:",
+        ),
+    ),
+    "limit-holders": (
+        Edit(
+            "decisions/limit_shares.py",
+            "holder_count = max(1, min(fleet.size, wanted))",
+            "holder_count = fleet.size",
+        ),
+    ),
     "probes": (
         Edit("decisions/placement.py", "PROBE_SHARE = 0.02", "PROBE_SHARE = 0.0"),
     ),
