--- a/src/kingcupwheel/entry/group_dispatcher.py
+++ b/src/kingcupwheel/entry/group_dispatcher.py
@@ -22,6 +22,7 @@
 from kingcupwheel.decisions.first_byte_latency import FirstByteLatencyBound
 from kingcupwheel.decisions.group_health import GroupHealth
 from kingcupwheel.decisions.placement import select_eligible
+from kingcupwheel.decisions.return_times import ReturnTimes
 from kingcupwheel.entry.candidate_builder import CandidateBuilder
 from kingcupwheel.entry.placement_failures import backoff_left_s
 from kingcupwheel.entry.placement_failures import find_placement_failure
@@ -56,6 +57,7 @@
         self._health = GroupHealth()
         self._candidates = CandidateBuilder(group, servers, self._health)
         self._first_byte_latency = FirstByteLatencyBound()
+        self._return_times = ReturnTimes()
         self._tickets_by_request_id: dict[str, PlacementTicket] = {}
         self._blocked_head: PlacementTicket | None = None
         self._constrained: deque[PlacementTicket] = deque()
@@ -248,7 +250,17 @@
                 kept += 1
             else:
                 self._remove(ticket)
-                ticket.complete(failure)
+                ticket.complete(self._spread_return(failure, blocked_by, now))
+
+    def _spread_return(
+        self, failure: PlacementFailure, blocked_by: NoServerAvailable, now: float
+    ) -> PlacementFailure:
+        limits = blocked_by.rate_limits
+        if limits is None:
+            return failure
+        rate = limits.rate or limits.total_rate
+        at = self._return_times.reserve(now + failure.backoff_left_s, rate)
+        return failure._replace(backoff_left_s=at - now)
 
     def _pop_next(self, now: float) -> PlacementTicket | None:
         if self._blocked_head is not None:
@@ -283,9 +295,10 @@
             match decision:
                 case NoServerAvailable():
                     ticket.blocked_by = decision
-                    result: Reservation | PlacementFailure | None = (
-                        find_placement_failure(ticket, decision, now)
-                    )
+                    failure = find_placement_failure(ticket, decision, now)
+                    result: Reservation | PlacementFailure | None = failure
+                    if failure is not None:
+                        result = self._spread_return(failure, decision, now)
                 case SelectedServer(server=name):
                     result = self._reserve(servers[name], decision, ticket, now)
         if result is None:
