--- a/src/kingcupwheel/decisions/baseline_policies.py
+++ b/src/kingcupwheel/decisions/baseline_policies.py
@@ -7,7 +7,7 @@
 
 from kingcupwheel.decisions.candidates import NoServerAvailable
 from kingcupwheel.decisions.candidates import SelectedServer
-from kingcupwheel.decisions.placement import select_eligible
+from kingcupwheel.decisions.eligibility import select_eligible
 from kingcupwheel.plugins.registries import placement_policies
 
 
--- a/src/kingcupwheel/decisions/placement.py
+++ b/src/kingcupwheel/decisions/placement.py
@@ -2,26 +2,17 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from kingcupwheel.decisions.age_normalization import normalize_ages
-from kingcupwheel.decisions.candidates import ALL_SERVERS_BACKING_OFF
 from kingcupwheel.decisions.candidates import ALL_SERVERS_FULL
-from kingcupwheel.decisions.candidates import ALL_SERVERS_LIMITED
-from kingcupwheel.decisions.candidates import ALL_SERVERS_RUN_SUSPECTS
-from kingcupwheel.decisions.candidates import ALL_SERVERS_TRIED
-from kingcupwheel.decisions.candidates import NO_SERVER_IN_SERVICE
-from kingcupwheel.decisions.candidates import UNTRIED_SERVERS_BACKING_OFF
 from kingcupwheel.decisions.candidates import UNTRIED_SERVERS_FULL
-from kingcupwheel.decisions.candidates import UNTRIED_SERVERS_LIMITED
 from kingcupwheel.decisions.candidates import Candidate
 from kingcupwheel.decisions.candidates import CandidateLoad
-from kingcupwheel.decisions.candidates import CombinedLimits
 from kingcupwheel.decisions.candidates import NoServerAvailable
 from kingcupwheel.decisions.candidates import PlacementRequest
 from kingcupwheel.decisions.candidates import SelectedServer
+from kingcupwheel.decisions.eligibility import select_eligible
 from kingcupwheel.decisions.hashing import stable_hash
 from kingcupwheel.decisions.load_reports import correct_load_reports
 from kingcupwheel.decisions.server_health import ServerState
@@ -37,18 +28,6 @@
 # would pick the same one from load reports of the same second.
 SAMPLED_SERVERS = 2
 
-UNAVAILABLE_STATES = frozenset(
-    {
-        ServerState.EJECTED,
-        ServerState.BACKING_OFF,
-        ServerState.RATE_LIMITED,
-        ServerState.DOWN,
-        ServerState.LEAVING,
-    }
-)
-# States that end at a known time.
-TIMED_STATES = frozenset({ServerState.BACKING_OFF, ServerState.RATE_LIMITED})
-
 # Fraction of the repeatable requests sent to a probed server: at 9 requests per second
 # an entry probes about every 5 s.
 PROBE_SHARE = 0.02
@@ -77,115 +56,6 @@
         """Select one of the group's servers in the entry's subset."""
 
 
-def select_eligible(
-    candidates: Sequence[Candidate], request: PlacementRequest
-) -> list[Candidate] | NoServerAvailable:
-    """Return the servers that may receive ``request``, or why there are none."""
-    normalized = normalize_ages(candidates)
-    available = [
-        candidate
-        for candidate in normalized
-        if candidate.state not in UNAVAILABLE_STATES
-    ]
-    if not available:
-        return _explain_none_available(normalized, request)
-    with_capacity = [candidate for candidate in available if not candidate.is_full]
-    if not with_capacity:
-        return _explain_none_with_capacity(normalized, request)
-    untried = [
-        candidate
-        for candidate in with_capacity
-        if candidate.name not in request.excluded_servers
-    ]
-    if not untried:
-        return _explain_none_untried(normalized, available, request)
-    if not request.is_suspect:
-        return untried
-    # If a server crashes with two suspects on it, the innocent one is blamed twice.
-    # Kept apart, the second crash has a single possible cause.
-    without_suspects = [
-        candidate for candidate in untried if not candidate.running_suspects
-    ]
-    return without_suspects or ALL_SERVERS_RUN_SUSPECTS
-
-
-def _explain_none_available(
-    candidates: Sequence[Candidate], request: PlacementRequest
-) -> NoServerAvailable:
-    """Return why no server is available.
-
-    Backoffs are the reason only if no ejected or silent server could return earlier.
-    """
-    not_leaving = [one for one in candidates if one.state is not ServerState.LEAVING]
-    timed = [one for one in not_leaving if one.state in TIMED_STATES]
-    if not timed or len(timed) < len(not_leaving):
-        return NO_SERVER_IN_SERVICE
-    untried = [one for one in timed if one.name not in request.excluded_servers]
-    if not untried:
-        return _with_times(ALL_SERVERS_TRIED, timed)
-    if request.excluded_servers:
-        return _explain_untried_timed(untried)
-    if any(one.state is ServerState.RATE_LIMITED for one in untried):
-        return _with_times(ALL_SERVERS_LIMITED, untried)
-    return _with_times(ALL_SERVERS_BACKING_OFF, untried)
-
-
-def _explain_none_with_capacity(
-    candidates: Sequence[Candidate], request: PlacementRequest
-) -> NoServerAvailable:
-    """Return why no server has capacity, ignoring servers already tried."""
-    untried = [
-        one
-        for one in candidates
-        if one.state is not ServerState.LEAVING
-        and one.name not in request.excluded_servers
-    ]
-    if untried and all(one.state in TIMED_STATES for one in untried):
-        return _explain_untried_timed(untried)
-    return ALL_SERVERS_FULL
-
-
-def _explain_none_untried(
-    candidates: Sequence[Candidate],
-    available: Sequence[Candidate],
-    request: PlacementRequest,
-) -> NoServerAvailable:
-    if not request.excluded_servers.issuperset(_names(available)):
-        return UNTRIED_SERVERS_FULL
-    timed = [
-        one
-        for one in candidates
-        if one.state in TIMED_STATES and one.name not in request.excluded_servers
-    ]
-    return _explain_untried_timed(timed) if timed else ALL_SERVERS_TRIED
-
-
-def _explain_untried_timed(untried: Sequence[Candidate]) -> NoServerAvailable:
-    if any(one.state is ServerState.RATE_LIMITED for one in untried):
-        return _with_times(UNTRIED_SERVERS_LIMITED, untried)
-    return _with_times(UNTRIED_SERVERS_BACKING_OFF, untried)
-
-
-def _with_times(
-    reason: NoServerAvailable, timed: Sequence[Candidate]
-) -> NoServerAvailable:
-    """Add when the first of these servers becomes available, and their limits."""
-    limited = [one for one in timed if one.state is ServerState.RATE_LIMITED]
-    resting = [one for one in timed if one.state is ServerState.BACKING_OFF]
-    rest_ends = [one.backoff_until for one in resting if one.limited_access is None]
-    access = [one.limited_access for one in timed if one.limited_access is not None]
-    return reason._replace(
-        backoff_ends_at=min(one.backoff_until for one in timed),
-        rate_limits=CombinedLimits(
-            sum(one.rate for one in access),
-            sum(one.total_rate for one in access),
-            min(rest_ends, default=math.inf),
-        )
-        if limited
-        else None,
-    )
-
-
 @placement_policies.register("two-choices")
 class TwoChoicesPolicy:
     """Selects the less loaded of two random servers, or the prefix's affinity server.
@@ -258,10 +128,6 @@
         return preferred
 
 
-def _names(candidates: Sequence[Candidate]) -> set[str]:
-    return {candidate.name for candidate in candidates}
-
-
 def _split_probed(
     eligible: Sequence[Candidate],
 ) -> tuple[list[Candidate], list[Candidate]]:
--- a/src/kingcupwheel/decisions/rate_limits.py
+++ b/src/kingcupwheel/decisions/rate_limits.py
@@ -74,7 +74,9 @@
 
     def update_fleet(self, fleet: EntryFleet) -> None:
         """Replace the entries that share the limits."""
-        self._fleet = fleet
+        if fleet != self._fleet:
+            # An equal fleet stays the same object, which is compared faster.
+            self._fleet = fleet
 
     def record_answer(
         self, incarnation: str, rate: float | None, *, sent_at: float, now: float
--- a/src/kingcupwheel/entry/group_dispatcher.py
+++ b/src/kingcupwheel/entry/group_dispatcher.py
@@ -16,12 +16,12 @@
 from kingcupwheel.decisions.candidates import NoServerAvailable
 from kingcupwheel.decisions.candidates import PlacementRequest
 from kingcupwheel.decisions.candidates import SelectedServer
+from kingcupwheel.decisions.eligibility import select_eligible
 from kingcupwheel.decisions.fair_queue import Enqueued
 from kingcupwheel.decisions.fair_queue import FairQueue
 from kingcupwheel.decisions.fair_queue import QueuedRequest
 from kingcupwheel.decisions.first_byte_latency import FirstByteLatencyBound
 from kingcupwheel.decisions.group_health import GroupHealth
-from kingcupwheel.decisions.placement import select_eligible
 from kingcupwheel.decisions.return_times import ReturnTimes
 from kingcupwheel.entry.candidate_builder import CandidateBuilder
 from kingcupwheel.entry.placement_failures import backoff_left_s
