--- a/src/kingcupwheel/agent/adapters/engine.py
+++ b/src/kingcupwheel/agent/adapters/engine.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import logging
+from time import monotonic
 from typing import TYPE_CHECKING
 
 from expression import Error
@@ -34,6 +36,8 @@
     from kingcupwheel.messages.attempts import Dispatch
     from kingcupwheel.settings.schema import ServerSettings
 
+logger = logging.getLogger("kingcupwheel.agent")
+
 INCARNATION_HEADER = "X-Engine-Life"
 # Beyond this, every connection is being cut, and further retries would only load the
 # engine.
@@ -129,13 +133,27 @@
             return Error(connected.error)
         call = connected.ok
         run_id = build_run_id(dispatch)
+        connected_at = monotonic()
         sent = call.send(
             build_server_request(dispatch), silence_s=self._server.silence_s
         )
         if sent.is_error():
             call.close()
+            logger.warning(
+                "No answer began %.3f s after the connection to engine %s: %s. %s",
+                monotonic() - connected_at,
+                incarnation or "unknown",
+                _describe_failure(sent.error),
+                dispatch.request_id,
+            )
             resumed = self._client.resume(run_id, 0, incarnation, cancellation)
             if resumed.is_error():
+                logger.warning(
+                    "No answer to resume %.3f s after the connection: %s. %s",
+                    monotonic() - connected_at,
+                    resumed.error.detail,
+                    dispatch.request_id,
+                )
                 self._client.cancel(run_id)
                 return Error(resumed.error)
             call = resumed.ok
@@ -156,3 +174,7 @@
             )
         self._incarnation = state.incarnation
         return ServerState(True, state.incarnation, len(state.running), state.rate)
+
+
+def _describe_failure(failure: AnswerLost | SilenceTimeout) -> str:
+    return failure.detail if isinstance(failure, AnswerLost) else "server silent"
