--- a/src/kingcupwheel/agent/adapters/base.py
+++ b/src/kingcupwheel/agent/adapters/base.py
@@ -8,6 +8,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from expression import Result
@@ -17,7 +18,7 @@
 
 
 class ServerUnreachable(NamedTuple):
-    """The connection failed: the server never received the request.
+    """The connection failed: the server never received the whole request.
 
     ``is_connection_refused`` is True if the host replied that nothing listens there.
     """
@@ -74,11 +75,16 @@
     """Plug-in for one kind of backend server; safe from any thread."""
 
     def start(
-        self, dispatch: Dispatch, cancellation: Cancellation
+        self,
+        dispatch: Dispatch,
+        cancellation: Cancellation,
+        on_resend: Callable[[str], None],
     ) -> Result[ServerAnswer, AdapterError]:
-        """Send the request once; return when the answer's head has arrived.
+        """Send the request; return when the answer's head has arrived.
 
-        Setting ``cancellation`` ends the wait, here and in ``chunks``, with an error.
+        A request that must not be repeated is sent again only while it can't have run.
+        ``on_resend`` is called with the reason before each further send. Setting
+        ``cancellation`` ends the wait, here and in ``chunks``, with an error.
         """
 
     def state(self) -> ServerState:
--- a/src/kingcupwheel/agent/adapters/engine.py
+++ b/src/kingcupwheel/agent/adapters/engine.py
@@ -1,14 +1,14 @@
 """Adapter for model engines.
 
 After ``silence_s`` without a byte the engine is queried on a new connection. If it
-still runs the request, the stream is resumed there at the offset reached; otherwise the
-answer is lost. The request itself is sent only once.
+still runs the request, the stream is resumed there at the offset reached. If it does
+not have a repeatable request whose answer has not begun, the request is sent again;
+otherwise the answer is lost.
 """
 
 from __future__ import annotations
 
 import logging
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from expression import Error
@@ -21,18 +21,22 @@
 from kingcupwheel.agent.adapters.base import ServerState
 from kingcupwheel.agent.adapters.cancellation import Cancellation
 from kingcupwheel.agent.adapters.engine_client import EngineClient
-from kingcupwheel.agent.adapters.server_call import ServerCall
+from kingcupwheel.agent.adapters.handover import AnswerMissing
+from kingcupwheel.agent.adapters.handover import Handover
+from kingcupwheel.agent.adapters.handover import NextStep
+from kingcupwheel.agent.adapters.handover import RunNotFound
+from kingcupwheel.agent.adapters.request_sender import RequestSender
 from kingcupwheel.agent.adapters.server_call import SilenceTimeout
-from kingcupwheel.agent.adapters.server_call import connect
 from kingcupwheel.agent.adapters.server_requests import REQUEST_ID_HEADER
 from kingcupwheel.agent.adapters.server_requests import build_run_id
-from kingcupwheel.agent.adapters.server_requests import build_server_request
 from kingcupwheel.plugins.registries import server_adapters
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
+    from kingcupwheel.agent.adapters.server_call import ServerCall
     from kingcupwheel.messages.attempts import Dispatch
     from kingcupwheel.settings.schema import ServerSettings
 
@@ -42,6 +46,9 @@
 # Beyond this, every connection is being cut, and further retries would only load the
 # engine.
 _MAX_RESUMES_WITHOUT_PROGRESS = 5
+# A request whose connection has failed may still lie unread at the engine. A second
+# send before it is read would make the engine run it twice.
+_NOT_FOUND_TIMEOUT_S = 1.0
 
 
 class EngineAnswer:
@@ -52,11 +59,13 @@
         client: EngineClient,
         call: ServerCall,
         run_id: str,
+        lost_run_ids: tuple[str, ...],
         cancellation: Cancellation,
     ) -> None:
         self._client = client
         self._call = call
         self._run_id = run_id
+        self._lost_run_ids = lost_run_ids
         self._cancellation = cancellation
         self._incarnation = call.header(INCARNATION_HEADER)
         self._status = call.response.status
@@ -94,8 +103,13 @@
                 return
 
     def close(self) -> None:
-        """Release the connection, and cancel the request if it still runs."""
+        """Release the connection, and cancel the request if it still runs.
+
+        A delayed copy of an earlier send may run by now, and nobody reads its answer.
+        """
         self._call.close()
+        for run_id in self._lost_run_ids:
+            self._client.cancel(run_id)
         if not self._is_complete:
             self._client.cancel(self._run_id)
 
@@ -109,61 +123,106 @@
             self._run_id, offset, self._incarnation, self._cancellation
         )
         if resumed.is_error():
-            return Error(resumed.error)
+            return Error(_build_answer_lost(resumed.error))
         self._call = resumed.ok
         return Ok(None)
 
 
 @server_adapters.register("engine")
 class EngineAdapter:
-    """Adapter that sends a request once and resumes its stream if it breaks."""
+    """Adapter that resumes a stream if it breaks, and sends a lost request again."""
 
     def __init__(self, server: ServerSettings) -> None:
         self._server = server
         self._client = EngineClient(server)
+        self._sender = RequestSender(server)
         self._incarnation = ""
 
     def start(
-        self, dispatch: Dispatch, cancellation: Cancellation
+        self,
+        dispatch: Dispatch,
+        cancellation: Cancellation,
+        on_resend: Callable[[str], None],
     ) -> Result[ServerAnswer, AdapterError]:
-        """Send the request once; return when the answer's head has arrived."""
+        """Send the request; return when the answer's head has arrived."""
+        handover = Handover(is_repeatable=dispatch.repeatable)
+        lost_run_ids: list[str] = []
+        while True:
+            run_id = build_run_id(dispatch, send=len(lost_run_ids) + 1)
+            sent = self._send_or_resume(
+                dispatch, run_id, handover, cancellation, on_resend
+            )
+            if sent.is_ok():
+                return self._open_answer(sent.ok, run_id, lost_run_ids, cancellation)
+            if not isinstance(sent.error, RunNotFound):
+                return Error(sent.error)
+            step = handover.handle_failure(sent.error, is_over=cancellation.is_set())
+            if step is not NextStep.SEND_AGAIN:
+                return Error(AnswerLost(sent.error.reason, has_server_crashed=False))
+            lost_run_ids.append(run_id)
+            on_resend(sent.error.reason)
+
+    def _send_or_resume(
+        self,
+        dispatch: Dispatch,
+        run_id: str,
+        handover: Handover,
+        cancellation: Cancellation,
+        on_resend: Callable[[str], None],
+    ) -> Result[ServerCall, AdapterError | RunNotFound]:
+        """Send the request; if its answer does not begin, look for its run."""
         incarnation = self._incarnation or self.state().incarnation
-        connected = connect(self._server, cancellation)
-        if connected.is_error():
-            return Error(connected.error)
-        call = connected.ok
-        run_id = build_run_id(dispatch)
-        connected_at = monotonic()
-        sent = call.send(
-            build_server_request(dispatch), silence_s=self._server.silence_s
+        sent = self._sender.send(
+            dispatch,
+            run_id,
+            handover,
+            cancellation,
+            silence_s=self._server.silence_s,
+            on_resend=on_resend,
         )
-        if sent.is_error():
-            call.close()
-            logger.warning(
-                "No answer began %.3f s after the connection to engine %s: %s. %s",
-                monotonic() - connected_at,
-                incarnation or "unknown",
-                _describe_failure(sent.error),
-                dispatch.request_id,
-            )
-            resumed = self._client.resume(run_id, 0, incarnation, cancellation)
-            if resumed.is_error():
-                logger.warning(
-                    "No answer to resume %.3f s after the connection: %s. %s",
-                    monotonic() - connected_at,
-                    resumed.error.detail,
-                    dispatch.request_id,
-                )
-                self._client.cancel(run_id)
-                return Error(resumed.error)
-            call = resumed.ok
+        if sent.is_ok():
+            return Ok(sent.ok)
+        if not isinstance(sent.error, AnswerMissing):
+            return Error(sent.error)
+        resumed = self._client.resume(
+            run_id,
+            0,
+            incarnation,
+            cancellation,
+            not_found_timeout_s=_NOT_FOUND_TIMEOUT_S,
+        )
+        if resumed.is_ok():
+            return Ok(resumed.ok)
+        failure = resumed.error
+        logger.warning(
+            "Run %s not resumed by engine %s: %s. %s",
+            run_id,
+            incarnation or "unknown",
+            failure.reason if isinstance(failure, RunNotFound) else failure.detail,
+            dispatch.request_id,
+        )
+        self._client.cancel(run_id)
+        if isinstance(failure, RunNotFound) and not incarnation:
+            # An engine that this request has crashed looks like one that never had it.
+            return Error(AnswerLost(failure.reason, has_server_crashed=False))
+        return Error(failure)
+
+    def _open_answer(
+        self,
+        call: ServerCall,
+        run_id: str,
+        lost_run_ids: list[str],
+        cancellation: Cancellation,
+    ) -> Result[ServerAnswer, AdapterError]:
         if call.header(REQUEST_ID_HEADER) != run_id:
             call.close()
             self._client.cancel(run_id)
             return Error(
                 AnswerLost("answer of another request", has_server_crashed=False)
             )
-        return Ok(EngineAnswer(self._client, call, run_id, cancellation))
+        return Ok(
+            EngineAnswer(self._client, call, run_id, tuple(lost_run_ids), cancellation)
+        )
 
     def state(self) -> ServerState:
         """Query the engine's state on a new connection."""
@@ -176,5 +235,7 @@
         return ServerState(True, state.incarnation, len(state.running), state.rate)
 
 
-def _describe_failure(failure: AnswerLost | SilenceTimeout) -> str:
-    return failure.detail if isinstance(failure, AnswerLost) else "server silent"
+def _build_answer_lost(failure: AnswerLost | RunNotFound) -> AnswerLost:
+    if isinstance(failure, AnswerLost):
+        return failure
+    return AnswerLost("server no longer knows the request", has_server_crashed=False)
--- a/src/kingcupwheel/agent/adapters/engine_client.py
+++ b/src/kingcupwheel/agent/adapters/engine_client.py
@@ -18,6 +18,7 @@
 from kingcupwheel.agent.adapters.base import AnswerLost
 from kingcupwheel.agent.adapters.base import ServerUnreachable
 from kingcupwheel.agent.adapters.cancellation import Cancellation
+from kingcupwheel.agent.adapters.handover import RunNotFound
 from kingcupwheel.agent.adapters.server_call import ServerCall
 from kingcupwheel.agent.adapters.server_call import connect
 from kingcupwheel.agent.adapters.server_requests import REQUEST_ID_HEADER
@@ -37,6 +38,7 @@
 # query's timeout is a share of ``silence_s``.
 _GIVE_UP_SILENCES = 2.0
 _QUERY_TIMEOUT_SHARE = 0.5
+_NOT_FOUND_STATUS = 404
 
 
 class EngineState(msgspec.Struct, frozen=True):
@@ -84,15 +86,23 @@
             connected.ok.close()
 
     def resume(
-        self, run_id: str, offset: int, incarnation: str, cancellation: Cancellation
-    ) -> Result[ServerCall, AnswerLost]:
-        """Reopen the stream of a run at ``offset``, if the engine still has it.
+        self,
+        run_id: str,
+        offset: int,
+        incarnation: str,
+        cancellation: Cancellation,
+        *,
+        not_found_timeout_s: float = 0.0,
+    ) -> Result[ServerCall, AnswerLost | RunNotFound]:
+        """Reopen the stream of a run at ``offset``, if the engine has it.
 
         ``incarnation`` is the engine incarnation that started the run, empty if
-        unknown.
+        unknown. The run is not found if the engine has not had it for
+        ``not_found_timeout_s``.
         """
         give_up_s = self._server.silence_s * _GIVE_UP_SILENCES
         deadline = monotonic() + give_up_s
+        not_found_since: float | None = None
         while monotonic() < deadline:
             if cancellation.wait(_RETRY_INTERVAL_S):
                 return Error(AnswerLost("cancelled", has_server_crashed=False))
@@ -102,6 +112,11 @@
             match resumed.error:
                 case AnswerLost() as lost:
                     return Error(lost)
+                case RunNotFound() as not_found:
+                    not_found_since = not_found_since or monotonic()
+                    if monotonic() - not_found_since >= not_found_timeout_s:
+                        return Error(not_found)
+                    deadline = monotonic() + give_up_s
                 case _StillRunning():
                     deadline = monotonic() + give_up_s
                 case _NoReply():
@@ -110,7 +125,7 @@
 
     def _try_resume(
         self, run_id: str, offset: int, incarnation: str, cancellation: Cancellation
-    ) -> Result[ServerCall, AnswerLost | _NoReply | _StillRunning]:
+    ) -> Result[ServerCall, AnswerLost | RunNotFound | _NoReply | _StillRunning]:
         queried = self._query_state(cancellation)
         if queried.is_error():
             return Error(queried.error)
@@ -139,7 +154,7 @@
 
     def _open_stream(
         self, run_id: str, offset: int, cancellation: Cancellation
-    ) -> Result[ServerCall, AnswerLost | _NoReply]:
+    ) -> Result[ServerCall, AnswerLost | RunNotFound | _NoReply]:
         connected = connect(self._server, cancellation)
         if connected.is_error():
             return Error(_classify_connect_failure(connected.error))
@@ -149,14 +164,12 @@
         if sent.is_error():
             call.close()
             return Error(_NoReply())
-        if call.header(REQUEST_ID_HEADER) != run_id:
-            call.close()
-            return Error(
-                AnswerLost(
-                    "server no longer knows the request", has_server_crashed=False
-                )
-            )
-        return Ok(call)
+        if call.header(REQUEST_ID_HEADER) == run_id:
+            return Ok(call)
+        call.close()
+        if call.response.status == _NOT_FOUND_STATUS:
+            return Error(RunNotFound("server does not have the request"))
+        return Error(AnswerLost("answer of another request", has_server_crashed=False))
 
 
 def _read_state(call: ServerCall) -> Result[EngineState, AnswerLost | _NoReply]:
--- /dev/null
+++ b/src/kingcupwheel/agent/adapters/handover.py
@@ -0,0 +1,116 @@
+"""Decides what follows when a request could not be handed over to its server.
+
+It uses no sockets and reads no clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+@dataclass(frozen=True, slots=True)
+class BodyNotSent:
+    """The connection failed while the body was held back; ``reason`` says how.
+
+    ``is_proof`` is True if the server is known to wait for bodies, so that the request
+    can't have run. Otherwise something between the two ends may have replied early, or
+    the server may act on headers alone.
+    """
+
+    reason: str
+    is_proof: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerMissing:
+    """The request was sent and its answer did not begin.
+
+    ``is_silent`` is True if the connection stayed open without a byte.
+    """
+
+    reason: str
+    is_silent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RunNotFound:
+    """The server, still in the same incarnation, has no run of the request.
+
+    It may receive a delayed copy later, and run it then.
+    """
+
+    reason: str
+
+
+HandoverFailure = BodyNotSent | AnswerMissing | RunNotFound
+
+
+class NextStep(Enum):
+    """What to do after a failure."""
+
+    SEND_AGAIN = "send again"
+    QUERY_SERVER = "query the server"
+    REFUSE = "refuse as not run"
+    GIVE_UP = "give up as unknown"
+
+
+# A request that was lost this often is more likely the cause than a victim of failing
+# connections, and each of its copies may still run.
+MAX_SENDS_THAT_MAY_RUN = 3
+
+
+class Handover:
+    """The failures of one attempt's hand-over so far; not thread-safe."""
+
+    def __init__(self, *, is_repeatable: bool) -> None:
+        self._is_repeatable = is_repeatable
+        self._lost_count = 0
+        self._may_have_run = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have run the request, or may run it later."""
+        return self._may_have_run
+
+    def handle_failure(self, failure: HandoverFailure, *, is_over: bool) -> NextStep:
+        """Return what follows; ``is_over`` if there is no time for another send.
+
+        A request that may run only once is sent again only while nothing that was sent
+        can run. A repeatable one is also sent again if the server does not have it: its
+        connection was lost, while the server is up and answers.
+        """
+        match failure:
+            case BodyNotSent(is_proof=is_proof):
+                self._may_have_run |= not is_proof
+                return self._handle_body_not_sent(is_over)
+            case AnswerMissing():
+                self._may_have_run = True
+                return NextStep.QUERY_SERVER
+            case RunNotFound():
+                self._may_have_run = True
+                self._lost_count += 1
+                may_send = self._is_repeatable and not is_over
+                if may_send and self._lost_count < MAX_SENDS_THAT_MAY_RUN:
+                    return NextStep.SEND_AGAIN
+                return NextStep.GIVE_UP
+
+    def _handle_body_not_sent(self, is_over: bool) -> NextStep:
+        if is_over:
+            return NextStep.QUERY_SERVER if self._may_have_run else NextStep.REFUSE
+        if self._is_repeatable or not self._may_have_run:
+            return NextStep.SEND_AGAIN
+        return NextStep.QUERY_SERVER
+
+
+def describe_failure(failure: HandoverFailure) -> str:
+    """Return the failure in words, for logs and traces."""
+    match failure:
+        case BodyNotSent(reason, is_proof=True):
+            return f"{reason}, before the body was sent"
+        case BodyNotSent(reason):
+            return f"{reason}, before the body was sent to a server that may not wait"
+        case AnswerMissing(reason):
+            return f"{reason}, after the whole request was sent"
+        case RunNotFound(reason):
+            return reason
--- /dev/null
+++ b/src/kingcupwheel/agent/adapters/request_sender.py
@@ -0,0 +1,105 @@
+"""Sends requests to one backend server until it has the body or the answer is lost."""
+
+from __future__ import annotations
+
+import logging
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from kingcupwheel.agent.adapters.base import AnswerLost
+from kingcupwheel.agent.adapters.base import ServerUnreachable
+from kingcupwheel.agent.adapters.expectations import ContinueTracker
+from kingcupwheel.agent.adapters.handover import AnswerMissing
+from kingcupwheel.agent.adapters.handover import NextStep
+from kingcupwheel.agent.adapters.handover import describe_failure
+from kingcupwheel.agent.adapters.server_call import connect
+from kingcupwheel.agent.adapters.server_requests import build_server_request
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from kingcupwheel.agent.adapters.cancellation import Cancellation
+    from kingcupwheel.agent.adapters.handover import BodyNotSent
+    from kingcupwheel.agent.adapters.handover import Handover
+    from kingcupwheel.agent.adapters.server_call import ServerCall
+    from kingcupwheel.messages.attempts import Dispatch
+    from kingcupwheel.settings.schema import ServerSettings
+
+logger = logging.getLogger("kingcupwheel.agent")
+
+_RETRY_INTERVAL_S = 0.2
+# A server that fails every connection for this many times ``connect_s`` is not hit by a
+# fault of single connections. The entry can then place the request on another server.
+_GIVE_UP_CONNECT_TIMEOUTS = 3.0
+
+
+class RequestSender:
+    """Sends requests to one server; safe from any thread."""
+
+    def __init__(self, server: ServerSettings) -> None:
+        self._server = server
+        self._continue_tracker = ContinueTracker()
+
+    def send(
+        self,
+        dispatch: Dispatch,
+        run_id: str,
+        handover: Handover,
+        cancellation: Cancellation,
+        *,
+        silence_s: float,
+        on_resend: Callable[[str], None],
+    ) -> Result[ServerCall, ServerUnreachable | AnswerLost | AnswerMissing]:
+        """Send the request until its body has left; wait for the head of the answer.
+
+        ServerUnreachable means that the server has not run the request and never will.
+        AnswerLost means that it may have, and can't be reached. ``on_resend`` is called
+        with the reason before the request is sent again.
+        """
+        request = build_server_request(dispatch, run_id)
+        deadline = monotonic() + self._server.connect_s * _GIVE_UP_CONNECT_TIMEOUTS
+        while True:
+            connected = connect(self._server, cancellation)
+            if connected.is_error():
+                return Error(_classify_connect_failure(connected.error, handover))
+            call = connected.ok
+            sent = call.hand_over(
+                request,
+                self._continue_tracker,
+                silence_s=silence_s,
+                continue_timeout_s=self._server.connect_s,
+            )
+            if sent.is_ok():
+                return Ok(call)
+            call.close()
+            failure = sent.error
+            reason = describe_failure(failure)
+            logger.warning("No answer began: %s. %s", reason, dispatch.request_id)
+            is_over = monotonic() >= deadline or cancellation.is_set()
+            match handover.handle_failure(failure, is_over=is_over):
+                case NextStep.SEND_AGAIN:
+                    on_resend(reason)
+                    cancellation.wait(_RETRY_INTERVAL_S)
+                case NextStep.REFUSE:
+                    return Error(ServerUnreachable(reason, is_connection_refused=False))
+                case _:
+                    return Error(_build_answer_missing(failure))
+
+
+def _build_answer_missing(failure: BodyNotSent | AnswerMissing) -> AnswerMissing:
+    if isinstance(failure, AnswerMissing):
+        return failure
+    return AnswerMissing(failure.reason, is_silent=False)
+
+
+def _classify_connect_failure(
+    failure: ServerUnreachable, handover: Handover
+) -> ServerUnreachable | AnswerLost:
+    if not handover.may_have_run:
+        return failure
+    return AnswerLost(failure.detail, has_server_crashed=failure.is_connection_refused)
--- a/src/kingcupwheel/agent/adapters/server_call.py
+++ b/src/kingcupwheel/agent/adapters/server_call.py
@@ -16,6 +16,7 @@
 from expression import Error
 from expression import Ok
 from expression import Result
+from urllib3 import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import ReadTimeoutError
@@ -23,6 +24,12 @@
 
 from kingcupwheel.agent.adapters.base import AnswerLost
 from kingcupwheel.agent.adapters.base import ServerUnreachable
+from kingcupwheel.agent.adapters.expectations import EXPECT_HEADERS
+from kingcupwheel.agent.adapters.expectations import EXPECTATION_FAILED_STATUS
+from kingcupwheel.agent.adapters.expectations import ContinueSupport
+from kingcupwheel.agent.adapters.expectations import HeldBody
+from kingcupwheel.agent.adapters.handover import AnswerMissing
+from kingcupwheel.agent.adapters.handover import BodyNotSent
 from kingcupwheel.agent.adapters.server_requests import filter_visible_headers
 
 
@@ -30,6 +37,7 @@
     from urllib3.response import HTTPResponse
 
     from kingcupwheel.agent.adapters.cancellation import Cancellation
+    from kingcupwheel.agent.adapters.expectations import ContinueTracker
     from kingcupwheel.agent.adapters.server_requests import ServerRequest
     from kingcupwheel.settings.schema import ServerSettings
 
@@ -68,15 +76,22 @@
         return str(self.response.headers.get(name, ""))
 
     def send(
-        self, request: ServerRequest, *, silence_s: float | None
+        self,
+        request: ServerRequest,
+        *,
+        silence_s: float | None,
+        held_body: HeldBody | None = None,
     ) -> Result[None, AnswerLost | SilenceTimeout]:
-        """Send the request and wait for the response head."""
+        """Send the request and wait for the response head.
+
+        ``held_body`` replaces the request's body.
+        """
         self._connection.timeout = silence_s
         try:
             self._connection.request(
                 request.method,
                 request.path,
-                body=request.body,
+                body=held_body or request.body,
                 headers=request.headers,
                 preload_content=False,
                 decode_content=False,
@@ -88,6 +103,40 @@
             return Error(_build_answer_lost(error))
         return Ok(None)
 
+    def hand_over(
+        self,
+        request: ServerRequest,
+        tracker: ContinueTracker,
+        *,
+        silence_s: float,
+        continue_timeout_s: float,
+    ) -> Result[None, BodyNotSent | AnswerMissing]:
+        """Send a request that the server runs; wait for the response head.
+
+        Its body is held back until the server asks for it, unless the server is known
+        not to.
+        """
+        is_held = tracker.support is not ContinueSupport.IGNORED
+        if not request.body or not is_held:
+            sent = self.send(request, silence_s=silence_s)
+            return sent.map_error(_build_answer_missing)
+        held = HeldBody(
+            request.body,
+            self._connection.sock,
+            tracker,
+            continue_timeout_s=continue_timeout_s,
+            answer_timeout_s=silence_s,
+        )
+        sent = self.send(
+            _expect_continue(request, held), silence_s=silence_s, held_body=held
+        )
+        if sent.is_ok() and self.response.status == EXPECTATION_FAILED_STATUS:
+            return Error(BodyNotSent("expectation failed", is_proof=True))
+        if sent.is_error() and not held.is_sent:
+            reason = _describe_failure(sent.error)
+            return Error(BodyNotSent(reason, is_proof=held.was_expectation_honoured))
+        return sent.map_error(_build_answer_missing)
+
     def read(self) -> Result[bytes, AnswerLost | SilenceTimeout]:
         """Return the next bytes of the body; empty when the body is complete."""
         try:
@@ -140,6 +189,13 @@
     return Ok(ServerCall(connection, cancellation))
 
 
+def _expect_continue(request: ServerRequest, held: HeldBody) -> ServerRequest:
+    headers = HTTPHeaderDict(request.headers)
+    headers.update(EXPECT_HEADERS)
+    headers["Content-Length"] = str(held.length)
+    return request._replace(headers=headers)
+
+
 def _socket_options(silence_s: float) -> list[tuple[int, int, int | bytes]]:
     idle_s = max(1, int(silence_s / 2))
     interval_s = max(1, int(silence_s / 2 / _KEEPALIVE_PROBES))
@@ -152,6 +208,15 @@
     ]
 
 
+def _build_answer_missing(failure: AnswerLost | SilenceTimeout) -> AnswerMissing:
+    is_silent = isinstance(failure, SilenceTimeout)
+    return AnswerMissing(_describe_failure(failure), is_silent)
+
+
+def _describe_failure(failure: AnswerLost | SilenceTimeout) -> str:
+    return failure.detail if isinstance(failure, AnswerLost) else "server silent"
+
+
 def _build_answer_lost(error: Exception) -> AnswerLost:
     return AnswerLost(_describe_error(error), has_server_crashed=False)
 
--- a/src/kingcupwheel/agent/adapters/server_requests.py
+++ b/src/kingcupwheel/agent/adapters/server_requests.py
@@ -38,20 +38,25 @@
     body: bytes | None
 
 
-def build_server_request(dispatch: Dispatch) -> ServerRequest:
+def build_server_request(dispatch: Dispatch, run_id: str) -> ServerRequest:
     """Return the request to send for the dispatch, with its run id as a header."""
     headers = HTTPHeaderDict()
     for name, value in dispatch.headers:
         if name.lower() not in _REQUEST_HEADERS_DROPPED:
             headers.add(name, value)
-    headers[REQUEST_ID_HEADER] = build_run_id(dispatch)
+    headers[REQUEST_ID_HEADER] = run_id
     headers["Connection"] = "close"
     return ServerRequest(dispatch.method, dispatch.path, headers, dispatch.body)
 
 
-def build_run_id(dispatch: Dispatch) -> str:
-    """Return the id that identifies the attempt to the server."""
-    return f"{dispatch.request_id}-{dispatch.attempt}"
+def build_run_id(dispatch: Dispatch, *, send: int = 1) -> str:
+    """Return the id that identifies one send of the attempt to the server.
+
+    Each send that may run has its own id: if the server runs a delayed copy as well, a
+    stream is never resumed from the other run, whose bytes may differ.
+    """
+    run_id = f"{dispatch.request_id}-{dispatch.attempt}"
+    return run_id if send == 1 else f"{run_id}.{send}"
 
 
 def build_get_request(path: str) -> ServerRequest:
--- a/src/kingcupwheel/agent/adapters/service.py
+++ b/src/kingcupwheel/agent/adapters/service.py
@@ -13,18 +13,21 @@
 from kingcupwheel.agent.adapters.base import ServerAnswer
 from kingcupwheel.agent.adapters.base import ServerState
 from kingcupwheel.agent.adapters.cancellation import Cancellation
-from kingcupwheel.agent.adapters.server_call import ServerCall
+from kingcupwheel.agent.adapters.handover import AnswerMissing
+from kingcupwheel.agent.adapters.handover import Handover
+from kingcupwheel.agent.adapters.request_sender import RequestSender
 from kingcupwheel.agent.adapters.server_call import SilenceTimeout
 from kingcupwheel.agent.adapters.server_call import connect
 from kingcupwheel.agent.adapters.server_requests import REQUEST_ID_HEADER
 from kingcupwheel.agent.adapters.server_requests import build_run_id
-from kingcupwheel.agent.adapters.server_requests import build_server_request
 from kingcupwheel.plugins.registries import server_adapters
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
+    from kingcupwheel.agent.adapters.server_call import ServerCall
     from kingcupwheel.messages.attempts import Dispatch
     from kingcupwheel.settings.schema import ServerSettings
 
@@ -70,27 +73,39 @@
 
 @server_adapters.register("service")
 class ServiceAdapter:
-    """Adapter that sends a request once over a single connection."""
+    """Adapter that sends a request until the service has its body."""
 
     def __init__(self, server: ServerSettings) -> None:
         self._server = server
+        self._sender = RequestSender(server)
 
     def start(
-        self, dispatch: Dispatch, cancellation: Cancellation
+        self,
+        dispatch: Dispatch,
+        cancellation: Cancellation,
+        on_resend: Callable[[str], None],
     ) -> Result[ServerAnswer, AdapterError]:
-        """Send the request once; return when the answer's head has arrived."""
-        connected = connect(self._server, cancellation)
-        if connected.is_error():
-            return Error(connected.error)
-        call = connected.ok
-        sent = call.send(
-            build_server_request(dispatch),
+        """Send the request; return when the answer's head has arrived."""
+        run_id = build_run_id(dispatch)
+        sent = self._sender.send(
+            dispatch,
+            run_id,
+            Handover(is_repeatable=dispatch.repeatable),
+            cancellation,
             silence_s=self._server.silence_s * _GIVE_UP_SILENCES,
+            on_resend=on_resend,
         )
         if sent.is_error():
-            call.close()
-            return Error(self.build_answer_lost(sent.error))
-        if call.header(REQUEST_ID_HEADER) not in ("", build_run_id(dispatch)):
+            match sent.error:
+                case AnswerMissing(is_silent=True):
+                    return Error(self.build_answer_lost(SilenceTimeout()))
+                case AnswerMissing(reason):
+                    lost = AnswerLost(reason, has_server_crashed=False)
+                    return Error(self.build_answer_lost(lost))
+                case error:
+                    return Error(error)
+        call = sent.ok
+        if call.header(REQUEST_ID_HEADER) not in ("", run_id):
             call.close()
             return Error(
                 AnswerLost("answer of another request", has_server_crashed=False)
--- a/src/kingcupwheel/agent/attempt_runner.py
+++ b/src/kingcupwheel/agent/attempt_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from threading import RLock
 from threading import Thread
 from time import monotonic
@@ -46,7 +47,8 @@
 
     Answers go to the store and server crashes to ``crash_table``. ``lock`` guards
     ``attempt_table`` and ``crash_table``; hold it while using them.
-    ``on_server_crash`` is called as soon as a crash is recorded, and must not block.
+    ``on_server_crash`` is called as soon as a crash is recorded, ``on_resend`` when a
+    request is sent to the server again; they must not block.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         crash_table: CrashTable,
         recorder: TraceRecorder,
         on_server_crash: Callable[[], None],
+        on_resend: Callable[[], None] = lambda: None,
     ) -> None:
         self.lock = RLock()
         self.attempt_table = attempt_table
@@ -68,6 +71,7 @@
         self._adapter = adapter
         self._recorder = recorder
         self._on_server_crash = on_server_crash
+        self._on_resend = on_resend
         self._cancellations_by_key: dict[AttemptKey, Cancellation] = {}
         self._generations_by_key: dict[AttemptKey, int] = {}
         # Counts server crashes; an attempt belongs to the generation it started in.
@@ -162,7 +166,9 @@
         event = AttemptForwarded(self._name, dispatch.attempt)
         self._recorder.record(key.request_id, event)
         try:
-            started = self._adapter.start(dispatch, cancellation)
+            started = self._adapter.start(
+                dispatch, cancellation, partial(self._record_resend, key)
+            )
             if started.is_ok():
                 self._relay_answer(key, started.ok, cancellation, generation)
             else:
@@ -176,6 +182,11 @@
                 self._generations_by_key.pop(key, None)
             self.advance()
 
+    def _record_resend(self, key: AttemptKey, reason: str) -> None:
+        self._on_resend()
+        note = NoteAdded(f"Sent to the server again: {reason}.")
+        self._recorder.record(key.request_id, note)
+
     def _relay_answer(
         self,
         key: AttemptKey,
--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -4,6 +4,7 @@
 
 import logging
 import secrets
+from functools import partial
 from threading import Event
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -32,6 +33,7 @@
 from kingcupwheel.messages.membership import StatusRequest
 from kingcupwheel.messages.traces import TraceRequest
 from kingcupwheel.metrics.metered_platform_client import MeteredPlatformClient
+from kingcupwheel.metrics.metric_names import CounterName
 from kingcupwheel.metrics.statsd_client import MetricsClient
 from kingcupwheel.metrics.trace_event_metrics import TraceEventMetrics
 from kingcupwheel.plugins.registries import load_builtin_plugins
@@ -102,6 +104,7 @@
             crash_table=CrashTable(),
             recorder=self._recorder,
             on_server_crash=self._send_crash_heartbeat,
+            on_resend=partial(self._metrics.increment, CounterName.RESENDS),
         )
         self._handler = AttemptHandler(
             name=settings.name,
--- a/src/kingcupwheel/metrics/metric_names.py
+++ b/src/kingcupwheel/metrics/metric_names.py
@@ -16,6 +16,7 @@
     REFUSALS = "refusals"
     RETRIES = "retries"
     RESUMES = "resumes"
+    RESENDS = "resends"
     JOINS = "joins"
     CALLERS_LEFT = "callers_left"
     GOAL_MISSES = "goal_misses"
@@ -51,6 +52,7 @@
     CounterName.REFUSALS: "Requests refused, by limit.",
     CounterName.RETRIES: "Further attempts.",
     CounterName.RESUMES: "Attempts taken up again over a new link.",
+    CounterName.RESENDS: "Requests sent to the same server again, as it had none.",
     CounterName.JOINS: "Resends joined to an earlier request.",
     CounterName.CALLERS_LEFT: "Callers that left before the end.",
     CounterName.GOAL_MISSES: "Events that missed a service-level goal, by indicator.",
--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -14,6 +14,7 @@
 from tests.standins.engine import EngineFaults
 from tests.standins.engine import EngineStandIn
 from tests.standins.relay import Relay
+from tests.standins.relay import StoppingRelay
 from tests.standins.service import ServiceStandIn
 
 
@@ -56,6 +57,12 @@
         self._stack.callback(relay.stop)
         return relay
 
+    def start_stopping_relay(self, target: str) -> StoppingRelay:
+        relay = StoppingRelay(target)
+        relay.start()
+        self._stack.callback(relay.stop)
+        return relay
+
     def start_agent(self, url: str, **options: Any) -> AgentDaemon:
         agent = AgentDaemon(agent_settings(url, **options))
         agent.start()
--- a/tests/agent/fake_entry.py
+++ b/tests/agent/fake_entry.py
@@ -13,8 +13,10 @@
 from kingcupwheel.messages.attempts import Ack
 from kingcupwheel.messages.attempts import AttemptEnd
 from kingcupwheel.messages.attempts import AttemptRefused
+from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.messages.attempts import ResponseData
 from kingcupwheel.messages.attempts import ResumeRequest
+from kingcupwheel.messages.base import Message
 from kingcupwheel.messages.membership import AgentHeartbeat
 from kingcupwheel.messages.membership import Hello
 
@@ -23,7 +25,6 @@
     from collections.abc import Callable
 
     from kingcupwheel.link.links import Link
-    from kingcupwheel.messages.base import Message
 
 TIMEOUT_S = 15.0
 M = TypeVar("M", bound="Message")
@@ -99,6 +100,17 @@
             AttemptRefused, lambda refusal: refusal.request_id == request_id
         )
 
+    def wait_for_outcome(self, request_id: str) -> Outcome:
+        """Return what the caller is told; a refusal is ``NOT_RUN``."""
+        message = self.wait_for(
+            Message,
+            lambda message: (
+                isinstance(message, AttemptEnd | AttemptRefused)
+                and message.request_id == request_id
+            ),
+        )
+        return message.outcome if isinstance(message, AttemptEnd) else Outcome.NOT_RUN
+
     def resume(self, request_id: str, *, credit: int, attempt: int = 1) -> None:
         offset = len(self.get_body(request_id, attempt))
         self.send(ResumeRequest(request_id, attempt, offset, credit, None))
--- /dev/null
+++ b/tests/agent/test_expectations.py
@@ -0,0 +1,133 @@
+from __future__ import annotations
+
+import socket
+import time
+from threading import Thread
+from typing import TYPE_CHECKING
+
+import pytest
+
+from kingcupwheel.agent.adapters.expectations import ContinueSupport
+from kingcupwheel.agent.adapters.expectations import ContinueTracker
+from kingcupwheel.agent.adapters.expectations import HeldBody
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BODY = b"body"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+FINAL = b"HTTP/1.1 503 Service Unavailable\r\n\r\n"
+
+
+class HeldBodyHarness:
+    def __init__(self) -> None:
+        self.near, self.server = socket.socketpair()
+        self.tracker = ContinueTracker()
+
+    def hold(self) -> HeldBody:
+        return HeldBody(
+            BODY,
+            self.near,
+            self.tracker,
+            continue_timeout_s=0.1,
+            answer_timeout_s=1.0,
+        )
+
+    def reply_later(self, *parts: bytes) -> None:
+        def reply() -> None:
+            for part in parts:
+                time.sleep(0.03)
+                self.server.sendall(part)
+
+        Thread(target=reply, daemon=True).start()
+
+
+@pytest.fixture
+def harness() -> Iterator[HeldBodyHarness]:
+    harness = HeldBodyHarness()
+    yield harness
+    harness.near.close()
+    harness.server.close()
+
+
+def test_body_is_sent_once_the_server_asks_for_it(harness: HeldBodyHarness) -> None:
+    """Guards against a reply that is taken from the HTTP client, or read in part."""
+    held = harness.hold()
+    harness.reply_later(CONTINUE[:5], CONTINUE[5:])
+
+    assert list(held) == [BODY]
+    assert held.is_sent
+    assert harness.tracker.support is ContinueSupport.HONOURED
+    assert harness.near.recv(100) == CONTINUE
+
+
+@pytest.mark.parametrize("is_honoured", [False, True])
+def test_body_is_not_sent_on_a_connection_that_was_closed(
+    harness: HeldBodyHarness, is_honoured: bool
+) -> None:
+    """Guards against a request that may run though its connection has failed."""
+    if is_honoured:
+        harness.tracker.record_continue()
+    held = harness.hold()
+    harness.server.close()
+
+    with pytest.raises(ConnectionError):
+        list(held)
+
+    assert not held.is_sent
+    assert held.was_expectation_honoured is is_honoured
+
+
+def test_body_is_not_sent_after_a_final_answer(harness: HeldBodyHarness) -> None:
+    """Guards against a body that the server takes for the next request."""
+    held = harness.hold()
+    harness.reply_later(FINAL)
+
+    assert list(held) == []
+    assert not held.is_sent
+    assert harness.near.recv(100) == FINAL
+
+
+@pytest.mark.parametrize(
+    ("reply", "support"),
+    [(CONTINUE, ContinueSupport.HONOURED), (FINAL, ContinueSupport.IGNORED)],
+)
+def test_server_of_unknown_support_gets_the_body_after_the_timeout(
+    harness: HeldBodyHarness, reply: bytes, support: ContinueSupport
+) -> None:
+    """Guards against waiting forever for a server that ignores the expectation."""
+    body = iter(harness.hold())
+
+    assert next(body) == BODY
+    harness.server.sendall(reply)
+
+    assert list(body) == []
+    assert harness.tracker.support is support
+
+
+def test_body_is_held_from_a_silent_server_that_honoured_the_expectation(
+    harness: HeldBodyHarness,
+) -> None:
+    """Guards against a lost proof, and against a server that no longer replies.
+
+    The body is kept back on the silent connection, and the next one is sent after the
+    timeout.
+    """
+    harness.tracker.record_continue()
+    held = harness.hold()
+
+    with pytest.raises(TimeoutError):
+        list(held)
+
+    assert not held.is_sent
+    assert harness.tracker.support is ContinueSupport.UNKNOWN
+
+
+def test_one_early_answer_does_not_outweigh_an_honoured_expectation() -> None:
+    """Guards against bodies that are no longer held after a single rejection."""
+    tracker = ContinueTracker()
+    tracker.record_continue()
+    tracker.record_ignored()
+
+    assert tracker.support is ContinueSupport.HONOURED
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -10,10 +10,12 @@
 import contextlib
 import json
 import socket
+import struct
 from enum import StrEnum
 from threading import Event
 from threading import Lock
 from threading import Thread
+from typing import NamedTuple
 
 import click
 
@@ -23,6 +25,9 @@
 
 
 _BUFFER_BYTES = 65_536
+_HEADERS_END = b"\r\n\r\n"
+# With a linger time of zero, closing a socket resets its connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class RelayMode(StrEnum):
@@ -157,6 +162,148 @@
         pair.close()
 
 
+class StopPoint(StrEnum):
+    """How much of a stopped request is forwarded.
+
+    ``headers`` leaves out the line that ends them, ``body`` the second half of the
+    body. ``unread`` forwards the headers and reads no byte of the body, so that a large
+    one stays with the caller. ``whole`` waits until the target has begun to answer.
+    """
+
+    START = "start"
+    HEADERS = "headers"
+    UNREAD = "unread"
+    BODY = "body"
+    WHOLE = "whole"
+
+
+class StopAction(StrEnum):
+    """What happens to the connection of a stopped request.
+
+    ``hold`` keeps both ends open in silence. ``close-caller`` closes only the caller's
+    end.
+    """
+
+    CLOSE = "close"
+    RESET = "reset"
+    HOLD = "hold"
+    CLOSE_CALLER = "close-caller"
+
+
+class _RequestStop(NamedTuple):
+    point: StopPoint
+    action: StopAction
+
+
+class StoppingRelay(Relay):
+    """Relay that stops one request at a chosen point.
+
+    Other connections, also those to ``/engine/``, are forwarded as by ``Relay``.
+    ``stopped`` is set once the request is stopped.
+    """
+
+    def __init__(self, target: str) -> None:
+        super().__init__(target)
+        self.stopped = Event()
+        self._stop: _RequestStop | None = None
+        self._pair: _ConnectionPair | None = None
+        self._held_bytes = b""
+
+    def stop_next_request(self, point: StopPoint, action: StopAction) -> None:
+        self._stop = _RequestStop(point, action)
+
+    def deliver_held(self) -> None:
+        """Forward the rest of the stopped request; its answer is not relayed."""
+        if self._pair is None or self._pair.target_socket is None:
+            return
+        rest = self._held_bytes + _read_available(self._pair.caller_socket)
+        if rest:
+            self._pair.target_socket.sendall(rest)
+
+    def _connect_pair(self, pair: _ConnectionPair) -> None:
+        stop = self._stop
+        if stop is None or not _is_request(pair.caller_socket):
+            super()._connect_pair(pair)
+            return
+        self._stop = None
+        target = pair.target_socket = socket.create_connection(self._target)
+        headers = _read_head(pair.caller_socket)
+        body = b""
+        if stop.point in (StopPoint.BODY, StopPoint.WHOLE):
+            target.sendall(headers)
+            if b"expect: 100-continue" in headers.lower():
+                pair.caller_socket.sendall(_read_head(target))
+            body = _read_body(pair.caller_socket, headers)
+        forwarded_count = _count_forwarded(stop.point, headers, body)
+        sent_count = len(headers) if body else 0
+        target.sendall((headers + body)[sent_count:forwarded_count])
+        if stop.point is StopPoint.WHOLE:
+            target.recv(1, socket.MSG_PEEK)
+        self._pair = pair
+        self._held_bytes = (headers + body)[forwarded_count:]
+        _apply_stop(pair, stop.action)
+        self.stopped.set()
+
+
+def _is_request(caller: socket.socket) -> bool:
+    with contextlib.suppress(OSError):
+        start = caller.recv(_BUFFER_BYTES, socket.MSG_PEEK)
+        return start.startswith(b"POST ") and not start.startswith(b"POST /engine/")
+    return False
+
+
+def _read_head(source: socket.socket) -> bytes:
+    head = b""
+    while not head.endswith(_HEADERS_END):
+        head += source.recv(1)
+    return head
+
+
+def _read_body(source: socket.socket, headers: bytes) -> bytes:
+    length = headers.lower().partition(b"content-length:")[2].split(b"\r\n")[0]
+    return source.recv(int(length), socket.MSG_WAITALL)
+
+
+def _read_available(source: socket.socket) -> bytes:
+    """Return what has arrived; nothing if the socket is closed."""
+    data = b""
+    with contextlib.suppress(OSError):
+        source.setblocking(False)
+        while chunk := source.recv(_BUFFER_BYTES):
+            data += chunk
+    return data
+
+
+def _count_forwarded(point: StopPoint, headers: bytes, body: bytes) -> int:
+    match point:
+        case StopPoint.START:
+            return 0
+        case StopPoint.HEADERS:
+            return len(headers) - 2
+        case StopPoint.UNREAD:
+            return len(headers)
+        case StopPoint.BODY:
+            return len(headers) + len(body) // 2
+        case StopPoint.WHOLE:
+            return len(headers) + len(body)
+
+
+def _apply_stop(pair: _ConnectionPair, action: StopAction) -> None:
+    match action:
+        case StopAction.CLOSE:
+            pair.close()
+        case StopAction.RESET:
+            for end in (pair.caller_socket, pair.target_socket):
+                if end is not None:
+                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+                    end.close()
+        case StopAction.CLOSE_CALLER:
+            pair.caller_socket.shutdown(socket.SHUT_RDWR)
+            pair.caller_socket.close()
+        case StopAction.HOLD:
+            pass
+
+
 class RelayControl(HttpStandIn):
     def __init__(self, relay: Relay, *, host: str = "127.0.0.1", port: int = 0) -> None:
         super().__init__(RelayControlHandler, host, port)
