--- a/src/kingcupwheel/entry/application.py
+++ b/src/kingcupwheel/entry/application.py
@@ -13,6 +13,7 @@
 from kingcupwheel.entry.http_exchange import DISCARD_CHUNK_BYTES
 from kingcupwheel.entry.http_exchange import HttpExchange
 from kingcupwheel.entry.refusals import BODY_TOO_LARGE
+from kingcupwheel.entry.refusals import CALLER_LEFT
 from kingcupwheel.entry.refusals import ENTRY_BUSY
 from kingcupwheel.entry.refusals import ENTRY_LEAVING
 from kingcupwheel.entry.refusals import NO_MANIFEST
@@ -21,6 +22,7 @@
 from kingcupwheel.entry.request_parser import parse_request
 from kingcupwheel.entry.request_runner import RequestRunner
 from kingcupwheel.trace.events import RequestReceived
+from kingcupwheel.utils.http_headers import is_body_truncated
 
 
 if TYPE_CHECKING:
@@ -130,6 +132,9 @@
         if body is None:
             exchange.close_connection_after()
             return exchange.refuse(BODY_TOO_LARGE)
+        if is_body_truncated(exchange.headers, body):
+            exchange.close_connection_after()
+            return exchange.refuse(CALLER_LEFT)
         parsed = parse_request(
             exchange.build_http_request(body),
             authenticated.ok,
--- a/src/kingcupwheel/forwarding/admission.py
+++ b/src/kingcupwheel/forwarding/admission.py
@@ -11,6 +11,7 @@
 
 from kingcupwheel.entry.refusals import API_KEY_UNKNOWN
 from kingcupwheel.entry.refusals import BODY_TOO_LARGE
+from kingcupwheel.entry.refusals import CALLER_LEFT
 from kingcupwheel.entry.refusals import HEADERS_TOO_LARGE
 from kingcupwheel.entry.refusals import NO_MANIFEST
 from kingcupwheel.entry.refusals import NO_ROUTE
@@ -19,6 +20,7 @@
 from kingcupwheel.forwarding.requests import ForwardRequest
 from kingcupwheel.forwarding.requests import request_fingerprint
 from kingcupwheel.platform.headers import read_request_headers
+from kingcupwheel.utils.http_headers import is_body_truncated
 
 
 if TYPE_CHECKING:
@@ -71,6 +73,8 @@
         return HEADERS_TOO_LARGE
     if len(received.body) > limits.max_body_bytes:
         return BODY_TOO_LARGE
+    if is_body_truncated(received.headers, received.body):
+        return CALLER_LEFT
     host = received.headers.get("host", "").rsplit(":", 1)[0].lower()
     path = received.target.partition("?")[0]
     route = configuration.find_route(host, path)
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from kingcupwheel.entry.refusals import CALLER_LEFT
 from kingcupwheel.entry.refusals import Refusal
 from kingcupwheel.forwarding.admission import admit_request
 from kingcupwheel.forwarding.requests import ForwardRequest
@@ -92,3 +93,19 @@
     assert isinstance(short_timeout, ForwardRequest)
     assert 100.7 < long_timeout.deadlines.deadline_at < 100.8
     assert 100.2 < short_timeout.deadlines.deadline_at < 100.3
+
+
+def test_body_that_ended_early_is_not_forwarded() -> None:
+    """Guards against a run of half a request.
+
+    The caller's connection ends in the middle of the body, and the HTTP server hands
+    over the bytes that arrived. Sent on with their own length, they look complete to
+    the server, which runs them before the caller's close is noticed.
+    """
+    cut = received_request("/once/x", content_length="10")._replace(body=b"abc")
+
+    refusal = admit_request(cut, configuration_snapshot())
+    whole = admit_request(cut._replace(body=b"0123456789"), configuration_snapshot())
+
+    assert refusal == CALLER_LEFT
+    assert isinstance(whole, ForwardRequest)
