--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -22,9 +22,9 @@
     from collections.abc import Mapping
 
     from urllib3 import BaseHTTPResponse
-    from urllib3.connection import HTTPConnection
 
     from kingcupwheel.forwarding.connection_pool import ConnectionPool
+    from kingcupwheel.forwarding.connection_pool import ServerConnection
     from kingcupwheel.forwarding.http_metadata import AnswerHead
     from kingcupwheel.forwarding.http_metadata import ServerNotice
     from kingcupwheel.forwarding.liveness import LivenessTracker
@@ -102,7 +102,7 @@
         self,
         head: AnswerHead,
         response: BaseHTTPResponse,
-        connection: HTTPConnection,
+        connection: ServerConnection,
         watched: WatchedRequest,
     ) -> None:
         self.head = head
@@ -231,7 +231,7 @@
     def _exchange(
         self,
         request: OutgoingRequest,
-        connection: HTTPConnection,
+        connection: ServerConnection,
         watched: WatchedRequest,
     ) -> CallResult:
         try:
@@ -246,15 +246,19 @@
             )
         except _CONNECTION_ERRORS as error:
             # The server may have answered before it read the whole body.
-            return self._read_early_answer(
+            result = self._read_early_answer(
                 request, connection, watched, type(error).__name__
             )
+            if connection.is_unsent and not isinstance(result, Rejected):
+                # A server resets connections over its limit as soon as they are open.
+                return NotSent(f"closed before it was sent: {type(error).__name__}")
+            return result
         return self._read_head(request, connection, watched)
 
     def _read_early_answer(
         self,
         request: OutgoingRequest,
-        connection: HTTPConnection,
+        connection: ServerConnection,
         watched: WatchedRequest,
         reason: str,
     ) -> CallResult:
@@ -271,7 +275,7 @@
     def _read_head(
         self,
         request: OutgoingRequest,
-        connection: HTTPConnection,
+        connection: ServerConnection,
         watched: WatchedRequest,
     ) -> CallResult:
         try:
--- a/src/kingcupwheel/forwarding/connection_pool.py
+++ b/src/kingcupwheel/forwarding/connection_pool.py
@@ -6,6 +6,7 @@
 import select
 from threading import Lock
 from time import monotonic
+from typing import Any
 from typing import NamedTuple
 
 import urllib3
@@ -29,10 +30,34 @@
 
 
 class _IdleConnection(NamedTuple):
-    connection: HTTPConnection
+    connection: ServerConnection
     expires_at: float
 
 
+class ServerConnection(HTTPConnection):
+    """A connection that knows whether any byte of the current request was sent."""
+
+    is_unsent = True
+
+    def request(self, *args: Any, **options: Any) -> None:
+        """Send a request."""
+        self.is_unsent = True
+        super().request(*args, **options)
+
+    def send(self, data: Any) -> None:
+        """Send ``data``, the first time with a single call to the operating system.
+
+        ``sendall`` does not tell how many bytes it sent before it failed. A single
+        ``send`` either fails and has sent nothing, or returns the number of bytes.
+        """
+        if self.is_unsent and isinstance(data, bytes) and self.sock is not None:
+            count = self.sock.send(data)
+            self.is_unsent = False
+            data = data[count:]
+        if data:
+            super().send(data)
+
+
 class ConnectionPool:
     """Idle connections by the incarnation of their server; thread-safe."""
 
@@ -40,7 +65,7 @@
         self._idle_by_incarnation: dict[str, list[_IdleConnection]] = {}
         self._lock = Lock()
 
-    def acquire(self, incarnation: str) -> HTTPConnection | None:
+    def acquire(self, incarnation: str) -> ServerConnection | None:
         """Return an idle connection that is still open, or None."""
         while True:
             with self._lock:
@@ -52,10 +77,10 @@
                 return one.connection
             one.connection.close()
 
-    def open(self, address: str) -> HTTPConnection:
+    def open(self, address: str) -> ServerConnection:
         """Return a new connection; raises NotConnectedError."""
         host, _, port = address.rpartition(":")
-        connection = HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        connection = ServerConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
         try:
             connection.connect()
         except (urllib3.exceptions.HTTPError, OSError) as error:
@@ -67,7 +92,7 @@
         return connection
 
     def release(
-        self, incarnation: str, connection: HTTPConnection, keepalive_s: float | None
+        self, incarnation: str, connection: ServerConnection, keepalive_s: float | None
     ) -> None:
         """Return a connection whose last answer was complete to the pool."""
         usable_s = (
@@ -91,7 +116,7 @@
             one.connection.close()
 
 
-def _is_reusable(connection: HTTPConnection) -> bool:
+def _is_reusable(connection: ServerConnection) -> bool:
     """Return whether nothing was received since the last answer, not even a close."""
     if connection.sock is None:
         return False
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from threading import Thread
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -11,6 +12,7 @@
 
 from kingcupwheel.forwarding.calls import Answered
 from kingcupwheel.forwarding.calls import AnswerLost
+from kingcupwheel.forwarding.calls import NotSent
 from kingcupwheel.forwarding.calls import OutgoingRequest
 from kingcupwheel.forwarding.calls import ServerClient
 from kingcupwheel.forwarding.connection_pool import ConnectionPool
@@ -67,6 +69,51 @@
         return self.server.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
 
+def reset(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
+def test_request_whose_connection_is_reset_before_its_first_byte_is_not_sent() -> None:
+    """Guards against an unknown outcome of a request of which no byte was sent.
+
+    A server resets connections over its limit as soon as they are open. Its reset may
+    arrive before the request is sent: the request has not run, and another server may
+    get it, also if it may run only once.
+    """
+    listener = socket.create_server(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+
+    def reset_before_the_first_byte() -> bool:
+        reset(listener.accept()[0])
+        return True
+
+    result = ServerClient(ConnectionPool()).send(
+        OutgoingRequest("POST", "/x", {}, b"body", "a-1"),
+        instance="i-1",
+        incarnation="i-1",
+        address=f"{host}:{port}",
+        watched=WatchedRequest(None, monotonic() + WAIT_TIMEOUT_S),
+        silence_timeout_s=WAIT_TIMEOUT_S,
+        liveness=None,
+        needs_new_connection=True,
+        may_abort_silent=lambda: True,
+        may_send=reset_before_the_first_byte,
+    )
+
+    assert result == NotSent("closed before it was sent: ConnectionResetError")
+
+
+def test_request_whose_connection_is_reset_after_its_first_bytes_may_have_run() -> None:
+    """Guards against a second run of a request that a server may have begun."""
+    call = PendingCall()
+
+    reset(call.server)
+    call.thread.join(WAIT_TIMEOUT_S)
+
+    assert call.results == [AnswerLost("no answer: ConnectionResetError")]
+
+
 @pytest.mark.parametrize(
     "cut",
     [
