--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -24,11 +24,11 @@
     from urllib3 import BaseHTTPResponse
 
     from kingcupwheel.forwarding.connection_pool import ConnectionPool
-    from kingcupwheel.forwarding.connection_pool import ServerConnection
     from kingcupwheel.forwarding.http_metadata import AnswerHead
     from kingcupwheel.forwarding.http_metadata import ServerNotice
     from kingcupwheel.forwarding.liveness import LivenessTracker
     from kingcupwheel.forwarding.watchdog import WatchedRequest
+    from kingcupwheel.utils.server_connection import ServerConnection
 
 # An event of a stream has a few hundred bytes, so one read takes many.
 _READ_BYTES = 65_536
--- a/src/kingcupwheel/forwarding/connection_pool.py
+++ b/src/kingcupwheel/forwarding/connection_pool.py
@@ -6,13 +6,12 @@
 import select
 from threading import Lock
 from time import monotonic
-from typing import Any
 from typing import NamedTuple
 
 import urllib3
-from urllib3.connection import HTTPConnection
 
 from kingcupwheel.forwarding.exceptions import NotConnectedError
+from kingcupwheel.utils.server_connection import ServerConnection
 
 
 # Keep-alive time of connections to servers that name none, in seconds. Servers close
@@ -34,30 +33,6 @@
     expires_at: float
 
 
-class ServerConnection(HTTPConnection):
-    """A connection that knows whether any byte of the current request was sent."""
-
-    is_unsent = True
-
-    def request(self, *args: Any, **options: Any) -> None:
-        """Send a request."""
-        self.is_unsent = True
-        super().request(*args, **options)
-
-    def send(self, data: Any) -> None:
-        """Send ``data``, the first time with a single call to the operating system.
-
-        ``sendall`` does not tell how many bytes it sent before it failed. A single
-        ``send`` either fails and has sent nothing, or returns the number of bytes.
-        """
-        if self.is_unsent and isinstance(data, bytes) and self.sock is not None:
-            count = self.sock.send(data)
-            self.is_unsent = False
-            data = data[count:]
-        if data:
-            super().send(data)
-
-
 class ConnectionPool:
     """Idle connections by the incarnation of their server; thread-safe."""
 
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -17,7 +17,7 @@
 
 
 if TYPE_CHECKING:
-    from kingcupwheel.forwarding.connection_pool import ServerConnection
+    from kingcupwheel.utils.server_connection import ServerConnection
     from tests.forwarding.fleet import Fleet
 
 BACKOFF_S = 2.0
