--- a/src/kingcupwheel/agent/adapters/engine.py
+++ b/src/kingcupwheel/agent/adapters/engine.py
@@ -135,7 +135,7 @@
     def __init__(self, server: ServerSettings) -> None:
         self._server = server
         self._client = EngineClient(server)
-        self._sender = RequestSender(server)
+        self._sender = RequestSender(server, holds_bodies=True)
         self._incarnation = ""
 
     def start(
--- a/src/kingcupwheel/agent/adapters/expectations.py
+++ b/src/kingcupwheel/agent/adapters/expectations.py
@@ -2,11 +2,12 @@
 
 See RFC 9110, section 10.1.1. The headers go first; the body is sent once the server has
 replied ``100 Continue``. A request whose connection fails before that is incomplete at
-the server, so that it can't have run.
+the server.
 """
 
 from __future__ import annotations
 
+import select
 import socket
 from enum import Enum
 from threading import Lock
@@ -22,7 +23,11 @@
 EXPECTATION_FAILED_STATUS = 417
 _CONTINUE_STATUS_LINES = (b"HTTP/1.1 100", b"HTTP/1.0 100")
 _STATUS_LINE_BYTES = len(_CONTINUE_STATUS_LINES[0])
+_INTERIM_STATUS_PREFIX = b"1"
 _PARTIAL_LINE_POLL_S = 0.001
+# A server that was slow once, or that was replaced, is tried again after this time; the
+# request that tries it may wait for the timeout of an unknown server.
+_IGNORED_TTL_S = 60.0
 
 
 class ContinueSupport(Enum):
@@ -39,25 +44,36 @@
     def __init__(self) -> None:
         self._lock = Lock()
         self._support = ContinueSupport.UNKNOWN
+        self._ignored_at = 0.0
 
     @property
     def support(self) -> ContinueSupport:
-        """What is known so far."""
-        return self._support
+        """What is known now."""
+        with self._lock:
+            is_ignored = self._support is ContinueSupport.IGNORED
+            if is_ignored and monotonic() - self._ignored_at > _IGNORED_TTL_S:
+                self._support = ContinueSupport.UNKNOWN
+            return self._support
 
     def record_continue(self) -> None:
         """Record that the server replied ``100 Continue``."""
         with self._lock:
             self._support = ContinueSupport.HONOURED
 
-    def record_ignored(self) -> None:
-        """Record an answer without ``100 Continue``; an earlier one outweighs it.
+    def record_early_answer(self) -> None:
+        """Record an answer without ``100 Continue``.
 
-        A server may answer a single request early, for example to reject it.
+        It outweighs no earlier ``100 Continue``: a server may answer a single request
+        early, for example to reject it.
         """
+        if self.support is ContinueSupport.UNKNOWN:
+            self.record_refused()
+
+    def record_refused(self) -> None:
+        """Record that the server refuses the expectation."""
         with self._lock:
-            if self._support is ContinueSupport.UNKNOWN:
-                self._support = ContinueSupport.IGNORED
+            self._support = ContinueSupport.IGNORED
+            self._ignored_at = monotonic()
 
     def record_timeout(self) -> None:
         """Record that ``100 Continue`` did not arrive in time.
@@ -74,9 +90,11 @@
     """Request body that is yielded once the server has replied ``100 Continue``.
 
     Iterate it after the headers were sent on ``connection``. A server that is not known
-    to honour the expectation gets the body after ``continue_timeout_s`` at the latest.
-    Raises TimeoutError or ConnectionError if the body must not be sent. Replies are
-    left on the connection for the HTTP client to read.
+    to honour the expectation gets the body after ``unknown_timeout_s``, a known one has
+    ``silence_s`` to reply. Raises TimeoutError or ConnectionError if the body must not
+    be sent. Replies are left on the connection for the HTTP client to read.
+
+    ``has_reply`` is True once the server's final answer has begun.
     """
 
     def __init__(
@@ -85,16 +103,17 @@
         connection: socket.socket,
         tracker: ContinueTracker,
         *,
-        continue_timeout_s: float,
-        answer_timeout_s: float | None,
+        unknown_timeout_s: float,
+        silence_s: float,
     ) -> None:
         self.is_sent = False
+        self.has_reply = False
         self._body = body
         self._connection = connection
         self._tracker = tracker
-        self._support = tracker.support
-        self._continue_timeout_s = continue_timeout_s
-        self._answer_timeout_s = answer_timeout_s
+        self._was_honoured = tracker.support is ContinueSupport.HONOURED
+        self._unknown_timeout_s = unknown_timeout_s
+        self._silence_s = silence_s
 
     @property
     def length(self) -> int:
@@ -102,49 +121,61 @@
         return len(self._body)
 
     @property
-    def was_expectation_honoured(self) -> bool:
-        """Whether the server was known to honour the expectation at the start."""
-        return self._support is ContinueSupport.HONOURED
+    def is_known_incomplete(self) -> bool:
+        """Whether the server is known to wait for the body and has not got it."""
+        return self._was_honoured and not self.is_sent and not self.has_reply
 
     def __iter__(self) -> Iterator[bytes]:
-        is_continued = self._wait_for_continue()
-        if is_continued is False:
+        is_requested = self._wait_for_continue()
+        if is_requested is False:
             return
-        self._connection.settimeout(self._answer_timeout_s)
+        self._connection.settimeout(self._silence_s)
         self.is_sent = True
         yield self._body
-        if is_continued is None:
-            self._record_first_reply(self._answer_timeout_s)
+        if is_requested is None:
+            self._record_first_reply(self._silence_s)
 
     def _wait_for_continue(self) -> bool | None:
         """Return whether the server asks for the body, None if it does not reply."""
+        timeout_s = self._silence_s if self._was_honoured else self._unknown_timeout_s
         try:
-            return self._record_first_reply(self._continue_timeout_s)
+            return self._record_first_reply(timeout_s)
         except TimeoutError:
             self._tracker.record_timeout()
-            if self.was_expectation_honoured:
+            if self._was_honoured:
                 raise
             return None
 
-    def _record_first_reply(self, timeout_s: float | None) -> bool:
-        """Return whether the server's first reply is ``100 Continue``."""
-        is_continue = self._peek_status_line(timeout_s) in _CONTINUE_STATUS_LINES
-        if is_continue:
+    def _record_first_reply(self, timeout_s: float) -> bool:
+        """Return whether the server's first reply is an interim one."""
+        status_line = self._peek_status_line(timeout_s)
+        if status_line in _CONTINUE_STATUS_LINES:
             self._tracker.record_continue()
-        else:
-            self._tracker.record_ignored()
-        return is_continue
-
-    def _peek_status_line(self, timeout_s: float | None) -> bytes:
-        deadline = None if timeout_s is None else monotonic() + timeout_s
+            return True
+        status = status_line.rpartition(b" ")[2]
+        if status.startswith(_INTERIM_STATUS_PREFIX):
+            return True
+        self.has_reply = True
+        self._tracker.record_early_answer()
+        return False
+
+    def _peek_status_line(self, timeout_s: float) -> bytes:
+        deadline = monotonic() + timeout_s
         while True:
-            if deadline is not None:
-                self._connection.settimeout(max(deadline - monotonic(), 0.001))
+            remaining_s = deadline - monotonic()
+            if remaining_s <= 0:
+                raise TimeoutError
+            self._connection.settimeout(remaining_s)
             start = self._connection.recv(_STATUS_LINE_BYTES, socket.MSG_PEEK)
-            if not start:
-                raise ConnectionError("connection closed before the answer")
             if len(start) == _STATUS_LINE_BYTES:
                 return start
-            if deadline is not None and monotonic() >= deadline:
-                raise TimeoutError
+            self.has_reply = bool(start)
+            if not start or _is_closed_by_peer(self._connection):
+                raise ConnectionError("connection closed before the answer")
             sleep(_PARTIAL_LINE_POLL_S)
+
+
+def _is_closed_by_peer(connection: socket.socket) -> bool:
+    poller = select.poll()
+    poller.register(connection, select.POLLRDHUP)
+    return bool(poller.poll(0))
--- a/src/kingcupwheel/agent/adapters/handover.py
+++ b/src/kingcupwheel/agent/adapters/handover.py
@@ -10,12 +10,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BodyNotSent:
-    """The connection failed while the body was held back; ``reason`` says how.
+class RequestIncomplete:
+    """The connection failed before the server had the whole request.
 
-    ``is_proof`` is True if the server is known to wait for bodies, so that the request
-    can't have run. Otherwise something between the two ends may have replied early, or
-    the server may act on headers alone.
+    ``is_proof`` is True if the request can't have run: no byte of it was sent, or its
+    body was held back from a server that is known to wait for bodies.
     """
 
     reason: str
@@ -43,7 +42,7 @@
     reason: str
 
 
-HandoverFailure = BodyNotSent | AnswerMissing | RunNotFound
+HandoverFailure = RequestIncomplete | AnswerMissing | RunNotFound
 
 
 class NextStep(Enum):
@@ -81,9 +80,9 @@
         connection was lost, while the server is up and answers.
         """
         match failure:
-            case BodyNotSent(is_proof=is_proof):
+            case RequestIncomplete(is_proof=is_proof):
                 self._may_have_run |= not is_proof
-                return self._handle_body_not_sent(is_over)
+                return self._handle_incomplete(is_over)
             case AnswerMissing():
                 self._may_have_run = True
                 return NextStep.QUERY_SERVER
@@ -95,7 +94,7 @@
                     return NextStep.SEND_AGAIN
                 return NextStep.GIVE_UP
 
-    def _handle_body_not_sent(self, is_over: bool) -> NextStep:
+    def _handle_incomplete(self, is_over: bool) -> NextStep:
         if is_over:
             return NextStep.QUERY_SERVER if self._may_have_run else NextStep.REFUSE
         if self._is_repeatable or not self._may_have_run:
@@ -106,10 +105,10 @@
 def describe_failure(failure: HandoverFailure) -> str:
     """Return the failure in words, for logs and traces."""
     match failure:
-        case BodyNotSent(reason, is_proof=True):
-            return f"{reason}, before the body was sent"
-        case BodyNotSent(reason):
-            return f"{reason}, before the body was sent to a server that may not wait"
+        case RequestIncomplete(reason, is_proof=True):
+            return f"{reason}, before the request was sent"
+        case RequestIncomplete(reason):
+            return f"{reason}, while the body was held back"
         case AnswerMissing(reason):
             return f"{reason}, after the whole request was sent"
         case RunNotFound(reason):
--- a/src/kingcupwheel/agent/adapters/request_sender.py
+++ b/src/kingcupwheel/agent/adapters/request_sender.py
@@ -24,26 +24,32 @@
     from collections.abc import Callable
 
     from kingcupwheel.agent.adapters.cancellation import Cancellation
-    from kingcupwheel.agent.adapters.handover import BodyNotSent
     from kingcupwheel.agent.adapters.handover import Handover
+    from kingcupwheel.agent.adapters.handover import RequestIncomplete
     from kingcupwheel.agent.adapters.server_call import ServerCall
+    from kingcupwheel.agent.adapters.server_requests import ServerRequest
     from kingcupwheel.messages.attempts import Dispatch
     from kingcupwheel.settings.schema import ServerSettings
 
 logger = logging.getLogger("kingcupwheel.agent")
 
 _RETRY_INTERVAL_S = 0.2
-# A server that fails every connection for this many times ``connect_s`` is not hit by a
-# fault of single connections. The entry can then place the request on another server.
+# A server that fails this many connections in a row, for this many times ``connect_s``,
+# is not hit by a fault of single connections. The entry can then place the request on
+# another server.
+_MIN_SENDS = 3
 _GIVE_UP_CONNECT_TIMEOUTS = 3.0
 
 
 class RequestSender:
-    """Sends requests to one server; safe from any thread."""
+    """Sends requests to one server; safe from any thread.
 
-    def __init__(self, server: ServerSettings) -> None:
+    ``holds_bodies`` is for servers that never run a request whose body is incomplete.
+    """
+
+    def __init__(self, server: ServerSettings, *, holds_bodies: bool) -> None:
         self._server = server
-        self._continue_tracker = ContinueTracker()
+        self._continue_tracker = ContinueTracker() if holds_bodies else None
 
     def send(
         self,
@@ -55,7 +61,7 @@
         silence_s: float,
         on_resend: Callable[[str], None],
     ) -> Result[ServerCall, ServerUnreachable | AnswerLost | AnswerMissing]:
-        """Send the request until its body has left; wait for the head of the answer.
+        """Send the request until the server may have it; wait for the answer's head.
 
         ServerUnreachable means that the server has not run the request and never will.
         AnswerLost means that it may have, and can't be reached. ``on_resend`` is called
@@ -63,24 +69,22 @@
         """
         request = build_server_request(dispatch, run_id)
         deadline = monotonic() + self._server.connect_s * _GIVE_UP_CONNECT_TIMEOUTS
+        send_count = 0
         while True:
             connected = connect(self._server, cancellation)
             if connected.is_error():
                 return Error(_classify_connect_failure(connected.error, handover))
             call = connected.ok
-            sent = call.hand_over(
-                request,
-                self._continue_tracker,
-                silence_s=silence_s,
-                continue_timeout_s=self._server.connect_s,
-            )
+            sent = self._hand_over(call, request, silence_s)
             if sent.is_ok():
                 return Ok(call)
             call.close()
             failure = sent.error
             reason = describe_failure(failure)
             logger.warning("No answer began: %s. %s", reason, dispatch.request_id)
-            is_over = monotonic() >= deadline or cancellation.is_set()
+            send_count += 1
+            is_late = send_count >= _MIN_SENDS and monotonic() >= deadline
+            is_over = is_late or cancellation.is_set()
             match handover.handle_failure(failure, is_over=is_over):
                 case NextStep.SEND_AGAIN:
                     on_resend(reason)
@@ -90,8 +94,20 @@
                 case _:
                     return Error(_build_answer_missing(failure))
 
+    def _hand_over(
+        self, call: ServerCall, request: ServerRequest, silence_s: float
+    ) -> Result[None, RequestIncomplete | AnswerMissing]:
+        if self._continue_tracker is None:
+            return call.hand_over(request, silence_s=silence_s)
+        return call.hand_over_held(
+            request,
+            self._continue_tracker,
+            silence_s=silence_s,
+            unknown_timeout_s=self._server.connect_s,
+        )
+
 
-def _build_answer_missing(failure: BodyNotSent | AnswerMissing) -> AnswerMissing:
+def _build_answer_missing(failure: RequestIncomplete | AnswerMissing) -> AnswerMissing:
     if isinstance(failure, AnswerMissing):
         return failure
     return AnswerMissing(failure.reason, is_silent=False)
--- a/src/kingcupwheel/agent/adapters/server_call.py
+++ b/src/kingcupwheel/agent/adapters/server_call.py
@@ -17,7 +17,6 @@
 from expression import Ok
 from expression import Result
 from urllib3 import HTTPHeaderDict
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import ReadTimeoutError
 from urllib3.util import parse_url
@@ -29,8 +28,9 @@
 from kingcupwheel.agent.adapters.expectations import ContinueSupport
 from kingcupwheel.agent.adapters.expectations import HeldBody
 from kingcupwheel.agent.adapters.handover import AnswerMissing
-from kingcupwheel.agent.adapters.handover import BodyNotSent
+from kingcupwheel.agent.adapters.handover import RequestIncomplete
 from kingcupwheel.agent.adapters.server_requests import filter_visible_headers
+from kingcupwheel.utils.server_connection import ServerConnection
 
 
 if TYPE_CHECKING:
@@ -55,7 +55,9 @@
 class ServerCall:
     """Connected call; call ``send``, then ``read`` to the end, then ``close``."""
 
-    def __init__(self, connection: HTTPConnection, cancellation: Cancellation) -> None:
+    def __init__(
+        self, connection: ServerConnection, cancellation: Cancellation
+    ) -> None:
         self._connection = connection
         self._cancellation = cancellation
         self._response: HTTPResponse | None = None
@@ -104,38 +106,58 @@
         return Ok(None)
 
     def hand_over(
+        self, request: ServerRequest, *, silence_s: float
+    ) -> Result[None, RequestIncomplete | AnswerMissing]:
+        """Send a request that the server runs; wait for the response head."""
+        sent = self.send(request, silence_s=silence_s)
+        return sent.map_error(self._classify_failure)
+
+    def hand_over_held(
         self,
         request: ServerRequest,
         tracker: ContinueTracker,
         *,
         silence_s: float,
-        continue_timeout_s: float,
-    ) -> Result[None, BodyNotSent | AnswerMissing]:
-        """Send a request that the server runs; wait for the response head.
+        unknown_timeout_s: float,
+    ) -> Result[None, RequestIncomplete | AnswerMissing]:
+        """Like ``hand_over``, but hold the body back until the server asks for it.
 
-        Its body is held back until the server asks for it, unless the server is known
-        not to.
+        Only for servers that never run a request whose body is incomplete.
         """
-        is_held = tracker.support is not ContinueSupport.IGNORED
-        if not request.body or not is_held:
-            sent = self.send(request, silence_s=silence_s)
-            return sent.map_error(_build_answer_missing)
+        if not request.body or tracker.support is ContinueSupport.IGNORED:
+            return self.hand_over(request, silence_s=silence_s)
         held = HeldBody(
             request.body,
             self._connection.sock,
             tracker,
-            continue_timeout_s=continue_timeout_s,
-            answer_timeout_s=silence_s,
+            unknown_timeout_s=unknown_timeout_s,
+            silence_s=silence_s,
         )
         sent = self.send(
             _expect_continue(request, held), silence_s=silence_s, held_body=held
         )
-        if sent.is_ok() and self.response.status == EXPECTATION_FAILED_STATUS:
-            return Error(BodyNotSent("expectation failed", is_proof=True))
-        if sent.is_error() and not held.is_sent:
-            reason = _describe_failure(sent.error)
-            return Error(BodyNotSent(reason, is_proof=held.was_expectation_honoured))
-        return sent.map_error(_build_answer_missing)
+        if sent.is_error():
+            failure = self._classify_failure(sent.error)
+            if isinstance(failure, AnswerMissing) and not held.is_sent:
+                is_proof = held.is_known_incomplete
+                failure = RequestIncomplete(failure.reason, is_proof=is_proof)
+            return Error(failure)
+        if self.response.status == EXPECTATION_FAILED_STATUS and not held.is_sent:
+            tracker.record_refused()
+            return Error(RequestIncomplete("expectation refused", is_proof=True))
+        return Ok(None)
+
+    def _classify_failure(
+        self, failure: AnswerLost | SilenceTimeout
+    ) -> RequestIncomplete | AnswerMissing:
+        match failure:
+            case SilenceTimeout():
+                missing = AnswerMissing("server silent", is_silent=True)
+            case AnswerLost(detail):
+                missing = AnswerMissing(detail, is_silent=False)
+        if self._connection.is_unsent:
+            return RequestIncomplete(missing.reason, is_proof=True)
+        return missing
 
     def read(self) -> Result[bytes, AnswerLost | SilenceTimeout]:
         """Return the next bytes of the body; empty when the body is complete."""
@@ -174,7 +196,7 @@
 ) -> Result[ServerCall, ServerUnreachable]:
     """Open a connection with TCP keepalive, which detects a host that is gone."""
     url = parse_url(server.url)
-    connection = HTTPConnection(
+    connection = ServerConnection(
         url.host or "",
         url.port or _DEFAULT_HTTP_PORT,
         timeout=server.connect_s,
@@ -208,15 +230,6 @@
     ]
 
 
-def _build_answer_missing(failure: AnswerLost | SilenceTimeout) -> AnswerMissing:
-    is_silent = isinstance(failure, SilenceTimeout)
-    return AnswerMissing(_describe_failure(failure), is_silent)
-
-
-def _describe_failure(failure: AnswerLost | SilenceTimeout) -> str:
-    return failure.detail if isinstance(failure, AnswerLost) else "server silent"
-
-
 def _build_answer_lost(error: Exception) -> AnswerLost:
     return AnswerLost(_describe_error(error), has_server_crashed=False)
 
--- a/src/kingcupwheel/agent/adapters/service.py
+++ b/src/kingcupwheel/agent/adapters/service.py
@@ -77,7 +77,7 @@
 
     def __init__(self, server: ServerSettings) -> None:
         self._server = server
-        self._sender = RequestSender(server)
+        self._sender = RequestSender(server, holds_bodies=False)
 
     def start(
         self,
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -31,6 +31,12 @@
 
 
 class ServiceStandIn(HttpStandIn):
+    """Service whose clients may set its faults.
+
+    With ``acts_on_headers`` it runs a request by its headers, and closes the connection
+    without reading the body or answering.
+    """
+
     def __init__(
         self,
         *,
@@ -45,6 +51,7 @@
         self.delay_ms = delay_ms
         self.crash_on = crash_on
         self.exit_process = exit_process
+        self.acts_on_headers = False
 
 
 class ServiceHandler(Handler):
@@ -59,7 +66,14 @@
             case _:
                 self.reply_json({"path": self.path})
 
+    def handle_expect_100(self) -> bool:
+        return self.stand_in.acts_on_headers or super().handle_expect_100()
+
     def do_POST(self) -> None:  # noqa: N802
+        if self.stand_in.acts_on_headers:
+            self.stand_in.counters.record_run(dict(self.headers))
+            self.close_connection = True
+            return
         body = self.read_body()
         if self.path == "/test/set":
             self.stand_in.delay_ms = float(json.loads(body)["delay_ms"])
