--- a/src/kingcupwheel/agent/attempt_runner.py
+++ b/src/kingcupwheel/agent/attempt_runner.py
@@ -83,19 +83,34 @@
         return self._server_generation
 
     def start(self, dispatch: Dispatch) -> None:
-        """Run the attempt on a new thread."""
+        """Run the attempt on a new thread; refuse it if there is no thread for it."""
         key = get_attempt_key(dispatch)
         cancellation = Cancellation()
         with self.lock:
             generation = self._server_generation
             self._cancellations_by_key[key] = cancellation
             self._generations_by_key[key] = generation
-        Thread(
+        thread = Thread(
             target=self._run,
             args=(dispatch, cancellation, generation),
             name=f"run {key.request_id}",
             daemon=True,
-        ).start()
+        )
+        try:
+            thread.start()
+        except RuntimeError as error:
+            logger.warning("Attempt not started: %s. %s", error, key.request_id)
+            self._refuse_not_started(key)
+
+    def _refuse_not_started(self, key: AttemptKey) -> None:
+        with self.lock:
+            self._forget_run(key)
+            refusals = self.attempt_table.record_not_started(key, now=monotonic())
+        self.report_refusals(refusals)
+
+    def _forget_run(self, key: AttemptKey) -> None:
+        self._cancellations_by_key.pop(key, None)
+        self._generations_by_key.pop(key, None)
 
     def cancel(self, key: AttemptKey) -> None:
         """Cancel the attempt's work on the server."""
@@ -178,8 +193,7 @@
             self._finish(key, Outcome.UNKNOWN, 0, "internal error")
         finally:
             with self.lock:
-                self._cancellations_by_key.pop(key, None)
-                self._generations_by_key.pop(key, None)
+                self._forget_run(key)
             self.advance()
 
     def _record_resend(self, key: AttemptKey, reason: str) -> None:
--- a/tests/agent/test_failures.py
+++ b/tests/agent/test_failures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from threading import Thread
 from typing import TYPE_CHECKING
 
 from kingcupwheel.messages.attempts import Ack
@@ -22,6 +23,8 @@
 
 
 if TYPE_CHECKING:
+    import pytest
+
     from tests.agent.conftest import AgentHarness
 
 
@@ -434,3 +437,35 @@
     assert entry.wait_for_end("a").outcome is Outcome.RAN
     assert entry.get_body("a") == build_streamed_answer("a", 60)
     assert agent.wait_drained(5.0)
+
+
+def test_attempt_without_a_thread_is_refused_and_frees_its_capacity(
+    harness: AgentHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an accepted attempt that neither runs nor ends.
+
+    The operating system has no thread left for it. Its caller would wait until its
+    deadline and be told that it may have run, and its capacity would be lost for good.
+    """
+    service = harness.start_service()
+    agent = harness.start_agent(
+        service.url, adapter="service", limits=AgentLimits(concurrency=1)
+    )
+    entry = harness.start_entry(agent)
+    heartbeat = entry.wait_for_heartbeat()
+    start = Thread.start
+
+    def fail_to_start(thread: Thread) -> None:
+        if thread.name == "run r1":
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    monkeypatch.setattr(Thread, "start", fail_to_start)
+
+    entry.send(build_dispatch_for(heartbeat, "r1"))
+    refusal = entry.wait_for_refusal("r1")
+    entry.send(build_dispatch_for(heartbeat, "r2"))
+    end = entry.wait_for_end("r2")
+
+    assert refusal.reason is DispatchRefusal.FULL
+    assert end.outcome is Outcome.RAN
