--- /dev/null
+++ b/tests/entry/test_resends.py
@@ -0,0 +1,65 @@
+"""Requests that may not be repeated, sent again with the same key, with processes."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+from features.world import RESERVATIONS_PATH
+from features.world import TIMINGS
+from features.world import World
+from features.world import build_manifest
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+KEY = "key-1"
+SERVICE = "service-1"
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    found = World()
+    try:
+        yield found
+    finally:
+        found.close()
+
+
+def start_fleet(world: World, *entries: str) -> None:
+    world.fleet.add_agent(SERVICE, "portal", kind="service")
+    for entry in entries:
+        world.fleet.add_entry(entry)
+    assert world.fleet.submit_manifest(build_manifest()).returncode == 0
+    world.fleet.wait_until_configured()
+
+
+def send(world: World, name: str, entry: str) -> None:
+    body = {"part": "PN-1"}
+    world.start_call(name, entry, RESERVATIONS_PATH, body, idempotency_key=KEY)
+
+
+def test_resend_gets_the_answer_of_a_run_that_is_longer_than_the_agents_time_out(
+    world: World,
+) -> None:
+    """Guards against an unknown outcome while the run goes on at a live agent.
+
+    The agent sends a resumed attempt nothing before its head, so the entry declares
+    the live agent silent and records that for every later send of the key.
+    """
+    start_fleet(world, "entry-1", "entry-2")
+    delay_s = TIMINGS["give_up_s"] + 2.0
+    world.fleet.set_server_faults(SERVICE, delay_ms=1000 * delay_s)
+    send(world, "first", "entry-1")
+    deadline = time.monotonic() + delay_s
+    while not world.count_runs_by_idempotency_key() and time.monotonic() < deadline:
+        time.sleep(0.05)
+
+    send(world, "again", "entry-2")
+    first, again = world.require_reply("first"), world.require_reply("again")
+
+    assert (first.status, first.outcome) == (200, "ran")
+    assert (again.status, again.outcome, again.body) == (200, "ran", first.body)
+    assert world.count_runs_by_idempotency_key() == {KEY: 1}
