--- a/tests/entry/test_resends.py
+++ b/tests/entry/test_resends.py
@@ -63,3 +63,28 @@
     assert (first.status, first.outcome) == (200, "ran")
     assert (again.status, again.outcome, again.body) == (200, "ran", first.body)
     assert world.count_runs_by_idempotency_key() == {KEY: 1}
+
+
+def test_resend_of_a_refused_request_runs_after_its_agent_has_restarted(
+    world: World,
+) -> None:
+    """Guards against an unknown outcome of a request that certainly never ran.
+
+    Its agent refuses it, as the server is unreachable, and the caller is told not-run.
+    The claim still names the agent's incarnation, which then ends.
+    """
+    start_fleet(world, "entry-1")
+    world.fleet.agents[SERVICE].server.kill()
+    send(world, "refused", "entry-1")
+    refused = world.require_reply("refused")
+    world.fleet.restart_server(SERVICE)
+    world.fleet.agents[SERVICE].process.kill()
+    world.fleet.restart_agent(SERVICE)
+    time.sleep(TIMINGS["gone_s"])
+
+    send(world, "again", "entry-1")
+    again = world.require_reply("again")
+
+    assert (refused.status, refused.outcome) == (503, "not-run")
+    assert (again.status, again.outcome) == (200, "ran")
+    assert world.count_runs_by_idempotency_key() == {KEY: 1}
