--- a/tests/agent/test_failures.py
+++ b/tests/agent/test_failures.py
@@ -6,6 +6,9 @@
 from typing import TYPE_CHECKING
 
 from kingcupwheel.messages.attempts import Ack
+from kingcupwheel.messages.attempts import AttemptAccepted
+from kingcupwheel.messages.attempts import AttemptEnd
+from kingcupwheel.messages.attempts import AttemptRefused
 from kingcupwheel.messages.attempts import AttemptUnknown
 from kingcupwheel.messages.attempts import CancelRequest
 from kingcupwheel.messages.attempts import ClaimRef
@@ -13,6 +16,7 @@
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.messages.attempts import ResumeRequest
 from kingcupwheel.messages.attempts import RunningAttempts
+from kingcupwheel.messages.base import Message
 from kingcupwheel.messages.membership import AgentHeartbeat
 from kingcupwheel.settings.schema import AgentLimits
 from tests.agent.builders import build_dispatch_for
@@ -469,3 +473,29 @@
 
     assert refusal.reason is DispatchRefusal.FULL
     assert end.outcome is Outcome.RAN
+
+
+def test_attempt_cancelled_before_its_request_is_sent_is_refused(
+    harness: AgentHarness,
+) -> None:
+    """Guards against an unknown outcome of a request that was never sent.
+
+    The engine is silent, so the agent still asks for its state when the caller leaves
+    and the attempt is cancelled. It must end as not run.
+    """
+    engine = harness.start_engine()
+    relay = harness.start_relay(engine.address)
+    relay.set_mode(RelayMode.FREEZE_ALL)
+    entry = harness.start_entry(harness.start_agent(relay.url))
+    entry.send(build_dispatch_for(entry.wait_for_heartbeat(), "r1"))
+    entry.wait_for(AttemptAccepted)
+
+    entry.send(CancelRequest("r1", 1))
+    entry.resume("r1", credit=1_000)
+    answer = entry.wait_for(
+        Message, lambda message: isinstance(message, AttemptRefused | AttemptEnd)
+    )
+
+    assert engine.counters.get_counts()["by_request_id"] == {}
+    assert isinstance(answer, AttemptRefused), answer
+    assert answer.reason is DispatchRefusal.CANCELLED
