--- a/src/kingcupwheel/agent/attempt_runner.py
+++ b/src/kingcupwheel/agent/attempt_runner.py
@@ -237,7 +237,12 @@
     ) -> None:
         if isinstance(error, ServerUnreachable):
             with self.lock:
-                refusals = self.attempt_table.record_unreachable(key, now=monotonic())
+                record = (
+                    self.attempt_table.record_cancelled
+                    if cancellation.is_set()
+                    else self.attempt_table.record_unreachable
+                )
+                refusals = record(key, now=monotonic())
             self.report_refusals(refusals)
             return
         if cancellation.is_set():
--- a/src/kingcupwheel/agent/attempt_table.py
+++ b/src/kingcupwheel/agent/attempt_table.py
@@ -170,6 +170,10 @@
         """Record that the attempt failed to connect to the server; refuse it."""
         return self._refuse_running(key, DispatchRefusal.SERVER_UNREACHABLE, now)
 
+    def record_cancelled(self, key: AttemptKey, *, now: float) -> list[RefusalDecision]:
+        """Record that the attempt was cancelled before it was sent; refuse it."""
+        return self._refuse_running(key, DispatchRefusal.CANCELLED, now)
+
     def record_not_started(
         self, key: AttemptKey, *, now: float
     ) -> list[RefusalDecision]:
