--- a/src/kingcupwheel/agent/answer_store.py
+++ b/src/kingcupwheel/agent/answer_store.py
@@ -119,6 +119,12 @@
             is_buffered = key in self._by_key
             return is_buffered or self._find_ended_answer(key) is not None
 
+    def is_awaited(self, key: AttemptKey) -> bool:
+        """Return whether the attempt was accepted and its answer has not begun."""
+        with self._changed:
+            answer = self._by_key.get(key)
+            return answer is not None and answer.head is None and answer.end is None
+
     def find_key(self, attempt_key: AttemptKey, link: Link) -> AttemptKey | None:
         """Return the key of the answer sent to ``link`` as ``attempt_key``, or None."""
         with self._changed:
--- a/src/kingcupwheel/agent/attempt_handler.py
+++ b/src/kingcupwheel/agent/attempt_handler.py
@@ -145,6 +145,12 @@
         subscriber = Subscriber(
             attempt_key, link, message.offset, message.offset, message.credit
         )
+        if self._store.is_awaited(accepted_key):
+            # Without a reply, an entry that joins the attempt would declare the agent
+            # silent, and the outcome unknown, while the server is at work.
+            with self._runner.lock:
+                is_running = self._runner.attempt_table.is_running(accepted_key)
+            self._send(link, AttemptAccepted(*attempt_key, is_running))
         older_links = self._entry_links.list_older_links(link)
         if self._store.subscribe(accepted_key, subscriber, older_links=older_links):
             event = AttemptResumed(
--- a/src/kingcupwheel/agent/attempt_table.py
+++ b/src/kingcupwheel/agent/attempt_table.py
@@ -102,6 +102,10 @@
         """Return the reason of the attempt's refusal, or None."""
         return self._history.get_refusal(key)
 
+    def is_running(self, key: AttemptKey) -> bool:
+        """Return whether the attempt is running."""
+        return key in self._running
+
     def is_cancelled(self, key: AttemptKey) -> bool:
         """Return whether a cancel was recorded before the attempt's dispatch."""
         return self._history.is_cancelled(key)
