--- a/src/kingcupwheel/agent/adapters/expectations.py
+++ b/src/kingcupwheel/agent/adapters/expectations.py
@@ -14,6 +14,7 @@
 from time import monotonic
 from time import sleep
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 
 if TYPE_CHECKING:
@@ -86,13 +87,24 @@
                 self._support = ContinueSupport.UNKNOWN
 
 
+class HoldTimeouts(NamedTuple):
+    """How long a body is held back, in seconds.
+
+    ``unasked_s`` is for a server that may ignore the expectation: it is sent the body
+    then. A server that is known to honour it has ``silent_s``, after which the
+    connection is given up, unless ``silent_s`` is None.
+    """
+
+    unasked_s: float
+    silent_s: float | None
+
+
 class HeldBody:
     """Request body that is yielded once the server has replied ``100 Continue``.
 
-    Iterate it after the headers were sent on ``connection``. A server that is not known
-    to honour the expectation gets the body after ``unknown_timeout_s``, a known one has
-    ``silence_s`` to reply. Raises TimeoutError or ConnectionError if the body must not
-    be sent. Replies are left on the connection for the HTTP client to read.
+    Iterate it after the headers were sent on ``connection``. Raises TimeoutError or
+    ConnectionError if the body must not be sent. Replies are left on the connection for
+    the HTTP client to read; the answer has to begin within ``silence_s``.
 
     ``has_reply`` is True once the server's final answer has begun.
     """
@@ -102,8 +114,8 @@
         body: bytes,
         connection: socket.socket,
         tracker: ContinueTracker,
+        timeouts: HoldTimeouts,
         *,
-        unknown_timeout_s: float,
         silence_s: float,
     ) -> None:
         self.is_sent = False
@@ -112,7 +124,8 @@
         self._connection = connection
         self._tracker = tracker
         self._was_honoured = tracker.support is ContinueSupport.HONOURED
-        self._unknown_timeout_s = unknown_timeout_s
+        self._silent_s = timeouts.silent_s if self._was_honoured else None
+        self._unasked_s = timeouts.unasked_s
         self._silence_s = silence_s
 
     @property
@@ -137,12 +150,12 @@
 
     def _wait_for_continue(self) -> bool | None:
         """Return whether the server asks for the body, None if it does not reply."""
-        timeout_s = self._silence_s if self._was_honoured else self._unknown_timeout_s
+        timeout_s = self._unasked_s if self._silent_s is None else self._silent_s
         try:
             return self._record_first_reply(timeout_s)
         except TimeoutError:
             self._tracker.record_timeout()
-            if self._was_honoured:
+            if self._silent_s is not None:
                 raise
             return None
 
--- a/src/kingcupwheel/agent/adapters/handover.py
+++ b/src/kingcupwheel/agent/adapters/handover.py
@@ -14,11 +14,13 @@
     """The connection failed before the server had the whole request.
 
     ``is_proof`` is True if the request can't have run: no byte of it was sent, or its
-    body was held back from a server that is known to wait for bodies.
+    body was held back from a server that is known to wait for bodies. ``is_silent`` is
+    True if the connection stayed open without a byte.
     """
 
     reason: str
     is_proof: bool
+    is_silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/kingcupwheel/agent/adapters/request_sender.py
+++ b/src/kingcupwheel/agent/adapters/request_sender.py
@@ -13,6 +13,7 @@
 from kingcupwheel.agent.adapters.base import AnswerLost
 from kingcupwheel.agent.adapters.base import ServerUnreachable
 from kingcupwheel.agent.adapters.expectations import ContinueTracker
+from kingcupwheel.agent.adapters.expectations import HoldTimeouts
 from kingcupwheel.agent.adapters.handover import AnswerMissing
 from kingcupwheel.agent.adapters.handover import NextStep
 from kingcupwheel.agent.adapters.handover import describe_failure
@@ -37,8 +38,11 @@
 # A server that fails this many connections in a row, for this many times ``connect_s``,
 # is not hit by a fault of single connections. The entry can then place the request on
 # another server.
-_MIN_SENDS = 3
+_MIN_SENDS = 5
 _GIVE_UP_CONNECT_TIMEOUTS = 3.0
+# Times ``connect_s`` for a known server to ask for a body. One that is busy for longer
+# gets the next body unasked, so that its requests do not lose their place for good.
+_HOLD_CONNECT_TIMEOUTS = 3.0
 
 
 class RequestSender:
@@ -70,12 +74,15 @@
         request = build_server_request(dispatch, run_id)
         deadline = monotonic() + self._server.connect_s * _GIVE_UP_CONNECT_TIMEOUTS
         send_count = 0
+        has_been_silent = False
         while True:
             connected = connect(self._server, cancellation)
             if connected.is_error():
                 return Error(_classify_connect_failure(connected.error, handover))
             call = connected.ok
-            sent = self._hand_over(call, request, silence_s)
+            sent = self._hand_over(
+                call, request, silence_s, may_hold=not has_been_silent
+            )
             if sent.is_ok():
                 return Ok(call)
             call.close()
@@ -83,6 +90,7 @@
             reason = describe_failure(failure)
             logger.warning("No answer began: %s. %s", reason, dispatch.request_id)
             send_count += 1
+            has_been_silent = has_been_silent or failure.is_silent
             is_late = send_count >= _MIN_SENDS and monotonic() >= deadline
             is_over = is_late or cancellation.is_set()
             match handover.handle_failure(failure, is_over=is_over):
@@ -95,15 +103,20 @@
                     return Error(_build_answer_missing(failure))
 
     def _hand_over(
-        self, call: ServerCall, request: ServerRequest, silence_s: float
+        self,
+        call: ServerCall,
+        request: ServerRequest,
+        silence_s: float,
+        *,
+        may_hold: bool,
     ) -> Result[None, RequestIncomplete | AnswerMissing]:
         if self._continue_tracker is None:
             return call.hand_over(request, silence_s=silence_s)
+        connect_s = self._server.connect_s
+        silent_s = min(silence_s, connect_s * _HOLD_CONNECT_TIMEOUTS)
+        timeouts = HoldTimeouts(connect_s, silent_s if may_hold else None)
         return call.hand_over_held(
-            request,
-            self._continue_tracker,
-            silence_s=silence_s,
-            unknown_timeout_s=self._server.connect_s,
+            request, self._continue_tracker, timeouts, silence_s=silence_s
         )
 
 
--- a/src/kingcupwheel/agent/adapters/server_call.py
+++ b/src/kingcupwheel/agent/adapters/server_call.py
@@ -38,6 +38,7 @@
 
     from kingcupwheel.agent.adapters.cancellation import Cancellation
     from kingcupwheel.agent.adapters.expectations import ContinueTracker
+    from kingcupwheel.agent.adapters.expectations import HoldTimeouts
     from kingcupwheel.agent.adapters.server_requests import ServerRequest
     from kingcupwheel.settings.schema import ServerSettings
 
@@ -116,9 +117,9 @@
         self,
         request: ServerRequest,
         tracker: ContinueTracker,
+        timeouts: HoldTimeouts,
         *,
         silence_s: float,
-        unknown_timeout_s: float,
     ) -> Result[None, RequestIncomplete | AnswerMissing]:
         """Like ``hand_over``, but hold the body back until the server asks for it.
 
@@ -130,7 +131,7 @@
             request.body,
             self._connection.sock,
             tracker,
-            unknown_timeout_s=unknown_timeout_s,
+            timeouts,
             silence_s=silence_s,
         )
         sent = self.send(
@@ -140,7 +141,9 @@
             failure = self._classify_failure(sent.error)
             if isinstance(failure, AnswerMissing) and not held.is_sent:
                 is_proof = held.is_known_incomplete
-                failure = RequestIncomplete(failure.reason, is_proof=is_proof)
+                failure = RequestIncomplete(
+                    failure.reason, is_proof=is_proof, is_silent=failure.is_silent
+                )
             return Error(failure)
         if self.response.status == EXPECTATION_FAILED_STATUS and not held.is_sent:
             tracker.record_refused()
@@ -156,7 +159,9 @@
             case AnswerLost(detail):
                 missing = AnswerMissing(detail, is_silent=False)
         if self._connection.is_unsent:
-            return RequestIncomplete(missing.reason, is_proof=True)
+            return RequestIncomplete(
+                missing.reason, is_proof=True, is_silent=missing.is_silent
+            )
         return missing
 
     def read(self) -> Result[bytes, AnswerLost | SilenceTimeout]:
