--- a/src/kingcupwheel/entry/request_runner.py
+++ b/src/kingcupwheel/entry/request_runner.py
@@ -6,6 +6,7 @@
 
 from kingcupwheel.claims.claim_records import StoredClaim
 from kingcupwheel.entry.answer_assembler import AnswerEnded
+from kingcupwheel.entry.answer_assembler import AttemptNotStarted
 from kingcupwheel.entry.answer_assembler import HeadReceived
 from kingcupwheel.entry.answer_head_waiter import AnswerHeadWaiter
 from kingcupwheel.entry.answer_head_waiter import WaitAbandoned
@@ -130,7 +131,9 @@
             if isinstance(resolution, ClaimAvailable):
                 held_claim = resolution.held_claim
                 continue
-            return self._answer_from_earlier_run(admitted, attempts, resolution)
+            answer = self._answer_from_earlier_run(admitted, attempts, resolution)
+            if answer is not None:
+                return answer
 
     def _run_claimed(
         self,
@@ -176,7 +179,12 @@
         admitted: AdmittedRequest,
         attempts: AttemptDispatcher,
         resolution: ClaimRefused | EarlierRun,
-    ) -> Answer:
+    ) -> Answer | None:
+        """Return the answer or refusal, None if the earlier run did not take place.
+
+        Its agent may refuse it while it is queued there. The claim is then resolved
+        again.
+        """
         if isinstance(resolution, ClaimRefused):
             return self._give_up(admitted, resolution.refusal)
         reader = resolution.reader
@@ -199,11 +207,8 @@
                 )
             case WaitAbandoned():
                 return self._give_up(admitted, build_wait_abandoned_refusal())
-            case _:
-                detail = "its server did not run it"
-                return self._give_up(
-                    admitted, build_earlier_send_refusal(Outcome.UNKNOWN, detail)
-                )
+            case AttemptNotStarted():
+                return None
 
     def _wait_for_head(self, resolution: EarlierRun) -> HeadWaitResult:
         match resolution.first_step:
