--- a/src/kingcupwheel/entry/claim_resolver.py
+++ b/src/kingcupwheel/entry/claim_resolver.py
@@ -151,9 +151,10 @@
     def record_final_outcome(
         self, held_claim: StoredClaim, outcome: Outcome, reason: str
     ) -> None:
-        """Record the final outcome; a failure to write it is harmless.
+        """Record the outcome of the claim's dispatches; a failed write is harmless.
 
-        The next reader of the claim finds the same lost agent and reports the same.
+        The next reader of the claim queries the same agent. ``NOT_RUN`` is recorded
+        because that agent may have restarted by then, and its refusals with it.
         """
         record = msgspec.structs.replace(
             held_claim.record,
@@ -168,6 +169,8 @@
         record = held_claim.record
         if record.body_digest != self._request.body_digest:
             return ClaimRefused(IDEMPOTENCY_KEY_REUSED)
+        if record.final_outcome is Outcome.NOT_RUN:
+            return ClaimAvailable(held_claim)
         if record.final_outcome is not None:
             return ClaimRefused(
                 build_earlier_send_refusal(record.final_outcome, record.reason)
--- a/src/kingcupwheel/entry/request_runner.py
+++ b/src/kingcupwheel/entry/request_runner.py
@@ -114,7 +114,7 @@
         while True:
             reservation = attempts.reserve_server()
             if isinstance(reservation, Refusal):
-                return self._give_up(admitted, reservation)
+                return self._give_up_claim(admitted, claims, held_claim, reservation)
             acquired = claims.acquire(reservation, attempts.count, held_claim)
             if isinstance(acquired, StoredClaim):
                 held_claim = acquired
@@ -153,7 +153,9 @@
         if isinstance(step, AnswerEnded):
             claims.record_final_outcome(held_claim, Outcome.UNKNOWN, step.detail)
         refusal = self._retries.handle_failed_attempt(step, attempts, reservation)
-        return None if refusal is None else self._give_up(admitted, refusal)
+        if refusal is None:
+            return None
+        return self._give_up_claim(admitted, claims, held_claim, refusal)
 
     def _resolve_claim(
         self, claims: ClaimResolver
@@ -240,6 +242,17 @@
         self._context.inboxes.close(reader.inbox)
         attempts.release(reservation)
 
+    def _give_up_claim(
+        self,
+        admitted: AdmittedRequest,
+        claims: ClaimResolver,
+        held_claim: StoredClaim | None,
+        refusal: Refusal,
+    ) -> RefusedAnswer:
+        if held_claim is not None and not self._retries.may_have_run:
+            claims.record_final_outcome(held_claim, Outcome.NOT_RUN, refusal.reason)
+        return self._give_up(admitted, refusal)
+
     def _give_up(self, admitted: AdmittedRequest, refusal: Refusal) -> RefusedAnswer:
         # After an attempt that may have run, the outcome can't be ``not-run``.
         may_have_run = self._retries.may_have_run
