--- a/src/kingcupwheel/agent/adapters/engine.py
+++ b/src/kingcupwheel/agent/adapters/engine.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import TYPE_CHECKING
 
 from expression import Error
@@ -179,6 +180,7 @@
             cancellation,
             silence_s=self._server.silence_s,
             on_resend=on_resend,
+            has_restarted=partial(self._has_restarted, incarnation, cancellation),
         )
         if sent.is_ok():
             return Ok(sent.ok)
@@ -207,6 +209,11 @@
             return Error(AnswerLost(failure.reason, has_server_crashed=False))
         return Error(failure)
 
+    def _has_restarted(self, incarnation: str, cancellation: Cancellation) -> bool:
+        """Return whether the engine replies with another incarnation."""
+        state = self._client.state(cancellation)
+        return bool(incarnation and state and state.incarnation != incarnation)
+
     def _open_answer(
         self,
         call: ServerCall,
--- a/src/kingcupwheel/agent/adapters/handover.py
+++ b/src/kingcupwheel/agent/adapters/handover.py
@@ -14,12 +14,14 @@
     """The connection failed before the server had the whole request.
 
     ``is_proof`` is True if the request can't have run: no byte of it was sent, or its
-    body was held back from a server that is known to wait for bodies. ``is_silent`` is
-    True if the connection stayed open without a byte.
+    body was held back from a server that is known to wait for bodies. ``is_begun`` is
+    True if its headers may have arrived, ``is_silent`` if the connection stayed open
+    without a byte.
     """
 
     reason: str
     is_proof: bool
+    is_begun: bool = True
     is_silent: bool = False
 
 
@@ -68,6 +70,12 @@
         self._is_repeatable = is_repeatable
         self._lost_count = 0
         self._may_have_run = False
+        self._has_begun = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the request may have reached the server, and crashed it."""
+        return self._has_begun
 
     @property
     def may_have_run(self) -> bool:
@@ -81,8 +89,10 @@
         can run. A repeatable one is also sent again if the server does not have it: its
         connection was lost, while the server is up and answers.
         """
+        self._has_begun |= not isinstance(failure, RequestIncomplete)
         match failure:
-            case RequestIncomplete(is_proof=is_proof):
+            case RequestIncomplete(is_proof=is_proof, is_begun=is_begun):
+                self._has_begun |= is_begun
                 self._may_have_run |= not is_proof
                 return self._handle_incomplete(is_over)
             case AnswerMissing():
--- a/src/kingcupwheel/agent/adapters/request_sender.py
+++ b/src/kingcupwheel/agent/adapters/request_sender.py
@@ -64,12 +64,14 @@
         *,
         silence_s: float,
         on_resend: Callable[[str], None],
+        has_restarted: Callable[[], bool] = lambda: False,
     ) -> Result[ServerCall, ServerUnreachable | AnswerLost | AnswerMissing]:
         """Send the request until the server may have it; wait for the answer's head.
 
         ServerUnreachable means that the server has not run the request and never will.
-        AnswerLost means that it may have, and can't be reached. ``on_resend`` is called
-        with the reason before the request is sent again.
+        AnswerLost means that it may have and can't be reached, or that it crashed, maybe
+        of the headers. ``on_resend`` is called with the reason before the request is
+        sent again, unless ``has_restarted`` tells that the server has.
         """
         request = build_server_request(dispatch, run_id)
         deadline = monotonic() + self._server.connect_s * _GIVE_UP_CONNECT_TIMEOUTS
@@ -95,8 +97,10 @@
             is_over = is_late or cancellation.is_set()
             match handover.handle_failure(failure, is_over=is_over):
                 case NextStep.SEND_AGAIN:
-                    on_resend(reason)
                     cancellation.wait(_RETRY_INTERVAL_S)
+                    if handover.has_begun and has_restarted():
+                        return Error(AnswerLost("server restarted", True))
+                    on_resend(reason)
                 case NextStep.REFUSE:
                     return Error(ServerUnreachable(reason, is_connection_refused=False))
                 case _:
@@ -129,6 +133,7 @@
 def _classify_connect_failure(
     failure: ServerUnreachable, handover: Handover
 ) -> ServerUnreachable | AnswerLost:
-    if not handover.may_have_run:
-        return failure
-    return AnswerLost(failure.detail, has_server_crashed=failure.is_connection_refused)
+    has_crashed = handover.has_begun and failure.is_connection_refused
+    if handover.may_have_run or has_crashed:
+        return AnswerLost(failure.detail, has_server_crashed=has_crashed)
+    return failure
--- a/src/kingcupwheel/agent/adapters/server_call.py
+++ b/src/kingcupwheel/agent/adapters/server_call.py
@@ -160,7 +160,10 @@
                 missing = AnswerMissing(detail, is_silent=False)
         if self._connection.is_unsent:
             return RequestIncomplete(
-                missing.reason, is_proof=True, is_silent=missing.is_silent
+                missing.reason,
+                is_proof=True,
+                is_begun=False,
+                is_silent=missing.is_silent,
             )
         return missing
 
--- a/tests/agent/test_handover.py
+++ b/tests/agent/test_handover.py
@@ -234,6 +234,29 @@
     assert told is not Outcome.RAN or body in answers
 
 
+def test_late_copy_is_cancelled_once_the_answer_is_complete(
+    harness: AgentHarness,
+) -> None:
+    """Guards against an engine that is kept busy by a copy nobody reads.
+
+    The stopped copy is delivered while the answer of the second send is streamed, so
+    that it would run on after the answer's end.
+    """
+    engine = harness.start_engine(step_ms=20.0)
+    relay, entry = connect_entry(harness, engine, silence_s=ENGINE_SILENCE_S)
+
+    send_stopped(relay, entry, StopPoint.BODY, StopAction.CLOSE_CALLER)
+    entry.wait_for_bytes("a", 1)
+    relay.deliver_held()
+    wait_until(lambda: engine.find_run("a-1") is not None, "the late copy to run")
+    assert entry.wait_for_end("a").outcome is Outcome.RAN
+
+    late = engine.find_run("a-1")
+    assert late is not None
+    wait_until(lambda: late.is_cancelled or late.is_done, "the end of the late copy")
+    assert late.is_cancelled
+
+
 @pytest.mark.parametrize("claim", [None, CLAIM])
 @pytest.mark.parametrize("point", [StopPoint.BODY, StopPoint.WHOLE])
 def test_restarted_engine_is_not_sent_the_request_again(
@@ -254,3 +277,43 @@
 
     assert told is not Outcome.RAN
     assert count_runs(engine) == (1 if point is StopPoint.WHOLE else 0)
+
+
+def test_engine_that_dies_while_the_body_is_held_back_names_its_suspect(
+    harness: AgentHarness,
+) -> None:
+    """Guards against a request that crashes one engine after another unsuspected.
+
+    The engine dies of the headers: their connection is closed and new ones are refused.
+    Entries that aren't told of the suspect place it on the next engine.
+    """
+    engine = harness.start_engine()
+    relay, entry = connect_entry(harness, engine)
+    run_request(entry, "earlier")
+
+    send_stopped(relay, entry, StopPoint.UNREAD, StopAction.HOLD)
+    relay.stop()
+
+    heartbeat = entry.wait_for(AgentHeartbeat, lambda message: bool(message.crashed))
+    assert [name for name, _ in heartbeat.crashed] == ["print of a"]
+    assert entry.wait_for_outcome("a") is Outcome.UNKNOWN
+
+
+def test_engine_that_restarts_while_the_body_is_held_back_is_not_sent_it_again(
+    harness: AgentHarness,
+) -> None:
+    """Guards against a request that crashes the same engine again and again.
+
+    The engine dies of the headers and is back before the agent connects again.
+    """
+    engine = harness.start_engine()
+    relay, entry = connect_entry(harness, engine, silence_s=ENGINE_SILENCE_S)
+    run_request(entry, "earlier")
+
+    heartbeat = entry.wait_for_heartbeat()
+    relay.stop_next_request(StopPoint.UNREAD, StopAction.CLOSE)
+    engine.incarnation = "restarted"
+    entry.send(build_dispatch_for(heartbeat, "a"))
+
+    assert entry.wait_for_outcome("a") is Outcome.UNKNOWN
+    assert count_runs(engine) == 0
