--- a/src/kingcupwheel/agent/adapters/request_sender.py
+++ b/src/kingcupwheel/agent/adapters/request_sender.py
@@ -69,9 +69,9 @@
         """Send the request until the server may have it; wait for the answer's head.
 
         ServerUnreachable means that the server has not run the request and never will.
-        AnswerLost means that it may have and can't be reached, or that it crashed, maybe
-        of the headers. ``on_resend`` is called with the reason before the request is
-        sent again, unless ``has_restarted`` tells that the server has.
+        AnswerLost means that it may have and can't be reached, or that it crashed. A
+        server that ``has_restarted`` is not sent the request again: it may have died of
+        the headers. ``on_resend`` is called with the reason before another send.
         """
         request = build_server_request(dispatch, run_id)
         deadline = monotonic() + self._server.connect_s * _GIVE_UP_CONNECT_TIMEOUTS
