--- a/src/kingcupwheel/agent/adapters/engine.py
+++ b/src/kingcupwheel/agent/adapters/engine.py
@@ -27,6 +27,7 @@
 from kingcupwheel.agent.adapters.handover import NextStep
 from kingcupwheel.agent.adapters.handover import RunNotFound
 from kingcupwheel.agent.adapters.request_sender import RequestSender
+from kingcupwheel.agent.adapters.request_sender import ServerCheck
 from kingcupwheel.agent.adapters.server_call import SilenceTimeout
 from kingcupwheel.agent.adapters.server_requests import REQUEST_ID_HEADER
 from kingcupwheel.agent.adapters.server_requests import build_run_id
@@ -50,6 +51,9 @@
 # A request whose connection has failed may still lie unread at the engine. A second
 # send before it is read would make the engine run it twice.
 _NOT_FOUND_TIMEOUT_S = 1.0
+# One query may hit the same fault as the request did.
+_CHECK_QUERY_COUNT = 3
+_CHECK_RETRY_INTERVAL_S = 0.2
 
 
 class EngineAnswer:
@@ -180,7 +184,7 @@
             cancellation,
             silence_s=self._server.silence_s,
             on_resend=on_resend,
-            has_restarted=partial(self._has_restarted, incarnation, cancellation),
+            check_server=partial(self._check, incarnation, cancellation),
         )
         if sent.is_ok():
             return Ok(sent.ok)
@@ -209,10 +213,14 @@
             return Error(AnswerLost(failure.reason, has_server_crashed=False))
         return Error(failure)
 
-    def _has_restarted(self, incarnation: str, cancellation: Cancellation) -> bool:
-        """Return whether the engine replies with another incarnation."""
-        state = self._client.state(cancellation)
-        return bool(incarnation and state and state.incarnation != incarnation)
+    def _check(self, incarnation: str, cancellation: Cancellation) -> ServerCheck:
+        for _ in range(_CHECK_QUERY_COUNT):
+            state = self._client.state(cancellation)
+            if state is not None:
+                is_same = incarnation in ("", state.incarnation)
+                return ServerCheck.SAME if is_same else ServerCheck.RESTARTED
+            cancellation.wait(_CHECK_RETRY_INTERVAL_S)
+        return ServerCheck.SILENT
 
     def _open_answer(
         self,
--- a/src/kingcupwheel/agent/adapters/expectations.py
+++ b/src/kingcupwheel/agent/adapters/expectations.py
@@ -91,12 +91,12 @@
     """How long a body is held back, in seconds.
 
     ``unasked_s`` is for a server that may ignore the expectation: it is sent the body
-    then. A server that is known to honour it has ``silent_s``, after which the
-    connection is given up, unless ``silent_s`` is None.
+    then. A server that is known to honour it has ``silence_s``, after which the
+    connection is given up.
     """
 
     unasked_s: float
-    silent_s: float | None
+    silence_s: float
 
 
 class HeldBody:
@@ -104,7 +104,7 @@
 
     Iterate it after the headers were sent on ``connection``. Raises TimeoutError or
     ConnectionError if the body must not be sent. Replies are left on the connection for
-    the HTTP client to read; the answer has to begin within ``silence_s``.
+    the HTTP client to read.
 
     ``has_reply`` is True once the server's final answer has begun.
     """
@@ -115,8 +115,6 @@
         connection: socket.socket,
         tracker: ContinueTracker,
         timeouts: HoldTimeouts,
-        *,
-        silence_s: float,
     ) -> None:
         self.is_sent = False
         self.has_reply = False
@@ -124,9 +122,7 @@
         self._connection = connection
         self._tracker = tracker
         self._was_honoured = tracker.support is ContinueSupport.HONOURED
-        self._silent_s = timeouts.silent_s if self._was_honoured else None
-        self._unasked_s = timeouts.unasked_s
-        self._silence_s = silence_s
+        self._timeouts = timeouts
 
     @property
     def length(self) -> int:
@@ -142,20 +138,21 @@
         is_requested = self._wait_for_continue()
         if is_requested is False:
             return
-        self._connection.settimeout(self._silence_s)
+        self._connection.settimeout(self._timeouts.silence_s)
         self.is_sent = True
         yield self._body
         if is_requested is None:
-            self._record_first_reply(self._silence_s)
+            self._record_first_reply(self._timeouts.silence_s)
 
     def _wait_for_continue(self) -> bool | None:
         """Return whether the server asks for the body, None if it does not reply."""
-        timeout_s = self._unasked_s if self._silent_s is None else self._silent_s
+        unasked_s, silence_s = self._timeouts
+        timeout_s = silence_s if self._was_honoured else unasked_s
         try:
             return self._record_first_reply(timeout_s)
         except TimeoutError:
             self._tracker.record_timeout()
-            if self._silent_s is not None:
+            if self._was_honoured:
                 raise
             return None
 
--- a/src/kingcupwheel/agent/adapters/request_sender.py
+++ b/src/kingcupwheel/agent/adapters/request_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from enum import Enum
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -40,9 +41,14 @@
 # another server.
 _MIN_SENDS = 5
 _GIVE_UP_CONNECT_TIMEOUTS = 3.0
-# Times ``connect_s`` for a known server to ask for a body. One that is busy for longer
-# gets the next body unasked, so that its requests do not lose their place for good.
-_HOLD_CONNECT_TIMEOUTS = 3.0
+
+
+class ServerCheck(Enum):
+    """Result of a query on a new connection."""
+
+    SAME = "same incarnation"
+    RESTARTED = "restarted"
+    SILENT = "silent"
 
 
 class RequestSender:
@@ -64,27 +70,24 @@
         *,
         silence_s: float,
         on_resend: Callable[[str], None],
-        has_restarted: Callable[[], bool] = lambda: False,
+        check_server: Callable[[], ServerCheck] = lambda: ServerCheck.SAME,
     ) -> Result[ServerCall, ServerUnreachable | AnswerLost | AnswerMissing]:
         """Send the request until the server may have it; wait for the answer's head.
 
         ServerUnreachable means that the server has not run the request and never will.
-        AnswerLost means that it may have and can't be reached, or that it crashed. A
-        server that ``has_restarted`` is not sent the request again: it may have died of
-        the headers. ``on_resend`` is called with the reason before another send.
+        AnswerLost means that it may have and can't be reached, or that it crashed.
+        ``check_server`` is called before another send if the server may have got a part
+        of the request, which may have crashed it; then ``on_resend`` with the reason.
         """
         request = build_server_request(dispatch, run_id)
         deadline = monotonic() + self._server.connect_s * _GIVE_UP_CONNECT_TIMEOUTS
         send_count = 0
-        has_been_silent = False
         while True:
             connected = connect(self._server, cancellation)
             if connected.is_error():
                 return Error(_classify_connect_failure(connected.error, handover))
             call = connected.ok
-            sent = self._hand_over(
-                call, request, silence_s, may_hold=not has_been_silent
-            )
+            sent = self._hand_over(call, request, silence_s)
             if sent.is_ok():
                 return Ok(call)
             call.close()
@@ -92,14 +95,15 @@
             reason = describe_failure(failure)
             logger.warning("No answer began: %s. %s", reason, dispatch.request_id)
             send_count += 1
-            has_been_silent = has_been_silent or failure.is_silent
             is_late = send_count >= _MIN_SENDS and monotonic() >= deadline
             is_over = is_late or cancellation.is_set()
             match handover.handle_failure(failure, is_over=is_over):
                 case NextStep.SEND_AGAIN:
                     cancellation.wait(_RETRY_INTERVAL_S)
-                    if handover.has_begun and has_restarted():
-                        return Error(AnswerLost("server restarted", True))
+                    if handover.has_begun:
+                        lost = _find_server_failure(check_server(), failure, handover)
+                        if lost is not None:
+                            return Error(lost)
                     on_resend(reason)
                 case NextStep.REFUSE:
                     return Error(ServerUnreachable(reason, is_connection_refused=False))
@@ -107,21 +111,26 @@
                     return Error(_build_answer_missing(failure))
 
     def _hand_over(
-        self,
-        call: ServerCall,
-        request: ServerRequest,
-        silence_s: float,
-        *,
-        may_hold: bool,
+        self, call: ServerCall, request: ServerRequest, silence_s: float
     ) -> Result[None, RequestIncomplete | AnswerMissing]:
         if self._continue_tracker is None:
             return call.hand_over(request, silence_s=silence_s)
-        connect_s = self._server.connect_s
-        silent_s = min(silence_s, connect_s * _HOLD_CONNECT_TIMEOUTS)
-        timeouts = HoldTimeouts(connect_s, silent_s if may_hold else None)
-        return call.hand_over_held(
-            request, self._continue_tracker, timeouts, silence_s=silence_s
-        )
+        timeouts = HoldTimeouts(self._server.connect_s, silence_s)
+        return call.hand_over_held(request, self._continue_tracker, timeouts)
+
+
+def _find_server_failure(
+    check: ServerCheck,
+    failure: RequestIncomplete | AnswerMissing,
+    handover: Handover,
+) -> ServerUnreachable | AnswerLost | None:
+    match check:
+        case ServerCheck.RESTARTED:
+            return AnswerLost("server restarted", has_server_crashed=True)
+        case ServerCheck.SILENT if failure.is_silent and not handover.may_have_run:
+            return ServerUnreachable("server silent", is_connection_refused=False)
+        case _:
+            return None
 
 
 def _build_answer_missing(failure: RequestIncomplete | AnswerMissing) -> AnswerMissing:
--- a/src/kingcupwheel/agent/adapters/server_call.py
+++ b/src/kingcupwheel/agent/adapters/server_call.py
@@ -118,24 +118,18 @@
         request: ServerRequest,
         tracker: ContinueTracker,
         timeouts: HoldTimeouts,
-        *,
-        silence_s: float,
     ) -> Result[None, RequestIncomplete | AnswerMissing]:
         """Like ``hand_over``, but hold the body back until the server asks for it.
 
         Only for servers that never run a request whose body is incomplete.
         """
         if not request.body or tracker.support is ContinueSupport.IGNORED:
-            return self.hand_over(request, silence_s=silence_s)
-        held = HeldBody(
-            request.body,
-            self._connection.sock,
-            tracker,
-            timeouts,
-            silence_s=silence_s,
-        )
+            return self.hand_over(request, silence_s=timeouts.silence_s)
+        held = HeldBody(request.body, self._connection.sock, tracker, timeouts)
         sent = self.send(
-            _expect_continue(request, held), silence_s=silence_s, held_body=held
+            _expect_continue(request, held),
+            silence_s=timeouts.silence_s,
+            held_body=held,
         )
         if sent.is_error():
             failure = self._classify_failure(sent.error)
