--- a/src/kingcupwheel/manifest/submission_writer.py
+++ b/src/kingcupwheel/manifest/submission_writer.py
@@ -143,6 +143,9 @@
                     unknown_detail = unknown_detail or (
                         describe_platform_error(result.error) if sent else ""
                     )
+                case Rejected() if unknown_detail:
+                    # An earlier update may have taken effect.
+                    return Error(UnknownOutcome(index.submission_id, unknown_detail))
                 case Rejected():
                     return Error(PlatformFailure(describe_platform_error(result.error)))
             if not self._retrier.wait_before_retry(result.error):
