--- a/src/kingcupwheel/agent/adapters/engine.py
+++ b/src/kingcupwheel/agent/adapters/engine.py
@@ -50,7 +50,7 @@
 _MAX_RESUMES_WITHOUT_PROGRESS = 5
 # A request whose connection has failed may still lie unread at the engine. A second
 # send before it is read would make the engine run it twice.
-_NOT_FOUND_TIMEOUT_S = 1.0
+_NOT_FOUND_GRACE_S = 1.0
 # One query may hit the same fault as the request did.
 _CHECK_QUERY_COUNT = 3
 _CHECK_RETRY_INTERVAL_S = 0.2
@@ -153,7 +153,7 @@
         handover = Handover(is_repeatable=dispatch.repeatable)
         lost_run_ids: list[str] = []
         while True:
-            run_id = build_run_id(dispatch, send=len(lost_run_ids) + 1)
+            run_id = build_run_id(dispatch, number=len(lost_run_ids) + 1)
             sent = self._send_or_resume(
                 dispatch, run_id, handover, cancellation, on_resend
             )
@@ -195,7 +195,7 @@
             0,
             incarnation,
             cancellation,
-            not_found_timeout_s=_NOT_FOUND_TIMEOUT_S,
+            not_found_grace_s=_NOT_FOUND_GRACE_S,
         )
         if resumed.is_ok():
             return Ok(resumed.ok)
--- a/src/kingcupwheel/agent/adapters/engine_client.py
+++ b/src/kingcupwheel/agent/adapters/engine_client.py
@@ -92,13 +92,13 @@
         incarnation: str,
         cancellation: Cancellation,
         *,
-        not_found_timeout_s: float = 0.0,
+        not_found_grace_s: float = 0.0,
     ) -> Result[ServerCall, AnswerLost | RunNotFound]:
         """Reopen the stream of a run at ``offset``, if the engine has it.
 
         ``incarnation`` is the engine incarnation that started the run, empty if
         unknown. The run is not found if the engine has not had it for
-        ``not_found_timeout_s``.
+        ``not_found_grace_s``.
         """
         give_up_s = self._server.silence_s * _GIVE_UP_SILENCES
         deadline = monotonic() + give_up_s
@@ -114,7 +114,7 @@
                     return Error(lost)
                 case RunNotFound() as not_found:
                     not_found_since = not_found_since or monotonic()
-                    if monotonic() - not_found_since >= not_found_timeout_s:
+                    if monotonic() - not_found_since >= not_found_grace_s:
                         return Error(not_found)
                     deadline = monotonic() + give_up_s
                 case _StillRunning():
--- a/src/kingcupwheel/agent/adapters/handover.py
+++ b/src/kingcupwheel/agent/adapters/handover.py
@@ -13,14 +13,13 @@
 class RequestIncomplete:
     """The connection failed before the server had the whole request.
 
-    ``is_proof`` is True if the request can't have run: no byte of it was sent, or its
-    body was held back from a server that is known to wait for bodies. ``is_begun`` is
-    True if its headers may have arrived, ``is_silent`` if the connection stayed open
-    without a byte.
+    ``proves_not_run`` is True if no byte of it was sent, or if its body was held back
+    from a server that is known to wait for bodies. ``is_begun`` is True if its headers
+    may have arrived, ``is_silent`` if the connection stayed open without a byte.
     """
 
     reason: str
-    is_proof: bool
+    proves_not_run: bool
     is_begun: bool = True
     is_silent: bool = False
 
@@ -91,9 +90,9 @@
         """
         self._has_begun |= not isinstance(failure, RequestIncomplete)
         match failure:
-            case RequestIncomplete(is_proof=is_proof, is_begun=is_begun):
+            case RequestIncomplete(proves_not_run=proves_not_run, is_begun=is_begun):
                 self._has_begun |= is_begun
-                self._may_have_run |= not is_proof
+                self._may_have_run |= not proves_not_run
                 return self._handle_incomplete(is_over)
             case AnswerMissing():
                 self._may_have_run = True
@@ -114,14 +113,12 @@
         return NextStep.QUERY_SERVER
 
 
-def describe_failure(failure: HandoverFailure) -> str:
+def describe_failure(failure: RequestIncomplete | AnswerMissing) -> str:
     """Return the failure in words, for logs and traces."""
     match failure:
-        case RequestIncomplete(reason, is_proof=True):
+        case RequestIncomplete(reason, proves_not_run=True):
             return f"{reason}, before the request was sent"
         case RequestIncomplete(reason):
             return f"{reason}, while the body was held back"
         case AnswerMissing(reason):
             return f"{reason}, after the whole request was sent"
-        case RunNotFound(reason):
-            return reason
--- a/src/kingcupwheel/agent/adapters/server_call.py
+++ b/src/kingcupwheel/agent/adapters/server_call.py
@@ -1,8 +1,8 @@
 """One HTTP call to a backend server on its own connection.
 
 Connections are never reused. If the server closed an idle one just as a request is
-sent, it would be unknown whether the request ran; only a failure to connect proves that
-it did not.
+sent, it would be unknown whether the request ran. Only a request of which no byte was
+sent, or whose body was held back, surely did not.
 """
 
 from __future__ import annotations
@@ -134,14 +134,16 @@
         if sent.is_error():
             failure = self._classify_failure(sent.error)
             if isinstance(failure, AnswerMissing) and not held.is_sent:
-                is_proof = held.is_known_incomplete
+                proves_not_run = held.is_known_incomplete
                 failure = RequestIncomplete(
-                    failure.reason, is_proof=is_proof, is_silent=failure.is_silent
+                    failure.reason,
+                    proves_not_run=proves_not_run,
+                    is_silent=failure.is_silent,
                 )
             return Error(failure)
         if self.response.status == EXPECTATION_FAILED_STATUS and not held.is_sent:
             tracker.record_refused()
-            return Error(RequestIncomplete("expectation refused", is_proof=True))
+            return Error(RequestIncomplete("expectation refused", proves_not_run=True))
         return Ok(None)
 
     def _classify_failure(
@@ -155,7 +157,7 @@
         if self._connection.is_unsent:
             return RequestIncomplete(
                 missing.reason,
-                is_proof=True,
+                proves_not_run=True,
                 is_begun=False,
                 is_silent=missing.is_silent,
             )
--- a/src/kingcupwheel/agent/adapters/server_requests.py
+++ b/src/kingcupwheel/agent/adapters/server_requests.py
@@ -49,14 +49,14 @@
     return ServerRequest(dispatch.method, dispatch.path, headers, dispatch.body)
 
 
-def build_run_id(dispatch: Dispatch, *, send: int = 1) -> str:
-    """Return the id that identifies one send of the attempt to the server.
+def build_run_id(dispatch: Dispatch, *, number: int = 1) -> str:
+    """Return the id that identifies the attempt's ``number``-th send to the server.
 
     Each send that may run has its own id: if the server runs a delayed copy as well, a
     stream is never resumed from the other run, whose bytes may differ.
     """
     run_id = f"{dispatch.request_id}-{dispatch.attempt}"
-    return run_id if send == 1 else f"{run_id}.{send}"
+    return run_id if number == 1 else f"{run_id}.{number}"
 
 
 def build_get_request(path: str) -> ServerRequest:
--- a/src/kingcupwheel/metrics/metric_names.py
+++ b/src/kingcupwheel/metrics/metric_names.py
@@ -52,7 +52,7 @@
     CounterName.REFUSALS: "Requests refused, by limit.",
     CounterName.RETRIES: "Further attempts.",
     CounterName.RESUMES: "Attempts taken up again over a new link.",
-    CounterName.RESENDS: "Requests sent to the same server again, as it had none.",
+    CounterName.RESENDS: "Further sends of requests to the same server.",
     CounterName.JOINS: "Resends joined to an earlier request.",
     CounterName.CALLERS_LEFT: "Callers that left before the end.",
     CounterName.GOAL_MISSES: "Events that missed a service-level goal, by indicator.",
