--- a/tests/agent/test_handover.py
+++ b/tests/agent/test_handover.py
@@ -335,3 +335,22 @@
 
     assert entry.wait_for_outcome("a") is Outcome.UNKNOWN
     assert count_runs(engine) == 0
+
+
+def test_engine_of_unknown_incarnation_is_not_sent_the_request_again(
+    harness: AgentHarness,
+) -> None:
+    """Guards against a second crash by a request whose engine can't be identified.
+
+    The engine names no incarnation. One that the request has crashed and that is back
+    looks the same as one that never had it.
+    """
+    engine = harness.start_engine()
+    engine.incarnation = ""
+    relay, entry = connect_entry(harness, engine, silence_s=ENGINE_SILENCE_S)
+
+    send_stopped(relay, entry, StopPoint.BODY, StopAction.CLOSE)
+    told = entry.wait_for_outcome("a")
+    time.sleep(LATE_RUN_S)
+
+    assert (told, count_runs(engine)) == (Outcome.UNKNOWN, 0)
--- a/tests/agent/test_request_sender.py
+++ b/tests/agent/test_request_sender.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
+from threading import Thread
 
 from kingcupwheel.agent.adapters.base import AnswerLost
 from kingcupwheel.agent.adapters.base import ServerUnreachable
@@ -12,6 +14,10 @@
 from tests.agent.builders import build_dispatch
 
 
+# The bound on time is over by then.
+MIN_RESENDS = 4
+
+
 def send_to_closed_port(handover: Handover) -> object:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         port = listener.getsockname()[1]
@@ -50,3 +56,29 @@
 
     assert isinstance(failure, AnswerLost)
     assert failure.has_server_crashed
+
+
+def test_server_that_closes_every_connection_is_given_up() -> None:
+    """Guards against a request that is sent again for ever."""
+    reasons: list[str] = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        Thread(target=close_connections, args=(listener,), daemon=True).start()
+        port = listener.getsockname()[1]
+        server = ServerSettings(url=f"http://127.0.0.1:{port}", connect_s=0.1)
+        sent = RequestSender(server, holds_bodies=True).send(
+            build_dispatch(),
+            "run",
+            Handover(is_repeatable=True),
+            Cancellation(),
+            silence_s=1.0,
+            on_resend=reasons.append,
+        )
+
+    assert isinstance(sent.error, ServerUnreachable | AnswerMissing)
+    assert len(reasons) == MIN_RESENDS
+
+
+def close_connections(listener: socket.socket) -> None:
+    with suppress(OSError):
+        while True:
+            listener.accept()[0].close()
