--- a/src/kingcupwheel/agent/adapters/expectations.py
+++ b/src/kingcupwheel/agent/adapters/expectations.py
@@ -136,16 +136,16 @@
 
     def __iter__(self) -> Iterator[bytes]:
         is_requested = self._wait_for_continue()
-        if is_requested is False:
+        if self.has_reply:
             return
         self._connection.settimeout(self._timeouts.silence_s)
         self.is_sent = True
         yield self._body
-        if is_requested is None:
+        if not is_requested:
             self._record_first_reply(self._timeouts.silence_s)
 
-    def _wait_for_continue(self) -> bool | None:
-        """Return whether the server asks for the body, None if it does not reply."""
+    def _wait_for_continue(self) -> bool:
+        """Return whether the server asked for the body."""
         unasked_s, silence_s = self._timeouts
         timeout_s = silence_s if self._was_honoured else unasked_s
         try:
@@ -154,20 +154,18 @@
             self._tracker.record_timeout()
             if self._was_honoured:
                 raise
-            return None
+            return False
 
     def _record_first_reply(self, timeout_s: float) -> bool:
         """Return whether the server's first reply is an interim one."""
         status_line = self._peek_status_line(timeout_s)
+        is_interim = status_line.rpartition(b" ")[2].startswith(_INTERIM_STATUS_PREFIX)
+        self.has_reply = not is_interim
         if status_line in _CONTINUE_STATUS_LINES:
             self._tracker.record_continue()
-            return True
-        status = status_line.rpartition(b" ")[2]
-        if status.startswith(_INTERIM_STATUS_PREFIX):
-            return True
-        self.has_reply = True
-        self._tracker.record_early_answer()
-        return False
+        elif not is_interim:
+            self._tracker.record_early_answer()
+        return is_interim
 
     def _peek_status_line(self, timeout_s: float) -> bytes:
         deadline = monotonic() + timeout_s
@@ -179,6 +177,7 @@
             start = self._connection.recv(_STATUS_LINE_BYTES, socket.MSG_PEEK)
             if len(start) == _STATUS_LINE_BYTES:
                 return start
+            # A first line that is incomplete may be that of an answer.
             self.has_reply = bool(start)
             if not start or _is_closed_by_peer(self._connection):
                 raise ConnectionError("connection closed before the answer")
