--- a/src/kingcupwheel/agent/attempt_runner.py
+++ b/src/kingcupwheel/agent/attempt_runner.py
@@ -17,6 +17,7 @@
 from kingcupwheel.agent.attempts import StartDecision
 from kingcupwheel.agent.attempts import get_attempt_key
 from kingcupwheel.decisions.crash_suspects import ServerIncarnation
+from kingcupwheel.messages.attempts import DispatchRefusal
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.trace.events import AttemptForwarded
 from kingcupwheel.trace.events import FirstByteRelayed
@@ -105,7 +106,11 @@
     def _refuse_not_started(self, key: AttemptKey) -> None:
         with self.lock:
             self._forget_run(key)
-            refusals = self.attempt_table.record_not_started(key, now=monotonic())
+        self._refuse_not_run(key, DispatchRefusal.FULL)
+
+    def _refuse_not_run(self, key: AttemptKey, reason: DispatchRefusal) -> None:
+        with self.lock:
+            refusals = self.attempt_table.record_not_run(key, reason, now=monotonic())
         self.report_refusals(refusals)
 
     def _forget_run(self, key: AttemptKey) -> None:
@@ -236,14 +241,12 @@
         generation: int,
     ) -> None:
         if isinstance(error, ServerUnreachable):
-            with self.lock:
-                record = (
-                    self.attempt_table.record_cancelled
-                    if cancellation.is_set()
-                    else self.attempt_table.record_unreachable
-                )
-                refusals = record(key, now=monotonic())
-            self.report_refusals(refusals)
+            reason = (
+                DispatchRefusal.CANCELLED
+                if cancellation.is_set()
+                else DispatchRefusal.SERVER_UNREACHABLE
+            )
+            self._refuse_not_run(key, reason)
             return
         if cancellation.is_set():
             self._finish(key, Outcome.UNKNOWN, status, "cancelled")
--- a/src/kingcupwheel/agent/attempt_table.py
+++ b/src/kingcupwheel/agent/attempt_table.py
@@ -168,21 +168,14 @@
             self._joined_by_key.pop(key, None)
             self._history.record_end(key, now=now)
 
-    def record_unreachable(
-        self, key: AttemptKey, *, now: float
+    def record_not_run(
+        self, key: AttemptKey, reason: DispatchRefusal, *, now: float
     ) -> list[RefusalDecision]:
-        """Record that the attempt failed to connect to the server; refuse it."""
-        return self._refuse_running(key, DispatchRefusal.SERVER_UNREACHABLE, now)
-
-    def record_cancelled(self, key: AttemptKey, *, now: float) -> list[RefusalDecision]:
-        """Record that the attempt was cancelled before it was sent; refuse it."""
-        return self._refuse_running(key, DispatchRefusal.CANCELLED, now)
-
-    def record_not_started(
-        self, key: AttemptKey, *, now: float
-    ) -> list[RefusalDecision]:
-        """Record that the process has no thread for the attempt; refuse it."""
-        return self._refuse_running(key, DispatchRefusal.FULL, now)
+        """Refuse an attempt that counts as running but never reached the server."""
+        dispatch = self._running.pop(key, None)
+        if dispatch is None:
+            return []
+        return self._refuse_accepted(dispatch, reason, now)
 
     def begin_leaving(self, *, now: float) -> list[RefusalDecision]:
         """Refuse new attempts from now on, and all queued ones."""
@@ -301,15 +294,6 @@
         joined = self._joined_by_key.pop(key, set())
         return [self._refuse(each, reason, now) for each in (key, *sorted(joined))]
 
-    def _refuse_running(
-        self, key: AttemptKey, reason: DispatchRefusal, now: float
-    ) -> list[RefusalDecision]:
-        """Refuse an attempt that counts as running but never reached the server."""
-        dispatch = self._running.pop(key, None)
-        if dispatch is None:
-            return []
-        return self._refuse_accepted(dispatch, reason, now)
-
     def _expire(self, now: float) -> None:
         self._history.expire(now=now)
         self._claim_fences.expire(now=now)
