--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -255,6 +255,7 @@
             server=reservation.server,
             came=outcome.value,
             why=reason,
+            fingerprint=request.fingerprint[:12],
             ran=self._counts.possibly_run,
             turned_away=self._counts.rejected,
             rest_s=notice.backoff_s,
@@ -450,7 +451,9 @@
         ``latency_s`` is compared between the servers of a service.
         """
         self._dispatcher.record_success(reservation, latency_s)
-        self._context.retry_guards.clear_suspicion(self._request.fingerprint)
+        self._context.retry_guards.clear_suspicion(
+            self._request.fingerprint, self._request.id
+        )
 
     def log_refusal(self, refusal: Refusal) -> RefusedAnswer:
         """Log the final refusal and return it as an answer."""
--- a/src/kingcupwheel/forwarding/retry_guards.py
+++ b/src/kingcupwheel/forwarding/retry_guards.py
@@ -9,22 +9,28 @@
 from typing import NamedTuple
 
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
+from kingcupwheel.decisions.crash_suspects import NotSuspected
 from kingcupwheel.decisions.crash_suspects import Quarantined
 from kingcupwheel.decisions.crash_suspects import ServerIncarnation
 from kingcupwheel.decisions.crash_suspects import Suspect
 from kingcupwheel.decisions.hashing import stable_fraction
 from kingcupwheel.decisions.retry_budget import SlidingWindowRetryBudget
 from kingcupwheel.forwarding.closed_services import ClosedServiceDetector
+from kingcupwheel.telemetry.json_logs import lines_of
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+log = lines_of("suspects")
+
 # Time after a lost answer within which the crash of its server is attributed to the
 # request. A platform lists a dead server until it has missed three heartbeats.
 CRASH_DETECTION_S = 8.0
 # Lost answers kept for CRASH_DETECTION_S.
 _MAX_LOST_ANSWERS = 512
+# Fingerprints in one line; a server runs more requests at once only under load.
+_MAX_LOGGED_FINGERPRINTS = 16
 # Fraction of the fleet's budget that the entries use together. If all of them are
 # killed at once, they forget their retries, and one window then contains the retries of
 # two incarnations.
@@ -91,13 +97,23 @@
             )
             for fingerprint in blamed:
                 self._suspects.record_crash_id(fingerprint, crash_id, now)
+        log.info(
+            "crash-attributed",
+            server=incarnation,
+            requests=len(blamed),
+            fingerprints=[one[:12] for one in blamed[:_MAX_LOGGED_FINGERPRINTS]],
+        )
         return blamed
 
-    def clear_suspicion(self, fingerprint: str) -> None:
+    def clear_suspicion(self, fingerprint: str, request_id: str) -> None:
         """Clear a request that a server has answered completely."""
-        if fingerprint:
-            with self._lock:
-                self._suspects.clear(fingerprint)
+        if not fingerprint:
+            return
+        with self._lock:
+            status = self._suspects.get_status(fingerprint, monotonic())
+            self._suspects.clear(fingerprint)
+        if not isinstance(status, NotSuspected):
+            log.info("suspicion-cleared", id=request_id, fingerprint=fingerprint[:12])
 
     def record_peer_crashes(self, crashes: tuple[tuple[str, int], ...]) -> None:
         """Record crashes that a peer reports."""
