--- /dev/null
+++ b/tests/forwarding/test_crashing_requests.py
@@ -0,0 +1,129 @@
+"""Requests that crash their servers are stopped; those that ran beside them are not."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.forwarding.crashes import CrashingService
+from tests.forwarding.crashes import RestartTimes
+from tests.standins.backend import Behaviour
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.forwarding.fleet import CallerResponse
+    from tests.forwarding.fleet import Fleet
+
+# The users' rule: at most so many sends later than so long after the third end.
+MAX_LATE_ARRIVALS = 3
+STABLE_WINDOW_S = 3.0
+ENTRIES = 3
+RESENDS = 16
+RESEND_INTERVAL_S = 0.6
+TIMES = [
+    RestartTimes(removal_s=0.2, restart_s=1.0),
+    RestartTimes(removal_s=3.6, restart_s=5.0),
+]
+
+
+def resend(fleet: Fleet, target: str) -> list[CallerResponse]:
+    """Send the same request at the entries in turn, each time with a new id."""
+    responses = []
+    for number in range(RESENDS):
+        responses.append(
+            fleet.send(
+                target, entry=number % ENTRIES, X_Attempt_Id=f"{target}-{number}"
+            )
+        )
+        time.sleep(RESEND_INTERVAL_S)
+    return responses
+
+
+@pytest.mark.parametrize("times", TIMES, ids=lambda one: f"{one.removal_s}-s")
+@pytest.mark.parametrize("target", ["/plain/bad", "/once/bad", "/stream/bad"])
+def test_a_request_that_crashes_its_servers_is_stopped(
+    fleet: Fleet, target: str, times: RestartTimes
+) -> None:
+    """A request without a body is not recognised and crashes server after server.
+
+    Its caller sends it again and again, at all entries in turn. The others' requests of
+    the same service are answered meanwhile.
+    """
+    service = CrashingService(fleet, Behaviour(crashed_by=target), times)
+    for number in range(ENTRIES):
+        fleet.add_entry(f"entry-{number}")
+
+    responses = resend(fleet, target)
+    service.stop()
+
+    assert len(service.ended_at) >= 2, "the request crashed servers"
+    assert len(service.late_arrivals(target, STABLE_WINDOW_S)) <= MAX_LATE_ARRIVALS
+    assert responses[-1].status == 503
+    assert float(responses[-1].headers["retry-after"]) > 0
+    assert fleet.send("/plain/other").status == 200
+
+
+ROUND_S = 1.0
+CALLERS = 9
+
+
+def call_in_rounds(
+    fleet: Fleet, target: str, rounds: int, on_round: Callable[[int], None]
+) -> list[list[CallerResponse]]:
+    """Send one request by all callers at once each second; return answers by round."""
+    answers = []
+    with ThreadPoolExecutor(CALLERS) as pool:
+        for number in range(rounds):
+            ends_at = time.monotonic() + ROUND_S
+            sent = [
+                pool.submit(
+                    fleet.send,
+                    target,
+                    entry=caller % ENTRIES,
+                    X_Attempt_Id=f"{target}-{number}-{caller}",
+                )
+                for caller in range(CALLERS)
+            ]
+            on_round(number)
+            answers.append([one.result() for one in sent])
+            time.sleep(max(0.0, ends_at - time.monotonic()))
+    return answers
+
+
+@pytest.mark.parametrize("removal_s", [0.7, 3.7])
+@pytest.mark.parametrize("target", ["/plain/popular", "/stream/popular"])
+def test_a_popular_request_is_served_after_servers_lost_power_together(
+    fleet: Fleet, target: str, removal_s: float
+) -> None:
+    """A request that many callers repeat is blamed for a power loss and never runs.
+
+    It runs on all six servers as three of them end at the same moment. Once refused, it
+    can't show its innocence by an answer.
+    """
+    behaviour = Behaviour(delay_s=0.25, event_count=3)
+    times = RestartTimes(removal_s, restart_s=60.0)
+    service = CrashingService(fleet, behaviour, times)
+    for number in range(ENTRIES):
+        fleet.add_entry(f"entry-{number}")
+    loses_power_in = 1
+
+    def lose_power(number: int) -> None:
+        if number == loses_power_in:
+            time.sleep(0.1)
+            for server in service.servers[:3]:
+                server.crash()
+
+    rounds = call_in_rounds(fleet, target, 8, lose_power)
+    service.stop()
+
+    assert len(service.ended_at) == 3
+    afterwards = [one for answers in rounds[loses_power_in + 1 :] for one in answers]
+    refused = [one for one in afterwards if b"died while" in one.body]
+    served = [one for one in afterwards if one.status == 200 and one.is_complete]
+    assert not refused
+    assert len(served) >= 0.95 * len(afterwards)
--- a/tests/standins/http_server.py
+++ b/tests/standins/http_server.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
+import struct
 from http.server import BaseHTTPRequestHandler
 from http.server import ThreadingHTTPServer
+from socket import SHUT_RDWR
+from socket import SO_LINGER
+from socket import SOL_SOCKET
 from threading import Event
+from threading import Lock
 from threading import Thread
+from typing import TYPE_CHECKING
 from typing import Any
 
 
+if TYPE_CHECKING:
+    import socket
+
+
 # The default of the standard library, 0.5 s, would delay the end of every test.
 _POLL_INTERVAL_S = 0.05
 
@@ -63,6 +74,33 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self._connections: set[socket.socket] = set()
+        self._connections_lock = Lock()
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        with self._connections_lock:
+            self._connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        with self._connections_lock:
+            self._connections.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self) -> None:
+        """Close the listener and reset all connections, as the end of a process."""
+        self.server_close()
+        with self._connections_lock:
+            connections = tuple(self._connections)
+        for connection in connections:
+            with contextlib.suppress(OSError):
+                linger = struct.pack("ii", 1, 0)
+                connection.setsockopt(SOL_SOCKET, SO_LINGER, linger)
+                connection.shutdown(SHUT_RDWR)
+                connection.close()
+
     def handle_error(self, *_: Any) -> None:
         """Print nothing: a caller that disconnects is not an error of the stand-in."""
 
@@ -93,6 +131,13 @@
     def start(self) -> None:
         self._thread.start()
 
+    def crash(self) -> None:
+        """End as a process does that crashes or whose machine loses power."""
+        if not self.stopping.is_set():
+            self.stopping.set()
+            self._server.crash()
+            Thread(target=self._server.shutdown, daemon=True).start()
+
     def stop(self) -> None:
         self.stopping.set()
         self._server.shutdown()
