--- a/src/kingcupwheel/entry/caller_requests.py
+++ b/src/kingcupwheel/entry/caller_requests.py
@@ -47,11 +47,13 @@
         return self.received_at + self.deadline_s
 
 
-def compute_fingerprint(organisation: str, path: str, body_digest: str) -> str:
+def compute_fingerprint(
+    organisation: str, host: str, method: str, target: str, body_digest: str
+) -> str:
     """Return a digest that is equal for resends of a request under any key.
 
     Crashes are attributed to it, because a caller that sends a request again repeats
-    the body, while keys and request ids change.
+    the body, while keys and request ids change. ``target`` is path and query.
     """
-    text = f"{organisation}\0{path}\0{body_digest}"
+    text = "\0".join((organisation, host, method, target, body_digest))
     return hashlib.sha256(text.encode()).hexdigest()[:32]
--- a/src/kingcupwheel/entry/request_parser.py
+++ b/src/kingcupwheel/entry/request_parser.py
@@ -138,7 +138,7 @@
             body=http_request.body,
             body_digest=digest,
             fingerprint=compute_fingerprint(
-                organisation.name, http_request.path, digest
+                organisation.name, http_request.host, http_request.method, path, digest
             ),
             prefix_key=_compute_prefix_key(organisation.name, prompt.prefix),
             idempotency_key=http_request.headers.get(_IDEMPOTENCY_KEY_HEADER, ""),
--- a/src/kingcupwheel/forwarding/admission.py
+++ b/src/kingcupwheel/forwarding/admission.py
@@ -103,7 +103,9 @@
         headers=received.headers,
         head=head,
         body=received.body,
-        fingerprint=request_fingerprint(organisation, received.target, received.body),
+        fingerprint=request_fingerprint(
+            organisation, host, received.method, received.target, received.body
+        ),
         received_at=received.received_at,
         deadlines=deadlines_for(route, received.received_at, head.timeout_s),
         version=configuration.version,
--- a/src/kingcupwheel/forwarding/requests.py
+++ b/src/kingcupwheel/forwarding/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -23,8 +24,8 @@
     """An admitted request, before it is assigned to a server.
 
     ``id`` is the caller's id of this send, so that one search finds it in all logs.
-    ``fingerprint`` is the same for every send of the same request, and empty without a
-    body. ``target`` is the unchanged path and query. ``received_at`` is monotonic.
+    ``fingerprint`` is the same for every send of the same request. ``target`` is the
+    unchanged path and query. ``received_at`` is monotonic.
     """
 
     id: str
@@ -49,8 +50,13 @@
         return max(1.0, self.head.prompt_tokens + 10.0 * self.head.answer_tokens)
 
 
-def request_fingerprint(organisation: str, target: str, body: bytes) -> str:
-    """Return the fingerprint of a request, empty without a body."""
-    if not body:
-        return ""
-    return compute_fingerprint(organisation, target, body.hex())
+def request_fingerprint(
+    organisation: str, host: str, method: str, target: str, body: bytes
+) -> str:
+    """Return the fingerprint of a request, also of one without a body.
+
+    A request without a body is its method and target. Two hosts may have the same
+    paths, and callers without a key the same empty organisation.
+    """
+    digest = hashlib.sha256(body).hexdigest()
+    return compute_fingerprint(organisation, host, method, target, digest)
