--- a/src/kingcupwheel/agent/attempt_runner.py
+++ b/src/kingcupwheel/agent/attempt_runner.py
@@ -8,6 +8,7 @@
 from threading import Thread
 from time import monotonic
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from kingcupwheel.agent.adapters.base import AnswerLost
 from kingcupwheel.agent.adapters.base import ServerUnreachable
@@ -16,7 +17,9 @@
 from kingcupwheel.agent.attempts import RefusalDecision
 from kingcupwheel.agent.attempts import StartDecision
 from kingcupwheel.agent.attempts import get_attempt_key
+from kingcupwheel.decisions.crash_suspects import CrashedRun
 from kingcupwheel.decisions.crash_suspects import ServerIncarnation
+from kingcupwheel.decisions.crash_suspects import earliest_start
 from kingcupwheel.messages.attempts import DispatchRefusal
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.trace.events import AttemptForwarded
@@ -43,6 +46,13 @@
 logger = logging.getLogger("kingcupwheel.agent")
 
 
+class _AttemptStart(NamedTuple):
+    """The generation of the server in which an attempt started, and the time."""
+
+    generation: int
+    started_at: float
+
+
 class AttemptRunner:
     """Executes the decisions of ``attempt_table``; thread-safe and non-blocking.
 
@@ -74,7 +84,7 @@
         self._on_server_crash = on_server_crash
         self._on_resend = on_resend
         self._cancellations_by_key: dict[AttemptKey, Cancellation] = {}
-        self._generations_by_key: dict[AttemptKey, int] = {}
+        self._starts_by_key: dict[AttemptKey, _AttemptStart] = {}
         # Counts server crashes; an attempt belongs to the generation it started in.
         self._server_generation = 0
 
@@ -90,7 +100,7 @@
         with self.lock:
             generation = self._server_generation
             self._cancellations_by_key[key] = cancellation
-            self._generations_by_key[key] = generation
+            self._starts_by_key[key] = _AttemptStart(generation, monotonic())
         thread = Thread(
             target=self._run,
             args=(dispatch, cancellation, generation),
@@ -115,7 +125,7 @@
 
     def _forget_run(self, key: AttemptKey) -> None:
         self._cancellations_by_key.pop(key, None)
-        self._generations_by_key.pop(key, None)
+        self._starts_by_key.pop(key, None)
 
     def cancel(self, key: AttemptKey) -> None:
         """Cancel the attempt's work on the server."""
@@ -149,12 +159,9 @@
                 return
             self._server_generation += 1
             running = self._list_running_in(generation)
-            fingerprints = [dispatch.fingerprint for dispatch in running]
-            incarnation = ServerIncarnation(
-                self._name, f"{self.attempt_table.incarnation}.{generation}"
-            )
+            now = monotonic()
             self.crash_table.record_crash(
-                fingerprints, incarnation.crash_id, now=monotonic()
+                self._build_crashed_runs(running, generation, now), now=now
             )
             # Reported before the attempts end: an entry that retries one of them, or
             # receives the same request again, must know of the crash by then, or the
@@ -166,6 +173,25 @@
                 self._recorder.record(dispatch.request_id, event)
         logger.warning("Server crashed; %d attempts were running.", len(running))
 
+    def _build_crashed_runs(
+        self, running: list[Dispatch], generation: int, now: float
+    ) -> dict[str, CrashedRun]:
+        """Return the crashed runs by fingerprint, the earliest of equal requests."""
+        crash_id = ServerIncarnation(
+            self._name, f"{self.attempt_table.incarnation}.{generation}"
+        ).crash_id
+        found: dict[str, CrashedRun] = {}
+        for dispatch in running:
+            started_at = earliest_start(
+                self._starts_by_key[get_attempt_key(dispatch)].started_at,
+                is_suspect=dispatch.suspect,
+            )
+            known = found.get(dispatch.fingerprint)
+            if known is None or started_at < known.started_at:
+                run = CrashedRun(crash_id, started_at, now)
+                found[dispatch.fingerprint] = run
+        return found
+
     def _list_running_in(self, generation: int) -> list[Dispatch]:
         """Return the running attempts that started in the given server generation.
 
@@ -176,7 +202,8 @@
         return [
             dispatch
             for dispatch in self.attempt_table.running_dispatches
-            if self._generations_by_key.get(get_attempt_key(dispatch)) == generation
+            if (start := self._starts_by_key.get(get_attempt_key(dispatch)))
+            and start.generation == generation
         ]
 
     def _run(
--- a/src/kingcupwheel/agent/crash_table.py
+++ b/src/kingcupwheel/agent/crash_table.py
@@ -7,7 +7,9 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from kingcupwheel.decisions.crash_suspects import CrashedRun
 
 # A crash adds at most as many fingerprints as the server's concurrency, so the table
 # holds the last few crashes. That suffices for a request that crashes each server it
@@ -22,36 +24,35 @@
 
 
 class _CrashRecord(NamedTuple):
-    crash_ids: tuple[int, ...]
+    runs: tuple[CrashedRun, ...]
     last_crash_at: float
 
 
 class CrashTable:
-    """Crash ids of the server by fingerprint of the running requests, bounded."""
+    """Crashed runs of the server by fingerprint of their request, bounded."""
 
     def __init__(self) -> None:
         self._by_fingerprint: dict[str, _CrashRecord] = {}
 
     def record_crash(
-        self, fingerprints: Iterable[str], crash_id: int, *, now: float
+        self, run_by_fingerprint: Mapping[str, CrashedRun], *, now: float
     ) -> None:
-        """Record the crash for each fingerprint that was running."""
-        for fingerprint in set(fingerprints):
+        """Record the requests that were running when the server crashed."""
+        for fingerprint, run in run_by_fingerprint.items():
             record = self._by_fingerprint.pop(fingerprint, _CrashRecord((), now))
-            self._by_fingerprint[fingerprint] = _CrashRecord(
-                (*record.crash_ids, crash_id), now
-            )
+            self._by_fingerprint[fingerprint] = _CrashRecord((*record.runs, run), now)
         while len(self._by_fingerprint) > _MAX_FINGERPRINTS:
             del self._by_fingerprint[next(iter(self._by_fingerprint))]
 
-    def list_recent(self, *, now: float) -> tuple[tuple[str, int], ...]:
-        """Return the pairs of fingerprint and crash id to report in heartbeats."""
+    def list_recent(
+        self, *, now: float
+    ) -> tuple[tuple[str, tuple[CrashedRun, ...]], ...]:
+        """Return the fingerprints and crashed runs to report in heartbeats."""
         self._expire(now)
         return tuple(
-            (fingerprint, crash_id)
+            (fingerprint, record.runs)
             for fingerprint, record in self._by_fingerprint.items()
             if now - record.last_crash_at <= HEARTBEAT_REPORT_S
-            for crash_id in record.crash_ids
         )
 
     def _expire(self, now: float) -> None:
@@ -66,4 +67,4 @@
     def count_crashes(self, fingerprint: str) -> int:
         """Return the number of crashes recorded for the fingerprint."""
         record = self._by_fingerprint.get(fingerprint)
-        return 0 if record is None else len(record.crash_ids)
+        return 0 if record is None else len(record.runs)
--- a/src/kingcupwheel/agent/heartbeat.py
+++ b/src/kingcupwheel/agent/heartbeat.py
@@ -8,8 +8,10 @@
 from typing import TYPE_CHECKING
 
 from kingcupwheel.agent.adapters.base import ServerState
+from kingcupwheel.decisions.crash_suspects import SuspicionRecord
 from kingcupwheel.messages.membership import AgentHeartbeat
 from kingcupwheel.messages.membership import BackendLoad
+from kingcupwheel.messages.suspicions import build_suspicion_report
 
 
 if TYPE_CHECKING:
@@ -17,6 +19,8 @@
 
     from kingcupwheel.agent.adapters.base import ServerAdapter
     from kingcupwheel.agent.attempt_runner import AttemptRunner
+    from kingcupwheel.decisions.crash_suspects import CrashedRun
+    from kingcupwheel.messages.membership import SuspicionReport
     from kingcupwheel.settings.schema import Settings
 
 _INITIAL_STATE = ServerState(
@@ -123,7 +127,13 @@
                 leaving=attempt_table.is_leaving,
                 server_up=self._probe.is_up,
                 manifest_version=self._manifest_version(),
-                crashed=self._runner.crash_table.list_recent(now=now),
+                crashed=(),
+                suspicions=tuple(
+                    _build_report(fingerprint, runs, now)
+                    for fingerprint, runs in self._runner.crash_table.list_recent(
+                        now=now
+                    )
+                ),
             )
 
     def _build_load(self) -> BackendLoad:
@@ -140,3 +150,10 @@
             rate=self._probe.state.tokens_per_s,
             age_s=self._probe.state_age_s,
         )
+
+
+def _build_report(
+    fingerprint: str, runs: tuple[CrashedRun, ...], now: float
+) -> SuspicionReport:
+    record = SuspicionRecord(fingerprint, runs, float("-inf"), float("-inf"))
+    return build_suspicion_report(record, now)
--- a/src/kingcupwheel/decisions/crash_suspects.py
+++ b/src/kingcupwheel/decisions/crash_suspects.py
@@ -1,36 +1,50 @@
-"""Tracks requests suspected of crashing the servers that run them."""
+"""Tracks requests suspected of crashing the servers that run them. Pure."""
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from kingcupwheel.decisions.hashing import stable_fraction
 from kingcupwheel.decisions.hashing import stable_hash
 
 
-# Crashes after which a request is quarantined. One may be a coincidence or caused by
-# another request; the second happened on a server that ran no other suspect, so that
-# the request is its only possible cause.
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# Separate crashes after which a request is quarantined. One may be a coincidence or
+# caused by another request; the second hit a run that began after the first crash.
 QUARANTINE_CRASHES = 2
 
-# Gives operators time to investigate. After that the request may run once more, apart
-# from other suspects; another crash quarantines it again.
-QUARANTINE_S = 600.0
+# Quarantine after the second separate crash, the third and so on. An innocent request
+# is soon tried again, while one that crashes servers crashes at most three more in an
+# hour.
+QUARANTINES_S = (30.0, 60.0, 120.0, 3600.0)
+
+# The entries' trials after a quarantine begin at different times within this interval,
+# so that they do not all try before one of them has told the others.
+TRIAL_SPREAD_S = 5.0
 
 # In a fleet of 1,000, servers crash for other reasons every few minutes; two unrelated
 # crashes within a day must not quarantine a request.
 SUSPECT_RETENTION_S = 600.0
 
-# How long a crash is sent to peers. It advances one peer per heartbeat and reaches all
-# entries in about five.
-GOSSIP_S = 15.0
+# Servers that lose power together are not seen to end at exactly the same time. A run
+# that began so soon after another server's end may have been hit by the same event.
+CORRELATED_CRASH_S = 0.5
+
+# A suspect that has run for longer than on any crashed server, by this factor and time,
+# is unlikely to crash this one.
+_PROBATION_FACTOR = 2.0
+_PROBATION_MARGIN_S = 0.5
+MAX_PROBATION_S = 5.0
 
 # A crash adds as many fingerprints as the server ran at once (16 to 64); this is enough
 # for some hundred crashes within the retention time.
 MAX_FINGERPRINTS = 4_096
 
-# A fingerprint is refused from its second crash on, so that more come only from runs
-# that several entries started at the same time.
+# More crashes than quarantines of different length.
 _MAX_CRASHES_PER_FINGERPRINT = 16
 
 
@@ -49,14 +63,49 @@
         return stable_hash(self.server, self.incarnation)
 
 
+class CrashedRun(NamedTuple):
+    """A run of a request that ended with its server; times are monotonic.
+
+    The run began at ``started_at`` or later, and the server had ended by ``ended_at``.
+    """
+
+    crash_id: int
+    started_at: float
+    ended_at: float
+
+
+class SuspicionRecord(NamedTuple):
+    """What an entry knows of one request, to report to the other entries.
+
+    ``runs`` are the crashed runs since the last success, ``succeeded_at`` the end of
+    the last complete run and ``held_until`` that of a probation in progress.
+    """
+
+    fingerprint: str
+    runs: tuple[CrashedRun, ...]
+    succeeded_at: float
+    held_until: float
+
+
 class NotSuspected(NamedTuple):
     """The request is not a suspect."""
 
 
 class Suspect(NamedTuple):
-    """The request ran during a crash; it has to run apart from other suspects."""
+    """The request may run apart from other suspects, and only on one server.
+
+    If it runs for ``probation_s`` it is unlikely to crash this server.
+    """
 
     crash_count: int
+    probation_s: float
+
+
+class Held(NamedTuple):
+    """Another run of the suspect is in progress, for ``remaining_s`` at the longest."""
+
+    crash_count: int
+    remaining_s: float
 
 
 class Quarantined(NamedTuple):
@@ -66,110 +115,224 @@
     remaining_s: float
 
 
-SuspicionStatus = NotSuspected | Suspect | Quarantined
+SuspicionStatus = NotSuspected | Suspect | Held | Quarantined
 
+_NEVER = float("-inf")
 
-class _CrashRecord:
-    """Crashes during which a fingerprint ran, and those it was cleared of."""
 
-    __slots__ = ("cleared_ids", "crash_ids", "last_crash_at")
+class _Record:
+    """What is known of one fingerprint."""
 
-    def __init__(self) -> None:
-        self.crash_ids: set[int] = set()
-        self.cleared_ids: set[int] = set()
-        self.last_crash_at = 0.0
+    __slots__ = ("changed_at", "held_until", "run_by_crash_id", "succeeded_at")
 
-    @property
-    def active_count(self) -> int:
-        """Number of crashes that it is not cleared of."""
-        return len(self.crash_ids - self.cleared_ids)
-
-    @property
-    def retention_s(self) -> float:
-        """How long the crashes count after the last one."""
-        is_quarantined = self.active_count >= QUARANTINE_CRASHES
-        return SUSPECT_RETENTION_S + (QUARANTINE_S if is_quarantined else 0.0)
+    def __init__(self) -> None:
+        self.run_by_crash_id: dict[int, CrashedRun] = {}
+        self.succeeded_at = _NEVER
+        self.held_until = _NEVER
+        self.changed_at = _NEVER
+
+    def list_active(self) -> list[CrashedRun]:
+        """Return the crashed runs since the last success, by the server's end."""
+        return sorted(
+            (
+                run
+                for run in self.run_by_crash_id.values()
+                if run.ended_at > self.succeeded_at
+            ),
+            key=lambda run: run.ended_at,
+        )
 
 
 class CrashSuspects:
-    """Tracks, by request fingerprint, the requests running when a server crashed.
+    """Tracks, by request fingerprint, the runs that ended with their server.
 
     One request in millions may crash each server that runs it, and its caller retries
-    it until the whole group has crashed. Requests that ran beside it are innocent: they
-    are cleared when they finish once, and forgotten if no other crash follows.
+    it until the whole group has crashed. Requests that ran beside it, or on servers
+    that lost power together, are innocent. They are told apart by time and success: a
+    request is quarantined if a run that began after the end of one server ended with
+    another one, and no run has completed in between. ``owner`` names the entry.
     """
 
-    def __init__(self, *, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
+    def __init__(
+        self, owner: str = "", *, max_fingerprints: int = MAX_FINGERPRINTS
+    ) -> None:
+        self._owner = owner
         self._max_fingerprints = max_fingerprints
-        self._record_by_fingerprint: OrderedDict[str, _CrashRecord] = OrderedDict()
+        self._record_by_fingerprint: OrderedDict[str, _Record] = OrderedDict()
+        # Successes of requests without a record: the report of a crash before them may
+        # arrive later.
+        self._succeeded_at: OrderedDict[str, float] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._record_by_fingerprint)
 
-    def record_crash(
-        self, fingerprint: str, incarnation: ServerIncarnation, now: float
-    ) -> None:
-        """Record that the request ran when a server crashed; idempotent."""
-        self.record_crash_id(fingerprint, incarnation.crash_id, now)
-
-    def record_crash_id(self, fingerprint: str, crash_id: int, now: float) -> None:
-        """Record a crash reported by an agent or a peer; idempotent.
+    def record_crash(self, fingerprint: str, run: CrashedRun, now: float) -> bool:
+        """Record a run that ended with its server; return whether it is new.
 
-        The agent and several peers may report the same crash. If it counted more than
-        once, an innocent request would be refused after a single crash; each id
-        therefore counts once.
+        The entry, agents and peers may report the same crash. If it counted more than
+        once, an innocent request would be refused after a single crash; each crash id
+        therefore counts once, with the times that were reported first.
         """
         record = self._get_or_create(fingerprint)
-        if (
-            crash_id in record.crash_ids
-            or len(record.crash_ids) >= _MAX_CRASHES_PER_FINGERPRINT
-        ):
-            return
-        if now - record.last_crash_at >= record.retention_s:
-            record.cleared_ids = set(record.crash_ids)
-        record.crash_ids.add(crash_id)
-        record.last_crash_at = now
+        if run.crash_id in record.run_by_crash_id:
+            return False
+        record.run_by_crash_id[run.crash_id] = run
+        if len(record.run_by_crash_id) > _MAX_CRASHES_PER_FINGERPRINT:
+            del record.run_by_crash_id[next(iter(record.run_by_crash_id))]
+        self._mark_changed(fingerprint, record, now)
+        return True
+
+    def record_success(self, fingerprint: str, succeeded_at: float, now: float) -> bool:
+        """Record a complete run; return whether the request was a suspect until now.
+
+        It clears the request of all crashes before ``succeeded_at``. Those stay known,
+        so that later reports of the same crashes don't count again.
+        """
+        record = self._record_by_fingerprint.get(fingerprint)
+        if record is None:
+            self._remember_success(fingerprint, succeeded_at)
+            return False
+        was_active = bool(record.list_active())
+        if succeeded_at > record.succeeded_at:
+            record.succeeded_at = succeeded_at
+            record.held_until = _NEVER
+            if was_active:
+                self._mark_changed(fingerprint, record, now)
+        return was_active and not record.list_active()
+
+    def merge(self, reported: SuspicionRecord, now: float) -> bool:
+        """Record what another entry reports; return whether a crash is new."""
+        fingerprint = reported.fingerprint
+        is_new = False
+        for run in reported.runs:
+            is_new |= self.record_crash(fingerprint, run, now)
+        if reported.succeeded_at > _NEVER:
+            self.record_success(fingerprint, reported.succeeded_at, now)
+        record = self._record_by_fingerprint.get(fingerprint)
+        if record is not None:
+            record.held_until = max(record.held_until, reported.held_until)
+        return is_new
 
     def get_status(self, fingerprint: str, now: float) -> SuspicionStatus:
-        """Return whether a request is clear, a suspect or quarantined."""
+        """Return whether a request is clear, a suspect, held or quarantined."""
         record = self._record_by_fingerprint.get(fingerprint)
-        if record is None or record.active_count == 0:
+        if record is None:
             return NotSuspected()
-        age_s = now - record.last_crash_at
-        if record.active_count >= QUARANTINE_CRASHES and age_s < QUARANTINE_S:
-            return Quarantined(record.active_count, QUARANTINE_S - age_s)
-        return (
-            Suspect(record.active_count)
-            if age_s < record.retention_s
-            else NotSuspected()
-        )
+        runs = record.list_active()
+        if not runs or now - runs[-1].ended_at >= self._retention_s(runs):
+            return NotSuspected()
+        quarantine_s = self._quarantine_s(fingerprint, runs)
+        remaining_s = runs[-1].ended_at + quarantine_s - now
+        if quarantine_s and remaining_s > 0:
+            return Quarantined(len(runs), remaining_s)
+        if record.held_until > now:
+            held_s = record.held_until - now
+            return (
+                Quarantined(len(runs), held_s)
+                if quarantine_s
+                else Held(len(runs), held_s)
+            )
+        return Suspect(len(runs), _probation_s(runs))
+
+    def begin_run(self, fingerprint: str, now: float) -> SuspicionStatus:
+        """Return the status, and hold all other runs if it lets a suspect run."""
+        status = self.get_status(fingerprint, now)
+        if isinstance(status, Suspect):
+            record = self._record_by_fingerprint[fingerprint]
+            record.held_until = now + status.probation_s
+            self._mark_changed(fingerprint, record, now)
+        return status
+
+    def end_run(self, fingerprint: str, now: float) -> None:
+        """Hold other runs no longer: a suspect's run is over, and its server alive."""
+        record = self._record_by_fingerprint.get(fingerprint)
+        if record is not None and record.held_until > now:
+            record.held_until = now
 
-    def clear(self, fingerprint: str) -> None:
-        """Clear a request that finished on a live server.
+    def list_changed(
+        self, since: float, *, limit: int = MAX_FINGERPRINTS
+    ) -> list[SuspicionRecord]:
+        """Return the records that have changed since then, at most ``limit``.
 
-        The record is kept, so that repeated reports of the same crashes don't count
-        again.
+        The latest changes come first.
         """
+        found: list[SuspicionRecord] = []
+        for fingerprint, record in reversed(self._record_by_fingerprint.items()):
+            if record.changed_at < since or len(found) >= limit:
+                break
+            found.append(
+                SuspicionRecord(
+                    fingerprint,
+                    tuple(record.list_active()),
+                    record.succeeded_at,
+                    record.held_until,
+                )
+            )
+        return found
+
+    def _quarantine_s(self, fingerprint: str, runs: list[CrashedRun]) -> float:
+        """Return the length of the quarantine after the last crash, 0 if none."""
+        separate = count_separate_crashes(runs)
+        if separate < QUARANTINE_CRASHES:
+            return 0.0
+        level = min(separate - QUARANTINE_CRASHES, len(QUARANTINES_S) - 1)
+        spread_s = TRIAL_SPREAD_S * stable_fraction(fingerprint, self._owner)
+        return QUARANTINES_S[level] + spread_s
+
+    def _retention_s(self, runs: list[CrashedRun]) -> float:
+        separate = count_separate_crashes(runs)
+        is_quarantined = separate >= QUARANTINE_CRASHES
+        return SUSPECT_RETENTION_S + (QUARANTINES_S[-1] if is_quarantined else 0.0)
+
+    def _get_or_create(self, fingerprint: str) -> _Record:
         record = self._record_by_fingerprint.get(fingerprint)
-        if record is not None:
-            record.cleared_ids = set(record.crash_ids)
+        if record is None:
+            record = _Record()
+            record.succeeded_at = self._succeeded_at.pop(fingerprint, _NEVER)
+            self._record_by_fingerprint[fingerprint] = record
+            while len(self._record_by_fingerprint) > self._max_fingerprints:
+                self._record_by_fingerprint.popitem(last=False)
+        return record
 
-    def list_recent_crashes(self, now: float) -> tuple[tuple[str, int], ...]:
-        """Return pairs of fingerprint and crash id to send to the peers.
+    def _mark_changed(self, fingerprint: str, record: _Record, now: float) -> None:
+        record.changed_at = now
+        self._record_by_fingerprint.move_to_end(fingerprint)
 
-        Only recent ones are returned: peers keep what they receive, and sending a crash
-        for its whole retention would add kilobytes to every heartbeat for ten minutes.
-        """
-        return tuple(
-            (fingerprint, crash_id)
-            for fingerprint, record in self._record_by_fingerprint.items()
-            if now - record.last_crash_at <= GOSSIP_S
-            for crash_id in sorted(record.crash_ids - record.cleared_ids)
-        )
+    def _remember_success(self, fingerprint: str, succeeded_at: float) -> None:
+        known_at = self._succeeded_at.get(fingerprint, _NEVER)
+        self._succeeded_at[fingerprint] = max(succeeded_at, known_at)
+        self._succeeded_at.move_to_end(fingerprint)
+        while len(self._succeeded_at) > self._max_fingerprints:
+            self._succeeded_at.popitem(last=False)
 
-    def _get_or_create(self, fingerprint: str) -> _CrashRecord:
-        record = self._record_by_fingerprint.setdefault(fingerprint, _CrashRecord())
-        self._record_by_fingerprint.move_to_end(fingerprint)
-        while len(self._record_by_fingerprint) > self._max_fingerprints:
-            self._record_by_fingerprint.popitem(last=False)
-        return record
+
+def earliest_start(sent_at: float, *, is_suspect: bool) -> float:
+    """Return the start of a run for the comparison with the ends of other servers.
+
+    A suspect's run began in knowledge of an earlier crash. Any other one may have been
+    sent before a common cause had ended all the servers that it hit.
+    """
+    return sent_at if is_suspect else sent_at - CORRELATED_CRASH_S
+
+
+def count_separate_crashes(runs: list[CrashedRun]) -> int:
+    """Return how many crashes of ``runs`` can't have had a cause in common.
+
+    ``runs`` are sorted by ``ended_at``. It is the largest number of runs each of which
+    began after the server of the one before had ended. Servers that lose power together
+    count once, however many runs of a popular request they end.
+    """
+    return sum(1 for _ in _separate_runs(runs))
+
+
+def _separate_runs(runs: list[CrashedRun]) -> Iterator[CrashedRun]:
+    last_end = _NEVER
+    for run in runs:
+        if run.started_at > last_end:
+            last_end = run.ended_at
+            yield run
+
+
+def _probation_s(runs: list[CrashedRun]) -> float:
+    longest_s = max(run.ended_at - run.started_at for run in runs)
+    return min(MAX_PROBATION_S, _PROBATION_FACTOR * longest_s + _PROBATION_MARGIN_S)
--- a/src/kingcupwheel/entry/message_handler.py
+++ b/src/kingcupwheel/entry/message_handler.py
@@ -150,8 +150,8 @@
         )
         if restart_event is not None:
             self._on_liveness_event(restart_event)
-        if heartbeat.crashed:
-            self._context.limiter.record_crashes(heartbeat.crashed)
+        if heartbeat.suspicions:
+            self._context.limiter.record_suspicions(heartbeat.suspicions)
         self._manifest_synchronizer.record_peer_version(
             heartbeat.manifest_version, "", address
         )
@@ -159,8 +159,8 @@
 
     def _on_peer_heartbeat(self, link: Link, heartbeat: PeerHeartbeat) -> None:
         self._membership.record_heartbeat(heartbeat, monotonic())
-        if heartbeat.crashed:
-            self._context.limiter.record_crashes(heartbeat.crashed)
+        if heartbeat.suspicions:
+            self._context.limiter.record_suspicions(heartbeat.suspicions)
         if isinstance(link, OutgoingLink):
             address = link.address
         else:
@@ -256,7 +256,8 @@
             self._manifest_synchronizer.version,
             self._manifest_synchronizer.digest,
             context.leaving.is_set(),
-            context.limiter.recent_crashes,
+            crashed=(),
+            suspicions=context.limiter.recent_suspicions,
         )
 
     def announce_leaving(self) -> None:
--- a/src/kingcupwheel/entry/request_limiter.py
+++ b/src/kingcupwheel/entry/request_limiter.py
@@ -10,6 +10,7 @@
 from kingcupwheel.decisions.admission import AdmissionController
 from kingcupwheel.decisions.admission import LimitRefusal
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
+from kingcupwheel.decisions.crash_suspects import Held
 from kingcupwheel.decisions.crash_suspects import Quarantined
 from kingcupwheel.decisions.crash_suspects import Suspect
 from kingcupwheel.decisions.hashing import stable_fraction
@@ -17,19 +18,27 @@
 from kingcupwheel.decisions.work_predictor import DEFAULT_BYTES_PER_TOKEN
 from kingcupwheel.decisions.work_predictor import WorkPredictor
 from kingcupwheel.entry.refusals import Refusal
+from kingcupwheel.messages.suspicions import build_suspicion_report
+from kingcupwheel.messages.suspicions import read_suspicion_report
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from kingcupwheel.entry.caller_requests import CallerRequest
     from kingcupwheel.manifest.schema import Organisation
+    from kingcupwheel.messages.membership import SuspicionReport
 
 # Delay before a caller whose request was not placed retries: about two heartbeats,
 # after which a group's state is known anew. Jitter is added so that callers don't
 # return at the same time.
 _BASE_RETRY_AFTER_S = 2.0
 
+# How long a change is reported to peers. It advances one peer per heartbeat and reaches
+# all entries in about five.
+_GOSSIP_S = 15.0
+
 
 class NotQuarantined(NamedTuple):
     """The request may run.
@@ -56,9 +65,12 @@
         self._lock = Lock()
 
     def check_quarantine(self, request: CallerRequest) -> NotQuarantined | Refusal:
-        """Refuse a request that crashed every server that ran it."""
+        """Refuse a request that crashed every server that ran it.
+
+        After a quarantine it runs once, and is refused elsewhere meanwhile.
+        """
         with self._lock:
-            status = self._suspects.get_status(request.fingerprint, monotonic())
+            status = self._suspects.begin_run(request.fingerprint, monotonic())
         match status:
             case Quarantined(crash_count, remaining_s):
                 message = (
@@ -66,7 +78,7 @@
                     "servers died while they did. This send was not run."
                 )
                 return Refusal(422, "quarantined", message, remaining_s)
-            case Suspect():
+            case Suspect() | Held():
                 return NotQuarantined(is_suspect=True)
         return NotQuarantined(is_suspect=False)
 
@@ -150,7 +162,8 @@
             self._admission.settle(name, predicted_work, prompt + tokens, monotonic())
             if is_complete:
                 self._predictor.record_answer(name, request.route.path, prompt, tokens)
-                self._suspects.clear(request.fingerprint)
+                now = monotonic()
+                self._suspects.record_success(request.fingerprint, now, now)
 
     def try_acquire_retry(self, request: CallerRequest) -> bool:
         """Take one retry from the group's budget; return whether it allowed it."""
@@ -164,18 +177,26 @@
         """Return the delay before the caller retries, with jitter by request id."""
         return _BASE_RETRY_AFTER_S * (1.0 + stable_fraction(request.request_id))
 
-    def record_crashes(self, crashes: tuple[tuple[str, int], ...]) -> None:
+    def record_suspicions(self, reports: Iterable[SuspicionReport]) -> None:
         """Record the requests that ran during server crashes.
 
-        Agents and peers report them as pairs of fingerprint and crash id.
+        Agents and peers report them as soon as they know, so that the time that a
+        report takes is neglected.
         """
+        now = monotonic()
+        records = [read_suspicion_report(one, now, 0.0) for one in reports]
         with self._lock:
-            now = monotonic()
-            for fingerprint, crash_id in crashes:
-                self._suspects.record_crash_id(fingerprint, crash_id, now)
+            for record in records:
+                self._suspects.merge(record, now)
 
     @property
-    def recent_crashes(self) -> tuple[tuple[str, int], ...]:
-        """Pairs of request fingerprint and crash id, to report to peers."""
+    def recent_suspicions(self) -> tuple[SuspicionReport, ...]:
+        """What has changed recently, to report to peers.
+
+        Reporting it for its whole retention would add kilobytes to every heartbeat for
+        ten minutes.
+        """
+        now = monotonic()
         with self._lock:
-            return self._suspects.list_recent_crashes(monotonic())
+            records = self._suspects.list_changed(now - _GOSSIP_S)
+        return tuple(build_suspicion_report(record, now) for record in records)
--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -16,6 +16,8 @@
     from kingcupwheel.forwarding.calls import ServerClient
     from kingcupwheel.forwarding.configuration_cache import ConfigurationCache
     from kingcupwheel.forwarding.connection_pool import ConnectionPool
+    from kingcupwheel.forwarding.crash_attribution import LostRun
+    from kingcupwheel.forwarding.crash_evidence import CrashEvidence
     from kingcupwheel.forwarding.http_metadata import ReportedLoad
     from kingcupwheel.forwarding.http_metadata import ServerNotice
     from kingcupwheel.forwarding.liveness import LivenessTrackers
@@ -41,6 +43,7 @@
     server_client: ServerClient
     connection_pool: ConnectionPool
     retry_guards: RetryGuards
+    crash_evidence: CrashEvidence
     liveness: LivenessTrackers
     watchdog: Watchdog
     metrics: EntryMetrics
@@ -88,6 +91,7 @@
             reservation, request_id
         ):
             self.metrics.server_notices.labels("leaving").inc()
+            self.crash_evidence.record_leaving(reservation.incarnation)
             self.connection_pool.close_server(reservation.incarnation)
 
     def release_connection(
@@ -110,8 +114,15 @@
     def record_misdirection(self, reservation: Reservation) -> None:
         """Record that another incarnation of a server has its address."""
         self.connection_pool.close_server(reservation.incarnation)
+        self.crash_evidence.record_server_end(
+            reservation.incarnation, cause="address-of-another"
+        )
         self.server_registry.refute_address(reservation)
 
+    def record_lost_run(self, run: LostRun) -> None:
+        """Record a run whose answer is lost."""
+        self.crash_evidence.record_lost_run(run)
+
     def record_rejection(
         self, reservation: Reservation, service: str, *, is_streamed: bool
     ) -> None:
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -17,6 +17,7 @@
 from kingcupwheel.forwarding.configuration_cache import ConfigurationCache
 from kingcupwheel.forwarding.connection_pool import ConnectionPool
 from kingcupwheel.forwarding.context import ForwardContext
+from kingcupwheel.forwarding.crash_evidence import CrashEvidence
 from kingcupwheel.forwarding.endpoints import AddressesEndpoint
 from kingcupwheel.forwarding.endpoints import ReadinessEndpoint
 from kingcupwheel.forwarding.entry_membership import EntryMembership
@@ -101,6 +102,7 @@
             self._forwarding.retry_window_s,
         )
         self._guards = RetryGuards(budget_limits, lambda: self._membership.fleet_size)
+        self._crash_evidence = CrashEvidence(settings.name, self._metrics.crash_events)
         connections = ConnectionPool()
         self._context = ForwardContext(
             data_centre=settings.data_centre,
@@ -111,6 +113,7 @@
             server_client=ServerClient(connections),
             connection_pool=connections,
             retry_guards=self._guards,
+            crash_evidence=self._crash_evidence,
             liveness=LivenessTrackers(),
             watchdog=Watchdog(),
             metrics=self._metrics,
@@ -129,7 +132,7 @@
             own_entry,
             self._hub,
             self._configuration_cache,
-            self._guards,
+            self._crash_evidence,
             self._context.rate_limits,
         )
         self._watchers = self._make_watchers()
@@ -271,14 +274,14 @@
     def _on_server_list(
         self, backends: tuple[Backend, ...], removed: tuple[Backend, ...]
     ) -> None:
+        for backend in backends:
+            if backend.is_leaving:
+                self._crash_evidence.record_leaving(backend.incarnation)
         self._context.server_registry.set_listed(backends)
         for backend in removed:
             self._context.connection_pool.close_server(backend.incarnation)
             self._context.liveness.remove_server(backend.instance)
-            if not backend.is_leaving and not self._context.server_registry.is_leaving(
-                backend.incarnation
-            ):
-                self._guards.record_server_crash(backend.incarnation)
+            self._crash_evidence.record_server_end(backend.incarnation, cause="removed")
 
     def _on_message(self, link: Link, message: Message) -> None:
         match message:
--- a/src/kingcupwheel/forwarding/entry_membership.py
+++ b/src/kingcupwheel/forwarding/entry_membership.py
@@ -6,6 +6,7 @@
 from threading import Lock
 from time import monotonic
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import msgspec
 
@@ -23,8 +24,8 @@
 
 if TYPE_CHECKING:
     from kingcupwheel.forwarding.configuration_cache import ConfigurationCache
+    from kingcupwheel.forwarding.crash_evidence import CrashEvidence
     from kingcupwheel.forwarding.rate_limit_exchange import RateLimitExchange
-    from kingcupwheel.forwarding.retry_guards import RetryGuards
     from kingcupwheel.link.hub import MessageHub
     from kingcupwheel.link.links import Link
     from kingcupwheel.messages.membership import ServerLimitReport
@@ -48,6 +49,18 @@
 _MIN_HEARTBEAT_INTERVAL_S = 0.2
 
 
+class _Echoes(NamedTuple):
+    """Clock readings exchanged with a peer.
+
+    ``received_at`` is the peer's last one, ``held_s`` the time since it was received.
+    ``unconfirmed_s`` is the time since the own one that the peer has echoed last.
+    """
+
+    received_at: float
+    held_s: float
+    unconfirmed_s: float
+
+
 class EntryMembership:
     """Registers this entry and tracks the other entries; thread-safe."""
 
@@ -56,13 +69,13 @@
         own_entry: EntryInfo,
         hub: MessageHub,
         configuration_cache: ConfigurationCache,
-        guards: RetryGuards,
+        crash_evidence: CrashEvidence,
         rate_limits: RateLimitExchange,
     ) -> None:
         self._own_entry = own_entry
         self._hub = hub
         self._configuration_cache = configuration_cache
-        self._guards = guards
+        self._crash_evidence = crash_evidence
         self._rate_limits = rate_limits
         self._peers = PeerTable(own_entry)
         self._incarnation = secrets.token_hex(4)
@@ -72,6 +85,8 @@
         self._leaving = False
         self._has_read_list = False
         self._revision = 0
+        # Own clock readings at which peers started, or were heard of.
+        self._joined_at: dict[str, float] = {}
         self._expired: list[EntryInfo] = []
         self._live_names: frozenset[str] = frozenset()
         self._lock = Lock()
@@ -139,7 +154,7 @@
 
     def on_tick(self, now: float) -> None:
         """Send heartbeats if the interval has passed; runs on the hub's thread."""
-        self._expedite_limits(now)
+        self._expedite_changes(now)
         with self._lock:
             due = now - self._heartbeat_at >= self._peers.heartbeat_interval_s()
             if not due:
@@ -149,10 +164,13 @@
             self._heartbeat_count += 1
             for address in self._peers.take_silent_addresses(now):
                 self._hub.reconnect(address)
-            self._expired.extend(self._peers.remove_expired(now))
+            expired = self._peers.remove_expired(now)
+            self._expired.extend(expired)
+            for entry in expired:
+                self._joined_at.pop(entry.name, None)
             peers = self._peers.known_entries
             fleet = self._peers.describe_fleet(now, has_read_list=self._has_read_list)
-            echoes = {peer.name: self._peers.echo_for(peer.name) for peer in peers}
+            echoes = {peer.name: self._read_echoes(peer.name, now) for peer in peers}
         self._rate_limits.update_fleet(fleet)
         limits = self._rate_limits.list_reports()
         every = max(_FULL_LIST_EVERY, len(peers))
@@ -166,16 +184,33 @@
             self._hub.send(OutgoingLink(peer.address, 0), heartbeat)
         self._log_live_changes()
 
-    def _expedite_limits(self, now: float) -> None:
-        """Let a changed rate limit not wait for the next regular heartbeat."""
+    def _expedite_changes(self, now: float) -> None:
+        """Let changed limits and suspicions not wait for the next regular heartbeat."""
         if now - self._heartbeat_at < _MIN_HEARTBEAT_INTERVAL_S:
             return
-        if self._rate_limits.take_changed():
+        has_changed_limits = self._rate_limits.take_changed()
+        if self._crash_evidence.take_changed() or has_changed_limits:
             self._heartbeat_at = 0.0
 
+    def _read_echoes(self, name: str, now: float) -> _Echoes:
+        """Return the clock readings exchanged with a peer; the lock is held.
+
+        A peer has received all that this entry sent before the reading that it echoes,
+        unless it has restarted since.
+        """
+        confirmed_at = self._peers.echo_from(name)
+        has_confirmed = confirmed_at > self._joined_at.get(name, float("inf"))
+        return _Echoes(
+            self._peers.echo_for(name),
+            self._peers.echo_held_s_for(name, now),
+            self._configuration_cache.now() - confirmed_at
+            if has_confirmed
+            else float("inf"),
+        )
+
     def _heartbeat(
         self,
-        echo: float,
+        echoes: _Echoes,
         known: tuple[EntryInfo, ...],
         limits: tuple[ServerLimitReport, ...],
     ) -> EntryHeartbeat:
@@ -185,12 +220,14 @@
             incarnation=self._incarnation,
             leaving=self._leaving,
             sent_at=self._configuration_cache.now(),
-            echo=echo,
+            echo=echoes.received_at,
             version=self._configuration_cache.version,
             age_s=age_s if age_s < 3600.0 else -1.0,
-            crashed=self._guards.recent_crashes,
+            crashed=(),
             known_entries=known,
             limits=limits,
+            echo_held_s=echoes.held_s,
+            suspicions=self._crash_evidence.list_reports(echoes.unconfirmed_s),
         )
 
     def on_heartbeat(self, heartbeat: EntryHeartbeat) -> None:
@@ -199,10 +236,12 @@
         with self._lock:
             is_new = self._peers.record_heartbeat(heartbeat, now)
             self._peers.add_known(heartbeat.known_entries, now)
+            if is_new:
+                self._joined_at[heartbeat.sender.name] = self._configuration_cache.now()
         if heartbeat.limits:
             self._record_limits(heartbeat)
-        if heartbeat.crashed:
-            self._guards.record_peer_crashes(heartbeat.crashed)
+        if heartbeat.suspicions:
+            self._record_suspicions(heartbeat)
         if is_new:
             # A new entry knows no peers yet, so it gets a heartbeat at the next tick.
             # Otherwise it would know none for up to a second.
@@ -219,6 +258,19 @@
             self._request_configuration(heartbeat, now)
         self._log_live_changes()
 
+    def _record_suspicions(self, heartbeat: EntryHeartbeat) -> None:
+        """Record a peer's suspicions once the heartbeat's transit time is bounded.
+
+        The peer repeats them until this entry has confirmed them.
+        """
+        if heartbeat.echo > 0.0 and heartbeat.echo_held_s >= 0.0:
+            round_trip_s = self._configuration_cache.now() - heartbeat.echo
+            self._crash_evidence.record_reports(
+                heartbeat.sender.name,
+                heartbeat.suspicions,
+                max(0.0, round_trip_s - heartbeat.echo_held_s),
+            )
+
     def _record_limits(self, heartbeat: EntryHeartbeat) -> None:
         """Record a peer's rate limits.
 
--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -8,7 +8,6 @@
 from typing import NamedTuple
 
 from kingcupwheel.decisions.crash_suspects import Quarantined
-from kingcupwheel.decisions.crash_suspects import Suspect
 from kingcupwheel.entry.answers import BufferedAnswer
 from kingcupwheel.entry.answers import RefusedAnswer
 from kingcupwheel.entry.answers import StreamedAnswer
@@ -22,6 +21,7 @@
 from kingcupwheel.forwarding.calls import OutgoingRequest
 from kingcupwheel.forwarding.calls import Rejected
 from kingcupwheel.forwarding.calls import Withheld
+from kingcupwheel.forwarding.crash_attribution import LostRun
 from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.final_refusals import SERVER_FAILED
 from kingcupwheel.forwarding.final_refusals import refusal_for_step
@@ -38,6 +38,9 @@
 from kingcupwheel.forwarding.queue_wait import ReservationFailure
 from kingcupwheel.forwarding.queue_wait import wait_for_reservation
 from kingcupwheel.forwarding.streams import StreamRelay
+from kingcupwheel.forwarding.suspect_admission import AdmittedSuspect
+from kingcupwheel.forwarding.suspect_admission import admit_suspect
+from kingcupwheel.forwarding.suspect_admission import quarantine_refusal
 from kingcupwheel.forwarding.watchdog import AbortReason
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.platform.headers import build_server_headers
@@ -85,6 +88,8 @@
         self._counts = AttemptCounts()
         self._tried_servers: frozenset[str] = frozenset()
         self._is_suspect = False
+        # Time after which a suspect's run counts as survived, 0 if it is none.
+        self._probation_s = 0.0
         self._last_event_id = request.head.last_event_id
         self._sent_at = 0.0
         # Whether the current server has begun to answer.
@@ -94,18 +99,22 @@
 
     def forward(self) -> Answer:
         """Return the answer, or the final refusal."""
-        verdict = self._context.retry_guards.quarantine_verdict(
-            self._request.fingerprint
+        admitted = admit_suspect(
+            self._context.crash_evidence, self._request, self._watched
         )
-        if isinstance(verdict, Quarantined):
-            message = f"{verdict.crash_count} servers died while they ran this request."
-            return self.log_refusal(
-                Refusal(503, "quarantined", message, verdict.remaining_s)
-            )
-        self._is_suspect = isinstance(verdict, Suspect)
+        match admitted:
+            case Refusal():
+                return self.log_refusal(admitted)
+            case AdmittedSuspect(probation_s):
+                self._is_suspect = True
+                self._probation_s = probation_s
+                # Another server would run it before the end of this one is known.
+                self._policy = self._policy._replace(max_servers=1)
         self._context.retry_guards.count_first_attempt(self._request.service)
         result = self.send_until_answered()
         if isinstance(result, Refusal):
+            if self._is_suspect and not self._counts.possibly_run:
+                self._context.crash_evidence.end_run(self._request.fingerprint)
             return self.log_refusal(result)
         if isinstance(result, BufferedAnswer):
             return result
@@ -119,6 +128,8 @@
         A stream is returned once it has begun, any other answer once it is complete.
         """
         while True:
+            if (refusal := self._refuse_quarantined_retry()) is not None:
+                return refusal
             reservation = self._acquire_reservation()
             if isinstance(reservation, Refusal):
                 return reservation
@@ -133,6 +144,17 @@
             if result is not None:
                 return result
 
+    def _refuse_quarantined_retry(self) -> Refusal | None:
+        """Refuse to send a request again that is quarantined since its first send."""
+        if not self._counts.possibly_run:
+            return None
+        status = self._context.crash_evidence.get_status(self._request.fingerprint)
+        if not isinstance(status, Quarantined):
+            return None
+        return quarantine_refusal(status)._replace(
+            status=502, retry_after_s=0.0, outcome=Outcome.UNKNOWN
+        )
+
     def _release_withheld(self, reservation: Reservation) -> None:
         """Release a reservation whose server may get no requests any more."""
         self._release(reservation)
@@ -157,6 +179,7 @@
                 reservation, AttemptOutcome.LOST, str(error)
             )
         self.end_answer(reservation, answer)
+        self._record_survival()
         if is_success:
             self.record_success(reservation, monotonic() - self._sent_at)
             return self._whole_answer(answer, body)
@@ -221,6 +244,8 @@
         request = self._request
         self._counts = self._counts.with_outcome(outcome)
         self._tried_servers |= {reservation.server}
+        if outcome is AttemptOutcome.LOST:
+            self._record_lost_run(reservation)
         if self._watched.abort_reason is AbortReason.CALLER_LEFT:
             return CALLER_LEFT
         if (
@@ -228,10 +253,6 @@
             and not self._watched.is_over
         ):
             self._dispatcher.record_failure(reservation)
-        if outcome is AttemptOutcome.LOST and self._watched.abort_reason is None:
-            self._context.retry_guards.record_lost_answer(
-                request.fingerprint, reservation.incarnation
-            )
         time_left_s = request.deadlines.deadline_at - monotonic()
         if self._watched.is_over:
             time_left_s = 0.0
@@ -271,6 +292,20 @@
         )
         return refusal_for_step(step, reason, request.id, backoff_left_s)
 
+    def _record_lost_run(self, reservation: Reservation) -> None:
+        """Record a run whose answer the server has not completed."""
+        if self._watched.abort_reason is not None:
+            return
+        run = LostRun(
+            self._request.fingerprint,
+            reservation.incarnation,
+            self._sent_at,
+            monotonic(),
+            is_closed=True,
+            is_suspect=self._is_suspect,
+        )
+        self._context.record_lost_run(run)
+
     def _consume_retry(self) -> bool:
         """Consume the reserved retry or one of the budget; return if there was one."""
         reserved, self._has_reserved_retry = self._has_reserved_retry, False
@@ -451,10 +486,20 @@
         ``latency_s`` is compared between the servers of a service.
         """
         self._dispatcher.record_success(reservation, latency_s)
-        self._context.retry_guards.clear_suspicion(
+        self._record_survival()
+
+    def _record_survival(self) -> None:
+        """Record that a server has run the request and is alive."""
+        self._probation_s = 0.0
+        self._context.crash_evidence.record_success(
             self._request.fingerprint, self._request.id
         )
 
+    def record_progress(self, now: float) -> None:
+        """Clear a suspect that has run for longer than on the servers that ended."""
+        if self._probation_s and now - self._sent_at > self._probation_s:
+            self._record_survival()
+
     def log_refusal(self, refusal: Refusal) -> RefusedAnswer:
         """Log the final refusal and return it as an answer."""
         self.log_finished(refusal.status, 0, refusal.reason, refusal.message)
--- a/src/kingcupwheel/forwarding/peers.py
+++ b/src/kingcupwheel/forwarding/peers.py
@@ -168,6 +168,22 @@
             else peer.last_heartbeat.sent_at
         )
 
+    def echo_held_s_for(self, name: str, now: float) -> float:
+        """Return how long ago that reading was received, negative before the first."""
+        peer = self._by_name.get(name)
+        return (
+            -1.0 if peer is None or peer.last_heartbeat is None else now - peer.heard_at
+        )
+
+    def echo_from(self, name: str) -> float:
+        """Return the own clock reading that the peer has echoed last, 0 if none."""
+        peer = self._by_name.get(name)
+        return (
+            0.0
+            if peer is None or peer.last_heartbeat is None
+            else peer.last_heartbeat.echo
+        )
+
     def take_silent_addresses(self, now: float) -> tuple[str, ...]:
         """Return the addresses of silent peers, to reconnect to, at a bounded rate.
 
--- a/src/kingcupwheel/forwarding/streams.py
+++ b/src/kingcupwheel/forwarding/streams.py
@@ -118,6 +118,7 @@
         else:
             self._first_event_s = now - self._forwarder.received_at
         self._last_event_at = now
+        self._forwarder.record_progress(now)
 
     def _log_finished(self, how: str, reason: str = "") -> None:
         self._forwarder.log_finished(
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -35,14 +35,40 @@
     pace: float = 1.0
 
 
+class CrashedRunReport(msgspec.Struct, frozen=True, array_like=True):
+    """A run that ended with its server, as ages in seconds when this was written.
+
+    The run began at most ``started_age_s`` ago, and the server had ended
+    ``ended_age_s`` ago. ``crash_id`` is equal for all reports of the same crash.
+    """
+
+    crash_id: int
+    started_age_s: float
+    ended_age_s: float
+
+
+class SuspicionReport(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender knows of a request that ran on servers when they crashed.
+
+    ``runs`` are those since the last complete run, which ended ``success_age_s`` ago
+    (negative if none is known). Other runs are held for ``held_s`` seconds.
+    """
+
+    fingerprint: str
+    runs: tuple[CrashedRunReport, ...]
+    success_age_s: float = -1.0
+    held_s: float = 0.0
+
+
 class AgentHeartbeat(Message, frozen=True, tag="Beat"):
     """Heartbeat from an agent to an entry.
 
     Sent about every second, and at once when leaving starts. ``token`` changes with the
     agent's clock; a dispatch with an old one is refused, which bounds how long
-    tombstones are kept. ``crashed`` pairs the fingerprint of each request that was
-    running when the server crashed with an id of the crash; pairs are repeated for a
-    while. ``started_at_ms`` is the server's start (Unix milliseconds, 0 if unknown).
+    tombstones are kept. ``suspicions`` tell which requests were running when the server
+    crashed; they are repeated for a while. ``crashed`` is empty: earlier versions need
+    the field. ``started_at_ms`` is the server's start (Unix milliseconds, 0 if
+    unknown).
     """
 
     name: str
@@ -56,6 +82,7 @@
     manifest_version: int
     crashed: tuple[tuple[str, int], ...]
     started_at_ms: int = msgspec.field(name="born_ms", default=0)
+    suspicions: tuple[SuspicionReport, ...] = ()
 
 
 class LoadsRequest(Message, frozen=True, tag="LoadsAsk"):
@@ -94,7 +121,8 @@
 class PeerHeartbeat(Message, frozen=True, tag="PeerBeat"):
     """Heartbeat from an entry to a peer entry, about every second.
 
-    ``crashed`` is as in ``AgentHeartbeat``, for all recently reported crashes.
+    ``suspicions`` are as in ``AgentHeartbeat``, for all recent changes; ``crashed`` is
+    empty.
     """
 
     name: str
@@ -103,6 +131,7 @@
     manifest_digest: str
     leaving: bool
     crashed: tuple[tuple[str, int], ...]
+    suspicions: tuple[SuspicionReport, ...] = ()
 
 
 class EntryInfo(Message, frozen=True, tag="EntryTold"):
@@ -131,9 +160,12 @@
     """Heartbeat between entries on the users' platform, about twice a second.
 
     ``sent_at`` is read from the sender's clock; ``echo`` is the newest ``sent_at`` that
-    the sender received from the receiver. Configuration ``version`` was the newest one
+    the sender received from the receiver, ``echo_held_s`` seconds before this was sent
+    (negative if unknown). Configuration ``version`` was the newest one
     ``age_s`` before this was sent; a negative age means unknown. ``limits`` are the
-    rate limits that the sender has observed itself.
+    rate limits that the sender has observed itself, ``suspicions`` what it knows of
+    requests that crash servers and the receiver has not confirmed; ``crashed`` is
+    empty: earlier versions need the field.
     """
 
     sender: EntryInfo = msgspec.field(name="me")
@@ -146,6 +178,8 @@
     crashed: tuple[tuple[str, int], ...]
     known_entries: tuple[EntryInfo, ...] = msgspec.field(name="known")
     limits: tuple[ServerLimitReport, ...] = ()
+    echo_held_s: float = -1.0
+    suspicions: tuple[SuspicionReport, ...] = ()
 
 
 class ManifestRequest(Message, frozen=True, tag="ManifestWanted"):
--- a/src/kingcupwheel/telemetry/metrics.py
+++ b/src/kingcupwheel/telemetry/metrics.py
@@ -55,6 +55,12 @@
             ["came"],
             registry=registry,
         )
+        self.crash_events = Counter(
+            "kingcupwheel_crash_suspicions",
+            "Runs that ended with their server, and what became of their requests.",
+            ["event"],
+            registry=registry,
+        )
         self.server_rate_limit = Gauge(
             "kingcupwheel_server_rate_limit",
             "Requests per second that a server takes from all entries together.",
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -8,14 +8,20 @@
 
 import pytest
 
+from kingcupwheel.decisions.crash_suspects import QUARANTINES_S
+from kingcupwheel.decisions.crash_suspects import CrashedRun
+from kingcupwheel.decisions.crash_suspects import Quarantined
+from kingcupwheel.forwarding.requests import request_fingerprint
 from tests.forwarding.crashes import CrashingService
 from tests.forwarding.crashes import RestartTimes
+from tests.forwarding.fleet import wait_until
 from tests.standins.backend import Behaviour
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from kingcupwheel.forwarding.daemon import ForwardingDaemon
     from tests.forwarding.fleet import CallerResponse
     from tests.forwarding.fleet import Fleet
 
@@ -127,3 +133,53 @@
     served = [one for one in afterwards if one.status == 200 and one.is_complete]
     assert not refused
     assert len(served) >= 0.95 * len(afterwards)
+
+
+def quarantine(entry: ForwardingDaemon, fingerprint: str, ago_s: float) -> None:
+    """Let an entry know of two separate crashes, the last one ``ago_s`` ago."""
+    ended_at = time.monotonic() - ago_s
+    for number, end in enumerate((ended_at - 1.0, ended_at)):
+        run = CrashedRun(number, end - 0.05, end)
+        entry._context.crash_evidence._suspects.record_crash(fingerprint, run, end)
+
+
+def test_a_started_entry_learns_of_crashes_long_past(fleet: Fleet) -> None:
+    """An entry restarts, knows nothing, and lets the request crash its servers again.
+
+    The others reported the crashes when they happened and report only what is new.
+    """
+    server = fleet.add_server("i-1")
+    first = fleet.add_entry("entry-1")
+    fingerprint = request_fingerprint("org", "host.example", "GET", "/plain/bad", b"")
+    quarantine(first, fingerprint, ago_s=20.0)
+
+    second = fleet.add_entry("entry-2")
+    wait_until(
+        lambda: isinstance(
+            second._context.crash_evidence.get_status(fingerprint), Quarantined
+        )
+    )
+
+    answer = fleet.send("/plain/bad", entry=1)
+    assert answer.status == 503
+    assert b"died while" in answer.body
+    assert 0 < float(answer.headers["retry-after"]) <= QUARANTINES_S[0]
+    assert not server.received_requests
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"organisation": "other"}, {"host": "b.example"}, {"method": "POST"}],
+    ids=lambda one: next(iter(one)),
+)
+def test_requests_without_a_body_are_told_apart(changes: dict[str, str]) -> None:
+    """An innocent request is refused since another one of the same path crashes."""
+    found = {"organisation": "org", "host": "a.example", "method": "GET"}
+
+    fingerprints = {
+        request_fingerprint(**one, target="/status", body=b"")
+        for one in (found, {**found, **changes})
+    }
+
+    assert len(fingerprints) == 2
+    assert "" not in fingerprints
--- a/tools/capacity_probes.py
+++ b/tools/capacity_probes.py
@@ -30,7 +30,7 @@
 from tools.capacity_samples import build_burn_counter
 from tools.capacity_samples import build_observed_request
 from tools.capacity_samples import build_organisation
-from tools.capacity_samples import build_suspects
+from tools.capacity_samples import build_suspicions
 from tools.capacity_samples import encode_instance_list
 from tools.capacity_samples import measure_sharded_manifest
 from tools.capacity_samples import record_requests
@@ -65,7 +65,8 @@
                     False,
                     True,
                     720,
-                    build_suspects(count),
+                    crashed=(),
+                    suspicions=build_suspicions(count),
                 )
             ),
         )
@@ -91,7 +92,8 @@
                     720,
                     _DIGEST,
                     False,
-                    build_suspects(count),
+                    crashed=(),
+                    suspicions=build_suspicions(count),
                 )
             ),
         )
--- a/tools/capacity_samples.py
+++ b/tools/capacity_samples.py
@@ -19,6 +19,8 @@
 from kingcupwheel.manifest.shards import encode_index
 from kingcupwheel.manifest.shards import shard_manifest
 from kingcupwheel.messages.attempts import Outcome
+from kingcupwheel.messages.membership import CrashedRunReport
+from kingcupwheel.messages.membership import SuspicionReport
 from kingcupwheel.platform.client import Instance
 from kingcupwheel.trace.events import AttemptDispatched
 from kingcupwheel.trace.events import AttemptForwarded
@@ -144,9 +146,12 @@
     return msgspec.json.encode(instances)
 
 
-def build_suspects(count: int) -> tuple[tuple[str, int], ...]:
-    """Return ``count`` fingerprints, each with its number of server crashes."""
-    return tuple((f"{number:032x}", 1) for number in range(count))
+def build_suspicions(count: int) -> tuple[SuspicionReport, ...]:
+    """Return ``count`` requests, each of which ran during one server crash."""
+    return tuple(
+        SuspicionReport(f"{number:032x}", (CrashedRunReport(2**60, 1.25, 1.125),))
+        for number in range(count)
+    )
 
 
 def measure_sharded_manifest(organisations: int) -> tuple[int, list[int]]:
