--- a/src/kingcupwheel/forwarding/context.py
+++ b/src/kingcupwheel/forwarding/context.py
@@ -18,6 +18,7 @@
     from kingcupwheel.forwarding.connection_pool import ConnectionPool
     from kingcupwheel.forwarding.crash_attribution import LostRun
     from kingcupwheel.forwarding.crash_evidence import CrashEvidence
+    from kingcupwheel.forwarding.crash_prober import CrashProber
     from kingcupwheel.forwarding.http_metadata import ReportedLoad
     from kingcupwheel.forwarding.http_metadata import ServerNotice
     from kingcupwheel.forwarding.liveness import LivenessTrackers
@@ -44,6 +45,7 @@
     connection_pool: ConnectionPool
     retry_guards: RetryGuards
     crash_evidence: CrashEvidence
+    crash_prober: CrashProber
     liveness: LivenessTrackers
     watchdog: Watchdog
     metrics: EntryMetrics
@@ -119,9 +121,11 @@
         )
         self.server_registry.refute_address(reservation)
 
-    def record_lost_run(self, run: LostRun) -> None:
-        """Record a run whose answer is lost."""
+    def record_lost_run(self, run: LostRun, address: str) -> None:
+        """Record a run whose answer is lost, and probe a server that closed it."""
         self.crash_evidence.record_lost_run(run)
+        if run.is_closed:
+            self.crash_prober.probe(run.incarnation, address)
 
     def record_rejection(
         self, reservation: Reservation, service: str, *, is_streamed: bool
--- /dev/null
+++ b/src/kingcupwheel/forwarding/crash_prober.py
@@ -0,0 +1,108 @@
+"""Finds out early whether a server that closed a connection has ended."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from queue import Empty
+from queue import Full
+from queue import Queue
+from threading import Event
+from threading import Thread
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Connection attempts to a server that closed a connection, in seconds after the first.
+# Two refused ones in a row confirm that no process listens there any more.
+_PROBE_DELAYS_S = (0.0, 0.1, 0.3, 0.8)
+_REFUSALS_TO_CONFIRM = 2
+# A machine without power doesn't reply; its server's end is known from the list.
+_CONNECT_TIMEOUT_S = 0.1
+# Servers probed at once; the end of others is known from the list.
+_MAX_PROBES = 64
+_POLL_INTERVAL_S = 0.05
+
+
+class _Probe(NamedTuple):
+    incarnation: str
+    address: str
+    began_at: float
+    attempts: int = 0
+    refusals: int = 0
+
+    @property
+    def due_at(self) -> float:
+        return self.began_at + _PROBE_DELAYS_S[self.attempts]
+
+
+class CrashProber:
+    """Thread that probes servers; ``on_refused`` gets the incarnation that ended.
+
+    A platform lists a server that crashed for seconds, and meanwhile the request that
+    crashed it would crash others.
+    """
+
+    def __init__(self, on_refused: Callable[[str], None]) -> None:
+        self._on_refused = on_refused
+        self._queue: Queue[_Probe] = Queue(maxsize=_MAX_PROBES)
+        self._stopping = Event()
+        self._thread = Thread(target=self._run, name="crash-prober", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread; does not wait for a probe in progress."""
+        self._stopping.set()
+
+    def probe(self, incarnation: str, address: str) -> None:
+        """Probe a server that has closed a connection; does not block."""
+        with contextlib.suppress(Full):
+            self._queue.put_nowait(_Probe(incarnation, address, monotonic()))
+
+    def _run(self) -> None:
+        pending: dict[str, _Probe] = {}
+        while not self._stopping.is_set():
+            self._take_new(pending)
+            now = monotonic()
+            for probe in tuple(pending.values()):
+                if probe.due_at <= now:
+                    self._advance(pending, probe)
+
+    def _take_new(self, pending: dict[str, _Probe]) -> None:
+        """Add queued probes; wait for one only as long as none is due."""
+        timeout_s = _POLL_INTERVAL_S if pending else None
+        with contextlib.suppress(Empty):
+            probe = self._queue.get(timeout=timeout_s)
+            while True:
+                if len(pending) < _MAX_PROBES:
+                    pending.setdefault(probe.incarnation, probe)
+                probe = self._queue.get_nowait()
+
+    def _advance(self, pending: dict[str, _Probe], probe: _Probe) -> None:
+        del pending[probe.incarnation]
+        is_refused = _is_connection_refused(probe.address)
+        refusals = probe.refusals + 1 if is_refused else 0
+        if refusals >= _REFUSALS_TO_CONFIRM:
+            self._on_refused(probe.incarnation)
+        elif probe.attempts + 1 < len(_PROBE_DELAYS_S):
+            pending[probe.incarnation] = probe._replace(
+                attempts=probe.attempts + 1, refusals=refusals
+            )
+
+
+def _is_connection_refused(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=_CONNECT_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except (OSError, ValueError):
+        return False
+    return False
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from functools import partial
 from threading import Event
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -18,6 +19,7 @@
 from kingcupwheel.forwarding.connection_pool import ConnectionPool
 from kingcupwheel.forwarding.context import ForwardContext
 from kingcupwheel.forwarding.crash_evidence import CrashEvidence
+from kingcupwheel.forwarding.crash_prober import CrashProber
 from kingcupwheel.forwarding.endpoints import AddressesEndpoint
 from kingcupwheel.forwarding.endpoints import ReadinessEndpoint
 from kingcupwheel.forwarding.entry_membership import EntryMembership
@@ -103,6 +105,9 @@
         )
         self._guards = RetryGuards(budget_limits, lambda: self._membership.fleet_size)
         self._crash_evidence = CrashEvidence(settings.name, self._metrics.crash_events)
+        self._crash_prober = CrashProber(
+            partial(self._crash_evidence.record_server_end, cause="refused")
+        )
         connections = ConnectionPool()
         self._context = ForwardContext(
             data_centre=settings.data_centre,
@@ -114,6 +119,7 @@
             connection_pool=connections,
             retry_guards=self._guards,
             crash_evidence=self._crash_evidence,
+            crash_prober=self._crash_prober,
             liveness=LivenessTrackers(),
             watchdog=Watchdog(),
             metrics=self._metrics,
@@ -207,6 +213,7 @@
             server.bind()
         self._hub.start()
         self._context.watchdog.start()
+        self._crash_prober.start()
         for watcher in self._watchers:
             watcher.start()
         self._store_maintainer.start()
@@ -241,6 +248,7 @@
         ).wait()
         for watcher in self._watchers:
             watcher.stop()
+        self._crash_prober.stop()
         log.info("stopped", cut=cut, took_s=round(monotonic() - began, 2))
 
     def _configuration_snapshot(self) -> ConfigurationSnapshot:
--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -304,7 +304,7 @@
             is_closed=True,
             is_suspect=self._is_suspect,
         )
-        self._context.record_lost_run(run)
+        self._context.record_lost_run(run, reservation.address)
 
     def _consume_retry(self) -> bool:
         """Consume the reserved retry or one of the budget; return if there was one."""
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -28,6 +28,8 @@
 # The users' rule: at most so many sends later than so long after the third end.
 MAX_LATE_ARRIVALS = 3
 STABLE_WINDOW_S = 3.0
+# Two by the first send of a repeatable request, one by the next, and one in between.
+MAX_ENDED_SERVERS = 4
 ENTRIES = 3
 RESENDS = 16
 RESEND_INTERVAL_S = 0.6
@@ -68,6 +70,7 @@
     service.stop()
 
     assert len(service.ended_at) >= 2, "the request crashed servers"
+    assert len(service.ended_at) <= MAX_ENDED_SERVERS
     assert len(service.late_arrivals(target, STABLE_WINDOW_S)) <= MAX_LATE_ARRIVALS
     assert responses[-1].status == 503
     assert float(responses[-1].headers["retry-after"]) > 0
