--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -293,19 +293,25 @@
         return refusal_for_step(step, reason, request.id, backoff_left_s)
 
     def _record_lost_run(self, reservation: Reservation) -> None:
-        """Record a run whose answer the server has not completed."""
-        if self._watched.abort_reason is not None:
+        """Record a run whose answer is lost, however the wait for it has ended."""
+        abort_reason = self._watched.abort_reason
+        if abort_reason is AbortReason.SERVER_SLOW:
             return
         run = LostRun(
             self._request.fingerprint,
             reservation.incarnation,
             self._sent_at,
             monotonic(),
-            is_closed=True,
+            is_closed=abort_reason is None,
             is_suspect=self._is_suspect,
         )
         self._context.record_lost_run(run, reservation.address)
 
+    def record_abandoned_stream(self, reservation: Reservation) -> None:
+        """Record that the caller has left while the server sent nothing."""
+        self._watched.abort(AbortReason.CALLER_LEFT)
+        self._record_lost_run(reservation)
+
     def _consume_retry(self) -> bool:
         """Consume the reserved retry or one of the budget; return if there was one."""
         reserved, self._has_reserved_retry = self._has_reserved_retry, False
--- a/src/kingcupwheel/forwarding/streams.py
+++ b/src/kingcupwheel/forwarding/streams.py
@@ -10,6 +10,7 @@
 from kingcupwheel.entry.refusals import Refusal
 from kingcupwheel.forwarding.events import EventSplitter
 from kingcupwheel.forwarding.exceptions import AnswerLostError
+from kingcupwheel.forwarding.liveness import STALL_THRESHOLD_S
 from kingcupwheel.forwarding.outcomes import AttemptOutcome
 from kingcupwheel.telemetry.json_logs import lines_of
 from kingcupwheel.utils.integer_parsing import parse_non_negative_int
@@ -58,6 +59,9 @@
                     yield self._record_events(events)
             self._record_completion()
         except GeneratorExit:
+            last_sign_at = self._last_event_at or self._began_at
+            if monotonic() - last_sign_at > STALL_THRESHOLD_S:
+                self._forwarder.record_abandoned_stream(self._placed.reservation)
             self._log_finished("caller-left")
             raise
         finally:
