--- a/tests/soak/planned/fleet.py
+++ b/tests/soak/planned/fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from threading import Event
+from threading import RLock
 from threading import Thread
 from typing import TYPE_CHECKING
 
@@ -34,6 +36,9 @@
 # Answers may take twice the grace period.
 MAX_WORK_S = 2 * SHUTDOWN_GRACE_S
 REQUEST_TIMEOUT_S = 8.0
+# From a server's crash to its removal from the list and to its next incarnation.
+CRASH_REMOVAL_S = 1.2
+CRASH_RESTART_S = 1.6
 _MS = 1000.0
 _SUPERVISION_INTERVAL_S = 0.02
 # Longer than the longest request that callers wait for.
@@ -48,6 +53,8 @@
         self.objects = StoredObjects()
         self._store_server = StoreServer(self.objects)
         self._store_server.start()
+        self._crash_lock = RLock()
+        self._stopping = Event()
         self._ports = [free_ports(1, host)[0] for host in SERVER_HOSTS]
         self.ended_servers: list[RecordingServer] = []
         self.servers = [
@@ -67,7 +74,6 @@
             )
             for number in range(1, entry_count + 1)
         )
-        self._stopping = Event()
         self._supervisors = [
             Thread(target=self._supervise_process, args=(entry,))
             for entry in self.entries
@@ -95,10 +101,27 @@
         born_ms = int(time.time() * _MS)
         host, port = SERVER_HOSTS[number], self._ports[number]
         server = RecordingServer(f"i-{number}", born_ms, host, port)
+        server.on_crash = partial(self._crash, number, server)
         server.start()
         self.objects.put("servers", server.instance, server.build_store_entry())
         return server
 
+    def _crash(self, number: int, server: RecordingServer) -> None:
+        """End a server at once; it is replaced as its platform does."""
+        with self._crash_lock:
+            if server.is_shut_down:
+                return
+            server.shut_down()
+        self.ended_servers.append(server)
+        Thread(target=self._replace, args=(number, server), daemon=True).start()
+
+    def _replace(self, number: int, server: RecordingServer) -> None:
+        if self._stopping.wait(CRASH_REMOVAL_S):
+            return
+        self.objects.remove("servers", server.instance)
+        if not self._stopping.wait(CRASH_RESTART_S - CRASH_REMOVAL_S):
+            self.restart_server(number)
+
     def list_requests(self) -> list[ServerRequest]:
         """Return the requests of all server incarnations in the order of arrival."""
         requests = [
@@ -122,12 +145,17 @@
     def end_server(self, number: int) -> None:
         """End the current incarnation of a server."""
         server = self.servers[number]
-        server.shut_down()
+        with self._crash_lock:
+            if server.is_shut_down:
+                return
+            server.shut_down()
         self.ended_servers.append(server)
 
     def restart_server(self, number: int) -> None:
         """Start a new incarnation of a server that has ended, at its address."""
-        self.servers[number] = self._start_server(number)
+        with self._crash_lock:
+            if self.servers[number].is_shut_down:
+                self.servers[number] = self._start_server(number)
 
     def is_ready(self) -> bool:
         """Return whether every entry reports that it is ready."""
