--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -151,7 +151,7 @@
         status = self._context.crash_evidence.get_status(self._request.fingerprint)
         if not isinstance(status, Quarantined):
             return None
-        return quarantine_refusal(status)._replace(
+        return quarantine_refusal(status, self._request.id)._replace(
             status=502, retry_after_s=0.0, outcome=Outcome.UNKNOWN
         )
 
@@ -257,7 +257,11 @@
         if self._watched.is_over:
             time_left_s = 0.0
         is_retry_allowed = may_retry(self._counts, self._policy, time_left_s)
-        is_within_budget = is_retry_allowed and self._consume_retry()
+        # A refused connection is no load for a server, so that the next send costs no
+        # more than this one would have.
+        is_within_budget = is_retry_allowed and (
+            outcome is AttemptOutcome.NOT_SENT or self._consume_retry()
+        )
         step = next_step(
             outcome,
             self._counts,
--- a/src/kingcupwheel/forwarding/suspect_admission.py
+++ b/src/kingcupwheel/forwarding/suspect_admission.py
@@ -11,6 +11,7 @@
 from kingcupwheel.decisions.crash_suspects import NotSuspected
 from kingcupwheel.decisions.crash_suspects import Quarantined
 from kingcupwheel.decisions.crash_suspects import Suspect
+from kingcupwheel.decisions.hashing import stable_fraction
 from kingcupwheel.entry.refusals import Refusal
 
 
@@ -20,6 +21,8 @@
     from kingcupwheel.forwarding.watchdog import WatchedRequest
 
 _POLL_INTERVAL_S = 0.02
+# The callers of a refused request come back within this time after it may run.
+RETURN_SPREAD_S = 1.0
 
 
 class AdmittedSuspect(NamedTuple):
@@ -45,11 +48,11 @@
                 case Suspect(_, probation_s):
                     return AdmittedSuspect(probation_s)
                 case Quarantined() as quarantined:
-                    return quarantine_refusal(quarantined)
+                    return quarantine_refusal(quarantined, request.id)
                 case Held() as held:
                     is_waiting = is_waiting or evidence.try_begin_wait()
                     if not is_waiting or _is_too_late(request, watched):
-                        return _refuse_held(held)
+                        return _refuse_held(held, request.id)
                     time.sleep(min(held.remaining_s, _POLL_INTERVAL_S))
     finally:
         if is_waiting:
@@ -60,15 +63,25 @@
     return watched.is_over or monotonic() >= request.deadlines.first_byte_deadline_at
 
 
-def _refuse_held(held: Held) -> Refusal:
+def _refuse_held(held: Held, request_id: str) -> Refusal:
     message = (
         f"{held.crash_count} servers died while they ran this request, and another "
         "send of it runs."
     )
-    return Refusal(503, "suspect-held", message, held.remaining_s)
+    return Refusal(503, "suspect-held", message, _spread(held.remaining_s, request_id))
 
 
-def quarantine_refusal(quarantined: Quarantined) -> Refusal:
+def quarantine_refusal(quarantined: Quarantined, request_id: str) -> Refusal:
     """Return the refusal of a request that crashed servers."""
     message = f"{quarantined.crash_count} servers died while they ran this request."
-    return Refusal(503, "quarantined", message, quarantined.remaining_s)
+    return Refusal(
+        503, "quarantined", message, _spread(quarantined.remaining_s, request_id)
+    )
+
+
+def _spread(remaining_s: float, request_id: str) -> float:
+    """Return a time shortly after ``remaining_s``, different for each caller.
+
+    One of them runs the request first; the others need not come while it runs.
+    """
+    return remaining_s + RETURN_SPREAD_S * stable_fraction(request_id)
--- a/tests/standins/http_server.py
+++ b/tests/standins/http_server.py
@@ -91,6 +91,9 @@
 
     def crash(self) -> None:
         """Close the listener and reset all connections, as the end of a process."""
+        # Closed alone, it would accept connections until the serving thread wakes.
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(SHUT_RDWR)
         self.server_close()
         with self._connections_lock:
             connections = tuple(self._connections)
