--- a/src/kingcupwheel/forwarding/suspect_admission.py
+++ b/src/kingcupwheel/forwarding/suspect_admission.py
@@ -12,7 +12,9 @@
 from kingcupwheel.decisions.crash_suspects import Quarantined
 from kingcupwheel.decisions.crash_suspects import Suspect
 from kingcupwheel.decisions.hashing import stable_fraction
+from kingcupwheel.entry.refusals import ENTRY_LEAVING
 from kingcupwheel.entry.refusals import Refusal
+from kingcupwheel.forwarding.final_refusals import retry_after_s
 
 
 if TYPE_CHECKING:
@@ -51,6 +53,10 @@
                     return quarantine_refusal(quarantined, request.id)
                 case Held() as held:
                     is_waiting = is_waiting or evidence.try_begin_wait()
+                    if not watched.may_dispatch():
+                        return ENTRY_LEAVING._replace(
+                            retry_after_s=retry_after_s(request.id)
+                        )
                     if not is_waiting or _is_too_late(request, watched):
                         return _refuse_held(held, request.id)
                     time.sleep(min(held.remaining_s, _POLL_INTERVAL_S))
