--- a/src/kingcupwheel/decisions/crash_suspects.py
+++ b/src/kingcupwheel/decisions/crash_suspects.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from kingcupwheel.decisions.hashing import stable_fraction
 from kingcupwheel.decisions.hashing import stable_hash
 
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 # Separate crashes after which a request is quarantined. One may be a coincidence or
 # caused by another request; the second hit a run that began after the first crash.
 QUARANTINE_CRASHES = 2
 
+# The same if other requests ended with the last server and the request's runs are held
+# one by one: any of the others may be the cause, and no parallel run can complete.
+QUARANTINE_SHARED_CRASHES = 3
+
 # Quarantine after the second separate crash, the third and so on. An innocent request
 # is soon tried again, while one that crashes servers crashes at most three more in an
 # hour.
@@ -47,6 +47,9 @@
 # More crashes than quarantines of different length.
 _MAX_CRASHES_PER_FINGERPRINT = 16
 
+# Crashes whose requests are counted.
+_MAX_CRASHES = 1_024
+
 
 class ServerIncarnation(NamedTuple):
     """One incarnation of a backend server: its name and its agent's incarnation id.
@@ -150,15 +153,22 @@
     it until the whole group has crashed. Requests that ran beside it, or on servers
     that lost power together, are innocent. They are told apart by time and success: a
     request is quarantined if a run that began after the end of one server ended with
-    another one, and no run has completed in between. ``owner`` names the entry.
+    another one, and no run has completed in between. ``owner`` names the entry;
+    ``shared_crashes`` separate crashes are needed if others ended with the last server.
     """
 
     def __init__(
-        self, owner: str = "", *, max_fingerprints: int = MAX_FINGERPRINTS
+        self,
+        owner: str = "",
+        *,
+        shared_crashes: int = QUARANTINE_CRASHES,
+        max_fingerprints: int = MAX_FINGERPRINTS,
     ) -> None:
         self._owner = owner
+        self._shared_crashes = shared_crashes
         self._max_fingerprints = max_fingerprints
         self._record_by_fingerprint: OrderedDict[str, _Record] = OrderedDict()
+        self._fingerprints_by_crash_id: OrderedDict[int, set[str]] = OrderedDict()
         # Successes of requests without a record: the report of a crash before them may
         # arrive later.
         self._succeeded_at: OrderedDict[str, float] = OrderedDict()
@@ -177,6 +187,7 @@
         if run.crash_id in record.run_by_crash_id:
             return False
         record.run_by_crash_id[run.crash_id] = run
+        self._count_fingerprint(fingerprint, run.crash_id)
         if len(record.run_by_crash_id) > _MAX_CRASHES_PER_FINGERPRINT:
             del record.run_by_crash_id[next(iter(record.run_by_crash_id))]
         self._mark_changed(fingerprint, record, now)
@@ -272,16 +283,28 @@
 
     def _quarantine_s(self, fingerprint: str, runs: list[CrashedRun]) -> float:
         """Return the length of the quarantine after the last crash, 0 if none."""
-        separate = count_separate_crashes(runs)
-        if separate < QUARANTINE_CRASHES:
+        separate = len(separate_runs(runs))
+        others = self._count_crashes_of_others(fingerprint, runs[-1].crash_id)
+        needed = self._shared_crashes if others else QUARANTINE_CRASHES
+        # A request with more crashes explains this one.
+        if separate < needed or max(others, default=0) > separate:
             return 0.0
-        level = min(separate - QUARANTINE_CRASHES, len(QUARANTINES_S) - 1)
+        level = min(separate - needed, len(QUARANTINES_S) - 1)
         spread_s = TRIAL_SPREAD_S * stable_fraction(fingerprint, self._owner)
         return QUARANTINES_S[level] + spread_s
 
+    def _count_crashes_of_others(self, fingerprint: str, crash_id: int) -> list[int]:
+        """Return the separate crashes of the others that ended with the same server."""
+        others = self._fingerprints_by_crash_id.get(crash_id, set()) - {fingerprint}
+        records = (self._record_by_fingerprint.get(other) for other in others)
+        return [
+            len(separate_runs(record.list_active()))
+            for record in records
+            if record is not None
+        ]
+
     def _retention_s(self, runs: list[CrashedRun]) -> float:
-        separate = count_separate_crashes(runs)
-        is_quarantined = separate >= QUARANTINE_CRASHES
+        is_quarantined = len(separate_runs(runs)) >= QUARANTINE_CRASHES
         return SUSPECT_RETENTION_S + (QUARANTINES_S[-1] if is_quarantined else 0.0)
 
     def _get_or_create(self, fingerprint: str) -> _Record:
@@ -294,6 +317,11 @@
                 self._record_by_fingerprint.popitem(last=False)
         return record
 
+    def _count_fingerprint(self, fingerprint: str, crash_id: int) -> None:
+        self._fingerprints_by_crash_id.setdefault(crash_id, set()).add(fingerprint)
+        while len(self._fingerprints_by_crash_id) > _MAX_CRASHES:
+            self._fingerprints_by_crash_id.popitem(last=False)
+
     def _mark_changed(self, fingerprint: str, record: _Record, now: float) -> None:
         record.changed_at = now
         self._record_by_fingerprint.move_to_end(fingerprint)
@@ -315,22 +343,18 @@
     return sent_at if is_suspect else sent_at - CORRELATED_CRASH_S
 
 
-def count_separate_crashes(runs: list[CrashedRun]) -> int:
-    """Return how many crashes of ``runs`` can't have had a cause in common.
+def separate_runs(runs: list[CrashedRun]) -> list[CrashedRun]:
+    """Return runs whose crashes can't have had a cause in common, as many as possible.
 
-    ``runs`` are sorted by ``ended_at``. It is the largest number of runs each of which
-    began after the server of the one before had ended. Servers that lose power together
-    count once, however many runs of a popular request they end.
+    ``runs`` are sorted by ``ended_at``. Each of those returned began after the server
+    of the one before had ended. Servers that lose power together count once, however
+    many runs of a popular request they end.
     """
-    return sum(1 for _ in _separate_runs(runs))
-
-
-def _separate_runs(runs: list[CrashedRun]) -> Iterator[CrashedRun]:
-    last_end = _NEVER
+    found: list[CrashedRun] = []
     for run in runs:
-        if run.started_at > last_end:
-            last_end = run.ended_at
-            yield run
+        if not found or run.started_at > found[-1].ended_at:
+            found.append(run)
+    return found
 
 
 def _probation_s(runs: list[CrashedRun]) -> float:
--- a/src/kingcupwheel/forwarding/crash_evidence.py
+++ b/src/kingcupwheel/forwarding/crash_evidence.py
@@ -7,6 +7,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
+from kingcupwheel.decisions.crash_suspects import QUARANTINE_SHARED_CRASHES
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
 from kingcupwheel.decisions.crash_suspects import NotSuspected
 from kingcupwheel.decisions.crash_suspects import Suspect
@@ -45,7 +46,7 @@
     """
 
     def __init__(self, owner: str, events: Counter) -> None:
-        self._suspects = CrashSuspects(owner)
+        self._suspects = CrashSuspects(owner, shared_crashes=QUARANTINE_SHARED_CRASHES)
         self._attribution = CrashAttribution()
         self._events = events
         self._has_changed = False
