--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from kingcupwheel.decisions.crash_suspects import Quarantined
 from kingcupwheel.entry.answers import BufferedAnswer
 from kingcupwheel.entry.answers import RefusedAnswer
 from kingcupwheel.entry.answers import StreamedAnswer
@@ -21,7 +20,6 @@
 from kingcupwheel.forwarding.calls import OutgoingRequest
 from kingcupwheel.forwarding.calls import Rejected
 from kingcupwheel.forwarding.calls import Withheld
-from kingcupwheel.forwarding.crash_attribution import LostRun
 from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.final_refusals import SERVER_FAILED
 from kingcupwheel.forwarding.final_refusals import refusal_for_step
@@ -37,10 +35,8 @@
 from kingcupwheel.forwarding.queue_wait import PlacementConstraints
 from kingcupwheel.forwarding.queue_wait import ReservationFailure
 from kingcupwheel.forwarding.queue_wait import wait_for_reservation
+from kingcupwheel.forwarding.run_evidence import RunEvidence
 from kingcupwheel.forwarding.streams import StreamRelay
-from kingcupwheel.forwarding.suspect_admission import AdmittedSuspect
-from kingcupwheel.forwarding.suspect_admission import admit_suspect
-from kingcupwheel.forwarding.suspect_admission import quarantine_refusal
 from kingcupwheel.forwarding.watchdog import AbortReason
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.platform.headers import build_server_headers
@@ -87,9 +83,7 @@
         )
         self._counts = AttemptCounts()
         self._tried_servers: frozenset[str] = frozenset()
-        self._is_suspect = False
-        # Time after which a suspect's run counts as survived, 0 if it is none.
-        self._probation_s = 0.0
+        self._evidence = RunEvidence(context, request, watched)
         self._last_event_id = request.head.last_event_id
         self._sent_at = 0.0
         # Whether the current server has begun to answer.
@@ -99,22 +93,17 @@
 
     def forward(self) -> Answer:
         """Return the answer, or the final refusal."""
-        admitted = admit_suspect(
-            self._context.crash_evidence, self._request, self._watched
-        )
-        match admitted:
-            case Refusal():
-                return self.log_refusal(admitted)
-            case AdmittedSuspect(probation_s):
-                self._is_suspect = True
-                self._probation_s = probation_s
-                # Another server would run it before the end of this one is known.
-                self._policy = self._policy._replace(max_servers=1)
+        refusal = self._evidence.admit()
+        if refusal is not None:
+            return self.log_refusal(refusal)
+        if self._evidence.is_suspect:
+            # Another server would run it before the end of this one is known.
+            self._policy = self._policy._replace(max_servers=1)
         self._context.retry_guards.count_first_attempt(self._request.service)
         result = self.send_until_answered()
         if isinstance(result, Refusal):
-            if self._is_suspect and not self._counts.possibly_run:
-                self._context.crash_evidence.end_run(self._request.fingerprint)
+            if not self._counts.possibly_run:
+                self._evidence.end_unsent()
             return self.log_refusal(result)
         if isinstance(result, BufferedAnswer):
             return result
@@ -128,8 +117,10 @@
         A stream is returned once it has begun, any other answer once it is complete.
         """
         while True:
-            if (refusal := self._refuse_quarantined_retry()) is not None:
-                return refusal
+            if self._counts.possibly_run:
+                refusal = self._evidence.refuse_quarantined_retry()
+                if refusal is not None:
+                    return refusal
             reservation = self._acquire_reservation()
             if isinstance(reservation, Refusal):
                 return reservation
@@ -144,17 +135,6 @@
             if result is not None:
                 return result
 
-    def _refuse_quarantined_retry(self) -> Refusal | None:
-        """Refuse to send a request again that is quarantined since its first send."""
-        if not self._counts.possibly_run:
-            return None
-        status = self._context.crash_evidence.get_status(self._request.fingerprint)
-        if not isinstance(status, Quarantined):
-            return None
-        return quarantine_refusal(status, self._request.id)._replace(
-            status=502, retry_after_s=0.0, outcome=Outcome.UNKNOWN
-        )
-
     def _release_withheld(self, reservation: Reservation) -> None:
         """Release a reservation whose server may get no requests any more."""
         self._release(reservation)
@@ -179,10 +159,10 @@
                 reservation, AttemptOutcome.LOST, str(error)
             )
         self.end_answer(reservation, answer)
-        self._record_survival()
         if is_success:
             self.record_success(reservation, monotonic() - self._sent_at)
             return self._whole_answer(answer, body)
+        self._evidence.record_survival()
         reason = f"status {head.status}"
         refusal = self.handle_failed_attempt(
             reservation, AttemptOutcome.FAILED, reason, head.notice
@@ -245,7 +225,7 @@
         self._counts = self._counts.with_outcome(outcome)
         self._tried_servers |= {reservation.server}
         if outcome is AttemptOutcome.LOST:
-            self._record_lost_run(reservation)
+            self._evidence.record_lost(reservation)
         if self._watched.abort_reason is AbortReason.CALLER_LEFT:
             return CALLER_LEFT
         if (
@@ -296,25 +276,10 @@
         )
         return refusal_for_step(step, reason, request.id, backoff_left_s)
 
-    def _record_lost_run(self, reservation: Reservation) -> None:
-        """Record a run whose answer is lost, however the wait for it has ended."""
-        abort_reason = self._watched.abort_reason
-        if abort_reason is AbortReason.SERVER_SLOW:
-            return
-        run = LostRun(
-            self._request.fingerprint,
-            reservation.incarnation,
-            self._sent_at,
-            monotonic(),
-            is_closed=abort_reason is None,
-            is_suspect=self._is_suspect,
-        )
-        self._context.record_lost_run(run, reservation.address)
-
     def record_abandoned_stream(self, reservation: Reservation) -> None:
         """Record that the caller has left while the server sent nothing."""
         self._watched.abort(AbortReason.CALLER_LEFT)
-        self._record_lost_run(reservation)
+        self._evidence.record_lost(reservation)
 
     def _consume_retry(self) -> bool:
         """Consume the reserved retry or one of the budget; return if there was one."""
@@ -334,7 +299,9 @@
             self._request,
             self._watched,
             PlacementConstraints(
-                self._tried_servers, self._is_suspect, self._context.data_centre
+                self._tried_servers,
+                self._evidence.is_suspect,
+                self._context.data_centre,
             ),
         )
         if isinstance(result, Reservation):
@@ -381,6 +348,7 @@
         request = self._request
         now = monotonic()
         self._sent_at = now
+        self._evidence.begin_send(now)
         self._has_answer_begun = False
         metadata = ServerRequestMetadata(
             instance=reservation.server,
@@ -496,19 +464,11 @@
         ``latency_s`` is compared between the servers of a service.
         """
         self._dispatcher.record_success(reservation, latency_s)
-        self._record_survival()
-
-    def _record_survival(self) -> None:
-        """Record that a server has run the request and is alive."""
-        self._probation_s = 0.0
-        self._context.crash_evidence.record_success(
-            self._request.fingerprint, self._request.id
-        )
+        self._evidence.record_survival()
 
     def record_progress(self, now: float) -> None:
-        """Clear a suspect that has run for longer than on the servers that ended."""
-        if self._probation_s and now - self._sent_at > self._probation_s:
-            self._record_survival()
+        """Record that the caller got an event."""
+        self._evidence.record_progress(now)
 
     def log_refusal(self, refusal: Refusal) -> RefusedAnswer:
         """Log the final refusal and return it as an answer."""
