--- /dev/null
+++ b/tests/forwarding/test_entry_membership.py
@@ -0,0 +1,142 @@
+"""Exchange of evidence between entries, through lost heartbeats and restarts."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import cast
+
+import pytest
+
+from kingcupwheel.decisions.crash_suspects import NotSuspected
+from kingcupwheel.decisions.crash_suspects import Suspect
+from kingcupwheel.entry.server_table import ServerTable
+from kingcupwheel.forwarding.configuration_cache import ConfigurationCache
+from kingcupwheel.forwarding.crash_attribution import LostRun
+from kingcupwheel.forwarding.crash_evidence import CrashEvidence
+from kingcupwheel.forwarding.entry_membership import EntryMembership
+from kingcupwheel.forwarding.rate_limit_exchange import RateLimitExchange
+from kingcupwheel.messages.membership import CrashedRunReport
+from kingcupwheel.messages.membership import EntryHeartbeat
+from kingcupwheel.messages.membership import EntryInfo
+from kingcupwheel.messages.membership import SuspicionReport
+from kingcupwheel.settings.schema import Timings
+from kingcupwheel.telemetry.metrics import EntryMetrics
+
+
+if TYPE_CHECKING:
+    from kingcupwheel.link.hub import MessageHub
+
+FINGERPRINT = "f" * 32
+
+
+class RecordingHub:
+    """Keeps the heartbeats that are sent, and delivers nothing."""
+
+    def __init__(self) -> None:
+        self.sent: list[EntryHeartbeat] = []
+
+    def send(self, _: object, message: EntryHeartbeat) -> None:
+        self.sent.append(message)
+
+    def reconnect(self, address: str) -> None:
+        pass
+
+
+class Member:
+    """An entry's membership and evidence, and one peer of it."""
+
+    def __init__(self) -> None:
+        self.hub = RecordingHub()
+        self.clock = ConfigurationCache()
+        self.evidence = CrashEvidence("own", EntryMetrics().crash_events)
+        self.membership = EntryMembership(
+            EntryInfo("own", "10.0.0.1:7000", "10.0.0.1:80", "dc-1"),
+            cast("MessageHub", self.hub),
+            self.clock,
+            self.evidence,
+            RateLimitExchange(ServerTable(Timings())),
+        )
+
+    def hear_peer(
+        self,
+        echo: float,
+        *,
+        incarnation: str = "a",
+        suspicions: tuple[SuspicionReport, ...] = (),
+    ) -> None:
+        """Receive a heartbeat of the peer that echoes a reading of the own clock."""
+        self.membership.on_heartbeat(
+            EntryHeartbeat(
+                sender=EntryInfo("peer", "10.0.0.2:7000", "10.0.0.2:80", "dc-1"),
+                incarnation=incarnation,
+                leaving=False,
+                sent_at=5.0,
+                echo=echo,
+                version=0,
+                age_s=-1.0,
+                crashed=(),
+                known_entries=(),
+                echo_held_s=0.0,
+                suspicions=suspicions,
+            )
+        )
+
+    def next_heartbeat(self) -> EntryHeartbeat:
+        """Return the next heartbeat that is sent to the peer."""
+        self.hub.sent.clear()
+        self.membership.announce_leaving()
+        self.membership.on_tick(time.monotonic())
+        return self.hub.sent[-1]
+
+    def record_crash(self) -> None:
+        now = time.monotonic()
+        run = LostRun(FINGERPRINT, "i-1", now, now, is_closed=True, is_suspect=False)
+        self.evidence.record_lost_run(run)
+        self.evidence.record_server_end("i-1", cause="refused")
+
+
+def test_evidence_is_repeated_until_the_peer_has_confirmed_it() -> None:
+    """Entries that are cut off from each other never hear what happened meanwhile.
+
+    What is sent during the cut is lost, and after it only news are sent.
+    """
+    member = Member()
+    member.hear_peer(0.0)
+    before = member.next_heartbeat().sent_at
+    member.hear_peer(before)
+    member.record_crash()
+
+    lost = [member.next_heartbeat() for _ in range(3)]
+    member.hear_peer(before)
+    after_cut = member.next_heartbeat()
+    member.hear_peer(after_cut.sent_at)
+
+    assert all(one.suspicions for one in (*lost, after_cut))
+    assert member.next_heartbeat().suspicions == ()
+
+
+def test_a_restarted_peer_gets_what_its_former_process_had_confirmed() -> None:
+    member = Member()
+    member.hear_peer(0.0)
+    member.record_crash()
+    confirmed = member.next_heartbeat().sent_at
+    member.hear_peer(confirmed)
+    assert member.next_heartbeat().suspicions == ()
+
+    member.hear_peer(confirmed, incarnation="b")
+
+    assert member.next_heartbeat().suspicions
+
+
+@pytest.mark.parametrize("has_echo", [False, True])
+def test_a_report_counts_once_its_transit_time_is_bounded(*, has_echo: bool) -> None:
+    """A report that lay at a frozen peer makes one event look like two."""
+    member = Member()
+    report = SuspicionReport(FINGERPRINT, (CrashedRunReport(1, 0.2, 0.1),))
+
+    echo = member.clock.now() if has_echo else 0.0
+    member.hear_peer(echo, suspicions=(report,))
+
+    status = member.evidence.get_status(FINGERPRINT)
+    assert isinstance(status, Suspect if has_echo else NotSuspected)
