--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -57,6 +57,8 @@
 # Largest answer that is read completely before it is sent to the caller.
 _MAX_WHOLE_ANSWER_BYTES = 16_000_000
 _MIN_FAILURE_STATUS = 500
+# Digits of a fingerprint or a part's id in a log line.
+_LOGGED_DIGITS = 12
 
 
 class PlacedAnswer(NamedTuple):
@@ -260,7 +262,7 @@
             server=reservation.server,
             came=outcome.value,
             why=reason,
-            fingerprint=request.fingerprint[:12],
+            fingerprint=request.fingerprint[:_LOGGED_DIGITS],
             ran=self._counts.possibly_run,
             turned_away=self._counts.rejected,
             rest_s=notice.backoff_s,
@@ -342,6 +344,8 @@
             send=self._counts.possibly_run + self._counts.rejected + 1,
             version=request.version,
             version_age_s=round(request.version_age_s, 2),
+            fingerprint=request.fingerprint[:_LOGGED_DIGITS],
+            parts=[part[:_LOGGED_DIGITS] for part in request.head.prompt_parts],
         )
 
     def _send(self, reservation: Reservation) -> CallResult:
--- a/src/kingcupwheel/forwarding/http_metadata.py
+++ b/src/kingcupwheel/forwarding/http_metadata.py
@@ -10,7 +10,8 @@
 
     ``attempt_id`` identifies this send. ``timeout_s`` is how long the caller waits from
     the time of the send, None if unknown. ``prompt_tokens`` and ``answer_tokens`` are 0
-    if unknown; the latter is an estimate or an upper bound.
+    if unknown; the latter is an estimate or an upper bound. ``prompt_parts`` are the
+    ids of the prompt's parts that other requests may share, each once.
     """
 
     attempt_id: str
@@ -19,6 +20,7 @@
     last_event_id: str
     prompt_tokens: int
     answer_tokens: int
+    prompt_parts: tuple[str, ...] = ()
 
 
 class ServerRequestMetadata(NamedTuple):
--- a/src/kingcupwheel/platform/headers.py
+++ b/src/kingcupwheel/platform/headers.py
@@ -31,6 +31,7 @@
 _LAST_EVENT_ID = "last-event-id"
 _TOKEN_USAGE = "x-token-usage"
 _LENGTH_HINT = "x-length-hint"
+_PROMPT_PREFIX = "x-prompt-prefix"
 _NOT_EXECUTED = "x-not-executed"
 _RESPONSE_SIGNATURE = "x-response-signature"
 _SERVER_LOAD = "x-server-load"
@@ -38,6 +39,10 @@
 _SERVER_LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
 _SERVER_LIMIT = "server-limit"
+_PART_ID_PATTERN = re.compile(r"[0-9a-f]{1,64}", re.ASCII)
+# Parts of one prompt that are read. More of them would let one caller fill the tables
+# that are kept of them.
+_MAX_PROMPT_PARTS = 16
 _DECIMAL_PATTERN = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
 
 # Set by the system, or not passed on: the caller's own values are always removed.
@@ -73,6 +78,7 @@
         last_event_id=headers.get(_LAST_EVENT_ID, ""),
         prompt_tokens=prompt_tokens,
         answer_tokens=answer_tokens,
+        prompt_parts=_parse_prompt_parts(headers.get(_PROMPT_PREFIX, "")),
     )
 
 
@@ -187,6 +193,16 @@
     return (numbers[0] or 0, numbers[1] or 0) if None not in numbers else (0, 0)
 
 
+def _parse_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, which no other request shares.
+
+    Ids that are not hexadecimal are left out, and so are repeated ones.
+    """
+    shared = text.split(",", _MAX_PROMPT_PARTS + 1)[:-1][:_MAX_PROMPT_PARTS]
+    ids = (part.partition(":")[0].strip().lower() for part in shared)
+    return tuple(dict.fromkeys(one for one in ids if _PART_ID_PATTERN.fullmatch(one)))
+
+
 def _parse_keep_alive_s(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -202,3 +202,24 @@
     passed = read_response_headers(200, headers).caller_headers
 
     assert passed == (("Server-Leaving", "1"), ("Retry-After", "soon"))
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("5c1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+        ("5C1E:800,e440:250", ("5c1e",)),
+        ("e440:250", ()),
+        ("", ()),
+        ("aa:1,aa:2,bb:1", ("aa",)),
+        (":800,zz:3,,aa, bb :x,cc:1", ("aa", "bb")),
+        (",".join(f"{n:x}:1" for n in range(5000)), tuple(f"{n:x}" for n in range(16))),
+    ],
+)
+def test_shared_prompt_parts_are_read_whatever_else_the_header_holds(
+    text: str, parts: tuple[str, ...]
+) -> None:
+    """A malformed or huge list of parts fills the tables kept of them, or is refused."""
+    head = read_request_headers({"x-prompt-prefix": text})
+
+    assert head.prompt_parts == parts
