--- a/tests/forwarding/crashes.py
+++ b/tests/forwarding/crashes.py
@@ -89,6 +89,16 @@
         ]
         return sorted(found, key=lambda request: request.arrived_at)
 
+    def arrivals_with_part(self, part: str) -> list[ReceivedRequest]:
+        """Return the sends whose prompts have a part, in order of arrival."""
+        found = [
+            request
+            for server in tuple(self.servers)
+            for request in server.received_requests
+            if f"{part}:" in request.headers.get("x-prompt-prefix", "")
+        ]
+        return sorted(found, key=lambda request: request.arrived_at)
+
     def late_arrivals(self, target: str, window_s: float) -> list[ReceivedRequest]:
         """Return the sends later than ``window_s`` after the third server's end."""
         if len(self.ended_at) < 3:
