--- a/src/kingcupwheel/decisions/crash_suspects.py
+++ b/src/kingcupwheel/decisions/crash_suspects.py
@@ -177,14 +177,21 @@
         return len(self._record_by_fingerprint)
 
     def record_crash(self, fingerprint: str, run: CrashedRun, now: float) -> bool:
-        """Record a run that ended with its server; return whether it is new.
+        """Record a run that ended with its server; return whether the crash is new.
 
         The entry, agents and peers may report the same crash. If it counted more than
         once, an innocent request would be refused after a single crash; each crash id
-        therefore counts once, with the times that were reported first.
+        therefore counts once. Of several runs that ended with it the latest start
+        counts: an earlier one that was given up must not hide that this one began
+        after another server's end.
         """
         record = self._get_or_create(fingerprint)
-        if run.crash_id in record.run_by_crash_id:
+        known = record.run_by_crash_id.get(run.crash_id)
+        if known is not None:
+            merged = merge_runs(known, run)
+            if merged != known:
+                record.run_by_crash_id[run.crash_id] = merged
+                self._mark_changed(fingerprint, record, now)
             return False
         record.run_by_crash_id[run.crash_id] = run
         self._count_fingerprint(fingerprint, run.crash_id)
@@ -343,6 +350,13 @@
     return sent_at if is_suspect else sent_at - CORRELATED_CRASH_S
 
 
+def merge_runs(one: CrashedRun, other: CrashedRun) -> CrashedRun:
+    """Return what two runs of a request that ended with the same server prove."""
+    started_at = max(one.started_at, other.started_at)
+    ended_at = max(started_at, min(one.ended_at, other.ended_at))
+    return CrashedRun(one.crash_id, started_at, ended_at)
+
+
 def separate_runs(runs: list[CrashedRun]) -> list[CrashedRun]:
     """Return runs whose crashes can't have had a cause in common, as many as possible.
 
--- a/tests/decisions/test_crash_suspects.py
+++ b/tests/decisions/test_crash_suspects.py
@@ -229,6 +229,26 @@
     assert status.crash_count == 1
 
 
+@pytest.mark.parametrize("is_given_up_first", [True, False])
+def test_a_run_that_was_given_up_does_not_hide_a_later_one(
+    *, is_given_up_first: bool
+) -> None:
+    """An entry tries a request again that the others refuse, and a server crashes.
+
+    It had given up a run on the crashed server, which may have begun before the crash
+    before, and took the two crashes for one.
+    """
+    first = crashed_run(0, 10.0)
+    given_up = crashed_run(1, 14.0, run_s=8.0)
+    crashed = crashed_run(1, 13.9)
+    suspects = CrashSuspects()
+    suspects.record_crash("crasher", first, 10.0)
+    for run in (given_up, crashed) if is_given_up_first else (crashed, given_up):
+        suspects.record_crash("crasher", run, 14.0)
+
+    assert isinstance(suspects.get_status("crasher", 14.0), Quarantined)
+
+
 def test_only_one_run_of_a_suspect_is_in_progress() -> None:
     """Many callers send a request that has crashed one server, and each crashes one."""
     suspects, other = CrashSuspects(), CrashSuspects()
