--- a/src/kingcupwheel/agent/attempt_runner.py
+++ b/src/kingcupwheel/agent/attempt_runner.py
@@ -17,9 +17,9 @@
 from kingcupwheel.agent.attempts import RefusalDecision
 from kingcupwheel.agent.attempts import StartDecision
 from kingcupwheel.agent.attempts import get_attempt_key
-from kingcupwheel.decisions.crash_suspects import CrashedRun
-from kingcupwheel.decisions.crash_suspects import ServerIncarnation
-from kingcupwheel.decisions.crash_suspects import earliest_start
+from kingcupwheel.decisions.crashed_runs import CrashedRun
+from kingcupwheel.decisions.crashed_runs import ServerIncarnation
+from kingcupwheel.decisions.crashed_runs import earliest_start
 from kingcupwheel.messages.attempts import DispatchRefusal
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.trace.events import AttemptForwarded
--- a/src/kingcupwheel/agent/crash_table.py
+++ b/src/kingcupwheel/agent/crash_table.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from kingcupwheel.decisions.crash_suspects import CrashedRun
+    from kingcupwheel.decisions.crashed_runs import CrashedRun
 
 # A crash adds at most as many fingerprints as the server's concurrency, so the table
 # holds the last few crashes. That suffices for a request that crashes each server it
--- a/src/kingcupwheel/agent/heartbeat.py
+++ b/src/kingcupwheel/agent/heartbeat.py
@@ -19,7 +19,7 @@
 
     from kingcupwheel.agent.adapters.base import ServerAdapter
     from kingcupwheel.agent.attempt_runner import AttemptRunner
-    from kingcupwheel.decisions.crash_suspects import CrashedRun
+    from kingcupwheel.decisions.crashed_runs import CrashedRun
     from kingcupwheel.messages.membership import SuspicionReport
     from kingcupwheel.settings.schema import Settings
 
--- a/src/kingcupwheel/decisions/crash_suspects.py
+++ b/src/kingcupwheel/decisions/crash_suspects.py
@@ -5,8 +5,10 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from kingcupwheel.decisions.crashed_runs import CrashedRun
+from kingcupwheel.decisions.crashed_runs import merge_runs
+from kingcupwheel.decisions.crashed_runs import separate_runs
 from kingcupwheel.decisions.hashing import stable_fraction
-from kingcupwheel.decisions.hashing import stable_hash
 
 
 # Separate crashes after which a request is quarantined. One may be a coincidence or
@@ -30,10 +32,6 @@
 # crashes within a day must not quarantine a request.
 SUSPECT_RETENTION_S = 600.0
 
-# Servers that lose power together are not seen to end at exactly the same time. A run
-# that began so soon after another server's end may have been hit by the same event.
-CORRELATED_CRASH_S = 0.5
-
 # A suspect that has run for longer than on any crashed server, by this factor and time,
 # is unlikely to crash this one.
 _PROBATION_FACTOR = 2.0
@@ -51,32 +49,6 @@
 _MAX_CRASHES = 1_024
 
 
-class ServerIncarnation(NamedTuple):
-    """One incarnation of a backend server: its name and its agent's incarnation id.
-
-    Every process has to identify the same crash alike.
-    """
-
-    server: str
-    incarnation: str
-
-    @property
-    def crash_id(self) -> int:
-        """Id of the crash that ended this incarnation, as sent between processes."""
-        return stable_hash(self.server, self.incarnation)
-
-
-class CrashedRun(NamedTuple):
-    """A run of a request that ended with its server; times are monotonic.
-
-    The run began at ``started_at`` or later, and the server had ended by ``ended_at``.
-    """
-
-    crash_id: int
-    started_at: float
-    ended_at: float
-
-
 class SuspicionRecord(NamedTuple):
     """What an entry knows of one request, to report to the other entries.
 
@@ -341,36 +313,6 @@
             self._succeeded_at.popitem(last=False)
 
 
-def earliest_start(sent_at: float, *, is_suspect: bool) -> float:
-    """Return the start of a run for the comparison with the ends of other servers.
-
-    A suspect's run began in knowledge of an earlier crash. Any other one may have been
-    sent before a common cause had ended all the servers that it hit.
-    """
-    return sent_at if is_suspect else sent_at - CORRELATED_CRASH_S
-
-
-def merge_runs(one: CrashedRun, other: CrashedRun) -> CrashedRun:
-    """Return what two runs of a request that ended with the same server prove."""
-    started_at = max(one.started_at, other.started_at)
-    ended_at = max(started_at, min(one.ended_at, other.ended_at))
-    return CrashedRun(one.crash_id, started_at, ended_at)
-
-
-def separate_runs(runs: list[CrashedRun]) -> list[CrashedRun]:
-    """Return runs whose crashes can't have had a cause in common, as many as possible.
-
-    ``runs`` are sorted by ``ended_at``. Each of those returned began after the server
-    of the one before had ended. Servers that lose power together count once, however
-    many runs of a popular request they end.
-    """
-    found: list[CrashedRun] = []
-    for run in runs:
-        if not found or run.started_at > found[-1].ended_at:
-            found.append(run)
-    return found
-
-
 def _probation_s(runs: list[CrashedRun]) -> float:
     longest_s = max(run.ended_at - run.started_at for run in runs)
     return min(MAX_PROBATION_S, _PROBATION_FACTOR * longest_s + _PROBATION_MARGIN_S)
--- a/src/kingcupwheel/forwarding/crash_attribution.py
+++ b/src/kingcupwheel/forwarding/crash_attribution.py
@@ -6,9 +6,9 @@
 from collections import deque
 from typing import NamedTuple
 
-from kingcupwheel.decisions.crash_suspects import CrashedRun
-from kingcupwheel.decisions.crash_suspects import ServerIncarnation
-from kingcupwheel.decisions.crash_suspects import earliest_start
+from kingcupwheel.decisions.crashed_runs import CrashedRun
+from kingcupwheel.decisions.crashed_runs import ServerIncarnation
+from kingcupwheel.decisions.crashed_runs import earliest_start
 
 
 # Time after a lost answer within which the end of its server is attributed to the
--- a/src/kingcupwheel/messages/suspicions.py
+++ b/src/kingcupwheel/messages/suspicions.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from kingcupwheel.decisions.crash_suspects import CrashedRun
 from kingcupwheel.decisions.crash_suspects import SuspicionRecord
+from kingcupwheel.decisions.crashed_runs import CrashedRun
 from kingcupwheel.messages.membership import CrashedRunReport
 from kingcupwheel.messages.membership import SuspicionReport
 
--- a/tests/decisions/test_crash_suspects.py
+++ b/tests/decisions/test_crash_suspects.py
@@ -9,20 +9,20 @@
 
 from kingcupwheel.decisions.candidates import PlacementRequest
 from kingcupwheel.decisions.candidates import SelectedServer
-from kingcupwheel.decisions.crash_suspects import CORRELATED_CRASH_S
 from kingcupwheel.decisions.crash_suspects import QUARANTINE_SHARED_CRASHES
 from kingcupwheel.decisions.crash_suspects import QUARANTINES_S
 from kingcupwheel.decisions.crash_suspects import SUSPECT_RETENTION_S
 from kingcupwheel.decisions.crash_suspects import TRIAL_SPREAD_S
-from kingcupwheel.decisions.crash_suspects import CrashedRun
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
 from kingcupwheel.decisions.crash_suspects import Held
 from kingcupwheel.decisions.crash_suspects import NotSuspected
 from kingcupwheel.decisions.crash_suspects import Quarantined
-from kingcupwheel.decisions.crash_suspects import ServerIncarnation
 from kingcupwheel.decisions.crash_suspects import Suspect
-from kingcupwheel.decisions.crash_suspects import earliest_start
-from kingcupwheel.decisions.crash_suspects import separate_runs
+from kingcupwheel.decisions.crashed_runs import CORRELATED_CRASH_S
+from kingcupwheel.decisions.crashed_runs import CrashedRun
+from kingcupwheel.decisions.crashed_runs import ServerIncarnation
+from kingcupwheel.decisions.crashed_runs import earliest_start
+from kingcupwheel.decisions.crashed_runs import separate_runs
 from kingcupwheel.decisions.placement import TwoChoicesPolicy
 from tests.decisions.builders import build_candidates
 
--- a/tests/entry/test_request_limiter.py
+++ b/tests/entry/test_request_limiter.py
@@ -2,7 +2,7 @@
 
 from time import monotonic
 
-from kingcupwheel.decisions.crash_suspects import CORRELATED_CRASH_S
+from kingcupwheel.decisions.crashed_runs import CORRELATED_CRASH_S
 from kingcupwheel.entry.caller_requests import CallerRequest
 from kingcupwheel.entry.refusals import Refusal
 from kingcupwheel.entry.request_limiter import NotQuarantined
--- a/tests/forwarding/test_crash_attribution.py
+++ b/tests/forwarding/test_crash_attribution.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kingcupwheel.decisions.crash_suspects import CORRELATED_CRASH_S
+from kingcupwheel.decisions.crashed_runs import CORRELATED_CRASH_S
 from kingcupwheel.forwarding.crash_attribution import CLOSE_CONFIRMATION_S
 from kingcupwheel.forwarding.crash_attribution import CRASH_DETECTION_S
 from kingcupwheel.forwarding.crash_attribution import MIN_LEAVING_S
