--- a/features/steps/server_crashes.py
+++ b/features/steps/server_crashes.py
@@ -63,6 +63,26 @@
         context.sends.append(reply)
 
 
+@when('{times:d} different requests with the message "{text}" are sent at all entries')
+def send_requests_with_message(context: Any, times: int, text: str) -> None:
+    """Send requests that share one message and nothing else."""
+    world = context.world
+    entries = list(world.fleet.entries.values())
+    context.sends = []
+    for turn in range(times):
+        messages = [
+            {"role": "system", "content": text},
+            {"role": "user", "content": f"question {turn}"},
+        ]
+        reply = world.caller.call(
+            entries[turn % len(entries)].caller_address,
+            COMPLETIONS_PATH,
+            {"messages": messages, "max_tokens": 5},
+            idempotency_key=f"message-{turn}",
+        )
+        context.sends.append(reply)
+
+
 @then("at most {most:d} servers have died")
 def check_deaths(context: Any, most: int) -> None:
     """Check how many servers had to be restarted."""
--- a/src/kingcupwheel/agent/attempt_runner.py
+++ b/src/kingcupwheel/agent/attempt_runner.py
@@ -20,6 +20,7 @@
 from kingcupwheel.decisions.crashed_runs import CrashedRun
 from kingcupwheel.decisions.crashed_runs import ServerIncarnation
 from kingcupwheel.decisions.crashed_runs import earliest_start
+from kingcupwheel.decisions.crashed_runs import merge_runs
 from kingcupwheel.messages.attempts import DispatchRefusal
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.trace.events import AttemptForwarded
@@ -176,7 +177,7 @@
     def _build_crashed_runs(
         self, running: list[Dispatch], generation: int, now: float
     ) -> dict[str, CrashedRun]:
-        """Return the crashed runs by fingerprint, the earliest of equal requests."""
+        """Return the crashed runs by the keys of their requests."""
         crash_id = ServerIncarnation(
             self._name, f"{self.attempt_table.incarnation}.{generation}"
         ).crash_id
@@ -186,10 +187,10 @@
                 self._starts_by_key[get_attempt_key(dispatch)].started_at,
                 is_suspect=dispatch.suspect,
             )
-            known = found.get(dispatch.fingerprint)
-            if known is None or started_at < known.started_at:
-                run = CrashedRun(crash_id, started_at, now)
-                found[dispatch.fingerprint] = run
+            run = CrashedRun(crash_id, started_at, now, is_trial=dispatch.suspect)
+            for key in (dispatch.fingerprint, *dispatch.part_keys):
+                known = found.get(key)
+                found[key] = run if known is None else merge_runs(known, run)
         return found
 
     def _list_running_in(self, generation: int) -> list[Dispatch]:
--- a/src/kingcupwheel/decisions/crash_suspects.py
+++ b/src/kingcupwheel/decisions/crash_suspects.py
@@ -287,7 +287,7 @@
         record = self._record_by_key.get(key)
         if record is None or record.claim.owner != self._owner:
             return False
-        return record.claim.held_until > now and not self._is_refused(key, record, now)
+        return record.claim.held_until > now and not self.is_refused(key, now)
 
     def hold_run(self, key: str, now: float, duration_s: float) -> None:
         """Hold the other runs of a suspect, whose claimed run begins, for so long."""
@@ -329,9 +329,11 @@
             )
         return found
 
-    def _is_refused(self, key: str, record: _Record, now: float) -> bool:
-        runs = record.list_active()
-        if not runs:
+    def is_refused(self, key: str, now: float) -> bool:
+        """Return whether a quarantine is in force, whoever has claimed a trial."""
+        record = self._record_by_key.get(key)
+        runs = [] if record is None else record.list_active()
+        if record is None or not runs:
             return False
         verdict = self._get_verdict(key, record, runs)
         return now - runs[-1].ended_at < verdict.quarantine_s
--- a/src/kingcupwheel/entry/answer_relay.py
+++ b/src/kingcupwheel/entry/answer_relay.py
@@ -197,6 +197,7 @@
             self._admitted.predicted_work,
             self._token_count,
             is_complete=is_complete,
+            is_survivor=200 <= self._status < 300,
         )
         self._context.outcome_counter.count_answer(
             request,
--- a/src/kingcupwheel/entry/attempt_dispatcher.py
+++ b/src/kingcupwheel/entry/attempt_dispatcher.py
@@ -106,6 +106,10 @@
             return _build_placement_refusal(
                 result, self._context.limiter.get_retry_after_s(request)
             )
+        refusal = self._context.limiter.find_quarantine(request)
+        if refusal is not None:
+            self.release(result)
+            return refusal
         self._count += 1
         self._record_reservation(result)
         return result
@@ -215,4 +219,5 @@
         manifest_version=request.manifest_version,
         repeatable=request.route.repeatable,
         suspect=admitted.is_suspect,
+        part_keys=request.part_keys,
     )
--- a/src/kingcupwheel/entry/request_limiter.py
+++ b/src/kingcupwheel/entry/request_limiter.py
@@ -13,6 +13,7 @@
 from kingcupwheel.decisions.crash_suspects import Held
 from kingcupwheel.decisions.crash_suspects import Quarantined
 from kingcupwheel.decisions.crash_suspects import Suspect
+from kingcupwheel.decisions.crash_suspects import choose_strictest
 from kingcupwheel.decisions.hashing import stable_fraction
 from kingcupwheel.decisions.retry_budget import RetryBudget
 from kingcupwheel.decisions.work_predictor import DEFAULT_BYTES_PER_TOKEN
@@ -26,6 +27,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from kingcupwheel.decisions.crash_suspects import SuspicionStatus
     from kingcupwheel.entry.caller_requests import CallerRequest
     from kingcupwheel.manifest.schema import Organisation
     from kingcupwheel.messages.membership import SuspicionReport
@@ -69,19 +71,35 @@
 
         After a quarantine it runs once, and is refused elsewhere meanwhile.
         """
+        keys = request.evidence_keys
         with self._lock:
-            status = self._suspects.begin_run(request.fingerprint, monotonic())
+            now = monotonic()
+            status = choose_strictest(
+                self._suspects.get_status(key, now) for key in keys
+            )
+            if isinstance(status, Suspect):
+                for key in keys:
+                    self._suspects.begin_run(key, now)
         match status:
-            case Quarantined(crash_count, remaining_s):
-                message = (
-                    f"Earlier sends of this request ran, and {crash_count} backend "
-                    "servers died while they did. This send was not run."
-                )
-                return Refusal(422, "quarantined", message, remaining_s)
+            case Quarantined():
+                return _build_quarantine_refusal(status)
             case Suspect() | Held():
                 return NotQuarantined(is_suspect=True)
         return NotQuarantined(is_suspect=False)
 
+    def find_quarantine(self, request: CallerRequest) -> Refusal | None:
+        """Return the refusal of a request that was quarantined while it waited."""
+        keys = request.evidence_keys
+        with self._lock:
+            now = monotonic()
+            refused = [key for key in keys if self._suspects.is_refused(key, now)]
+            if not refused:
+                return None
+            status = choose_strictest(
+                self._suspects.get_status(key, now) for key in refused
+            )
+        return _build_quarantine_refusal(status)
+
     def admit(self, request: CallerRequest) -> float | Refusal:
         """Admit a request; return its predicted work in tokens, or a refusal."""
         organisation = request.organisation
@@ -150,11 +168,12 @@
         tokens: int,
         *,
         is_complete: bool,
+        is_survivor: bool = True,
     ) -> None:
         """Settle the allowance of a request whose answer had about ``tokens`` tokens.
 
-        A request with a complete answer is no crash suspect any more, as its server
-        has survived it.
+        A request with a complete answer is no crash suspect any more if its server has
+        survived it; an error (``is_survivor`` is False) proves no run.
         """
         name = request.organisation.name
         prompt = int(len(request.body) / DEFAULT_BYTES_PER_TOKEN)
@@ -162,8 +181,10 @@
             self._admission.settle(name, predicted_work, prompt + tokens, monotonic())
             if is_complete:
                 self._predictor.record_answer(name, request.route.path, prompt, tokens)
+            if is_complete and is_survivor:
                 now = monotonic()
-                self._suspects.record_success(request.fingerprint, now, now)
+                for key in request.evidence_keys:
+                    self._suspects.record_success(key, now, now)
 
     def try_acquire_retry(self, request: CallerRequest) -> bool:
         """Take one retry from the group's budget; return whether it allowed it."""
@@ -200,3 +221,13 @@
         with self._lock:
             records = self._suspects.list_changed(now - _GOSSIP_S)
         return tuple(build_suspicion_report(record, now) for record in records)
+
+
+def _build_quarantine_refusal(status: SuspicionStatus) -> Refusal:
+    assert isinstance(status, Quarantined), "checked by the caller"
+    message = (
+        f"Earlier sends of this request, or of others with a part of its prompt, ran, "
+        f"and {status.crash_count} backend servers died while they did. This send was "
+        "not run."
+    )
+    return Refusal(422, "quarantined", message, status.remaining_s)
--- a/src/kingcupwheel/entry/request_parser.py
+++ b/src/kingcupwheel/entry/request_parser.py
@@ -14,6 +14,7 @@
 
 from kingcupwheel.entry.caller_requests import CallerRequest
 from kingcupwheel.entry.caller_requests import compute_fingerprint
+from kingcupwheel.entry.caller_requests import compute_prompt_part_keys
 from kingcupwheel.entry.refusals import API_KEY_MISSING
 from kingcupwheel.entry.refusals import API_KEY_UNKNOWN
 from kingcupwheel.entry.refusals import BAD_METHOD
@@ -64,6 +65,8 @@
     is_streamed: bool
     max_tokens: int | None
     prefix: str
+    model: str = ""
+    parts: tuple[bytes, ...] = ()
 
 
 _NO_PROMPT = PromptInfo(False, None, "")
@@ -148,6 +151,7 @@
             deadline_s=route.deadline_s if deadline is None else deadline,
             has_own_deadline=deadline is not None,
             manifest_version=manifest.version,
+            part_keys=compute_prompt_part_keys(group.name, prompt.model, prompt.parts),
         )
     )
 
@@ -206,7 +210,22 @@
         return build_bad_request_refusal("The body is no JSON object.")
     max_tokens = decoded.get("max_tokens")
     limit = max_tokens if isinstance(max_tokens, int) and max_tokens > 0 else None
-    return PromptInfo(decoded.get("stream") is True, limit, _extract_prefix(decoded))
+    return PromptInfo(
+        decoded.get("stream") is True,
+        limit,
+        _extract_prefix(decoded),
+        str(decoded.get("model", "")),
+        _extract_parts(decoded),
+    )
+
+
+def _extract_parts(decoded: dict[str, Any]) -> tuple[bytes, ...]:
+    """Return the parts of a prompt: its messages, or the items of a list."""
+    for name in ("messages", "prompt"):
+        parts = decoded.get(name)
+        if isinstance(parts, list):
+            return tuple(msgspec.json.encode(part, order="sorted") for part in parts)
+    return ()
 
 
 def _extract_prefix(decoded: dict[str, Any]) -> str:
--- a/src/kingcupwheel/messages/attempts.py
+++ b/src/kingcupwheel/messages/attempts.py
@@ -40,7 +40,8 @@
     ``incarnation`` is the agent incarnation that may run it; ``token`` is the clock
     token of its last heartbeat (see ``AgentHeartbeat``). ``deadline_s`` is the time
     left when this was sent. ``work`` is the predicted work in tokens. ``credit`` is how
-    many body bytes the agent may send before an ``Ack``.
+    many body bytes the agent may send before an ``Ack``. ``part_keys`` identify the
+    parts that the prompt may share with others.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     manifest_version: int
     repeatable: bool
     suspect: bool
+    part_keys: tuple[str, ...] = ()
 
 
 class ResumeRequest(Message, frozen=True, tag="Resume"):
