--- a/tests/soak/planned/callers.py
+++ b/tests/soak/planned/callers.py
@@ -13,6 +13,7 @@
 
 from tests.forwarding.builders import API_KEY
 from tests.forwarding.fleet import CallerResponse
+from tests.soak.planned.crashes import SHARED_PART
 from tests.soak.planned.fleet import MAX_WORK_S
 from tests.soak.planned.fleet import REQUEST_TIMEOUT_S
 from tests.soak.planned.polling import is_readable
@@ -195,6 +196,8 @@
             "X-Attempt-Id": request_id,
             "X-Deadline-Ms": str(int(REQUEST_TIMEOUT_S * _MS)),
             WORK_DURATION_HEADER: str(int(work_s * _MS)),
+            # The first part is that of requests which crash their servers, too.
+            "X-Prompt-Prefix": f"{SHARED_PART}:40,{self._sent:x}{self._number:x}:9",
         }
         method = "GET" if route == "plain" else "POST"
         sent_at = last_byte_at = time.monotonic()
--- a/tests/soak/planned/servers.py
+++ b/tests/soak/planned/servers.py
@@ -106,6 +106,8 @@
         self.read_body()
         request = server.record_request(self.headers.get("x-attempt-id", ""))
         if "/crash-" in self.path and self._is_for(server):
+            if "/crash-part-" in self.path:
+                self._begin_stream(server, request)
             time.sleep(_CRASH_DELAY_S)
             server.on_crash()
         try:
@@ -119,6 +121,27 @@
             )
         request.finish(outcome)
 
+    def _begin_stream(self, server: RecordingServer, request: ServerRequest) -> None:
+        """Write the head of an answer and one event, every other time unframed."""
+        head = {
+            "X-Attempt-Id": request.id,
+            "X-Response-Signature": f"signed-by-{server.incarnation}",
+            "Content-Type": "text/event-stream",
+        }
+        first = int(self.headers.get("last-event-id") or 0) + 1
+        event = f"id: {first}\ndata: piece {first} of {request.id}\n\n".encode()
+        with contextlib.suppress(OSError):
+            if len(request.id) % 2:
+                self.start_chunked_response(head)
+                self.send_chunk(event)
+                return
+            self.close_connection = True
+            self.send_response(200)
+            for name, value in head.items():
+                self.send_header(name, value)
+            self.end_headers()
+            self.wfile.write(event)
+
     def _is_for(self, server: RecordingServer) -> bool:
         return self.headers.get("x-expect-instance") == server.instance
 
