--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -208,3 +208,49 @@
     answers = [fleet.send(f"/once/{number}") for number in range(12)]
 
     assert [answer.status for answer in answers] == [200] * 12
+
+
+REPEATED_S = 7.0
+# From the power loss on, until the last of the dead servers has left the list.
+SETTLED_AFTER_S = 2.0
+
+
+@pytest.mark.parametrize("target", ["/plain/popular", "/stream/popular"])
+def test_a_request_repeated_without_a_pause_is_served_after_a_power_loss(
+    fleet: Fleet, target: str
+) -> None:
+    """A request that callers repeat at once is held for good after a power loss.
+
+    Its runs on the dead servers are known late, after runs that have completed since,
+    and each makes it a suspect again.
+    """
+    behaviour = Behaviour(delay_s=0.25, event_count=3)
+    service = CrashingService(fleet, behaviour, RestartTimes(0.3, 60.0))
+    for number in range(ENTRIES):
+        fleet.add_entry(f"entry-{number}")
+    ends_at = time.monotonic() + REPEATED_S
+
+    def repeat(caller: int) -> list[tuple[float, CallerResponse]]:
+        answers = []
+        while time.monotonic() < ends_at:
+            sent_at = time.monotonic()
+            name = f"{caller}-{sent_at}"
+            answer = fleet.send(
+                target, entry=caller % ENTRIES, X_Attempt_Id=name, X_Deadline_Ms="8000"
+            )
+            answers.append((sent_at, answer))
+        return answers
+
+    with ThreadPoolExecutor(CALLERS) as pool:
+        pending = [pool.submit(repeat, caller) for caller in range(CALLERS)]
+        time.sleep(1.1)
+        for server in service.servers[:3]:
+            server.crash()
+        settled_at = time.monotonic() + SETTLED_AFTER_S
+        answers = [one for caller in pending for one in caller.result()]
+    service.stop()
+
+    afterwards = [answer for sent_at, answer in answers if sent_at > settled_at]
+    served = [one for one in afterwards if one.status == 200 and one.is_complete]
+    assert len(afterwards) >= CALLERS
+    assert len(served) >= 0.95 * len(afterwards)
