--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -10,8 +10,11 @@
 
 import pytest
 
+from kingcupwheel.forwarding.requests import compute_part_keys
 from tests.forwarding.crashes import CrashingService
 from tests.forwarding.crashes import RestartTimes
+from tests.forwarding.fleet import wait_until
+from tests.forwarding.test_crashing_requests import quarantine
 from tests.standins.backend import Behaviour
 
 
@@ -26,6 +29,7 @@
 STABLE_WINDOW_S = 3.0
 ENTRIES = 3
 SERVERS = 12
+SLOTS = 4
 REQUESTS = 26
 REQUEST_INTERVAL_S = 0.6
 SOUND_INTERVAL_S = 0.2
@@ -156,3 +160,67 @@
     ]
     later_begun = [one for one in later if one.response.status == 200]
     assert len(later_begun) >= 0.5 * len(later)
+
+
+def test_a_request_that_waits_is_refused_once_its_part_is_known(fleet: Fleet) -> None:
+    """Requests wait in the queue while a group is down, and crash it when it is back.
+
+    They were admitted before anything was known of their part.
+    """
+    server = fleet.add_server("i-1")
+    server.behaviour = Behaviour(delay_s=2.0, event_count=1)
+    entry = fleet.add_entry()
+    (key,) = compute_part_keys("app", "", (BAD,))
+    with ThreadPoolExecutor(10) as pool:
+        running = [pool.submit(fleet.send, f"/stream/{n}") for n in range(SLOTS + 2)]
+        wait_until(lambda: len(server.received_requests) >= SLOTS)
+        time.sleep(0.2)
+        waiting = pool.submit(send_prompt, fleet, 0, BAD)
+        time.sleep(0.3)
+        assert not waiting.done(), "no place is free"
+        known_at = time.monotonic()
+        quarantine(entry, key, ago_s=0.0)
+        answer = waiting.result()
+        refused_after_s = time.monotonic() - known_at
+        for one in running:
+            one.result()
+
+    assert answer.status == 503
+    assert b'"quarantined"' in answer.body
+    assert float(answer.headers["retry-after"]) > 0
+    assert refused_after_s < 0.5
+    assert not [
+        one for one in server.received_requests if "x-prompt-prefix" in one.headers
+    ]
+
+
+def test_a_stream_is_not_resumed_before_its_servers_end_is_known(fleet: Fleet) -> None:
+    """A request crashes a second server two milliseconds after the first.
+
+    Its stream had begun, and was resumed at once where the connection was cut.
+    """
+    for number in range(4):
+        server = fleet.add_server(f"i-{number}")
+        server.behaviour = Behaviour(
+            event_count=4, crashed_by_part=BAD, events_before_crash=1
+        )
+    entry = fleet.add_entry()
+    ended: list[float] = []
+    record = entry._context.crash_evidence.record_server_end
+
+    def record_end(incarnation: str, *, cause: str) -> None:
+        ended.append(time.monotonic())
+        record(incarnation, cause=cause)
+
+    entry._crash_prober._on_refused = lambda incarnation: record_end(
+        incarnation, cause="refused"
+    )
+
+    send_prompt(fleet, 0, BAD)
+
+    arrived = sorted(
+        one.arrived_at for server in fleet.servers for one in server.received_requests
+    )
+    assert len(arrived) <= 2
+    assert ended
+    assert all(at > ended[0] for at in arrived[1:])
--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -210,6 +210,63 @@
             "LARGE_FLEET_ENTRIES = 10_000",
         ),
     ),
+    "part-identity": (
+        Edit(
+            "forwarding/admission.py",
+            "compute_part_keys(service, head.model, head.prompt_parts)",
+            "()",
+        ),
+    ),
+    "part-causes": (
+        Edit(
+            "decisions/crash_suspects.py",
+            "if any(other > cause for other in others.values()):",
+            "if not others and not runs:",
+        ),
+        Edit(
+            "decisions/crash_suspects.py",
+            "is_ambiguous=bool(equals)",
+            "is_ambiguous=False",
+        ),
+    ),
+    "trial-claims": (
+        Edit(
+            "decisions/trial_claims.py",
+            "return min(known, reported, key=lambda claim: _order(claim, key))",
+            "return known",
+        ),
+    ),
+    "crash-check-before-send": (
+        Edit(
+            "forwarding/run_evidence.py",
+            "if self.may_run():\n            return None",
+            "if has_run or self.may_run():\n            return None",
+        ),
+        Edit(
+            "forwarding/forwarder.py",
+            "may_run=self._evidence.may_run,",
+            "may_run=lambda: True,",
+        ),
+        Edit(
+            "forwarding/forwarder.py",
+            "if not self._evidence.may_run():",
+            "if False:",
+        ),
+    ),
+    "probe-before-retry": (
+        Edit(
+            "forwarding/forwarder.py",
+            "if outcome is AttemptOutcome.LOST and step is NextStep.RETRY:",
+            "if False:",
+        ),
+    ),
+    "completion-settling": (
+        Edit(
+            "forwarding/crash_evidence.py",
+            "COMPLETION_SETTLE_S = 0.25",
+            "COMPLETION_SETTLE_S = 0.0",
+        ),
+    ),
 }
 
 
