--- a/src/kingcupwheel/decisions/crash_suspects.py
+++ b/src/kingcupwheel/decisions/crash_suspects.py
@@ -289,16 +289,20 @@
             return False
         return record.claim.held_until > now and not self.is_refused(key, now)
 
-    def hold_run(self, key: str, now: float, duration_s: float) -> None:
-        """Hold the other runs of a suspect, whose claimed run begins, for so long."""
+    def hold_run(self, key: str, now: float, duration_s: float) -> bool:
+        """Hold the other runs of a suspect, whose claimed run begins, for so long.
+
+        Return whether the others have to be told.
+        """
         record = self._record_by_key.get(key)
         if record is None:
-            return
-        was_reported_until = record.claim.held_until
-        has_begun = record.claim.has_begun
+            return False
+        left_s = record.claim.held_until - now
+        if record.claim.has_begun and duration_s / 2 <= left_s <= duration_s:
+            return False
         record.claim = TrialClaim(self._owner, now + duration_s, has_begun=True)
-        if not has_begun or was_reported_until - now < duration_s / 2:
-            self._mark_changed(key, record, now)
+        self._mark_changed(key, record, now)
+        return True
 
     def end_run(self, key: str, now: float) -> None:
         """Hold other runs no longer: a suspect's run is over, and its server alive."""
--- a/src/kingcupwheel/forwarding/crash_evidence.py
+++ b/src/kingcupwheel/forwarding/crash_evidence.py
@@ -159,8 +159,7 @@
             if not all(self._suspects.is_claimed(key, now) for key in keys):
                 return False
             for key in keys:
-                self._suspects.hold_run(key, now, duration_s)
-            self._has_changed = True
+                self._has_changed |= self._suspects.hold_run(key, now, duration_s)
         return True
 
     def end_run(self, keys: Iterable[str]) -> None:
--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -104,7 +104,7 @@
         result = self.send_until_answered()
         if isinstance(result, Refusal):
             if not self._counts.possibly_run:
-                self._evidence.end_unsent()
+                self._evidence.end_trial()
             return self.log_refusal(result)
         if isinstance(result, BufferedAnswer):
             return result
@@ -167,6 +167,7 @@
         if is_success:
             self.record_success(reservation, head, monotonic() - self._sent_at)
             return self._whole_answer(answer, body)
+        self._evidence.end_trial()
         reason = f"status {head.status}"
         refusal = self.handle_failed_attempt(
             reservation, AttemptOutcome.FAILED, reason, head.notice
--- a/src/kingcupwheel/forwarding/run_evidence.py
+++ b/src/kingcupwheel/forwarding/run_evidence.py
@@ -56,14 +56,11 @@
         if self.may_run():
             return None
         self._trial_keys = ()
-        deadlines = self._request.deadlines
         admitted = admit_suspect(
             self._evidence,
             self._request,
             self._watched,
-            wait_until=deadlines.deadline_at
-            if has_run
-            else deadlines.first_byte_deadline_at,
+            has_run=has_run,
         )
         if isinstance(admitted, Refusal):
             if not has_run:
@@ -95,10 +92,11 @@
         if self._trial_keys:
             self._evidence.hold_claimed_run(self._trial_keys, MAX_PROBATION_S)
 
-    def end_unsent(self) -> None:
-        """Let the other runs of a suspect begin, since this one has not run."""
+    def end_trial(self) -> None:
+        """Let the other runs of a suspect begin: this one ended, and proves nothing."""
         if self._trial_keys:
             self._evidence.end_run(self._trial_keys)
+            self._trial_keys = ()
 
     def record_lost(self, reservation: Reservation) -> None:
         """Record a run whose answer is lost, however the wait for it has ended."""
@@ -126,6 +124,7 @@
     ) -> None:
         """Record a complete answer; a refusal or an error proves no run."""
         if not 200 <= status < 300:
+            self.end_trial()
             return
         unframed_run = None
         if not is_framed:
--- a/src/kingcupwheel/forwarding/suspect_admission.py
+++ b/src/kingcupwheel/forwarding/suspect_admission.py
@@ -32,14 +32,16 @@
     request: ForwardRequest,
     watched: WatchedRequest,
     *,
-    wait_until: float,
+    has_run: bool,
 ) -> ClaimedRun | Refusal | None:
     """Return None for a request that is no suspect, else whether it may run.
 
     A suspect waits while another run of it is in progress: if that one survives, all of
-    them may run at once, and if it crashes its server, the others crash none. It waits
-    until ``wait_until`` (monotonic) at the longest.
+    them may run at once, and if it crashes its server, the others crash none. One that
+    ``has_run`` is in progress: an entry that stops lets it go on.
     """
+    deadlines = request.deadlines
+    wait_until = deadlines.deadline_at if has_run else deadlines.first_byte_deadline_at
     is_waiting = False
     try:
         while True:
@@ -55,7 +57,7 @@
                 case Held(crash_count, remaining_s):
                     pass
             is_waiting = is_waiting or evidence.try_begin_wait()
-            if not watched.may_dispatch():
+            if not has_run and not watched.may_dispatch():
                 return ENTRY_LEAVING._replace(retry_after_s=retry_after_s(request.id))
             if not is_waiting or watched.is_over or monotonic() >= wait_until:
                 return _refuse_held(crash_count, remaining_s, request.id)
--- a/tests/decisions/test_trial_claims.py
+++ b/tests/decisions/test_trial_claims.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
+from kingcupwheel.decisions.crash_suspects import Held
 from kingcupwheel.decisions.crash_suspects import Suspect
 from kingcupwheel.decisions.crash_suspects import SuspicionRecord
 from kingcupwheel.decisions.crashed_runs import CrashedRun
@@ -70,6 +71,19 @@
             self._sent_at[number] = now
 
 
+def test_a_report_without_a_claim_does_not_end_the_trial_of_another() -> None:
+    """An agent's repeated report lets equal requests run beside a trial."""
+    suspects, agent = CrashSuspects(), CrashSuspects()
+    for one in (suspects, agent):
+        one.record_crash(KEY, CrashedRun(1, -1.0, -0.5), 0.0)
+    suspects.begin_run(KEY, 0.0)
+
+    for report in agent.list_changed(-1.0):
+        suspects.merge(report, 0.1)
+
+    assert isinstance(suspects.get_status(KEY, 0.2), Held)
+
+
 @given(
     arrivals=st.lists(
         st.tuples(st.integers(0, ENTRIES - 1), st.integers(0, 20)),
