--- a/src/kingcupwheel/decisions/crash_suspects.py
+++ b/src/kingcupwheel/decisions/crash_suspects.py
@@ -4,7 +4,6 @@
 
 from collections import OrderedDict
 from itertools import islice
-from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from kingcupwheel.decisions.crash_causes import Cause
@@ -15,16 +14,17 @@
 from kingcupwheel.decisions.crashed_runs import merge_runs
 from kingcupwheel.decisions.crashed_runs import separate_runs
 from kingcupwheel.decisions.hashing import stable_fraction
+from kingcupwheel.decisions.suspicion_status import Held
+from kingcupwheel.decisions.suspicion_status import NotSuspected
+from kingcupwheel.decisions.suspicion_status import Quarantined
+from kingcupwheel.decisions.suspicion_status import Suspect
+from kingcupwheel.decisions.suspicion_status import SuspicionStatus
 from kingcupwheel.decisions.trial_claims import CLAIM_LEASE_S
 from kingcupwheel.decisions.trial_claims import NO_CLAIM
 from kingcupwheel.decisions.trial_claims import TrialClaim
 from kingcupwheel.decisions.trial_claims import choose_claim
 
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-
 # Separate crashes after which a request is quarantined. One may be a coincidence or
 # caused by another request; the second hit a run that began after the first crash.
 QUARANTINE_CRASHES = 2
@@ -79,36 +79,6 @@
     claim: TrialClaim
 
 
-class NotSuspected(NamedTuple):
-    """The request is not a suspect."""
-
-
-class Suspect(NamedTuple):
-    """The request may run apart from other suspects, and only on one server.
-
-    If it runs for ``probation_s`` it is unlikely to crash this server.
-    """
-
-    crash_count: int
-    probation_s: float
-
-
-class Held(NamedTuple):
-    """Another run of the suspect is in progress, for ``remaining_s`` at the longest."""
-
-    crash_count: int
-    remaining_s: float
-
-
-class Quarantined(NamedTuple):
-    """The request is refused for ``remaining_s``, since it crashed servers."""
-
-    crash_count: int
-    remaining_s: float
-
-
-SuspicionStatus = NotSuspected | Suspect | Held | Quarantined
-
 _NEVER = float("-inf")
 
 
@@ -451,23 +421,6 @@
             self._succeeded_at.popitem(last=False)
 
 
-def choose_strictest(statuses: Iterable[SuspicionStatus]) -> SuspicionStatus:
-    """Return the status of a request from those of its keys."""
-    return max(statuses, key=_strictness)
-
-
-def _strictness(status: SuspicionStatus) -> tuple[int, float]:
-    match status:
-        case NotSuspected():
-            return (0, 0.0)
-        case Suspect(_, probation_s):
-            return (1, probation_s)
-        case Held(_, remaining_s):
-            return (2, remaining_s)
-        case Quarantined(_, remaining_s):
-            return (3, remaining_s)
-
-
 def _retention_s(verdict: _Verdict) -> float:
     return SUSPECT_RETENTION_S + (QUARANTINES_S[-1] if verdict.quarantine_s else 0.0)
 
--- a/src/kingcupwheel/entry/request_limiter.py
+++ b/src/kingcupwheel/entry/request_limiter.py
@@ -10,12 +10,12 @@
 from kingcupwheel.decisions.admission import AdmissionController
 from kingcupwheel.decisions.admission import LimitRefusal
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
-from kingcupwheel.decisions.crash_suspects import Held
-from kingcupwheel.decisions.crash_suspects import Quarantined
-from kingcupwheel.decisions.crash_suspects import Suspect
-from kingcupwheel.decisions.crash_suspects import choose_strictest
 from kingcupwheel.decisions.hashing import stable_fraction
 from kingcupwheel.decisions.retry_budget import RetryBudget
+from kingcupwheel.decisions.suspicion_status import Held
+from kingcupwheel.decisions.suspicion_status import Quarantined
+from kingcupwheel.decisions.suspicion_status import Suspect
+from kingcupwheel.decisions.suspicion_status import choose_strictest
 from kingcupwheel.decisions.work_predictor import DEFAULT_BYTES_PER_TOKEN
 from kingcupwheel.decisions.work_predictor import WorkPredictor
 from kingcupwheel.entry.refusals import Refusal
@@ -27,7 +27,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from kingcupwheel.decisions.crash_suspects import SuspicionStatus
+    from kingcupwheel.decisions.suspicion_status import SuspicionStatus
     from kingcupwheel.entry.caller_requests import CallerRequest
     from kingcupwheel.manifest.schema import Organisation
     from kingcupwheel.messages.membership import SuspicionReport
--- a/src/kingcupwheel/forwarding/crash_evidence.py
+++ b/src/kingcupwheel/forwarding/crash_evidence.py
@@ -11,11 +11,11 @@
 
 from kingcupwheel.decisions.crash_suspects import QUARANTINE_SHARED_CRASHES
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
-from kingcupwheel.decisions.crash_suspects import Held
-from kingcupwheel.decisions.crash_suspects import NotSuspected
-from kingcupwheel.decisions.crash_suspects import Quarantined
-from kingcupwheel.decisions.crash_suspects import Suspect
-from kingcupwheel.decisions.crash_suspects import choose_strictest
+from kingcupwheel.decisions.suspicion_status import Held
+from kingcupwheel.decisions.suspicion_status import NotSuspected
+from kingcupwheel.decisions.suspicion_status import Quarantined
+from kingcupwheel.decisions.suspicion_status import Suspect
+from kingcupwheel.decisions.suspicion_status import choose_strictest
 from kingcupwheel.decisions.trial_claims import CLAIM_LEASE_S
 from kingcupwheel.decisions.trial_claims import settle_time_s
 from kingcupwheel.forwarding.crash_attribution import CrashAttribution
@@ -30,7 +30,7 @@
 
     from prometheus_client import Counter
 
-    from kingcupwheel.decisions.crash_suspects import SuspicionStatus
+    from kingcupwheel.decisions.suspicion_status import SuspicionStatus
     from kingcupwheel.forwarding.crash_attribution import Attribution
     from kingcupwheel.forwarding.crash_attribution import LostRun
     from kingcupwheel.messages.membership import SuspicionReport
--- a/src/kingcupwheel/forwarding/run_evidence.py
+++ b/src/kingcupwheel/forwarding/run_evidence.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from kingcupwheel.decisions.crash_suspects import MAX_PROBATION_S
-from kingcupwheel.decisions.crash_suspects import NotSuspected
+from kingcupwheel.decisions.suspicion_status import NotSuspected
 from kingcupwheel.decisions.trial_claims import CLAIM_LEASE_S
 from kingcupwheel.decisions.trial_claims import CLAIM_SETTLE_S
 from kingcupwheel.entry.refusals import Refusal
--- a/src/kingcupwheel/forwarding/suspect_admission.py
+++ b/src/kingcupwheel/forwarding/suspect_admission.py
@@ -6,10 +6,10 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from kingcupwheel.decisions.crash_suspects import Held
-from kingcupwheel.decisions.crash_suspects import NotSuspected
-from kingcupwheel.decisions.crash_suspects import Quarantined
 from kingcupwheel.decisions.hashing import stable_fraction
+from kingcupwheel.decisions.suspicion_status import Held
+from kingcupwheel.decisions.suspicion_status import NotSuspected
+from kingcupwheel.decisions.suspicion_status import Quarantined
 from kingcupwheel.decisions.trial_claims import CLAIM_LEASE_S
 from kingcupwheel.entry.refusals import ENTRY_LEAVING
 from kingcupwheel.entry.refusals import Refusal
--- a/tests/decisions/test_crash_causes.py
+++ b/tests/decisions/test_crash_causes.py
@@ -10,10 +10,10 @@
 from kingcupwheel.decisions.crash_causes import build_part_key
 from kingcupwheel.decisions.crash_suspects import TRIAL_SPREAD_S
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
-from kingcupwheel.decisions.crash_suspects import NotSuspected
-from kingcupwheel.decisions.crash_suspects import Quarantined
-from kingcupwheel.decisions.crash_suspects import Suspect
 from kingcupwheel.decisions.crashed_runs import CrashedRun
+from kingcupwheel.decisions.suspicion_status import NotSuspected
+from kingcupwheel.decisions.suspicion_status import Quarantined
+from kingcupwheel.decisions.suspicion_status import Suspect
 
 
 BAD, SHARED, RARE = (build_part_key(name) for name in ("bad", "shared", "rare"))
--- a/tests/decisions/test_crash_suspects.py
+++ b/tests/decisions/test_crash_suspects.py
@@ -14,16 +14,16 @@
 from kingcupwheel.decisions.crash_suspects import SUSPECT_RETENTION_S
 from kingcupwheel.decisions.crash_suspects import TRIAL_SPREAD_S
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
-from kingcupwheel.decisions.crash_suspects import Held
-from kingcupwheel.decisions.crash_suspects import NotSuspected
-from kingcupwheel.decisions.crash_suspects import Quarantined
-from kingcupwheel.decisions.crash_suspects import Suspect
 from kingcupwheel.decisions.crashed_runs import CORRELATED_CRASH_S
 from kingcupwheel.decisions.crashed_runs import CrashedRun
 from kingcupwheel.decisions.crashed_runs import ServerIncarnation
 from kingcupwheel.decisions.crashed_runs import earliest_start
 from kingcupwheel.decisions.crashed_runs import separate_runs
 from kingcupwheel.decisions.placement import TwoChoicesPolicy
+from kingcupwheel.decisions.suspicion_status import Held
+from kingcupwheel.decisions.suspicion_status import NotSuspected
+from kingcupwheel.decisions.suspicion_status import Quarantined
+from kingcupwheel.decisions.suspicion_status import Suspect
 from tests.decisions.builders import build_candidates
 
 
--- a/tests/decisions/test_trial_claims.py
+++ b/tests/decisions/test_trial_claims.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from kingcupwheel.decisions.crash_suspects import CrashSuspects
-from kingcupwheel.decisions.crash_suspects import Held
-from kingcupwheel.decisions.crash_suspects import Suspect
 from kingcupwheel.decisions.crash_suspects import SuspicionRecord
 from kingcupwheel.decisions.crashed_runs import CrashedRun
+from kingcupwheel.decisions.suspicion_status import Held
+from kingcupwheel.decisions.suspicion_status import Suspect
 from kingcupwheel.decisions.trial_claims import CLAIM_SETTLE_S
 
 
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -10,8 +10,8 @@
 
 from kingcupwheel.decisions.crash_suspects import QUARANTINES_S
 from kingcupwheel.decisions.crash_suspects import TRIAL_SPREAD_S
-from kingcupwheel.decisions.crash_suspects import Quarantined
 from kingcupwheel.decisions.crashed_runs import CrashedRun
+from kingcupwheel.decisions.suspicion_status import Quarantined
 from kingcupwheel.forwarding.requests import request_fingerprint
 from kingcupwheel.forwarding.suspect_admission import RETURN_SPREAD_S
 from tests.forwarding.crashes import CrashingService
--- a/tests/forwarding/test_entry_membership.py
+++ b/tests/forwarding/test_entry_membership.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from kingcupwheel.decisions.crash_suspects import NotSuspected
-from kingcupwheel.decisions.crash_suspects import Suspect
+from kingcupwheel.decisions.suspicion_status import NotSuspected
+from kingcupwheel.decisions.suspicion_status import Suspect
 from kingcupwheel.entry.server_table import ServerTable
 from kingcupwheel.forwarding.configuration_cache import ConfigurationCache
 from kingcupwheel.forwarding.crash_attribution import LostRun
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -10,8 +10,8 @@
 import pytest
 from urllib3.connection import HTTPConnection
 
-from kingcupwheel.decisions.crash_suspects import NotSuspected
-from kingcupwheel.decisions.crash_suspects import Suspect
+from kingcupwheel.decisions.suspicion_status import NotSuspected
+from kingcupwheel.decisions.suspicion_status import Suspect
 from kingcupwheel.forwarding.crash_attribution import MIN_LEAVING_S
 from kingcupwheel.forwarding.crash_attribution import LostRun
 from kingcupwheel.forwarding.retry_guards import RetryGuards
