--- a/src/kingcupwheel/decisions/crash_suspects.py
+++ b/src/kingcupwheel/decisions/crash_suspects.py
@@ -281,6 +281,17 @@
             record.claim = record.claim._replace(held_until=now)
             self._mark_changed(key, record, now)
 
+    def list_quarantined(self, now: float, *, limit: int) -> dict[str, float]:
+        """Return the seconds left by quarantined key, the latest changes first."""
+        found: dict[str, float] = {}
+        for key in reversed(self._record_by_key):
+            status = self.get_status(key, now)
+            if isinstance(status, Quarantined):
+                found[key] = status.remaining_s
+            if len(found) >= limit:
+                break
+        return found
+
     def list_changed(
         self, since: float, *, limit: int = MAX_KEYS
     ) -> list[SuspicionRecord]:
--- a/src/kingcupwheel/forwarding/crash_evidence.py
+++ b/src/kingcupwheel/forwarding/crash_evidence.py
@@ -41,6 +41,8 @@
 _MAX_LOGGED_KEYS = 24
 # Enough for a part's prefix and as many digits of its id as other lines show.
 _LOGGED_CHARACTERS = 17
+# Quarantines shown as metrics; each is a time series of its own.
+_MAX_SHOWN_QUARANTINES = 16
 # A server that ends while it writes is found dead within this time.
 COMPLETION_SETTLE_S = 0.25
 # Completions within that time at an entry's largest rate.
@@ -188,8 +190,8 @@
         """Record a complete answer; it counts if its server does not end just then."""
         with self._lock:
             self._completions.append(completion)
-            if completion.unframed_run is not None:
-                self._attribution.record_lost_run(completion.unframed_run)
+        if completion.unframed_run is not None:
+            self.record_lost_run(completion.unframed_run)
 
     def settle_completions(self) -> None:
         """Count the completions whose servers have lived on; called several times a s.
@@ -272,6 +274,13 @@
             changed, self._has_changed = self._has_changed, False
         return changed
 
+    def list_quarantined(self) -> dict[str, float]:
+        """Return the seconds left by key, of the quarantines that changed last."""
+        with self._lock:
+            return self._suspects.list_quarantined(
+                monotonic(), limit=_MAX_SHOWN_QUARANTINES
+            )
+
     def list_reports(self, changed_within_s: float) -> tuple[SuspicionReport, ...]:
         """Return what has changed within that time, to report to a peer."""
         with self._lock:
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -282,6 +282,7 @@
         self._metrics.configuration_version.set(self._configuration_cache.version)
         self._metrics.live_entries.set(len(self._membership.live_entries()))
         self._metrics.set_rate_limits(self._context.rate_limits.list_limits())
+        self._metrics.set_quarantines(self._crash_evidence.list_quarantined())
 
     def _on_server_list(
         self, backends: tuple[Backend, ...], removed: tuple[Backend, ...]
--- a/src/kingcupwheel/telemetry/metrics.py
+++ b/src/kingcupwheel/telemetry/metrics.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
 # Finest around the latency targets of plain responses (0.2 s) and of first events
 # (0.5 s); the last bound is the longest route timeout.
@@ -61,6 +62,12 @@
             ["event"],
             registry=registry,
         )
+        self.quarantine_seconds = Gauge(
+            "kingcupwheel_quarantine_seconds",
+            "Time left for which a request or a part of prompts is refused.",
+            ["key"],
+            registry=registry,
+        )
         self.server_rate_limit = Gauge(
             "kingcupwheel_server_rate_limit",
             "Requests per second that a server takes from all entries together.",
@@ -107,6 +114,12 @@
         self.answers.labels(service, str(status), how).inc()
         self.answer_seconds.labels(service).observe(took_s)
 
+    def set_quarantines(self, remaining_s_by_key: Mapping[str, float]) -> None:
+        """Show the quarantines in force, and no others."""
+        self.quarantine_seconds.clear()
+        for key, remaining_s in remaining_s_by_key.items():
+            self.quarantine_seconds.labels(key).set(remaining_s)
+
     def set_rate_limits(self, limits: Iterable[tuple[str, float, float]]) -> None:
         """Replace the limited servers: incarnation, limit and own share."""
         self.server_rate_limit.clear()
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from kingcupwheel.decisions.crash_causes import PART_QUARANTINES_S
 from kingcupwheel.forwarding.requests import compute_part_keys
 from tests.forwarding.crashes import CrashingService
 from tests.forwarding.crashes import RestartTimes
@@ -224,3 +225,19 @@
     assert len(arrived) <= 2
     assert ended
     assert all(at > ended[0] for at in arrived[1:])
+
+
+def test_a_quarantined_part_is_shown_as_a_metric(fleet: Fleet) -> None:
+    """Nobody can tell which part is refused, and for how long."""
+    fleet.add_server("i-1")
+    entry = fleet.add_entry()
+    (key,) = compute_part_keys("app", "", (BAD,))
+    quarantine(entry, key, ago_s=5.0)
+
+    entry._refresh_metrics()
+
+    registry = entry._metrics.registry
+    shown = registry.get_sample_value("kingcupwheel_quarantine_seconds", {"key": key})
+    assert shown is not None
+    assert 0 < shown < PART_QUARANTINES_S[0]
+    assert key.startswith(f"part-{BAD}")
