--- a/src/kingcupwheel/forwarding/crash_evidence.py
+++ b/src/kingcupwheel/forwarding/crash_evidence.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from threading import BoundedSemaphore
 from threading import Lock
 from time import monotonic
@@ -19,6 +18,7 @@
 from kingcupwheel.decisions.trial_claims import CLAIM_LEASE_S
 from kingcupwheel.decisions.trial_claims import settle_time_s
 from kingcupwheel.forwarding.crash_attribution import CrashAttribution
+from kingcupwheel.forwarding.pending_completions import PendingCompletions
 from kingcupwheel.messages.suspicions import build_suspicion_report
 from kingcupwheel.messages.suspicions import read_suspicion_report
 from kingcupwheel.telemetry.json_logs import lines_of
@@ -33,6 +33,7 @@
     from kingcupwheel.decisions.suspicion_status import SuspicionStatus
     from kingcupwheel.forwarding.crash_attribution import Attribution
     from kingcupwheel.forwarding.crash_attribution import LostRun
+    from kingcupwheel.forwarding.pending_completions import Completion
     from kingcupwheel.messages.membership import SuspicionReport
 
 log = lines_of("suspects")
@@ -43,10 +44,6 @@
 _LOGGED_CHARACTERS = 17
 # Quarantines shown as metrics; each is a time series of its own.
 _MAX_SHOWN_QUARANTINES = 16
-# A server that ends while it writes is found dead within this time.
-COMPLETION_SETTLE_S = 0.25
-# Completions within that time at an entry's largest rate.
-_MAX_COMPLETIONS = 2_048
 # Records in one heartbeat, about 20 kilobytes.
 MAX_REPORTS = 256
 # Requests that wait for the run of a suspect. Each takes a thread of the entry; more of
@@ -69,20 +66,6 @@
 ClaimResult = NotSuspected | Held | Quarantined | ClaimedRun
 
 
-class Completion(NamedTuple):
-    """A complete answer, which counts once its server is known to be alive afterwards.
-
-    ``unframed_run`` is the same run as a lost one if the answer had no length: a crash
-    of its server looks like its end.
-    """
-
-    completed_at: float
-    keys: tuple[str, ...]
-    incarnation: str
-    request_id: str
-    unframed_run: LostRun | None
-
-
 class CrashEvidence:
     """Attributes crashes to requests and decides which may run; thread-safe.
 
@@ -95,7 +78,7 @@
     ) -> None:
         self._suspects = CrashSuspects(owner, shared_crashes=QUARANTINE_SHARED_CRASHES)
         self._attribution = CrashAttribution()
-        self._completions: deque[Completion] = deque(maxlen=_MAX_COMPLETIONS)
+        self._completions = PendingCompletions()
         self._events = events
         self._is_alone = is_alone
         self._has_changed = False
@@ -189,7 +172,7 @@
     def record_completion(self, completion: Completion) -> None:
         """Record a complete answer; it counts if its server does not end just then."""
         with self._lock:
-            self._completions.append(completion)
+            self._completions.add(completion)
         if completion.unframed_run is not None:
             self.record_lost_run(completion.unframed_run)
 
@@ -201,11 +184,7 @@
         cleared: list[Completion] = []
         with self._lock:
             now = monotonic()
-            while (
-                self._completions
-                and now - self._completions[0].completed_at >= COMPLETION_SETTLE_S
-            ):
-                completion = self._completions.popleft()
+            for completion in self._completions.take_settled(now):
                 if self._attribution.has_ended(completion.incarnation):
                     continue
                 if completion.unframed_run is not None:
--- a/src/kingcupwheel/forwarding/run_evidence.py
+++ b/src/kingcupwheel/forwarding/run_evidence.py
@@ -11,7 +11,7 @@
 from kingcupwheel.decisions.trial_claims import CLAIM_SETTLE_S
 from kingcupwheel.entry.refusals import Refusal
 from kingcupwheel.forwarding.crash_attribution import LostRun
-from kingcupwheel.forwarding.crash_evidence import Completion
+from kingcupwheel.forwarding.pending_completions import Completion
 from kingcupwheel.forwarding.suspect_admission import admit_suspect
 from kingcupwheel.forwarding.watchdog import AbortReason
 from kingcupwheel.messages.attempts import Outcome
--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -262,7 +262,7 @@
     ),
     "completion-settling": (
         Edit(
-            "forwarding/crash_evidence.py",
+            "forwarding/pending_completions.py",
             "COMPLETION_SETTLE_S = 0.25",
             "COMPLETION_SETTLE_S = 0.0",
         ),
