--- a/src/kingcupwheel/forwarding/crash_evidence.py
+++ b/src/kingcupwheel/forwarding/crash_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from threading import BoundedSemaphore
 from threading import Lock
 from time import monotonic
@@ -18,6 +19,7 @@
 from kingcupwheel.decisions.trial_claims import CLAIM_LEASE_S
 from kingcupwheel.decisions.trial_claims import settle_time_s
 from kingcupwheel.forwarding.crash_attribution import CrashAttribution
+from kingcupwheel.forwarding.pending_completions import MAX_PROOF_S
 from kingcupwheel.forwarding.pending_completions import PendingCompletions
 from kingcupwheel.messages.suspicions import build_suspicion_report
 from kingcupwheel.messages.suspicions import read_suspicion_report
@@ -42,6 +44,8 @@
 _MAX_LOGGED_KEYS = 24
 # Enough for a part's prefix and as many digits of its id as other lines show.
 _LOGGED_CHARACTERS = 17
+# Servers that were probed last.
+_MAX_ACCEPTED = 256
 # Quarantines shown as metrics; each is a time series of its own.
 _MAX_SHOWN_QUARANTINES = 16
 # Records in one heartbeat, about 20 kilobytes.
@@ -79,6 +83,7 @@
         self._suspects = CrashSuspects(owner, shared_crashes=QUARANTINE_SHARED_CRASHES)
         self._attribution = CrashAttribution()
         self._completions = PendingCompletions()
+        self._accepted_at: OrderedDict[str, float] = OrderedDict()
         self._events = events
         self._is_alone = is_alone
         self._has_changed = False
@@ -188,12 +193,29 @@
                 if self._attribution.has_ended(completion.incarnation):
                     continue
                 if completion.unframed_run is not None:
+                    if not self._is_proven_alive(completion):
+                        if now - completion.completed_at < MAX_PROOF_S:
+                            self._completions.add(completion)
+                        continue
                     self._attribution.withdraw_lost_run(completion.unframed_run)
                 if self._clear(completion.keys, completion.completed_at):
                     cleared.append(completion)
         for completion in cleared:
             self._log_cleared(completion.keys, completion.request_id)
 
+    def record_server_alive(self, incarnation: str) -> None:
+        """Record that a server has accepted a connection."""
+        with self._lock:
+            self._accepted_at[incarnation] = monotonic()
+            self._accepted_at.move_to_end(incarnation)
+            while len(self._accepted_at) > _MAX_ACCEPTED:
+                self._accepted_at.popitem(last=False)
+
+    def _is_proven_alive(self, completion: Completion) -> bool:
+        """Return whether the server has accepted a connection since; lock held."""
+        accepted_at = self._accepted_at.get(completion.incarnation, 0.0)
+        return 0.0 < accepted_at - completion.completed_at < MAX_PROOF_S
+
     def record_leaving(self, incarnation: str) -> None:
         """Record that a server has announced that it leaves."""
         with self._lock:
--- a/src/kingcupwheel/forwarding/crash_prober.py
+++ b/src/kingcupwheel/forwarding/crash_prober.py
@@ -45,12 +45,19 @@
 class CrashProber:
     """Thread that probes servers; ``on_refused`` gets the incarnation that ended.
 
+    ``on_accepted`` gets one that has accepted a connection.
+
     A platform lists a server that crashed for seconds, and meanwhile the request that
     crashed it would crash others.
     """
 
-    def __init__(self, on_refused: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        on_refused: Callable[[str], None],
+        on_accepted: Callable[[str], None] = lambda _: None,
+    ) -> None:
         self._on_refused = on_refused
+        self._on_accepted = on_accepted
         self._queue: Queue[_Probe] = Queue(maxsize=_MAX_PROBES)
         self._stopping = Event()
         self._result_by_incarnation: dict[str, Event] = {}
@@ -97,7 +104,10 @@
 
     def _advance(self, pending: dict[str, _Probe], probe: _Probe) -> None:
         del pending[probe.incarnation]
-        is_refused = _is_connection_refused(probe.address)
+        is_accepted = _try_connect(probe.address)
+        is_refused = is_accepted is False
+        if is_accepted:
+            self._on_accepted(probe.incarnation)
         refusals = probe.refusals + 1 if is_refused else 0
         is_over = probe.attempts + 1 >= len(_PROBE_DELAYS_S)
         if refusals >= _REFUSALS_TO_CONFIRM:
@@ -119,12 +129,13 @@
             self._result_by_incarnation.pop(incarnation, None)
 
 
-def _is_connection_refused(address: str) -> bool:
+def _try_connect(address: str) -> bool | None:
+    """Return whether the server accepts or refuses a connection, None if unknown."""
     host, _, port = address.rpartition(":")
     try:
         socket.create_connection((host, int(port)), timeout=_CONNECT_TIMEOUT_S).close()
     except ConnectionRefusedError:
-        return True
-    except (OSError, ValueError):
         return False
-    return False
+    except (OSError, ValueError):
+        return None
+    return True
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -110,7 +110,8 @@
             is_alone=lambda: self._membership.known_count == 1,
         )
         self._crash_prober = CrashProber(
-            partial(self._crash_evidence.record_server_end, cause="refused")
+            partial(self._crash_evidence.record_server_end, cause="refused"),
+            self._crash_evidence.record_server_alive,
         )
         connections = ConnectionPool()
         self._context = ForwardContext(
--- a/src/kingcupwheel/forwarding/pending_completions.py
+++ b/src/kingcupwheel/forwarding/pending_completions.py
@@ -12,6 +12,9 @@
 
 # A server that ends while it writes is found dead within this time.
 COMPLETION_SETTLE_S = 0.25
+# A server that has accepted a connection so long after an answer without a length is
+# the one that answered; a successor at its address takes longer to start.
+MAX_PROOF_S = 1.0
 # Completions within that time at an entry's largest rate.
 _MAX_COMPLETIONS = 2_048
 
@@ -20,7 +23,8 @@
     """A complete answer, which counts once its server is known to be alive afterwards.
 
     ``unframed_run`` is the same run as a lost one if the answer had no length: a crash
-    of its server looks like its end.
+    of its server looks like its end, so that it counts only if the server is proven to
+    be alive.
     """
 
     completed_at: float
--- a/src/kingcupwheel/forwarding/run_evidence.py
+++ b/src/kingcupwheel/forwarding/run_evidence.py
@@ -129,9 +129,6 @@
         unframed_run = None
         if not is_framed:
             unframed_run = self._build_lost_run(reservation, is_closed=True)
-            self._context.crash_prober.probe(
-                reservation.incarnation, reservation.address
-            )
         self._evidence.record_completion(
             Completion(
                 monotonic(),
@@ -141,6 +138,10 @@
                 unframed_run,
             )
         )
+        if unframed_run is not None:
+            self._context.crash_prober.probe(
+                reservation.incarnation, reservation.address
+            )
 
     def _build_lost_run(self, reservation: Reservation, *, is_closed: bool) -> LostRun:
         return LostRun(
--- a/tests/forwarding/test_entry_membership.py
+++ b/tests/forwarding/test_entry_membership.py
@@ -15,6 +15,8 @@
 from kingcupwheel.forwarding.crash_attribution import LostRun
 from kingcupwheel.forwarding.crash_evidence import CrashEvidence
 from kingcupwheel.forwarding.entry_membership import EntryMembership
+from kingcupwheel.forwarding.pending_completions import COMPLETION_SETTLE_S
+from kingcupwheel.forwarding.pending_completions import Completion
 from kingcupwheel.forwarding.rate_limit_exchange import RateLimitExchange
 from kingcupwheel.messages.membership import CrashedRunReport
 from kingcupwheel.messages.membership import EntryHeartbeat
@@ -142,3 +144,27 @@
 
     status = member.evidence.get_status([FINGERPRINT])
     assert isinstance(status, Suspect if has_echo else NotSuspected)
+
+
+@pytest.mark.parametrize("is_alive", [True, False])
+def test_an_answer_without_a_length_counts_only_if_its_server_is_alive(
+    *, is_alive: bool
+) -> None:
+    """A part goes on crashing servers, since each crash counts as a whole answer.
+
+    The machine is busy, and the probe of the server has no answer when the time is up
+    within which others are found dead.
+    """
+    member = Member()
+    member.record_crash()
+    now = time.monotonic()
+    run = LostRun((FINGERPRINT,), "i-2", now, now, is_closed=True, is_suspect=False)
+    completion = Completion(now, (FINGERPRINT,), "i-2", "r-2", run)
+    member.evidence.record_completion(completion)
+    if is_alive:
+        member.evidence.record_server_alive("i-2")
+    time.sleep(COMPLETION_SETTLE_S + 0.05)
+    member.evidence.settle_completions()
+
+    status = member.evidence.get_status([FINGERPRINT])
+    assert isinstance(status, NotSuspected if is_alive else Suspect)
