--- /dev/null
+++ b/src/kingcupwheel/utils/http_responses.py
@@ -0,0 +1,64 @@
+"""HTTP responses that notice where a message was broken off.
+
+The standard library takes the end of a connection for the end of a head, of a chunk's
+size or of the trailers. A head that was broken off before its length then looks like
+that of an answer whose body ends with its connection, and a chunk's size of ``0400``
+that was broken off after its first digit looks like the last chunk.
+"""
+
+from __future__ import annotations
+
+from http.client import HTTPException
+from http.client import HTTPResponse
+from io import BufferedReader
+from typing import TYPE_CHECKING
+from typing import Any
+
+from urllib3.connection import HTTPConnection
+
+
+if TYPE_CHECKING:
+    import socket
+
+
+class IncompleteMessageError(HTTPException):
+    """The connection ended inside a message, but not inside its body's data."""
+
+
+class CompleteLineReader(BufferedReader):
+    """Reader of a connection whose lines are never broken off.
+
+    Lines are read only where the protocol has some: a status line, headers, the sizes
+    of chunks and trailers. Each ends with a line feed.
+    """
+
+    _has_read_line = False
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line; empty only if nothing was received at all.
+
+        Raises IncompleteMessageError if the connection ended before the line did.
+        """
+        line = super().readline(size)
+        is_limited = size is not None and 0 <= size <= len(line)
+        is_nothing_received = not line and not self._has_read_line
+        if not (line.endswith(b"\n") or is_limited or is_nothing_received):
+            raise IncompleteMessageError(
+                f"the connection ended in a line of which {len(line)} bytes arrived"
+            )
+        self._has_read_line = True
+        return line
+
+
+class CheckedResponse(HTTPResponse):
+    """A response that fails if its head, a chunk's size or a trailer is broken off."""
+
+    def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
+        super().__init__(sock, *args, **options)
+        self.fp = CompleteLineReader(self.fp.detach())
+
+
+class CheckedHttpConnection(HTTPConnection):
+    """HTTP connection with such responses."""
+
+    response_class = CheckedResponse
--- a/src/kingcupwheel/utils/server_connection.py
+++ b/src/kingcupwheel/utils/server_connection.py
@@ -4,10 +4,10 @@
 
 from typing import Any
 
-from urllib3.connection import HTTPConnection
+from kingcupwheel.utils.http_responses import CheckedHttpConnection
 
 
-class ServerConnection(HTTPConnection):
+class ServerConnection(CheckedHttpConnection):
     """A connection that knows whether any byte of the current request was sent."""
 
     is_unsent = True
--- a/tests/standins/http_server.py
+++ b/tests/standins/http_server.py
@@ -49,9 +49,9 @@
         self, status: int, body: bytes, headers: dict[str, str] | None = None
     ) -> None:
         self.send_response(status)
-        self.send_header("Content-Length", str(len(body)))
         for name, value in (headers or {}).items():
             self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
@@ -61,9 +61,9 @@
 
     def start_chunked_response(self, headers: dict[str, str]) -> None:
         self.send_response(200)
-        self.send_header("Transfer-Encoding", "chunked")
         for name, value in headers.items():
             self.send_header(name, value)
+        self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
 
     def send_chunk(self, data: bytes) -> None:
--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -64,6 +64,13 @@
             "state_by_name = {one.name: ServerState.HEALTHY for one in loads}",
         ),
     ),
+    "complete-lines": (
+        Edit(
+            "utils/http_responses.py",
+            "self.fp = CompleteLineReader(self.fp.detach())",
+            "pass",
+        ),
+    ),
     "rate-limits": (
         Edit(
             "decisions/rate_limits.py",
