--- a/src/kingcupwheel/forwarding/configuration_cache.py
+++ b/src/kingcupwheel/forwarding/configuration_cache.py
@@ -10,12 +10,19 @@
 from threading import Lock
 from typing import TYPE_CHECKING
 
+from kingcupwheel.telemetry.json_logs import lines_of
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from kingcupwheel.forwarding.configuration import Configuration
 
+log = lines_of("configuration")
+
+# Between two lines about times in the future, which each heartbeat may have.
+_MIN_LOG_INTERVAL_S = 1.0
+
 
 def boottime_s() -> float:
     """Return the seconds since boot, including suspended time."""
@@ -33,6 +40,7 @@
         self._clock = clock
         self._configuration: Configuration | None = None
         self._as_of = float("-inf")
+        self._logged_at = float("-inf")
         self._lock = Lock()
 
     def now(self) -> float:
@@ -54,10 +62,10 @@
         """Return the time since it was last confirmed as newest; infinite if never."""
         return self._clock() - self._as_of
 
-    def update(self, found: Configuration, as_of: float) -> bool:
+    def update(self, found: Configuration, as_of: float, *, source: str) -> bool:
         """Store a configuration that was the newest at ``as_of``.
 
-        Returns whether its version is new.
+        Returns whether its version is new. ``source`` says in logs who stated it.
 
         Failure: answers overtake each other, or a stale copy arrives late. Symptom: a
         removed route works again. Versions only increase, so a lower one is ignored.
@@ -72,11 +80,21 @@
             is_new = found.version > self.version
             if is_new:
                 self._configuration = found
-            self._as_of = max(self._as_of, as_of)
+            self._record_as_of(as_of, source)
         return is_new
 
-    def confirm(self, version: int, as_of: float) -> None:
+    def confirm(self, version: int, as_of: float, *, source: str) -> None:
         """Record that ``version`` was the newest at ``as_of``."""
         with self._lock:
             if version == self.version:
-                self._as_of = max(self._as_of, as_of)
+                self._record_as_of(as_of, source)
+
+    def _record_as_of(self, as_of: float, source: str) -> None:
+        """Record a time of confirmation; the lock is held."""
+        now = self._clock()
+        if as_of > now and now - self._logged_at >= _MIN_LOG_INTERVAL_S:
+            self._logged_at = now
+            log.warning(
+                "confirmed-in-future", source=source, ahead_s=round(as_of - now, 3)
+            )
+        self._as_of = max(self._as_of, as_of)
--- a/src/kingcupwheel/forwarding/entry_membership.py
+++ b/src/kingcupwheel/forwarding/entry_membership.py
@@ -253,7 +253,11 @@
             )
         confirmation = confirmation_from(heartbeat)
         if confirmation is not None:
-            self._configuration_cache.confirm(confirmation.version, confirmation.as_of)
+            self._configuration_cache.confirm(
+                confirmation.version,
+                confirmation.as_of,
+                source=f"peer {heartbeat.sender.name}",
+            )
         if heartbeat.version > self._configuration_cache.version:
             self._request_configuration(heartbeat, now)
         self._log_live_changes()
--- a/src/kingcupwheel/forwarding/store_watcher.py
+++ b/src/kingcupwheel/forwarding/store_watcher.py
@@ -212,7 +212,7 @@
                     self._cache, change.object.body, requested_at, source="store"
                 )
         if not changes:
-            self._cache.confirm(self._cache.version, requested_at)
+            self._cache.confirm(self._cache.version, requested_at, source="store")
 
 
 def adopt_configuration(
@@ -223,7 +223,7 @@
     if decoded.is_error():
         log.error("configuration-refused", why=decoded.error, source=source)
         return
-    if cache.update(decoded.ok, as_of):
+    if cache.update(decoded.ok, as_of, source=source):
         routes = sum(len(found) for found in decoded.ok.routes_by_host.values())
         log.info(
             "configuration-adopted",
