--- a/src/kingcupwheel/forwarding/configuration_cache.py
+++ b/src/kingcupwheel/forwarding/configuration_cache.py
@@ -90,11 +90,16 @@
                 self._record_as_of(as_of, source)
 
     def _record_as_of(self, as_of: float, source: str) -> None:
-        """Record a time of confirmation; the lock is held."""
+        """Record a time of confirmation, unless it lies ahead; the lock is held.
+
+        Nothing was confirmed in the future: such a time is of another clock, and the
+        version would stay current until this one reaches it.
+        """
         now = self._clock()
-        if as_of > now and now - self._logged_at >= _MIN_LOG_INTERVAL_S:
+        if as_of <= now:
+            self._as_of = max(self._as_of, as_of)
+        elif now - self._logged_at >= _MIN_LOG_INTERVAL_S:
             self._logged_at = now
             log.warning(
                 "confirmed-in-future", source=source, ahead_s=round(as_of - now, 3)
             )
-        self._as_of = max(self._as_of, as_of)
--- a/src/kingcupwheel/forwarding/entry_membership.py
+++ b/src/kingcupwheel/forwarding/entry_membership.py
@@ -12,6 +12,7 @@
 
 from kingcupwheel.forwarding.peers import PeerTable
 from kingcupwheel.forwarding.peers import confirmation_from
+from kingcupwheel.forwarding.peers import drop_foreign_echo
 from kingcupwheel.forwarding.store_watcher import adopt_configuration
 from kingcupwheel.link.links import OutgoingLink
 from kingcupwheel.messages.membership import EntryHeartbeat
@@ -52,11 +53,13 @@
 class _Echoes(NamedTuple):
     """Clock readings exchanged with a peer.
 
-    ``received_at`` is the peer's last one, ``held_s`` the time since it was received.
-    ``unconfirmed_s`` is the time since the own one that the peer has echoed last.
+    ``received_at`` is the last one of the peer's ``incarnation``, ``held_s`` the time
+    since it was received. ``unconfirmed_s`` is the time since the own one that the peer
+    has echoed last.
     """
 
     received_at: float
+    incarnation: str
     held_s: float
     unconfirmed_s: float
 
@@ -202,6 +205,7 @@
         has_confirmed = confirmed_at > self._joined_at.get(name, float("inf"))
         return _Echoes(
             self._peers.echo_for(name),
+            self._peers.echo_incarnation_for(name),
             self._peers.echo_held_s_for(name, now),
             self._configuration_cache.now() - confirmed_at
             if has_confirmed
@@ -228,11 +232,13 @@
             limits=limits,
             echo_held_s=echoes.held_s,
             suspicions=self._crash_evidence.list_reports(echoes.unconfirmed_s),
+            echo_incarnation=echoes.incarnation,
         )
 
     def on_heartbeat(self, heartbeat: EntryHeartbeat) -> None:
         """Handle a heartbeat; runs on the hub's thread."""
         now = monotonic()
+        heartbeat = drop_foreign_echo(heartbeat, self._incarnation)
         with self._lock:
             is_new = self._peers.record_heartbeat(heartbeat, now)
             self._peers.add_known(heartbeat.known_entries, now)
--- a/src/kingcupwheel/forwarding/peers.py
+++ b/src/kingcupwheel/forwarding/peers.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+import msgspec
+
 from kingcupwheel.decisions.limit_shares import EntryFleet
 
 
@@ -175,6 +177,15 @@
             -1.0 if peer is None or peer.last_heartbeat is None else now - peer.heard_at
         )
 
+    def echo_incarnation_for(self, name: str) -> str:
+        """Return the incarnation of the peer that sent the reading to echo."""
+        peer = self._by_name.get(name)
+        return (
+            ""
+            if peer is None or peer.last_heartbeat is None
+            else peer.last_heartbeat.incarnation
+        )
+
     def echo_from(self, name: str) -> float:
         """Return the own clock reading that the peer has echoed last, 0 if none."""
         peer = self._by_name.get(name)
@@ -214,6 +225,19 @@
         return expired
 
 
+def drop_foreign_echo(heartbeat: EntryHeartbeat, incarnation: str) -> EntryHeartbeat:
+    """Return the heartbeat without an echo that is not of ``incarnation``, the own one.
+
+    Failure: a machine restarts or is replaced, its clock starts anew, and its peers
+    still echo a reading of the former process. Symptom: what they state seems to come
+    from the future, and an old configuration stays current for as long as the former
+    process had run. Without the sender's word for it, an echo proves nothing.
+    """
+    if heartbeat.echo_incarnation == incarnation:
+        return heartbeat
+    return msgspec.structs.replace(heartbeat, echo=0.0, echo_held_s=-1.0)
+
+
 def confirmation_from(heartbeat: EntryHeartbeat) -> VersionConfirmation | None:
     """Return what a heartbeat proves about the age of a configuration version.
 
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -167,11 +167,12 @@
 
     ``sent_at`` is read from the sender's clock; ``echo`` is the newest ``sent_at`` that
     the sender received from the receiver, ``echo_held_s`` seconds before this was sent
-    (negative if unknown). Configuration ``version`` was the newest one
-    ``age_s`` before this was sent; a negative age means unknown. ``limits`` are the
-    rate limits that the sender has observed itself, ``suspicions`` what it knows of
-    requests that crash servers and the receiver has not confirmed; ``crashed`` is
-    empty: earlier versions need the field.
+    (negative if unknown). ``echo_incarnation`` is the receiver's incarnation that had
+    sent it; earlier versions of the software leave it empty. Configuration ``version``
+    was the newest one ``age_s`` before this was sent; a negative age means unknown.
+    ``limits`` are the rate limits that the sender has observed itself, ``suspicions``
+    what it knows of requests that crash servers and the receiver has not confirmed;
+    ``crashed`` is empty: earlier versions need the field.
     """
 
     sender: EntryInfo = msgspec.field(name="me")
@@ -186,6 +187,7 @@
     limits: tuple[ServerLimitReport, ...] = ()
     echo_held_s: float = -1.0
     suspicions: tuple[SuspicionReport, ...] = ()
+    echo_incarnation: str = ""
 
 
 class ManifestRequest(Message, frozen=True, tag="ManifestWanted"):
--- a/tests/forwarding/test_entry_membership.py
+++ b/tests/forwarding/test_entry_membership.py
@@ -83,6 +83,7 @@
                 known_entries=(),
                 echo_held_s=0.0,
                 suspicions=suspicions,
+                echo_incarnation=self.membership._incarnation,
             )
         )
 
--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -71,6 +71,20 @@
             "pass",
         ),
     ),
+    "echo-incarnations": (
+        Edit(
+            "forwarding/peers.py",
+            "if heartbeat.echo_incarnation == incarnation:",
+            'if heartbeat.echo_incarnation != "-":',
+        ),
+    ),
+    "future-confirmations": (
+        Edit(
+            "forwarding/configuration_cache.py",
+            "if as_of <= now:",
+            'if as_of < float("inf"):',
+        ),
+    ),
     "rate-limits": (
         Edit(
             "decisions/rate_limits.py",
