--- a/src/kingcupwheel/expertmaps/rank_api.py
+++ b/src/kingcupwheel/expertmaps/rank_api.py
@@ -11,6 +11,7 @@
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
+from urllib.parse import urlsplit
 
 import msgspec
 import urllib3
@@ -28,6 +29,7 @@
 from kingcupwheel.expertmaps.protocol import StateRequest
 from kingcupwheel.expertmaps.protocol import SupersedeOrder
 from kingcupwheel.plugins.registries import rank_apis
+from kingcupwheel.utils.http_responses import open_connection_pool
 
 
 if TYPE_CHECKING:
@@ -86,9 +88,11 @@
     """Client of the rank at ``url``; each call takes ``timeout_s`` at most."""
 
     def __init__(self, url: str, *, timeout_s: float = RANK_TIMEOUT_S) -> None:
-        self._url = url.rstrip("/")
+        self._base = urlsplit(url).path.rstrip("/")
         timeout = urllib3.Timeout(total=timeout_s)
-        self._pool = urllib3.PoolManager(maxsize=2, timeout=timeout, retries=False)
+        self._pool = open_connection_pool(
+            url, maxsize=2, timeout=timeout, retries=False
+        )
 
     def send_order(
         self, order: AnyOrder, *, fence: int
@@ -99,7 +103,7 @@
         if method == "POST":
             body = msgspec.json.encode(RankCall(fence, order))
         try:
-            response = self._pool.request(method, self._url + path, body=body)
+            response = self._pool.request(method, self._base + path, body=body)
         except urllib3.exceptions.NewConnectionError as error:
             return Error(RankUnreachable(str(error), was_sent=False))
         except urllib3.exceptions.HTTPError as error:
--- a/src/kingcupwheel/platform/http.py
+++ b/src/kingcupwheel/platform/http.py
@@ -31,6 +31,7 @@
 from kingcupwheel.platform.errors import Rejected
 from kingcupwheel.platform.errors import Unavailable
 from kingcupwheel.plugins.registries import platform_clients
+from kingcupwheel.utils.http_responses import open_connection_pool
 
 
 if TYPE_CHECKING:
@@ -96,10 +97,8 @@
         origin = f"{url.scheme}://{url.netloc}"
         self._base = url.path.rstrip("/")
         self._timeout_s = settings.timeout_s
-        self._call_pool = urllib3.connection_from_url(
-            origin, maxsize=settings.connections
-        )
-        self._watch_pool = urllib3.connection_from_url(
+        self._call_pool = open_connection_pool(origin, maxsize=settings.connections)
+        self._watch_pool = open_connection_pool(
             origin, maxsize=_MAX_IDLE_WATCH_CONNECTIONS
         )
         self._free_connections = BoundedSemaphore(settings.connections)
--- a/src/kingcupwheel/platform/rank_client.py
+++ b/src/kingcupwheel/platform/rank_client.py
@@ -19,6 +19,7 @@
 from kingcupwheel.lockstep.rank_reports import RankState
 from kingcupwheel.platform.decoding import StartTimeMs
 from kingcupwheel.platform.decoding import decode_json
+from kingcupwheel.utils.http_responses import open_connection_pool
 
 
 if TYPE_CHECKING:
@@ -82,7 +83,7 @@
     """Client of one backend server; thread-safe."""
 
     def __init__(self, url: str) -> None:
-        self._pool = urllib3.connection_from_url(
+        self._pool = open_connection_pool(
             url,
             maxsize=2,
             timeout=urllib3.Timeout(total=_CALL_TIMEOUT_S),
--- a/src/kingcupwheel/platform/store_client.py
+++ b/src/kingcupwheel/platform/store_client.py
@@ -14,6 +14,7 @@
 from kingcupwheel.platform.errors import RateLimited
 from kingcupwheel.platform.errors import Rejected
 from kingcupwheel.platform.errors import Unavailable
+from kingcupwheel.utils.http_responses import open_connection_pool
 
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
     """
 
     def __init__(self, url: str, *, connect_timeout_s: float) -> None:
-        self._pool = urllib3.connection_from_url(url, maxsize=4)
+        self._pool = open_connection_pool(url, maxsize=4)
         self._connect_timeout_s = connect_timeout_s
 
     def call(
--- a/src/kingcupwheel/utils/http_responses.py
+++ b/src/kingcupwheel/utils/http_responses.py
@@ -1,4 +1,4 @@
-"""HTTP responses that notice where a message was broken off.
+"""HTTP responses and connections that notice where a message was broken off.
 
 The standard library takes the end of a connection for the end of a head, of a chunk's
 size or of the trailers. A head that was broken off before its length then looks like
@@ -14,7 +14,10 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import urllib3
 from urllib3.connection import HTTPConnection
+from urllib3.connection import HTTPSConnection
+from urllib3.util import parse_url
 
 
 if TYPE_CHECKING:
@@ -62,3 +65,36 @@
     """HTTP connection with such responses."""
 
     response_class = CheckedResponse
+
+
+class CheckedHttpsConnection(HTTPSConnection):
+    """HTTPS connection with such responses."""
+
+    response_class = CheckedResponse
+
+
+class _HttpPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = CheckedHttpConnection
+
+
+class _HttpsPool(urllib3.HTTPSConnectionPool):
+    ConnectionCls = CheckedHttpsConnection
+
+
+_POOL_CLASS_BY_SCHEME = {"http": _HttpPool, "https": _HttpsPool}
+
+
+def open_connection_pool(url: str, **options: Any) -> urllib3.HTTPConnectionPool:
+    """Return a pool of checked connections to the host of ``url``.
+
+    ``options`` are those of ``urllib3.HTTPConnectionPool``. Raises LocationValueError
+    for a URL of another scheme or without a host.
+    """
+    parsed = parse_url(url)
+    pool_class = _POOL_CLASS_BY_SCHEME.get(parsed.scheme or "")
+    if pool_class is None or not parsed.host:
+        raise urllib3.exceptions.LocationValueError(f"{url!r} is no HTTP URL")
+    pool: urllib3.HTTPConnectionPool = pool_class(
+        parsed.host, port=parsed.port, **options
+    )
+    return pool
