--- a/src/kingcupwheel/entry/allowance_balancer.py
+++ b/src/kingcupwheel/entry/allowance_balancer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import secrets
 from threading import Lock
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -36,18 +37,21 @@
 # 43,000 of them, each on two entries, would otherwise be reported on every heartbeat.
 _IDLE_TIMEOUT_S = 60.0
 _MIN_DEMAND = 1e-6
+_INCARNATION_BYTES = 4
 
 
 class _PeerState:
     """Last reports of another entry.
 
-    ``last_sent_at`` is that entry's clock in its last heartbeat, to be echoed to it;
-    ``last_echo_at`` is when the last heartbeat that it echoed was sent from here.
+    ``last_sent_at`` is that entry's clock in its last heartbeat, to be echoed to it
+    with its ``incarnation``; ``last_echo_at`` is when the last heartbeat that it echoed
+    was sent from here.
     """
 
     def __init__(self, now: float) -> None:
         self.last_echo_at = now
         self.last_sent_at = -1.0
+        self.incarnation = ""
         self.report_by_organisation: dict[str, ShareReport] = {}
 
 
@@ -64,6 +68,7 @@
         find_organisation: Callable[[str], Organisation | None],
     ) -> None:
         self._name = name
+        self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
         self._limiter = limiter
         self._membership = membership
         self._send = send
@@ -109,7 +114,10 @@
         with self._lock:
             peer = self._peer_by_name.setdefault(heartbeat.name, _PeerState(now))
             peer.last_sent_at = heartbeat.sent_at
-            if heartbeat.echo >= 0:
+            peer.incarnation = heartbeat.incarnation
+            # After a restart of this machine the peer still echoes a reading of the
+            # former process, whose clock says nothing of how long the peer is silent.
+            if heartbeat.echo >= 0 and heartbeat.echo_incarnation == self._incarnation:
                 peer.last_echo_at = max(peer.last_echo_at, heartbeat.echo)
             peer.report_by_organisation = {
                 one.organisation: one for one in heartbeat.shares
@@ -235,7 +243,13 @@
         if not address:
             return
         with self._lock:
-            echo = self._peer_by_name.setdefault(member, _PeerState(now)).last_sent_at
-        self._send(
-            OutgoingLink(address, 0), ShareHeartbeat(self._name, now, echo, shares)
-        )
+            peer = self._peer_by_name.setdefault(member, _PeerState(now))
+            heartbeat = ShareHeartbeat(
+                self._name,
+                now,
+                peer.last_sent_at,
+                shares,
+                self._incarnation,
+                peer.incarnation,
+            )
+        self._send(OutgoingLink(address, 0), heartbeat)
--- a/src/kingcupwheel/messages/membership.py
+++ b/src/kingcupwheel/messages/membership.py
@@ -265,10 +265,14 @@
     """Heartbeat between entries that share an active organisation, about every second.
 
     ``sent_at`` is read from the sender's monotonic clock; ``echo`` is the newest
-    ``sent_at`` that the sender received from the receiver, negative before the first.
+    ``sent_at`` that the sender received from the receiver, negative before the first,
+    and ``echo_incarnation`` the receiver's incarnation that had sent it. Earlier
+    versions of the software leave the incarnations empty.
     """
 
     name: str
     sent_at: float
     echo: float
     shares: tuple[ShareReport, ...]
+    incarnation: str = ""
+    echo_incarnation: str = ""
