--- a/src/kingcupwheel/entry/application.py
+++ b/src/kingcupwheel/entry/application.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from kingcupwheel.entry.caller_connection import CallerSocket
+from kingcupwheel.entry.exceptions import BodyTruncatedError
 from kingcupwheel.entry.http_exchange import DISCARD_CHUNK_BYTES
 from kingcupwheel.entry.http_exchange import HttpExchange
 from kingcupwheel.entry.refusals import BODY_TOO_LARGE
@@ -128,7 +129,11 @@
                 exchange.method, exchange.path, authenticated.ok
             )
             return exchange.send_json(page.status, (), msgspec.json.encode(page.body))
-        body = exchange.read_body(settings.body_bytes)
+        try:
+            body = exchange.read_body(settings.body_bytes)
+        except BodyTruncatedError:
+            exchange.close_connection_after()
+            return exchange.refuse(CALLER_LEFT)
         if body is None:
             exchange.close_connection_after()
             return exchange.refuse(BODY_TOO_LARGE)
--- a/src/kingcupwheel/entry/exceptions.py
+++ b/src/kingcupwheel/entry/exceptions.py
@@ -9,6 +9,10 @@
     """Base class of the entry layer's errors."""
 
 
+class BodyTruncatedError(EntryError):
+    """A caller's connection ended before the body of its request did."""
+
+
 class AnswerTruncatedError(EntryError):
     """The rest of a streamed answer is lost; the connection must be closed.
 
--- a/src/kingcupwheel/entry/http_exchange.py
+++ b/src/kingcupwheel/entry/http_exchange.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from contextlib import suppress
 from http import HTTPStatus
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 from kingcupwheel.entry.answers import RefusedAnswer
 from kingcupwheel.entry.answers import StreamedAnswer
 from kingcupwheel.entry.exceptions import AnswerTruncatedError
+from kingcupwheel.entry.exceptions import BodyTruncatedError
 from kingcupwheel.entry.http_server import CLOSE_ENVIRON_KEY
 from kingcupwheel.entry.http_server import SOCKET_ENVIRON_KEY
 from kingcupwheel.entry.refusals import build_refusal_body
@@ -80,7 +82,10 @@
             close()
 
     def read_body(self, limit_bytes: int) -> bytes | None:
-        """Return the body, or None if it is longer than ``limit_bytes``."""
+        """Return the body, or None if it is longer than ``limit_bytes``.
+
+        Raises BodyTruncatedError if a chunked body is broken off.
+        """
         body: bytes = self._environ["wsgi.input"].read(limit_bytes + 1)
         return body if len(body) <= limit_bytes else None
 
@@ -90,15 +95,16 @@
         If the connection were closed while the caller still sends, it would get a reset
         in place of the refusal. Beyond the limit this is accepted.
         """
-        left_bytes = limit_bytes
-        while left_bytes > 0:
-            part = self._environ["wsgi.input"].read(
-                min(left_bytes, DISCARD_CHUNK_BYTES)
-            )
-            if not part:
-                break
-            left_bytes -= len(part)
         self.close_connection_after()
+        left_bytes = limit_bytes
+        with suppress(BodyTruncatedError):
+            while left_bytes > 0:
+                part = self._environ["wsgi.input"].read(
+                    min(left_bytes, DISCARD_CHUNK_BYTES)
+                )
+                if not part:
+                    break
+                left_bytes -= len(part)
 
     def build_http_request(self, body: bytes) -> HttpRequest:
         """Return the request in the form that is parsed."""
--- a/src/kingcupwheel/entry/http_server.py
+++ b/src/kingcupwheel/entry/http_server.py
@@ -8,6 +8,7 @@
 
 from cheroot import wsgi
 
+from kingcupwheel.entry.chunked_body import ChunkedBody
 from kingcupwheel.entry.exceptions import AnswerTruncatedError
 from kingcupwheel.entry.exceptions import HttpBindError
 
@@ -36,6 +37,8 @@
         environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
         environ[SOCKET_ENVIRON_KEY] = self.req.conn.socket
         environ[CLOSE_ENVIRON_KEY] = self._close_connection_after
+        if self.req.chunked_read:
+            environ["wsgi.input"] = ChunkedBody(self.req.conn.rfile)
         return environ
 
     def _close_connection_after(self) -> None:
--- a/src/kingcupwheel/forwarding/admission.py
+++ b/src/kingcupwheel/forwarding/admission.py
@@ -52,7 +52,10 @@
 
 
 class ReceivedRequest(NamedTuple):
-    """A request as read from the caller; header names are in lower case."""
+    """A request as read from the caller; header names are in lower case.
+
+    ``is_complete`` is False if its chunked body was broken off.
+    """
 
     id: str
     method: str
@@ -60,6 +63,7 @@
     headers: Mapping[str, str]
     body: bytes
     received_at: float
+    is_complete: bool = True
 
 
 def admit_request(
@@ -74,7 +78,7 @@
         return HEADERS_TOO_LARGE
     if len(received.body) > limits.max_body_bytes:
         return BODY_TOO_LARGE
-    if is_body_truncated(received.headers, received.body):
+    if not received.is_complete or is_body_truncated(received.headers, received.body):
         return CALLER_LEFT
     host = received.headers.get("host", "").rsplit(":", 1)[0].lower()
     path = received.target.partition("?")[0]
--- a/src/kingcupwheel/forwarding/exchange.py
+++ b/src/kingcupwheel/forwarding/exchange.py
@@ -11,6 +11,7 @@
 from kingcupwheel.entry.answers import BufferedAnswer
 from kingcupwheel.entry.answers import RefusedAnswer
 from kingcupwheel.entry.answers import StreamedAnswer
+from kingcupwheel.entry.exceptions import BodyTruncatedError
 from kingcupwheel.entry.http_exchange import extract_headers
 from kingcupwheel.entry.http_exchange import format_status_line
 from kingcupwheel.entry.http_server import CLOSE_ENVIRON_KEY
@@ -54,14 +55,18 @@
         """Read the request, at most one byte more than ``body_limit`` of its body.
 
         After a longer body the connection is closed, since the rest of the body would
-        be taken for the next request.
+        be taken for the next request. The body of one that is broken off is empty.
         """
         headers = extract_headers(self._environ)
         target = self._environ.get("REQUEST_URI") or self._environ["PATH_INFO"]
         if isinstance(target, bytes):
             target = target.decode("latin-1")
-        body = self._environ["wsgi.input"].read(body_limit + 1)
-        if len(body) > body_limit:
+        body, is_complete = b"", True
+        try:
+            body = self._environ["wsgi.input"].read(body_limit + 1)
+        except BodyTruncatedError:
+            is_complete = False
+        if len(body) > body_limit or not is_complete:
             self.close_after_answer()
         own_id = str(generate_request_id(entry, now=self._received_at))
         return ReceivedRequest(
@@ -71,6 +76,7 @@
             headers=headers,
             body=body,
             received_at=self._received_at,
+            is_complete=is_complete,
         )
 
     def send_answer(self, answer: Answer, request_id: str) -> Iterable[bytes]:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -109,3 +109,10 @@
 
     assert refusal == CALLER_LEFT
     assert isinstance(whole, ForwardRequest)
+
+
+def test_request_whose_chunks_are_broken_off_is_not_forwarded() -> None:
+    """Guards against a run of a request whose end the HTTP server has not seen."""
+    cut = received_request("/once/x")._replace(is_complete=False)
+
+    assert admit_request(cut, configuration_snapshot()) == CALLER_LEFT
