--- a/src/kingcupwheel/forwarding/crash_evidence.py
+++ b/src/kingcupwheel/forwarding/crash_evidence.py
@@ -282,13 +282,11 @@
                 monotonic(), limit=_MAX_SHOWN_QUARANTINES
             )
 
-    def list_reports(self, changed_within_s: float) -> tuple[SuspicionReport, ...]:
-        """Return what has changed within that time, to report to a peer."""
+    def list_reports(self, changed_since: float) -> tuple[SuspicionReport, ...]:
+        """Return what has changed since then (monotonic), to report to a peer."""
         with self._lock:
             now = monotonic()
-            records = self._suspects.list_changed(
-                now - changed_within_s, limit=MAX_REPORTS
-            )
+            records = self._suspects.list_changed(changed_since, limit=MAX_REPORTS)
         return tuple(build_suspicion_report(record, now) for record in records)
 
     def record_reports(
--- a/src/kingcupwheel/forwarding/entry_membership.py
+++ b/src/kingcupwheel/forwarding/entry_membership.py
@@ -54,14 +54,14 @@
     """Clock readings exchanged with a peer.
 
     ``received_at`` is the last one of the peer's ``incarnation``, ``held_s`` the time
-    since it was received. ``unconfirmed_s`` is the time since the own one that the peer
-    has echoed last.
+    since it was received. ``confirmed_at`` is the monotonic time of the own one that
+    the peer has echoed last, or earlier.
     """
 
     received_at: float
     incarnation: str
     held_s: float
-    unconfirmed_s: float
+    confirmed_at: float
 
 
 class EntryMembership:
@@ -201,15 +201,15 @@
         A peer has received all that this entry sent before the reading that it echoes,
         unless it has restarted since.
         """
-        confirmed_at = self._peers.echo_from(name)
-        has_confirmed = confirmed_at > self._joined_at.get(name, float("inf"))
+        echo = self._peers.echo_from(name)
+        has_confirmed = echo > self._joined_at.get(name, float("inf"))
+        # ``now`` was read before the other clock, so that the time is never too late.
+        unconfirmed_s = self._configuration_cache.now() - echo
         return _Echoes(
             self._peers.echo_for(name),
             self._peers.echo_incarnation_for(name),
             self._peers.echo_held_s_for(name, now),
-            self._configuration_cache.now() - confirmed_at
-            if has_confirmed
-            else float("inf"),
+            now - unconfirmed_s if has_confirmed else float("-inf"),
         )
 
     def _heartbeat(
@@ -231,7 +231,7 @@
             known_entries=known,
             limits=limits,
             echo_held_s=echoes.held_s,
-            suspicions=self._crash_evidence.list_reports(echoes.unconfirmed_s),
+            suspicions=self._crash_evidence.list_reports(echoes.confirmed_at),
             echo_incarnation=echoes.incarnation,
         )
 
--- a/tests/forwarding/test_entry_membership.py
+++ b/tests/forwarding/test_entry_membership.py
@@ -121,6 +121,29 @@
     assert member.next_heartbeat().suspicions == ()
 
 
+def test_evidence_right_after_what_is_confirmed_is_reported_by_a_busy_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against evidence that is never sent and yet counts as confirmed.
+
+    The thread is suspended between two readings of the clock, and what changed in so
+    much time after the confirmed heartbeat would seem to be part of it.
+    """
+    member = Member()
+    member.hear_peer(0.0)
+    member.hear_peer(member.next_heartbeat().sent_at)
+    member.record_crash()
+    list_reports = member.evidence.list_reports
+
+    def list_late(changed_since: float) -> tuple[SuspicionReport, ...]:
+        time.sleep(0.1)
+        return list_reports(changed_since)
+
+    monkeypatch.setattr(member.evidence, "list_reports", list_late)
+
+    assert member.next_heartbeat().suspicions
+
+
 def test_a_restarted_peer_gets_what_its_former_process_had_confirmed() -> None:
     member = Member()
     member.hear_peer(0.0)
