--- a/src/kingcupwheel/utils/http_responses.py
+++ b/src/kingcupwheel/utils/http_responses.py
@@ -3,11 +3,14 @@
 The standard library takes the end of a connection for the end of a head, of a chunk's
 size or of the trailers. A head that was broken off before its length then looks like
 that of an answer whose body ends with its connection, and a chunk's size of ``0400``
-that was broken off after its first digit looks like the last chunk.
+that was broken off after its first digit looks like the last chunk. It also ends a body
+of which it can't read the framing with the connection.
 """
 
 from __future__ import annotations
 
+from email.errors import FirstHeaderLineIsContinuationDefect
+from email.errors import MissingHeaderBodySeparatorDefect
 from http.client import HTTPException
 from http.client import HTTPResponse
 from io import BufferedReader
@@ -19,15 +22,24 @@
 from urllib3.connection import HTTPSConnection
 from urllib3.util import parse_url
 
+from kingcupwheel.utils.integer_parsing import parse_non_negative_int
+
 
 if TYPE_CHECKING:
     import socket
+    from email.message import Message
+
+_HEAD_DEFECTS = (MissingHeaderBodySeparatorDefect, FirstHeaderLineIsContinuationDefect)
 
 
 class IncompleteMessageError(HTTPException):
     """The connection ended inside a message, but not inside its body's data."""
 
 
+class UnreadableFramingError(HTTPException):
+    """A response's head does not tell where its body ends."""
+
+
 class CompleteLineReader(BufferedReader):
     """Reader of a connection whose lines are never broken off.
 
@@ -54,12 +66,41 @@
 
 
 class CheckedResponse(HTTPResponse):
-    """A response that fails if its head, a chunk's size or a trailer is broken off."""
+    """A response that fails if its head, a chunk's size or a trailer is broken off.
+
+    It also fails if its head does not tell where its body ends.
+    """
 
     def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
         super().__init__(sock, *args, **options)
         self.fp = CompleteLineReader(self.fp.detach())
 
+    def begin(self) -> None:
+        """Read the head; raises HTTPException if the response can't be read."""
+        super().begin()
+        problem = find_framing_problem(self.headers)
+        if problem:
+            raise UnreadableFramingError(problem)
+
+
+def find_framing_problem(headers: Message) -> str:
+    """Return why the framing of a message can't be read, empty if it can.
+
+    The standard library reads such a body up to the end of the connection, so that any
+    part of it would look whole. It skips all headers after a line that is none, also
+    the length.
+    """
+    if any(isinstance(one, _HEAD_DEFECTS) for one in headers.defects):
+        return "a line of the head is no header"
+    encodings = [str(one).lower() for one in headers.get_all("transfer-encoding", ())]
+    if encodings not in ([], ["chunked"], ["identity"]):
+        return f"unknown transfer encoding {', '.join(encodings)!r}"
+    lengths = {str(one) for one in headers.get_all("content-length", ())}
+    is_length_known = all(parse_non_negative_int(one) is not None for one in lengths)
+    if encodings != ["chunked"] and (len(lengths) > 1 or not is_length_known):
+        return f"unreadable length {', '.join(sorted(lengths))!r}"
+    return ""
+
 
 class CheckedHttpConnection(HTTPConnection):
     """HTTP connection with such responses."""
--- a/tests/forwarding/test_broken_off_answers.py
+++ b/tests/forwarding/test_broken_off_answers.py
@@ -103,6 +103,25 @@
     assert body == (b"" if framing == "empty" else BODY)
 
 
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"no header\r\nContent-Length: 18\r\n",
+        b"X-Space : 1\r\nContent-Length: 18\r\n",
+        b"Content-Length: 1x8\r\n",
+        b"Content-Length: -18\r\n",
+        b"Content-Length: \r\n",
+        b"Content-Length: 18\r\nContent-Length: 9\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    ],
+)
+def test_answer_whose_framing_is_unreadable_is_never_whole(framing: bytes) -> None:
+    """Guards against a part of an answer that ends with the connection."""
+    with CutAnswerServer() as server:
+        assert read_answer(server, STATUS + framing + b"\r\n" + BODY[:9]) is None
+
+
 @pytest.mark.parametrize("length", [b"", b"Content-Length: 18\r\n"])
 def test_rejection_broken_off_in_its_head_proves_nothing(length: bytes) -> None:
     """Guards against a second run of a request that an unfinished head denies."""
