--- a/src/kingcupwheel/decisions/rate_limits.py
+++ b/src/kingcupwheel/decisions/rate_limits.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -155,10 +156,14 @@
         state.acquire(now)
         return now + PERMIT_VALIDITY_S
 
-    def list_reports(self, now: float) -> tuple[LimitReport, ...]:
+    def list_reports(
+        self, now: float, *, observed_since: float = -math.inf
+    ) -> tuple[LimitReport, ...]:
         """Return the limits in force that this entry observed itself, for its peers.
 
         What peers reported is not passed on: its age would be less certain each time.
+        So would that of what was observed before the machine was last suspended, since
+        monotonic times do not count suspended time; ``observed_since`` leaves it out.
         """
         return tuple(
             LimitReport(
@@ -168,7 +173,9 @@
                 now - state.own.latest_at,
             )
             for incarnation, state in self._state_by_incarnation.items()
-            if state.own is not None and state.own.rate == state.rate
+            if state.own is not None
+            and state.own.rate == state.rate
+            and state.own.earliest_at >= observed_since
         )
 
     def list_limits(self, now: float) -> tuple[tuple[str, float, float], ...]:
--- a/src/kingcupwheel/forwarding/entry_membership.py
+++ b/src/kingcupwheel/forwarding/entry_membership.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from kingcupwheel.decisions.suspension import SuspensionDetector
 from kingcupwheel.forwarding.peers import PeerTable
 from kingcupwheel.forwarding.peers import confirmation_from
 from kingcupwheel.forwarding.peers import drop_foreign_echo
@@ -81,6 +82,7 @@
         self._crash_evidence = crash_evidence
         self._rate_limits = rate_limits
         self._peers = PeerTable(own_entry)
+        self._suspension_detector = SuspensionDetector()
         self._incarnation = secrets.token_hex(4)
         self._heartbeat_at = 0.0
         self._heartbeat_count = 0
@@ -163,6 +165,9 @@
             if not due:
                 return
             self._heartbeat_at = now
+            self._suspension_detector.record_clocks(
+                boottime=self._configuration_cache.now(), monotonic=monotonic()
+            )
             self._peers.mark_started(now)
             self._heartbeat_count += 1
             for address in self._peers.take_silent_addresses(now):
@@ -175,7 +180,9 @@
             fleet = self._peers.describe_fleet(now, has_read_list=self._has_read_list)
             echoes = {peer.name: self._read_echoes(peer.name, now) for peer in peers}
         self._rate_limits.update_fleet(fleet)
-        limits = self._rate_limits.list_reports()
+        limits = self._rate_limits.list_reports(
+            observed_since=self._suspension_detector.resumed_at
+        )
         every = max(_FULL_LIST_EVERY, len(peers))
         includes_known = (
             self._heartbeat_count <= _FULL_LIST_FIRST
--- a/src/kingcupwheel/forwarding/rate_limit_exchange.py
+++ b/src/kingcupwheel/forwarding/rate_limit_exchange.py
@@ -71,10 +71,12 @@
                     one.incarnation, change, peer=peer, age_s=one.received_age_s
                 )
 
-    def list_reports(self) -> tuple[ServerLimitReport, ...]:
-        """Return what this entry's heartbeats report."""
+    def list_reports(self, *, observed_since: float) -> tuple[ServerLimitReport, ...]:
+        """Return what this entry's heartbeats report, observed since then."""
         with self._servers.lock:
-            found = self._servers.rate_limits.list_reports(monotonic())
+            found = self._servers.rate_limits.list_reports(
+                monotonic(), observed_since=observed_since
+            )
         return tuple(ServerLimitReport(*one) for one in found)
 
     def list_limits(self) -> tuple[tuple[str, float, float], ...]:
--- a/tests/decisions/test_rate_limits.py
+++ b/tests/decisions/test_rate_limits.py
@@ -244,6 +244,21 @@
     assert [one.rate for one in limits.list_reports(9.0)] == [1.0]
 
 
+def test_what_was_observed_before_a_suspension_is_not_reported() -> None:
+    """Guards against a limit that an old observation lifts at the other entries.
+
+    Its age is on a clock that does not count the suspended time.
+    """
+    limits = limits_of(0, 3)
+    limits.record_answer(SERVER, 1.0, sent_at=5.0, now=5.1)
+    limits.record_answer(SERVER, None, sent_at=5.2, now=6.1)
+
+    assert limits.list_reports(6.2, observed_since=5.5) == ()
+
+    limits.record_answer(SERVER, None, sent_at=6.2, now=6.3)
+    assert len(limits.list_reports(6.4, observed_since=5.5)) == 1
+
+
 def test_a_limit_that_a_peer_saw_lifted_is_not_reported_on() -> None:
     limits = limits_of(0, 3)
     limits.record_answer(SERVER, 1.0, sent_at=5.0, now=5.1)
