--- a/src/kingcupwheel/platform/decoding.py
+++ b/src/kingcupwheel/platform/decoding.py
@@ -22,8 +22,10 @@
     """Return ``raw`` decoded as ``kind``, or why it is invalid.
 
     Deeply nested input raises ``RecursionError`` in the decoder, not a decode error.
+    Text that ``kind`` does not use is not checked by the decoder.
     """
     try:
+        bytes(raw).decode()
         return Ok(msgspec.json.decode(raw, type=kind))
     except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
         return Error(f"{type(error).__name__}: {error}"[:200])
--- a/src/kingcupwheel/platform/store_codec.py
+++ b/src/kingcupwheel/platform/store_codec.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from kingcupwheel.platform.decoding import decode_json
+from kingcupwheel.platform.json_parts import replace_unreadable
 from kingcupwheel.platform.store_types import ObjectChange
 from kingcupwheel.platform.store_types import ObjectPage
 from kingcupwheel.platform.store_types import StoredObject
@@ -26,6 +27,9 @@
 
 # Excerpt of an invalid object in the log.
 _MAX_LOGGED_BYTES = 120
+# How deep the specification of an object stands in a list and in changes.
+_PAGE_LEVELS = 3
+_EVENTS_LEVELS = 4
 
 
 class _Metadata(msgspec.Struct, rename="pascal"):
@@ -74,12 +78,23 @@
 
 def decode_page(raw: bytes) -> Result[ObjectPage, str]:
     """Return a decoded page of a list without its invalid objects."""
-    return decode_json(raw, _PageRecord).map(_build_page)
+    return _decode_tolerantly(raw, _PageRecord, _PAGE_LEVELS).map(_build_page)
 
 
 def decode_changes(raw: bytes) -> Result[WatchResult, str]:
     """Return the decoded result of a watch without its invalid events."""
-    return decode_json(raw, _EventsRecord).map(_build_changes)
+    return _decode_tolerantly(raw, _EventsRecord, _EVENTS_LEVELS).map(_build_changes)
+
+
+def _decode_tolerantly(raw: bytes, kind: type[T], levels: int) -> Result[T, str]:
+    """Decode a document in which values from the ``levels``th level on are unreadable.
+
+    The decoder fails the whole document for one of them. They are then null.
+    """
+    decoded = decode_json(raw, kind)
+    if decoded.is_ok():
+        return decoded
+    return decode_json(replace_unreadable(raw, levels), kind)
 
 
 def _decode_valid(raws: list[msgspec.Raw], kind: type[T]) -> list[T]:
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -154,6 +154,48 @@
     }
 
 
+UNREADABLE_VALUES = {
+    "lone-surrogate": b'"\\udcff"',
+    "half-a-pair": b'"\\ud83d, \\"x\\" ]}"',
+    "no-utf-8": b'"\xff"',
+    "nested": b"[" * 2000 + b"]" * 2000,
+    "nested-objects": b'{"a":' * 2000 + b"1" + b"}" * 2000,
+}
+
+
+@pytest.mark.parametrize("value", UNREADABLE_VALUES.values(), ids=UNREADABLE_VALUES)
+@pytest.mark.parametrize("place", ["Spec", "Address", "Version", "Name", "Finalizers"])
+def test_value_that_no_decoder_reads_costs_its_own_object_alone(
+    place: str, value: bytes
+) -> None:
+    """Guards against all servers being unknown for one entry of another writer.
+
+    The decoder fails a whole list or watch for such a value, wherever it stands.
+    """
+    bad = item("i-bad", VALID_ENTRY)
+    if place == "Spec":
+        bad["Spec"] = "VALUE"
+    elif place in bad["Metadata"] or place == "Finalizers":
+        bad["Metadata"][place] = "VALUE"
+    else:
+        bad["Spec"] = server_entry(**{place: "VALUE"})
+    good = item("i-good", VALID_ENTRY)
+    page = {"Items": [good, bad, good], "More": True, "StoreRevision": 9}
+    events = [{"Object": one, "Tombstone": False} for one in (good, bad, good)]
+    changes = {"events": events, "StoreRevision": 9}
+
+    listed = decode_page(json.dumps(page).encode().replace(b'"VALUE"', value)).ok
+    watched = decode_changes(json.dumps(changes).encode().replace(b'"VALUE"', value)).ok
+
+    assert (listed.revision, listed.after) == (9, "i-good")
+    assert watched.revision == 9
+    for found in (listed.objects, [one.object for one in watched.changes]):
+        usable = [one.name for one in found if decode_server(one).is_ok()]
+        assert usable == ["i-good", "i-good"]
+        unusable = [one.name for one in found if decode_server(one).is_error()]
+        assert unusable == ([] if place in ("Name", "Finalizers") else ["i-bad"])
+
+
 @given(ANY_BYTES)
 @example(DEEPLY_NESTED_JSON)
 @example(b'{"Counts":[1' + b"0" * 5000 + b"]}")
