--- a/src/kingcupwheel/utils/http_responses.py
+++ b/src/kingcupwheel/utils/http_responses.py
@@ -11,6 +11,7 @@
 
 from email.errors import FirstHeaderLineIsContinuationDefect
 from email.errors import MissingHeaderBodySeparatorDefect
+from http import HTTPStatus
 from http.client import HTTPException
 from http.client import HTTPResponse
 from io import BufferedReader
@@ -76,13 +77,25 @@
         self.fp = CompleteLineReader(self.fp.detach())
 
     def begin(self) -> None:
-        """Read the head; raises HTTPException if the response can't be read."""
+        """Read the head of the final response, after any interim ones.
+
+        Raises HTTPException if the response can't be read. The standard library takes
+        all interim responses but 100 for final ones.
+        """
         super().begin()
+        while _is_interim(self.status):
+            # The base class reads a head only as long as it has none.
+            self.headers = None  # type: ignore[assignment]
+            super().begin()
         problem = find_framing_problem(self.headers)
         if problem:
             raise UnreadableFramingError(problem)
 
 
+def _is_interim(status: int) -> bool:
+    return 100 <= status < 200 and status != HTTPStatus.SWITCHING_PROTOCOLS
+
+
 def find_framing_problem(headers: Message) -> str:
     """Return why the framing of a message can't be read, empty if it can.
 
--- a/tests/forwarding/test_broken_off_answers.py
+++ b/tests/forwarding/test_broken_off_answers.py
@@ -25,6 +25,7 @@
 BODY = b"event-1\n\nevent-2\n\n"
 STATUS = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Response-Signature: s.1\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\nX-Interim: 1\r\n\r\n"
+HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n"
 CHUNKS = b"0009;part=1\r\n" + BODY[:9] + b"\r\n09\r\n" + BODY[9:] + b"\r\n"
 HEAD_BY_FRAMING = {
     "length": STATUS + b"Content-Length: 18\r\n\r\n",
@@ -37,6 +38,7 @@
     "until-close": STATUS + b"\r\n",
     "bare-line-feeds": STATUS.replace(b"\r", b"") + b"Content-Length: 18\n\n",
     "after-interim": INTERIM + STATUS + b"Content-Length: 18\r\n\r\n",
+    "after-hints": HINTS + INTERIM + HINTS + STATUS + b"Content-Length: 18\r\n\r\n",
 }
 BODY_BY_FRAMING = {
     **dict.fromkeys(HEAD_BY_FRAMING, BODY),
