--- a/src/kingcupwheel/forwarding/server_list.py
+++ b/src/kingcupwheel/forwarding/server_list.py
@@ -36,6 +36,8 @@
         self._on_change = on_change
         self._by_instance: dict[str, Backend] = {}
         self._missing_since_by_instance: dict[str, float] = {}
+        # Servers that say when they started do so in all that they write.
+        self._names_with_start: set[str] = set()
         self._replaced: list[Backend] = []
         self._removals_held_until = 0.0
 
@@ -46,7 +48,7 @@
         if outage_s > _MIN_OUTAGE_S:
             self._removals_held_until = monotonic() + REREGISTRATION_GRACE_S
         found = {stored.name: stored for stored in objects}
-        for name in tuple(self._by_instance):
+        for name in (*self._by_instance, *self._names_with_start):
             if name not in found:
                 self._mark_missing(name)
         for stored in objects:
@@ -72,6 +74,11 @@
         found = decoded.ok
         self._missing_since_by_instance.pop(stored.name, None)
         known = self._by_instance.get(stored.name)
+        if found.started_at_ms:
+            self._names_with_start.add(stored.name)
+        elif stored.name in self._names_with_start:
+            self._drop_unreadable(stored, "it lacks the start that the server names")
+            return
         if known is not None and found.incarnation != known.incarnation:
             if found.started_before(known):
                 log.info(
@@ -105,6 +112,7 @@
         )
 
     def _mark_missing(self, name: str) -> None:
+        self._names_with_start.discard(name)
         if name in self._by_instance:
             self._missing_since_by_instance.setdefault(name, monotonic())
 
--- a/tests/forwarding/test_following.py
+++ b/tests/forwarding/test_following.py
@@ -218,6 +218,24 @@
     assert servers.gone == []
 
 
+def test_entry_without_a_start_is_not_of_a_server_that_had_named_its_own() -> None:
+    """Guards against requests to a leaving server, taken for a new incarnation.
+
+    Another writer's entry under the server's id lacks the field; what the server had
+    said of itself would no longer hold.
+    """
+    servers = RecordedServers()
+    servers.list_all(entry("i-1", server_entry(born=1_000)), entry("i-2"))
+
+    servers.change(entry("i-1", server_entry()))
+    servers.list_all(entry("i-1", server_entry()), entry("i-2"))
+    assert servers.incarnations == {"i-2"}
+    assert servers.gone == []
+
+    servers.change(entry("i-1", server_entry(born=1_000)))
+    assert servers.incarnations == {"i-1@1000", "i-2"}
+
+
 def test_a_restarted_server_ends_its_previous_incarnation() -> None:
     """The registration stays, but the requests of the previous incarnation are lost."""
     servers = RecordedServers()
