--- a/src/kingcupwheel/forwarding/server_list.py
+++ b/src/kingcupwheel/forwarding/server_list.py
@@ -81,11 +81,7 @@
             return
         if known is not None and found.incarnation != known.incarnation:
             if found.started_before(known):
-                log.info(
-                    "former-life-ignored",
-                    server=found.incarnation,
-                    known=known.incarnation,
-                )
+                self._record_former(found, known)
                 return
             log.info(
                 "server-reborn", server=found.incarnation, before=known.incarnation
@@ -93,6 +89,23 @@
             self._replaced.append(known)
         self._by_instance[stored.name] = found
 
+    def _record_former(self, found: Backend, known: Backend) -> None:
+        """Handle an entry that seems to be of a former incarnation of ``known``.
+
+        It may be a late write of that one, or the server has started again after its
+        clock was set back. If it says that it leaves, nothing more is sent to the
+        server in either case: an incarnation that goes on writes its own entry with its
+        next heartbeat.
+        """
+        log.info(
+            "former-life-ignored",
+            server=found.incarnation,
+            known=known.incarnation,
+            leaving=found.is_leaving,
+        )
+        if found.is_leaving:
+            self._by_instance[known.instance] = known._replace(is_leaving=True)
+
     def _drop_unreadable(self, stored: StoredObject, why: str) -> None:
         """Stop sending requests to a server whose registration is unreadable.
 
--- a/tests/forwarding/test_following.py
+++ b/tests/forwarding/test_following.py
@@ -162,11 +162,13 @@
 
     def __init__(self) -> None:
         self.incarnations: set[str] = set()
+        self.leaving: set[str] = set()
         self.gone: list[str] = []
         self.handler = ServerListHandler(self._note)
 
     def _note(self, used: tuple[Backend, ...], gone: tuple[Backend, ...]) -> None:
         self.incarnations = {one.incarnation for one in used}
+        self.leaving = {one.incarnation for one in used if one.is_leaving}
         self.gone += [one.incarnation for one in gone]
 
     def list_all(self, *objects: StoredObject) -> None:
@@ -218,6 +220,25 @@
     assert servers.gone == []
 
 
+def test_server_that_leaves_with_an_earlier_start_than_before_gets_no_requests() -> (
+    None
+):
+    """Guards against requests to a draining server whose clock was set back.
+
+    Its new start is then before that of its former incarnation. If the write was late
+    and not the server's newest, its next one uses the server again.
+    """
+    servers = RecordedServers()
+    servers.list_all(entry("i-1", server_entry(born=2_000)))
+
+    servers.change(entry("i-1", server_entry(born=1_000, State="draining")))
+    assert servers.leaving == {"i-1@2000"}
+    assert servers.gone == []
+
+    servers.change(entry("i-1", server_entry(born=2_000)))
+    assert servers.leaving == set()
+
+
 def test_entry_without_a_start_is_not_of_a_server_that_had_named_its_own() -> None:
     """Guards against requests to a leaving server, taken for a new incarnation.
 
