--- a/src/kingcupwheel/platform/json_parts.py
+++ b/src/kingcupwheel/platform/json_parts.py
@@ -17,8 +17,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
-_MEMBER = re.compile(rb'\s*("(?:[^"\\]|\\.)*"\s*:)(.*)', re.DOTALL)
+# Possessive: the matcher would otherwise keep a state of a hundred bytes for each byte.
+_STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
+_TOKEN = re.compile(_STRING + rb"|[\[\]{},]", re.DOTALL)
+_MEMBER = re.compile(rb"\s*(" + _STRING + rb"\s*:)(.*)", re.DOTALL)
 _NULL = b"null"
 
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tracemalloc
 from typing import Any
 
 import pytest
@@ -196,6 +197,21 @@
         assert unusable == ([] if place in ("Name", "Finalizers") else ["i-bad"])
 
 
+@pytest.mark.parametrize("value", [b"a" * 1_000_000, b'\\"' * 500_000])
+def test_unreadable_page_with_a_long_value_takes_little_memory(value: bytes) -> None:
+    """Guards against a process that is killed for an object of another writer."""
+    page = b'{"Items":[{"Metadata":{},"Spec":["\\udcff","%b"]}],"More":false}' % value
+
+    tracemalloc.start()
+    try:
+        assert decode_page(page).is_ok()
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+    assert peak_bytes < 10 * len(page)
+
+
 @given(ANY_BYTES)
 @example(DEEPLY_NESTED_JSON)
 @example(b'{"Counts":[1' + b"0" * 5000 + b"]}")
