--- a/src/kingcupwheel/utils/http_responses.py
+++ b/src/kingcupwheel/utils/http_responses.py
@@ -30,6 +30,8 @@
     import socket
     from email.message import Message
 
+# A timeout of a read starts anew with each of them.
+_MAX_INTERIM_RESPONSES = 16
 _HEAD_DEFECTS = (MissingHeaderBodySeparatorDefect, FirstHeaderLineIsContinuationDefect)
 
 
@@ -83,7 +85,11 @@
         all interim responses but 100 for final ones.
         """
         super().begin()
+        interim_count = 0
         while _is_interim(self.status):
+            interim_count += 1
+            if interim_count > _MAX_INTERIM_RESPONSES:
+                raise HTTPException(f"over {_MAX_INTERIM_RESPONSES} interim responses")
             # The base class reads a head only as long as it has none.
             self.headers = None  # type: ignore[assignment]
             super().begin()
--- a/tests/forwarding/test_broken_off_answers.py
+++ b/tests/forwarding/test_broken_off_answers.py
@@ -124,6 +124,14 @@
         assert read_answer(server, STATUS + framing + b"\r\n" + BODY[:9]) is None
 
 
+def test_interim_heads_without_end_are_no_answer() -> None:
+    """Guards against a thread that reads them for ever."""
+    with CutAnswerServer() as server:
+        whole = HEAD_BY_FRAMING["length"] + BODY
+        assert read_answer(server, 16 * HINTS + whole) == BODY
+        assert read_answer(server, 17 * HINTS + whole) is None
+
+
 @pytest.mark.parametrize("length", [b"", b"Content-Length: 18\r\n"])
 def test_rejection_broken_off_in_its_head_proves_nothing(length: bytes) -> None:
     """Guards against a second run of a request that an unfinished head denies."""
