--- a/tests/forwarding/test_confirmations.py
+++ b/tests/forwarding/test_confirmations.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import json
+import time
 from itertools import permutations
+from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import example
@@ -13,9 +16,15 @@
 from kingcupwheel.forwarding.configuration_cache import ConfigurationCache
 from kingcupwheel.forwarding.peers import drop_foreign_echo
 from tests.forwarding.builders import configuration
+from tests.forwarding.fleet import wait_until
 from tests.forwarding.heartbeats import Machine
 from tests.forwarding.heartbeats import SentHeartbeat
 from tests.forwarding.heartbeats import World
+from tests.standins.object_store import StoreFaults
+
+
+if TYPE_CHECKING:
+    from tests.forwarding.fleet import Fleet
 
 
 # What happens next: its kind, the machine or heartbeat that it concerns, and a time.
@@ -168,3 +177,33 @@
 
     assert cache.version == 8
     assert cache.age_s() == 2.0
+
+
+def test_restarted_entry_that_loses_the_store_is_kept_current_by_its_peer(
+    fleet: Fleet,
+) -> None:
+    """Guards against valid keys that are refused for want of a confirmation.
+
+    At once after the restart its own reads count, and later the peer's heartbeats.
+    """
+    fleet.add_server("i-1")
+    fleet.add_entry("entry-1")
+    fleet.add_entry("entry-2")
+    fleet.entries[1].stop()
+    # It would end with its process.
+    fleet.entries[1]._hub.stop()
+    fleet.add_entry("entry-2")
+    answers = [fleet.send("/plain/x", entry=2)]
+    wait_until(
+        lambda: len(json.loads(fleet.resolve_addresses(2).body)["Addresses"]) == 2
+    )
+
+    fleet.store_servers[2].faults = StoreFaults(error_status=503)
+    began = time.monotonic()
+    while time.monotonic() - began < 6.0:
+        answers.append(fleet.send("/plain/x", entry=2))
+        time.sleep(0.1)
+
+    assert answers[0].status == 200
+    assert answers[-1].status == 200
+    assert not any(b"configuration-too-old" in answer.body for answer in answers)
