--- a/src/kingcupwheel/forwarding/deadlines.py
+++ b/src/kingcupwheel/forwarding/deadlines.py
@@ -32,12 +32,25 @@
     """Deadlines of a request and of its first byte.
 
     ``silence_timeout_s`` is how long a server may send nothing before another one is
-    tried.
+    tried. ``patience_s`` is how long the caller of a stream waits for its next event,
+    infinite for a plain answer.
     """
 
     deadline_at: float
     first_byte_deadline_at: float
     silence_timeout_s: float
+    patience_s: float = float("inf")
+
+    def next_byte_deadline_at(self, last_event_at: float, now: float) -> float:
+        """Return until when another server has to send the next event of a stream.
+
+        The caller's patience starts anew with each event. A caller that has not left
+        once it has passed is more patient than assumed.
+        """
+        next_event_at = last_event_at + self.patience_s - NETWORK_ALLOWANCE_S
+        if next_event_at <= now:
+            return self.deadline_at
+        return min(self.deadline_at, next_event_at)
 
 
 def deadlines_for(
@@ -67,4 +80,4 @@
     silence_timeout_s = patience_s
     if route.is_resumable and route.max_servers > 1:
         silence_timeout_s = patience_s * STREAM_SILENCE_FRACTION
-    return Deadlines(deadline_at, first_byte_deadline_at, silence_timeout_s)
+    return Deadlines(deadline_at, first_byte_deadline_at, silence_timeout_s, patience_s)
--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -89,6 +89,8 @@
         self._tried_servers: frozenset[str] = frozenset()
         self._evidence = RunEvidence(context, request, watched)
         self._last_event_id = request.head.last_event_id
+        # When the caller last got an event of the stream.
+        self._last_event_at = request.received_at
         self._sent_at = 0.0
         # Whether the current server has begun to answer.
         self._has_answer_begun = False
@@ -309,6 +311,8 @@
                 self._tried_servers,
                 self._evidence.is_suspect,
                 self._context.data_centre,
+                self._first_byte_deadline_at(),
+                self._request.id,
             ),
             may_run=self._evidence.may_run,
         )
@@ -328,6 +332,13 @@
             return self._refusal_without_reservation(result)
         return result
 
+    def _first_byte_deadline_at(self) -> float:
+        """Return until when the next server has to begin its answer (monotonic)."""
+        deadlines = self._request.deadlines
+        if not self._counts.possibly_run:
+            return deadlines.first_byte_deadline_at
+        return deadlines.next_byte_deadline_at(self._last_event_at, monotonic())
+
     def _refusal_without_reservation(self, failure: ReservationFailure) -> Refusal:
         if self._counts.possibly_run:
             message = (
@@ -485,6 +496,7 @@
 
     def record_progress(self, now: float) -> None:
         """Record that the caller got an event."""
+        self._last_event_at = now
         self._evidence.record_progress(now)
 
     def log_refusal(self, refusal: Refusal) -> RefusedAnswer:
--- a/src/kingcupwheel/forwarding/queue_wait.py
+++ b/src/kingcupwheel/forwarding/queue_wait.py
@@ -37,12 +37,16 @@
     """Constraints on the choice of a server.
 
     ``tried_servers`` are not used again. ``is_suspect`` tells that a server may have
-    crashed because of the request. ``data_centre`` is the one of this entry.
+    crashed because of the request. ``data_centre`` is the one of this entry. The server
+    has to answer by ``first_byte_deadline_at`` (monotonic). ``ticket_id`` is unique
+    among the waiting requests.
     """
 
     tried_servers: frozenset[str]
     is_suspect: bool
     data_centre: str
+    first_byte_deadline_at: float
+    ticket_id: str
 
 
 class RunWithdrawn(NamedTuple):
@@ -79,7 +83,7 @@
         remote_load_penalty=REMOTE_LOAD_PENALTY,
         prefers_local=True,
     )
-    ticket = dispatcher.submit(_ticket_request(request), placement_request)
+    ticket = dispatcher.submit(_ticket_request(request, constraints), placement_request)
     if not isinstance(ticket, PlacementTicket):
         return ReservationFailure(ticket.limit, ticket.detail, ticket.retry_after_s)
     while True:
@@ -107,12 +111,14 @@
         dispatcher.place_waiting()
 
 
-def _ticket_request(request: ForwardRequest) -> SubmittedRequest:
+def _ticket_request(
+    request: ForwardRequest, constraints: PlacementConstraints
+) -> SubmittedRequest:
     return SubmittedRequest(
-        request_id=request.id,
+        request_id=constraints.ticket_id,
         organisation=request.organisation,
         priority=max(0, LOWEST_PRIORITY - request.priority),
         work=request.predicted_work,
         prompt_size=request.head.prompt_tokens,
-        first_byte_deadline_at=request.deadlines.first_byte_deadline_at,
+        first_byte_deadline_at=constraints.first_byte_deadline_at,
     )
