--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -46,6 +46,7 @@
 
 if TYPE_CHECKING:
     from kingcupwheel.entry.answers import Answer
+    from kingcupwheel.entry.group_dispatcher import GroupDispatcher
     from kingcupwheel.forwarding.calls import CallResult
     from kingcupwheel.forwarding.calls import ServerAnswer
     from kingcupwheel.forwarding.context import ForwardContext
@@ -79,8 +80,6 @@
         self._context = context
         self._request = request
         self._watched = watched
-        self._group = context.group_of(request.service)
-        self._dispatcher = context.dispatchers.get(self._group)
         route = request.route
         self._policy = RetryPolicy(
             route.is_idempotent, route.max_servers, route.target_latency_s
@@ -97,6 +96,16 @@
         # Whether the abort of a silent server has consumed a retry for the next send.
         self._has_reserved_retry = False
 
+    @property
+    def _dispatcher(self) -> GroupDispatcher:
+        """The dispatcher of the service's current servers.
+
+        A stream may outlive the servers that were known when it was admitted.
+        """
+        return self._context.dispatchers.get(
+            self._context.group_of(self._request.service)
+        )
+
     def forward(self) -> Answer:
         """Return the answer, or the final refusal."""
         refusal = self._evidence.admit(has_run=False)
