--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -14,6 +14,7 @@
 from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.exceptions import NotConnectedError
 from kingcupwheel.forwarding.http_metadata import NO_NOTICE
+from kingcupwheel.forwarding.watchdog import AbortReason
 from kingcupwheel.platform.headers import read_response_headers
 
 
@@ -111,6 +112,9 @@
         self._watched = watched
         self.is_whole = False
         self.on_data: Callable[[], None] | None = None
+        # Called with each part of the answer; tells whether it is the one that is used.
+        self.may_use: Callable[[], bool] = lambda: True
+        self._prefetched: bytes | None = None
 
     def read(self) -> bytes:
         """Return the next bytes, empty at the end of the complete answer.
@@ -119,19 +123,45 @@
         aborted: reading from a connection that this process has shut down ends without
         an error, and an answer without a length would seem complete.
         """
+        prefetched, self._prefetched = self._prefetched, None
+        if prefetched is not None:
+            return prefetched
+        self._watched.begin_read()
         try:
             data = self._response.read1(_READ_BYTES)
         except _CONNECTION_ERRORS as error:
             raise AnswerLostError(self._loss_reason(error)) from error
-        if data:
-            self._watched.record_progress()
-            if self.on_data is not None:
-                self.on_data()
-            return data
-        if self._watched.abort_reason is not None:
+        finally:
+            self._watched.end_read()
+        if data and self.on_data is not None:
+            self.on_data()
+        if not data and self._watched.abort_reason is not None:
             raise AnswerLostError(self._watched.abort_reason.value)
-        self.is_whole = True
-        return b""
+        if not self.may_use():
+            raise AnswerLostError(AbortReason.SUPERSEDED.value)
+        self.is_whole = not data
+        return data
+
+    def prefetch(self) -> None:
+        """Read the first bytes, which the next ``read`` returns."""
+        self._prefetched = self.read()
+
+    def watch_with(
+        self,
+        watched: WatchedRequest,
+        silence_timeout_s: float,
+        instance: str,
+        may_abort_silent: Callable[[], bool],
+    ) -> None:
+        """Let another watched request abort the reads; the earlier one is detached."""
+        self._watched.detach()
+        self._watched = watched
+        sock = self._connection.sock
+        if sock is None or not watched.attach(
+            sock, silence_timeout_s, instance, may_abort_silent
+        ):
+            watched.reset_server()
+        watched.end_read()
 
     def read_whole(self, limit: int) -> bytes:
         """Return the whole body; raises AnswerLostError, also above ``limit`` bytes."""
@@ -288,7 +318,7 @@
                 if abort_reason
                 else f"no answer: {type(error).__name__}"
             )
-        watched.record_progress()
+        watched.end_read()
         if head.attempt_id and head.attempt_id != request.attempt_id:
             return AnswerLost("the answer was another request's")
         if head.is_rejection:
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -323,16 +323,16 @@
             self._context.rate_limits.retain(
                 self._context.server_registry.known_incarnations
             )
-            self._abort_slow_streams()
+            self._move_slow_streams()
         self._load_poller.on_tick(now)
 
-    def _abort_slow_streams(self) -> None:
-        """Abort streams on slow ranks so that they resume elsewhere.
+    def _move_slow_streams(self) -> None:
+        """Let streams on slow ranks resume elsewhere.
 
         One slow rank would hold up all the streams of its group.
         """
         slow = frozenset(self._context.server_registry.avoided_instances())
-        if slow and (moved := self._context.watchdog.abort_slow_streams(slow)):
+        if slow and (moved := self._context.watchdog.move_slow_streams(slow)):
             servers_log.info("streams-moved", servers=sorted(slow), streams=moved)
 
     def _log_stalls(self, now: float) -> None:
--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -24,6 +24,8 @@
 from kingcupwheel.forwarding.final_refusals import SERVER_FAILED
 from kingcupwheel.forwarding.final_refusals import refusal_for_step
 from kingcupwheel.forwarding.final_refusals import retry_after_s
+from kingcupwheel.forwarding.hedging import Hedge
+from kingcupwheel.forwarding.hedging import Hedging
 from kingcupwheel.forwarding.http_metadata import NO_NOTICE
 from kingcupwheel.forwarding.http_metadata import ServerRequestMetadata
 from kingcupwheel.forwarding.outcomes import AttemptCounts
@@ -39,6 +41,7 @@
 from kingcupwheel.forwarding.run_evidence import RunEvidence
 from kingcupwheel.forwarding.streams import StreamRelay
 from kingcupwheel.forwarding.watchdog import AbortReason
+from kingcupwheel.forwarding.watchdog import WatchedRequest
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.platform.headers import build_server_headers
 from kingcupwheel.telemetry.json_logs import lines_of
@@ -53,7 +56,6 @@
     from kingcupwheel.forwarding.http_metadata import AnswerHead
     from kingcupwheel.forwarding.http_metadata import ServerNotice
     from kingcupwheel.forwarding.requests import ForwardRequest
-    from kingcupwheel.forwarding.watchdog import WatchedRequest
 
 log = lines_of("requests")
 
@@ -93,8 +95,15 @@
         self._sent_at = 0.0
         # Whether the current server has begun to answer.
         self._has_answer_begun = False
-        # Whether the abort of a silent server has consumed a retry for the next send.
+        # Whether a retry of the budget is consumed for the next send.
         self._has_reserved_retry = False
+        # Whether the current server's silence is counted as its failure.
+        self._is_silence_recorded = False
+        self._hedging = Hedging(watched, self._add_unused_hedge)
+        # The hedge that this forwarder sends, None for the request's own sends.
+        self._own_hedge: Hedge | None = None
+        self._counts_before = self._counts
+        self._is_sending = False
 
     @property
     def _dispatcher(self) -> GroupDispatcher:
@@ -108,6 +117,13 @@
 
     def forward(self) -> Answer:
         """Return the answer, or the final refusal."""
+        try:
+            return self._forward()
+        except BaseException:
+            self.abandon_hedge()
+            raise
+
+    def _forward(self) -> Answer:
         refusal = self._evidence.admit(has_run=False)
         if refusal is not None:
             return self.log_refusal(refusal)
@@ -151,8 +167,52 @@
             if result is not None:
                 return result
 
+    def send_hedge(self) -> PlacedAnswer | BufferedAnswer | None:
+        """Send the request until another answer has begun and is used.
+
+        Returns None if there is none.
+        """
+        result: PlacedAnswer | BufferedAnswer | Refusal | None = None
+        try:
+            result = self._send_until_claimed()
+        finally:
+            if not isinstance(result, PlacedAnswer):
+                self._context.watchdog.unwatch(self._watched)
+        if isinstance(result, Refusal):
+            self._evidence.end_trial()
+            return None
+        return result
+
+    def _send_until_claimed(self) -> PlacedAnswer | BufferedAnswer | Refusal:
+        result = self.send_until_answered()
+        while isinstance(result, PlacedAnswer):
+            try:
+                result.answer.prefetch()
+                self._claim()
+                return result
+            except AnswerLostError as error:
+                reason = str(error)
+            self.end_answer(result.reservation, result.answer)
+            failed = self.handle_failed_attempt(
+                result.reservation, AttemptOutcome.LOST, reason
+            )
+            result = self.send_until_answered() if failed is None else failed
+        return result
+
+    def _claim(self) -> None:
+        """Claim the request for this answer; raises AnswerLostError if it is taken."""
+        if self._own_hedge is None or self._own_hedge.claim():
+            return
+        self._watched.abort(AbortReason.SUPERSEDED)
+        raise AnswerLostError(AbortReason.SUPERSEDED.value)
+
+    def abort(self, reason: AbortReason) -> None:
+        """Abort the request's sends."""
+        self._watched.abort(reason)
+
     def _release_withheld(self, reservation: Reservation) -> None:
         """Release a reservation whose server may get no requests any more."""
+        self._is_sending = False
         self._release(reservation)
         self._context.metrics.ended_sends.labels("withheld").inc()
         log.info("send-withheld", id=self._request.id, server=reservation.incarnation)
@@ -166,9 +226,14 @@
         is_success = head.status < _MIN_FAILURE_STATUS
         if is_success and self._request.route.is_streamed and head.status == 200:
             self._record_first_byte()
+            answer.may_use = self._hedging.use_first
             return PlacedAnswer(reservation, answer)
+        if is_success:
+            answer.may_use = self._hedging.use_first
         try:
             body = answer.read_whole(_MAX_WHOLE_ANSWER_BYTES)
+            if is_success:
+                self._claim()
         except AnswerLostError as error:
             self.end_answer(reservation, answer)
             return self.handle_failed_attempt(
@@ -177,14 +242,15 @@
         self.end_answer(reservation, answer)
         if is_success:
             self.record_success(reservation, head, monotonic() - self._sent_at)
-            return self._whole_answer(answer, body)
+            return self._whole_answer(head, body)
         self._evidence.end_trial()
         reason = f"status {head.status}"
         refusal = self.handle_failed_attempt(
             reservation, AttemptOutcome.FAILED, reason, head.notice
         )
-        if isinstance(refusal, Refusal) and refusal.reason == SERVER_FAILED:
-            return self._whole_answer(answer, body)
+        is_passed_on = isinstance(refusal, Refusal) and refusal.reason == SERVER_FAILED
+        if is_passed_on and self._own_hedge is None:
+            return self._whole_answer(head, body)
         return refusal
 
     def _record_notice(self, reservation: Reservation, notice: ServerNotice) -> None:
@@ -192,14 +258,13 @@
             reservation, notice, self._request.id, sent_at=self._sent_at
         )
 
-    def _whole_answer(self, answer: ServerAnswer, body: bytes) -> BufferedAnswer:
-        head = answer.head
+    def _whole_answer(self, head: AnswerHead, body: bytes) -> BufferedAnswer:
         self.log_finished(head.status, len(body), "whole")
         return BufferedAnswer(head.status, head.caller_headers, body, Outcome.RAN)
 
     def _handle_no_answer(
         self, reservation: Reservation, result: NotSent | Rejected | AnswerLost
-    ) -> Refusal | None:
+    ) -> PlacedAnswer | BufferedAnswer | Refusal | None:
         notice = NO_NOTICE
         if isinstance(result, AnswerLost) or (
             isinstance(result, Rejected) and not result.is_other_instance
@@ -235,20 +300,42 @@
         outcome: AttemptOutcome,
         reason: str,
         notice: ServerNotice = NO_NOTICE,
-    ) -> Refusal | None:
-        """Record a failed send; return the final refusal, None if a retry follows."""
+    ) -> PlacedAnswer | BufferedAnswer | Refusal | None:
+        """Record a failed send; return what follows, None if a retry does.
+
+        It is the answer of a hedge, or else the final refusal.
+        """
         request = self._request
+        self._is_sending = False
+        hedge = self._hedging.take()
         self._counts = self._counts.with_outcome(outcome)
         self._tried_servers |= {reservation.server}
         if outcome is AttemptOutcome.LOST:
             self._evidence.record_lost(reservation)
-        if self._watched.abort_reason is AbortReason.CALLER_LEFT:
+        if self._watched.abort_reason in (
+            AbortReason.CALLER_LEFT,
+            AbortReason.SUPERSEDED,
+        ):
+            if hedge is not None:
+                hedge.withdraw()
             return CALLER_LEFT
         if (
             outcome in (AttemptOutcome.LOST, AttemptOutcome.FAILED)
             and not self._watched.is_over
+            and not self._is_silence_recorded
         ):
             self._dispatcher.record_failure(reservation)
+        if hedge is not None:
+            hedged = self._await_hedge(hedge)
+            if hedged is not None:
+                self._log_send_ended(
+                    reservation,
+                    outcome,
+                    reason,
+                    left_s=round(request.deadlines.deadline_at - monotonic(), 3),
+                    follows="hedged",
+                )
+                return hedged
         time_left_s = request.deadlines.deadline_at - monotonic()
         if self._watched.is_over:
             time_left_s = 0.0
@@ -270,15 +357,10 @@
             and self._watched.abort_reason is AbortReason.SHUTDOWN
         ):
             step = NextStep.UNKNOWN
-        log.info(
-            "send-ended",
-            id=request.id,
-            server=reservation.server,
-            came=outcome.value,
-            why=reason,
-            fingerprint=request.fingerprint[:_LOGGED_DIGITS],
-            ran=self._counts.possibly_run,
-            turned_away=self._counts.rejected,
+        self._log_send_ended(
+            reservation,
+            outcome,
+            reason,
             rest_s=notice.backoff_s,
             leaving=notice.is_leaving,
             limit_per_s=notice.rate_limit,
@@ -286,7 +368,6 @@
             budget=is_within_budget,
             follows=step.value,
         )
-        self._context.metrics.ended_sends.labels(outcome.value).inc()
         if outcome is AttemptOutcome.LOST and step is NextStep.RETRY:
             self._evidence.wait_for_probe(reservation)
         backoff_left_s = (
@@ -294,6 +375,27 @@
         )
         return refusal_for_step(step, reason, request.id, backoff_left_s)
 
+    def _log_send_ended(
+        self,
+        reservation: Reservation,
+        outcome: AttemptOutcome,
+        reason: str,
+        **details: object,
+    ) -> None:
+        request = self._request
+        self._context.metrics.ended_sends.labels(outcome.value).inc()
+        log.info(
+            "send-ended",
+            id=request.id,
+            server=reservation.server,
+            came=outcome.value,
+            why=reason,
+            fingerprint=request.fingerprint[:_LOGGED_DIGITS],
+            ran=self._counts.possibly_run,
+            turned_away=self._counts.rejected,
+            **details,
+        )
+
     def record_abandoned_stream(self, reservation: Reservation) -> None:
         """Record that the caller has left while the server sent nothing."""
         self._watched.abort(AbortReason.CALLER_LEFT)
@@ -321,7 +423,7 @@
                 self._evidence.is_suspect,
                 self._context.data_centre,
                 self._first_byte_deadline_at(),
-                self._request.id,
+                self._ticket_id,
             ),
             may_run=self._evidence.may_run,
         )
@@ -383,6 +485,8 @@
         self._sent_at = now
         self._evidence.begin_send(now)
         self._has_answer_begun = False
+        self._is_silence_recorded = False
+        self._is_sending = True
         metadata = ServerRequestMetadata(
             instance=reservation.server,
             time_left_s=max(0.001, request.deadlines.deadline_at - now),
@@ -397,17 +501,7 @@
             request.body,
             request.head.attempt_id,
         )
-        is_retry_allowed = may_retry(
-            self._counts.with_outcome(AttemptOutcome.LOST),
-            self._policy,
-            request.deadlines.deadline_at - now,
-        )
-        silence_timeout_s = (
-            request.deadlines.silence_timeout_s if is_retry_allowed else float("inf")
-        )
-        self._watched.is_resumable_elsewhere = (
-            is_retry_allowed and request.route.is_resumable
-        )
+        silence_timeout_s = self._prepare_watch(reservation)
         is_streamed = request.route.is_streamed
         return self._context.server_client.send(
             outgoing,
@@ -420,19 +514,69 @@
             if is_streamed
             else None,
             needs_new_connection=not request.route.is_idempotent,
-            may_abort_silent=partial(self._may_abort_silent, reservation),
+            may_abort_silent=partial(self._leave_silent, reservation),
             may_send=partial(self._context.may_send, reservation),
         )
 
-    def _may_abort_silent(self, reservation: Reservation) -> bool:
+    def _prepare_watch(self, reservation: Reservation) -> float:
+        """Tell the watchdog what to do about a late server; return the silence limit.
+
+        It is infinite if no other server may get the request.
+        """
+        is_retry_allowed = self._may_send_again()
+        self._watched.is_resumable_elsewhere = (
+            is_retry_allowed and self._request.route.is_resumable
+        )
+        if self._own_hedge is None:
+            self._watched.leave_slow_server = partial(self._leave_slow, reservation)
+        if not is_retry_allowed:
+            return float("inf")
+        return self._request.deadlines.silence_timeout_s
+
+    def _may_send_again(self) -> bool:
+        """Return whether another server may get the request if this one is given up."""
+        return may_retry(
+            self._counts.with_outcome(AttemptOutcome.LOST),
+            self._policy,
+            self._request.deadlines.deadline_at - monotonic(),
+        )
+
+    def _leave_silent(self, reservation: Reservation) -> bool:
         """Return whether the read from a silent server is aborted.
 
+        The request's own send is not: its server may be sound, so it is kept until a
+        hedge is answered.
+        """
+        if self._own_hedge is not None:
+            return self._may_leave_silent(reservation)
+        self._hedging.begin(
+            lambda: (
+                self._watched.is_server_silent(monotonic())
+                and self._may_send_again()
+                and self._may_leave_silent(reservation)
+            ),
+            partial(self._create_hedge, reservation, AbortReason.SERVER_SILENT),
+        )
+        return False
+
+    def _leave_slow(self, reservation: Reservation) -> bool:
+        """Begin a hedge of a stream on a slow server; return whether one has begun."""
+        return self._hedging.begin(
+            lambda: (
+                self._may_send_again()
+                and self._may_place_elsewhere(reservation)
+                and self._reserve_retry()
+            ),
+            partial(self._create_hedge, reservation, AbortReason.SERVER_SLOW),
+        )
+
+    def _may_leave_silent(self, reservation: Reservation) -> bool:
+        """Return whether another server is to get the request of a silent one.
+
         Called once the silence timeout has passed. A server may be silent because its
         whole group of ranks stalls, or because all callers retry at once after a power
-        outage and first events take seconds everywhere. An abort then ends an answer
-        that was about to arrive, either without budget for a retry or in favour of a
-        server that is as full. Without these checks 38 callers got status 502 within a
-        quarter of a second after such an outage.
+        outage and first events take seconds everywhere. Another server is then as late,
+        and a retry only adds to its load.
         """
         context, service = self._context, self._request.service
         if self._request.route.is_streamed:
@@ -445,16 +589,106 @@
                 reservation, now
             ):
                 return False
-        if not self._dispatcher.may_place_before(
-            self._request.deadlines.first_byte_deadline_at,
+        return self._may_place_elsewhere(reservation) and self._reserve_retry()
+
+    def _may_place_elsewhere(self, reservation: Reservation) -> bool:
+        request, now = self._request, monotonic()
+        return self._dispatcher.may_place_before(
+            request.deadlines.next_byte_deadline_at(self._last_event_at, now),
             self._tried_servers | {reservation.server},
-        ):
-            return False
+        )
+
+    def _reserve_retry(self) -> bool:
         self._has_reserved_retry = (
-            self._has_reserved_retry or context.retry_guards.consume_retry(service)
+            self._has_reserved_retry
+            or self._context.retry_guards.consume_retry(self._request.service)
         )
         return self._has_reserved_retry
 
+    def _create_hedge(self, reservation: Reservation, reason: AbortReason) -> Hedge:
+        """Return a hedge that goes on where this request is now."""
+        if reason is AbortReason.SERVER_SILENT and not self._is_silence_recorded:
+            self._is_silence_recorded = True
+            self._dispatcher.record_failure(reservation)
+        self._has_reserved_retry = False
+        watched = WatchedRequest(self._watched.caller_socket, self._watched.deadline_at)
+        forwarder = RequestForwarder(self._context, self._request, watched)
+        hedge = Hedge(reason, forwarder, partial(self._watched.abort, reason))
+        forwarder._own_hedge = hedge
+        forwarder._policy = self._policy
+        forwarder._counts = self._counts.with_outcome(AttemptOutcome.LOST)
+        forwarder._counts_before = forwarder._counts
+        forwarder._tried_servers = self._tried_servers | {reservation.server}
+        forwarder._last_event_id = self._last_event_id
+        forwarder._last_event_at = self._last_event_at
+        self._context.watchdog.watch(watched)
+        log.info(
+            "hedged",
+            id=self._request.id,
+            server=reservation.server,
+            why=reason.value,
+            after=self._last_event_id,
+        )
+        return hedge
+
+    def _await_hedge(self, hedge: Hedge) -> PlacedAnswer | BufferedAnswer | None:
+        """Return the answer of a hedge once it has begun, None if it gets none."""
+        if self._watched.is_over and hedge.withdraw():
+            return None
+        answer = hedge.wait()
+        self._add_unused_hedge(hedge)
+        if answer is None:
+            return None
+        forwarder = hedge.forwarder
+        self._sent_at = forwarder._sent_at
+        self._evidence = forwarder._evidence
+        self._evidence.watch_with(self._watched)
+        if isinstance(answer, PlacedAnswer):
+            self._read_hedge(answer)
+            self._context.watchdog.unwatch(forwarder._watched)
+        return answer
+
+    def _read_hedge(self, placed: PlacedAnswer) -> None:
+        """Read the answer of a hedge as that of the request's own send."""
+        self._has_answer_begun = self._is_sending = True
+        self._is_silence_recorded = False
+        reservation = placed.reservation
+        placed.answer.may_use = self._hedging.use_first
+        placed.answer.watch_with(
+            self._watched,
+            self._prepare_watch(reservation),
+            reservation.server,
+            partial(self._leave_silent, reservation),
+        )
+
+    def _add_unused_hedge(self, hedge: Hedge) -> None:
+        """Count the sends of a hedge as sends of the request."""
+        forwarder = hedge.forwarder
+        before, after = forwarder._counts_before, forwarder._counts
+        if forwarder._is_sending and hedge.answer is None:
+            after = after.with_outcome(AttemptOutcome.LOST)
+        self._counts = AttemptCounts(
+            self._counts.possibly_run + after.possibly_run - before.possibly_run,
+            self._counts.rejected + after.rejected - before.rejected,
+        )
+        self._tried_servers |= forwarder._tried_servers
+        # The retry is still available if no server got the hedge.
+        self._has_reserved_retry = after == before
+
+    def abandon_hedge(self) -> None:
+        """End a hedge whose answer will not be read."""
+        hedge = self._hedging.take()
+        if hedge is None or hedge.withdraw():
+            return
+        answer = hedge.wait()
+        if isinstance(answer, PlacedAnswer):
+            hedge.forwarder.end_answer(answer.reservation, answer.answer)
+            self._context.watchdog.unwatch(hedge.forwarder._watched)
+
+    def count_hedge(self, result: str) -> None:
+        """Count a hedge that ended with ``result``."""
+        self._context.metrics.hedges.labels(result).inc()
+
     def _record_first_byte(self) -> None:
         """Record the time to first byte, counted from the send to this server."""
         self._has_answer_begun = True
@@ -468,6 +702,13 @@
         if event_id:
             self._last_event_id = event_id
 
+    @property
+    def _ticket_id(self) -> str:
+        """Id under which this send waits in the queue."""
+        if self._own_hedge is None:
+            return self._request.id
+        return f"{self._request.id}+hedge"
+
     @property
     def received_at(self) -> float:
         """Monotonic receive time of the request."""
--- a/src/kingcupwheel/forwarding/run_evidence.py
+++ b/src/kingcupwheel/forwarding/run_evidence.py
@@ -46,6 +46,10 @@
         # When the server began to write the answer, 0 before.
         self._writing_since = 0.0
 
+    def watch_with(self, watched: WatchedRequest) -> None:
+        """Take the reason of an abort from ``watched`` from now on."""
+        self._watched = watched
+
     def admit(self, *, has_run: bool) -> Refusal | None:
         """Return a refusal if the request may not run now.
 
--- a/src/kingcupwheel/forwarding/streams.py
+++ b/src/kingcupwheel/forwarding/streams.py
@@ -65,6 +65,7 @@
             self._log_finished("caller-left")
             raise
         finally:
+            self._forwarder.abandon_hedge()
             if is_reserved:
                 self._forwarder.end_answer(
                     self._placed.reservation, self._placed.answer
@@ -145,20 +146,20 @@
     def _resume_elsewhere(self, reason: str) -> None:
         """Resume at another server; raises AnswerTruncatedError if none can."""
         self._forwarder.end_answer(self._placed.reservation, self._placed.answer)
-        refusal = self._forwarder.handle_failed_attempt(
+        result = self._forwarder.handle_failed_attempt(
             self._placed.reservation, AttemptOutcome.LOST, reason
         )
-        if refusal is None:
+        if result is None:
             result = self._forwarder.send_until_answered()
-            if not isinstance(result, Refusal | BufferedAnswer):
-                log.info(
-                    "resumed",
-                    id=self._forwarder.request_id,
-                    after=self._forwarder.last_event_id,
-                    server=result.reservation.server,
-                )
-                self._placed = result
-                self._splitter = EventSplitter()
-                return
+        if not isinstance(result, Refusal | BufferedAnswer):
+            log.info(
+                "resumed",
+                id=self._forwarder.request_id,
+                after=self._forwarder.last_event_id,
+                server=result.reservation.server,
+            )
+            self._placed = result
+            self._splitter = EventSplitter()
+            return
         self._log_finished("cut", reason)
         raise AnswerTruncatedError(reason)
--- a/src/kingcupwheel/forwarding/watchdog.py
+++ b/src/kingcupwheel/forwarding/watchdog.py
@@ -1,7 +1,8 @@
-"""Aborts requests: callers that left, passed deadlines, silent servers, shutdowns.
+"""Aborts requests: callers that left, passed deadlines, shutdowns.
 
 Request threads block on their server's socket. One thread checks all of them several
 times a second and shuts down the socket of an aborted request, which wakes its thread.
+It also notices silent servers; the request decides what follows.
 """
 
 from __future__ import annotations
@@ -38,6 +39,7 @@
     SERVER_SILENT = "the server is silent"
     SERVER_SLOW = "the server is slow"
     SHUTDOWN = "the entry stops"
+    SUPERSEDED = "another server answers"
 
 
 class WatchedRequest:
@@ -47,7 +49,8 @@
     monotonic.
     ``may_dispatch`` returns whether a request that was never sent may still be sent.
     ``instance`` is the server that is read from, ``is_resumable_elsewhere`` whether its
-    stream can be resumed at another one.
+    stream can be resumed at another one. ``leave_slow_server`` looks for another server
+    while this one is read from, and returns whether it has begun to.
     """
 
     def __init__(
@@ -60,10 +63,12 @@
         self.may_dispatch = may_dispatch
         self.instance = ""
         self.is_resumable_elsewhere = False
+        self.leave_slow_server: Callable[[], bool] = lambda: False
         self.deadline_at = deadline_at
         self._server: socket.socket | None = None
         self._silence_deadline = float("inf")
         self._silence_timeout_s = float("inf")
+        self._awaits_data = False
         self._may_abort_silent: Callable[[], bool] = lambda: True
         self._abort_reason: AbortReason | None = None
         self._lock = Lock()
@@ -88,8 +93,18 @@
             AbortReason.CALLER_LEFT,
             AbortReason.TIMEOUT,
             AbortReason.SHUTDOWN,
+            AbortReason.SUPERSEDED,
         )
 
+    @property
+    def awaits_data(self) -> bool:
+        """Whether the request's thread waits for data from its server."""
+        return self._awaits_data
+
+    def is_server_silent(self, now: float) -> bool:
+        """Return whether the awaited data is overdue."""
+        return self._awaits_data and now >= self._silence_deadline
+
     def attach(
         self,
         server: socket.socket,
@@ -110,20 +125,28 @@
             self.instance = instance
             self._may_abort_silent = may_abort_silent
             self._silence_timeout_s = silence_s
-            self._silence_deadline = monotonic() + silence_s
+            self.begin_read()
             return not self.is_over
 
-    def record_progress(self, silence_s: float | None = None) -> None:
-        """Record that the server sent data; ``silence_s`` sets the silence timeout."""
-        if silence_s is not None:
-            self._silence_timeout_s = silence_s
+    def begin_read(self) -> None:
+        """Record that the request's thread starts to wait for data.
+
+        The server is silent only while it does: a caller that reads slowly holds up the
+        thread although the server's data has arrived.
+        """
         self._silence_deadline = monotonic() + self._silence_timeout_s
+        self._awaits_data = True
+
+    def end_read(self) -> None:
+        """Record that the wait for data has ended."""
+        self._awaits_data = False
 
     def detach(self) -> None:
         """Stop watching the socket, before it is closed or returned to the pool."""
         with self._lock:
             self._server = None
             self.instance = ""
+            self._awaits_data = False
 
     def reset_server(self) -> None:
         """Reset the socket, whose answer will not be read to its end, and detach it."""
@@ -146,7 +169,7 @@
             self.abort(AbortReason.SERVER_SILENT)
 
     def _is_silent(self, now: float) -> bool:
-        late = self._server is not None and now >= self._silence_deadline
+        late = self._server is not None and self.is_server_silent(now)
         return late and self._may_abort_silent()
 
     def abort(self, reason: AbortReason) -> None:
@@ -197,8 +220,11 @@
         with self._changed:
             self._requests.discard(request)
 
-    def abort_slow_streams(self, instances: frozenset[str]) -> int:
-        """Abort resumable streams on slow servers; return their number."""
+    def move_slow_streams(self, instances: frozenset[str]) -> int:
+        """Let resumable streams on slow servers look for others; return their number.
+
+        A stream keeps its slow server until another one has begun to answer.
+        """
         with self._changed:
             found = [
                 one
@@ -207,9 +233,7 @@
                 and one.instance in instances
                 and one.abort_reason is None
             ]
-        for one in found:
-            one.abort(AbortReason.SERVER_SLOW)
-        return len(found)
+        return sum(one.leave_slow_server() for one in found)
 
     def _run(self) -> None:
         while True:
@@ -237,15 +261,16 @@
     Bytes that wait to be read are a further request, not a close.
     """
     poller = select.poll()
-    by_number: dict[int, WatchedRequest] = {}
+    by_number: dict[int, list[WatchedRequest]] = {}
     for one in watched:
         number = -1 if one.caller_socket is None else one.caller_socket.fileno()
         if number >= 0:
-            by_number[number] = one
+            # A request and its hedge have the same caller.
+            by_number.setdefault(number, []).append(one)
             poller.register(number, select.POLLIN)
     if not by_number:
         return set()
-    ready = [by_number[number] for number, _ in poller.poll(0)]
+    ready = [one for number, _ in poller.poll(0) for one in by_number[number]]
     return {one for one in ready if _is_closed(one.caller_socket)}
 
 
--- a/src/kingcupwheel/telemetry/metrics.py
+++ b/src/kingcupwheel/telemetry/metrics.py
@@ -44,6 +44,12 @@
             ["came"],
             registry=registry,
         )
+        self.hedges = Counter(
+            "kingcupwheel_hedges",
+            "Second sends while the first server was late, by how they ended.",
+            ["result"],
+            registry=registry,
+        )
         self.server_notices = Counter(
             "kingcupwheel_server_notices",
             "What servers said of themselves in answers, by kind.",
--- a/src/kingcupwheel/trace/log_timeline.py
+++ b/src/kingcupwheel/trace/log_timeline.py
@@ -151,6 +151,13 @@
                 f"{get('why')}. Sends that may have run: {get('ran')}, turned away: "
                 f"{get('turned_away')}; {get('left_s')} s left. Next: {get('follows')}."
             )
+        case "hedged":
+            return (
+                f"Looked for another server while {get('server')} is kept: "
+                f"{get('why')}."
+            )
+        case "hedge-ended":
+            return f"The second send was {get('result')} after {get('took_s')} s."
         case "resumed":
             return f"The stream went on at {get('server')} after event {get('after')}."
         case "finished":
