--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -21,7 +21,6 @@
 from kingcupwheel.forwarding.calls import Rejected
 from kingcupwheel.forwarding.calls import Withheld
 from kingcupwheel.forwarding.exceptions import AnswerLostError
-from kingcupwheel.forwarding.final_refusals import SERVER_FAILED
 from kingcupwheel.forwarding.final_refusals import refusal_for_step
 from kingcupwheel.forwarding.final_refusals import retry_after_s
 from kingcupwheel.forwarding.hedging import Hedge
@@ -99,6 +98,8 @@
         self._has_reserved_retry = False
         # Whether the current server's silence is counted as its failure.
         self._is_silence_recorded = False
+        # The error that a server answered with before a retry, with its head.
+        self._server_error: tuple[AnswerHead, bytes] | None = None
         self._hedging = Hedging(watched, self._add_unused_hedge)
         # The hedge that this forwarder sends, None for the request's own sends.
         self._own_hedge: Hedge | None = None
@@ -130,6 +131,8 @@
         self._context.retry_guards.count_first_attempt(self._request.service)
         result = self.send_until_answered()
         if isinstance(result, Refusal):
+            if self._server_error is not None and result is not CALLER_LEFT:
+                return self._whole_answer(*self._server_error)
             if not self._counts.possibly_run:
                 self._evidence.end_trial()
             return self.log_refusal(result)
@@ -248,9 +251,7 @@
         refusal = self.handle_failed_attempt(
             reservation, AttemptOutcome.FAILED, reason, head.notice
         )
-        is_passed_on = isinstance(refusal, Refusal) and refusal.reason == SERVER_FAILED
-        if is_passed_on and self._own_hedge is None:
-            return self._whole_answer(head, body)
+        self._server_error = (head, body)
         return refusal
 
     def _record_notice(self, reservation: Reservation, notice: ServerNotice) -> None:
