--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -33,6 +33,8 @@
 
 # An event of a stream has a few hundred bytes, so one read takes many.
 _READ_BYTES = 65_536
+# Fallback only: the watchdog ends all waits at the request's deadline.
+_SOCKET_TIMEOUT_MARGIN_S = 5.0
 
 _CONNECTION_ERRORS = (
     urllib3.exceptions.HTTPError,
@@ -250,6 +252,11 @@
             watched.detach()
             connection.close()
             return NotSent("the request was over before it was sent")
+        # urllib3 sets this timeout on the socket with each request.
+        connection.timeout = max(
+            _SOCKET_TIMEOUT_MARGIN_S,
+            watched.deadline_at - monotonic() + _SOCKET_TIMEOUT_MARGIN_S,
+        )
         result = self._exchange(request, connection, watched)
         if isinstance(result, Answered) and liveness is not None:
             result.answer.on_data = partial(_record_activity, liveness, instance)
--- a/src/kingcupwheel/forwarding/connection_pool.py
+++ b/src/kingcupwheel/forwarding/connection_pool.py
@@ -24,8 +24,6 @@
 CONNECT_TIMEOUT_S = 0.3
 # As many as one server runs requests of this process.
 _MAX_IDLE_PER_SERVER = 8
-# Fallback only: the watchdog bounds all waits.
-_SOCKET_TIMEOUT_S = 30.0
 
 
 class _IdleConnection(NamedTuple):
@@ -62,8 +60,6 @@
             connection.close()
             raise NotConnectedError(f"{type(error).__name__}") from error
         assert connection.sock is not None, "connected"
-        # urllib3 sets this timeout on the socket again for each request.
-        connection.timeout = _SOCKET_TIMEOUT_S
         return connection
 
     def release(
