--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -27,23 +27,24 @@
 from kingcupwheel.forwarding.hedging import Hedging
 from kingcupwheel.forwarding.http_metadata import NO_NOTICE
 from kingcupwheel.forwarding.http_metadata import ServerRequestMetadata
+from kingcupwheel.forwarding.late_servers import LateServerPolicy
 from kingcupwheel.forwarding.outcomes import AttemptCounts
 from kingcupwheel.forwarding.outcomes import AttemptOutcome
 from kingcupwheel.forwarding.outcomes import NextStep
-from kingcupwheel.forwarding.outcomes import RetryPolicy
 from kingcupwheel.forwarding.outcomes import may_retry
 from kingcupwheel.forwarding.outcomes import next_step
 from kingcupwheel.forwarding.queue_wait import PlacementConstraints
 from kingcupwheel.forwarding.queue_wait import ReservationFailure
 from kingcupwheel.forwarding.queue_wait import RunWithdrawn
 from kingcupwheel.forwarding.queue_wait import wait_for_reservation
+from kingcupwheel.forwarding.request_log import RequestLog
+from kingcupwheel.forwarding.request_progress import RequestProgress
 from kingcupwheel.forwarding.run_evidence import RunEvidence
 from kingcupwheel.forwarding.streams import StreamRelay
 from kingcupwheel.forwarding.watchdog import AbortReason
 from kingcupwheel.forwarding.watchdog import WatchedRequest
 from kingcupwheel.messages.attempts import Outcome
 from kingcupwheel.platform.headers import build_server_headers
-from kingcupwheel.telemetry.json_logs import lines_of
 
 
 if TYPE_CHECKING:
@@ -56,13 +57,9 @@
     from kingcupwheel.forwarding.http_metadata import ServerNotice
     from kingcupwheel.forwarding.requests import ForwardRequest
 
-log = lines_of("requests")
-
 # Largest answer that is read completely before it is sent to the caller.
 _MAX_WHOLE_ANSWER_BYTES = 16_000_000
 _MIN_FAILURE_STATUS = 500
-# Digits of a fingerprint or a part's id in a log line.
-_LOGGED_DIGITS = 12
 
 
 class PlacedAnswer(NamedTuple):
@@ -73,38 +70,35 @@
 
 
 class RequestForwarder:
-    """Forwards one request until it is answered or refused; not thread-safe."""
+    """Forwards one request until it is answered or refused; not thread-safe.
+
+    A forwarder of a hedge begins with the ``progress`` of its request.
+    """
 
     def __init__(
-        self, context: ForwardContext, request: ForwardRequest, watched: WatchedRequest
+        self,
+        context: ForwardContext,
+        request: ForwardRequest,
+        watched: WatchedRequest,
+        progress: RequestProgress | None = None,
     ) -> None:
         self._context = context
         self._request = request
         self._watched = watched
-        route = request.route
-        self._policy = RetryPolicy(
-            route.is_idempotent, route.max_servers, route.target_latency_s
-        )
-        self._counts = AttemptCounts()
-        self._tried_servers: frozenset[str] = frozenset()
+        self._progress = progress or RequestProgress(request)
+        self._late_servers = LateServerPolicy(context, request, self._progress)
+        self._log = RequestLog(context.metrics, request)
         self._evidence = RunEvidence(context, request, watched)
-        self._last_event_id = request.head.last_event_id
-        # When the caller last got an event of the stream.
-        self._last_event_at = request.received_at
         self._sent_at = 0.0
         # Whether the current server has begun to answer.
         self._has_answer_begun = False
-        # Whether a retry of the budget is consumed for the next send.
-        self._has_reserved_retry = False
         # Whether the current server's silence is counted as its failure.
         self._is_silence_recorded = False
         # The error that a server answered with before a retry, with its head.
         self._server_error: tuple[AnswerHead, bytes] | None = None
-        self._hedging = Hedging(watched, self._add_unused_hedge)
+        self._hedging = Hedging(watched, self._join_unused_hedge)
         # The hedge that this forwarder sends, None for the request's own sends.
         self._own_hedge: Hedge | None = None
-        self._counts_before = self._counts
-        self._is_sending = False
 
     @property
     def _dispatcher(self) -> GroupDispatcher:
@@ -133,7 +127,7 @@
         if isinstance(result, Refusal):
             if self._server_error is not None and result is not CALLER_LEFT:
                 return self._whole_answer(*self._server_error)
-            if not self._counts.possibly_run:
+            if not self._progress.counts.possibly_run:
                 self._evidence.end_trial()
             return self.log_refusal(result)
         if isinstance(result, BufferedAnswer):
@@ -148,12 +142,14 @@
         A stream is returned once it has begun, any other answer once it is complete.
         """
         while True:
-            refusal = self._evidence.admit(has_run=self._counts.possibly_run > 0)
+            refusal = self._evidence.admit(
+                has_run=self._progress.counts.possibly_run > 0
+            )
             if refusal is not None:
                 return refusal
-            if self._evidence.is_suspect and not self._counts.possibly_run:
+            if self._evidence.is_suspect and not self._progress.counts.possibly_run:
                 # Another server would run it before the end of this one is known.
-                self._policy = self._policy._replace(max_servers=1)
+                self._progress.policy = self._progress.policy._replace(max_servers=1)
             reservation = self._acquire_reservation()
             if isinstance(reservation, Refusal):
                 return reservation
@@ -215,10 +211,9 @@
 
     def _release_withheld(self, reservation: Reservation) -> None:
         """Release a reservation whose server may get no requests any more."""
-        self._is_sending = False
+        self._progress.is_sending = False
         self._release(reservation)
-        self._context.metrics.ended_sends.labels("withheld").inc()
-        log.info("send-withheld", id=self._request.id, server=reservation.incarnation)
+        self._log.withheld(reservation)
 
     def _handle_answer(
         self, reservation: Reservation, answer: ServerAnswer
@@ -307,10 +302,8 @@
         It is the answer of a hedge, or else the final refusal.
         """
         request = self._request
-        self._is_sending = False
         hedge = self._hedging.take()
-        self._counts = self._counts.with_outcome(outcome)
-        self._tried_servers |= {reservation.server}
+        self._progress.record_failure(outcome, reservation.server)
         if outcome is AttemptOutcome.LOST:
             self._evidence.record_lost(reservation)
         if self._watched.abort_reason in (
@@ -329,10 +322,11 @@
         if hedge is not None:
             hedged = self._await_hedge(hedge)
             if hedged is not None:
-                self._log_send_ended(
+                self._log.send_ended(
                     reservation,
                     outcome,
                     reason,
+                    self._progress.counts,
                     left_s=round(request.deadlines.deadline_at - monotonic(), 3),
                     follows="hedged",
                 )
@@ -340,16 +334,18 @@
         time_left_s = request.deadlines.deadline_at - monotonic()
         if self._watched.is_over:
             time_left_s = 0.0
-        is_retry_allowed = may_retry(self._counts, self._policy, time_left_s)
+        is_retry_allowed = may_retry(
+            self._progress.counts, self._progress.policy, time_left_s
+        )
         # A refused connection is no load for a server, so that the next send costs no
         # more than this one would have.
         is_within_budget = is_retry_allowed and (
-            outcome is AttemptOutcome.NOT_SENT or self._consume_retry()
+            outcome is AttemptOutcome.NOT_SENT or self._late_servers.consume_retry()
         )
         step = next_step(
             outcome,
-            self._counts,
-            self._policy,
+            self._progress.counts,
+            self._progress.policy,
             time_left_s=time_left_s,
             is_within_budget=is_within_budget,
         )
@@ -358,10 +354,11 @@
             and self._watched.abort_reason is AbortReason.SHUTDOWN
         ):
             step = NextStep.UNKNOWN
-        self._log_send_ended(
+        self._log.send_ended(
             reservation,
             outcome,
             reason,
+            self._progress.counts,
             rest_s=notice.backoff_s,
             leaving=notice.is_leaving,
             limit_per_s=notice.rate_limit,
@@ -376,39 +373,11 @@
         )
         return refusal_for_step(step, reason, request.id, backoff_left_s)
 
-    def _log_send_ended(
-        self,
-        reservation: Reservation,
-        outcome: AttemptOutcome,
-        reason: str,
-        **details: object,
-    ) -> None:
-        request = self._request
-        self._context.metrics.ended_sends.labels(outcome.value).inc()
-        log.info(
-            "send-ended",
-            id=request.id,
-            server=reservation.server,
-            came=outcome.value,
-            why=reason,
-            fingerprint=request.fingerprint[:_LOGGED_DIGITS],
-            ran=self._counts.possibly_run,
-            turned_away=self._counts.rejected,
-            **details,
-        )
-
     def record_abandoned_stream(self, reservation: Reservation) -> None:
         """Record that the caller has left while the server sent nothing."""
         self._watched.abort(AbortReason.CALLER_LEFT)
         self._evidence.record_lost(reservation)
 
-    def _consume_retry(self) -> bool:
-        """Consume the reserved retry or one of the budget; return if there was one."""
-        reserved, self._has_reserved_retry = self._has_reserved_retry, False
-        return reserved or self._context.retry_guards.consume_retry(
-            self._request.service
-        )
-
     def _acquire_reservation(self) -> Reservation | RunWithdrawn | Refusal:
         """Wait for a reservation, or return a refusal.
 
@@ -420,10 +389,10 @@
             self._request,
             self._watched,
             PlacementConstraints(
-                self._tried_servers,
+                self._progress.tried_servers,
                 self._evidence.is_suspect,
                 self._context.data_centre,
-                self._first_byte_deadline_at(),
+                self._progress.first_byte_deadline_at(monotonic()),
                 self._ticket_id,
             ),
             may_run=self._evidence.may_run,
@@ -432,8 +401,8 @@
             if not self._evidence.may_run():
                 self._release(result)
                 return RunWithdrawn()
-            if self._counts.possibly_run or self._watched.may_dispatch():
-                self._log_placement(result)
+            if self._progress.counts.possibly_run or self._watched.may_dispatch():
+                self._log.placed(result, self._progress.counts)
                 return result
             self._release(result)
             retry_s = retry_after_s(self._request.id)
@@ -444,15 +413,8 @@
             return self._refusal_without_reservation(result)
         return result
 
-    def _first_byte_deadline_at(self) -> float:
-        """Return until when the next server has to begin its answer (monotonic)."""
-        deadlines = self._request.deadlines
-        if not self._counts.possibly_run:
-            return deadlines.first_byte_deadline_at
-        return deadlines.next_byte_deadline_at(self._last_event_at, monotonic())
-
     def _refusal_without_reservation(self, failure: ReservationFailure) -> Refusal:
-        if self._counts.possibly_run:
+        if self._progress.counts.possibly_run:
             message = (
                 f"It was sent to a server, and no other took it: {failure.reason}."
             )
@@ -460,26 +422,6 @@
         message = f"No server could take it in time: {failure.reason}."
         return Refusal(503, failure.limit, message, failure.retry_after_s)
 
-    def _log_placement(self, reservation: Reservation) -> None:
-        request = self._request
-        self._context.metrics.queue_wait_seconds.observe(reservation.waited_s)
-        if reservation.permit_expires_at is not None:
-            self._context.metrics.limited_sends.labels("placed").inc()
-        log.info(
-            "placed",
-            id=request.id,
-            server=reservation.server,
-            why=reservation.decision.reason,
-            weighed=[list(one) for one in reservation.decision.alternatives],
-            waited_s=round(reservation.waited_s, 3),
-            limited=reservation.permit_expires_at is not None,
-            send=self._counts.possibly_run + self._counts.rejected + 1,
-            version=request.version,
-            version_age_s=round(request.version_age_s, 2),
-            fingerprint=request.fingerprint[:_LOGGED_DIGITS],
-            parts=[part[:_LOGGED_DIGITS] for part in request.head.prompt_parts],
-        )
-
     def _send(self, reservation: Reservation) -> CallResult:
         request = self._request
         now = monotonic()
@@ -487,13 +429,13 @@
         self._evidence.begin_send(now)
         self._has_answer_begun = False
         self._is_silence_recorded = False
-        self._is_sending = True
+        self._progress.is_sending = True
         metadata = ServerRequestMetadata(
             instance=reservation.server,
             time_left_s=max(0.001, request.deadlines.deadline_at - now),
             organisation=request.organisation,
             priority=request.priority,
-            last_event_id=self._last_event_id,
+            last_event_id=self._progress.last_event_id,
         )
         outgoing = OutgoingRequest(
             request.method,
@@ -524,7 +466,7 @@
 
         It is infinite if no other server may get the request.
         """
-        is_retry_allowed = self._may_send_again()
+        is_retry_allowed = self._progress.may_send_again(monotonic())
         self._watched.is_resumable_elsewhere = (
             is_retry_allowed and self._request.route.is_resumable
         )
@@ -534,28 +476,21 @@
             return float("inf")
         return self._request.deadlines.silence_timeout_s
 
-    def _may_send_again(self) -> bool:
-        """Return whether another server may get the request if this one is given up."""
-        return may_retry(
-            self._counts.with_outcome(AttemptOutcome.LOST),
-            self._policy,
-            self._request.deadlines.deadline_at - monotonic(),
-        )
-
     def _leave_silent(self, reservation: Reservation) -> bool:
         """Return whether the read from a silent server is aborted.
 
         The request's own send is not: its server may be sound, so it is kept until a
         hedge is answered.
         """
+        may_leave = partial(
+            self._late_servers.may_leave_silent,
+            reservation,
+            has_answer_begun=self._has_answer_begun,
+        )
         if self._own_hedge is not None:
-            return self._may_leave_silent(reservation)
+            return may_leave()
         self._hedging.begin(
-            lambda: (
-                self._watched.is_server_silent(monotonic())
-                and self._may_send_again()
-                and self._may_leave_silent(reservation)
-            ),
+            lambda: self._watched.is_server_silent(monotonic()) and may_leave(),
             partial(self._create_hedge, reservation, AbortReason.SERVER_SILENT),
         )
         return False
@@ -563,73 +498,28 @@
     def _leave_slow(self, reservation: Reservation) -> bool:
         """Begin a hedge of a stream on a slow server; return whether one has begun."""
         return self._hedging.begin(
-            lambda: (
-                self._may_send_again()
-                and self._may_place_elsewhere(reservation)
-                and self._reserve_retry()
-            ),
+            partial(self._late_servers.may_leave_slow, reservation),
             partial(self._create_hedge, reservation, AbortReason.SERVER_SLOW),
         )
 
-    def _may_leave_silent(self, reservation: Reservation) -> bool:
-        """Return whether another server is to get the request of a silent one.
-
-        Called once the silence timeout has passed. A server may be silent because its
-        whole group of ranks stalls, or because all callers retry at once after a power
-        outage and first events take seconds everywhere. Another server is then as late,
-        and a retry only adds to its load.
-        """
-        context, service = self._context, self._request.service
-        if self._request.route.is_streamed:
-            now = monotonic()
-            if not context.liveness.for_service(service).is_other_server_active(
-                reservation.server, now
-            ):
-                return False
-            if not self._has_answer_begun and context.server_registry.is_reported_full(
-                reservation, now
-            ):
-                return False
-        return self._may_place_elsewhere(reservation) and self._reserve_retry()
-
-    def _may_place_elsewhere(self, reservation: Reservation) -> bool:
-        request, now = self._request, monotonic()
-        return self._dispatcher.may_place_before(
-            request.deadlines.next_byte_deadline_at(self._last_event_at, now),
-            self._tried_servers | {reservation.server},
-        )
-
-    def _reserve_retry(self) -> bool:
-        self._has_reserved_retry = (
-            self._has_reserved_retry
-            or self._context.retry_guards.consume_retry(self._request.service)
-        )
-        return self._has_reserved_retry
-
     def _create_hedge(self, reservation: Reservation, reason: AbortReason) -> Hedge:
         """Return a hedge that goes on where this request is now."""
         if reason is AbortReason.SERVER_SILENT and not self._is_silence_recorded:
             self._is_silence_recorded = True
             self._dispatcher.record_failure(reservation)
-        self._has_reserved_retry = False
+        # The reserved retry is that of the hedge.
+        self._late_servers.has_reserved_retry = False
         watched = WatchedRequest(self._watched.caller_socket, self._watched.deadline_at)
-        forwarder = RequestForwarder(self._context, self._request, watched)
+        forwarder = RequestForwarder(
+            self._context,
+            self._request,
+            watched,
+            self._progress.fork(reservation.server),
+        )
         hedge = Hedge(reason, forwarder, partial(self._watched.abort, reason))
         forwarder._own_hedge = hedge
-        forwarder._policy = self._policy
-        forwarder._counts = self._counts.with_outcome(AttemptOutcome.LOST)
-        forwarder._counts_before = forwarder._counts
-        forwarder._tried_servers = self._tried_servers | {reservation.server}
-        forwarder._last_event_id = self._last_event_id
-        forwarder._last_event_at = self._last_event_at
         self._context.watchdog.watch(watched)
-        log.info(
-            "hedged",
-            id=self._request.id,
-            server=reservation.server,
-            why=reason.value,
-            after=self._last_event_id,
-        )
+        self._log.hedge_began(reservation, reason.value, self._progress.last_event_id)
         return hedge
 
     def _await_hedge(self, hedge: Hedge) -> PlacedAnswer | BufferedAnswer | None:
@@ -637,10 +527,11 @@
         if self._watched.is_over and hedge.withdraw():
             return None
         answer = hedge.wait()
-        self._add_unused_hedge(hedge)
         if answer is None:
+            self._join_unused_hedge(hedge)
             return None
         forwarder = hedge.forwarder
+        self._progress.join(forwarder._progress, is_used=True)
         self._sent_at = forwarder._sent_at
         self._evidence = forwarder._evidence
         self._evidence.watch_with(self._watched)
@@ -651,7 +542,7 @@
 
     def _read_hedge(self, placed: PlacedAnswer) -> None:
         """Read the answer of a hedge as that of the request's own send."""
-        self._has_answer_begun = self._is_sending = True
+        self._has_answer_begun = self._progress.is_sending = True
         self._is_silence_recorded = False
         reservation = placed.reservation
         placed.answer.may_use = self._hedging.use_first
@@ -662,19 +553,12 @@
             partial(self._leave_silent, reservation),
         )
 
-    def _add_unused_hedge(self, hedge: Hedge) -> None:
-        """Count the sends of a hedge as sends of the request."""
-        forwarder = hedge.forwarder
-        before, after = forwarder._counts_before, forwarder._counts
-        if forwarder._is_sending and hedge.answer is None:
-            after = after.with_outcome(AttemptOutcome.LOST)
-        self._counts = AttemptCounts(
-            self._counts.possibly_run + after.possibly_run - before.possibly_run,
-            self._counts.rejected + after.rejected - before.rejected,
-        )
-        self._tried_servers |= forwarder._tried_servers
+    def _join_unused_hedge(self, hedge: Hedge) -> None:
+        """Count the sends of a hedge whose answer is not used."""
+        progress = hedge.forwarder._progress
+        self._progress.join(progress, is_used=False)
         # The retry is still available if no server got the hedge.
-        self._has_reserved_retry = after == before
+        self._late_servers.has_reserved_retry = progress.own_counts == AttemptCounts()
 
     def abandon_hedge(self) -> None:
         """End a hedge whose answer will not be read."""
@@ -686,9 +570,9 @@
             hedge.forwarder.end_answer(answer.reservation, answer.answer)
             self._context.watchdog.unwatch(hedge.forwarder._watched)
 
-    def count_hedge(self, result: str) -> None:
-        """Count a hedge that ended with ``result``."""
-        self._context.metrics.hedges.labels(result).inc()
+    def log_hedge_end(self, result: str, reason: str, took_s: float) -> None:
+        """Log how a hedge ended: ``used``, ``withdrawn`` or ``failed``."""
+        self._log.hedge_ended(result, reason, took_s)
 
     def _record_first_byte(self) -> None:
         """Record the time to first byte, counted from the send to this server."""
@@ -701,7 +585,7 @@
     def record_event(self, event_id: str) -> None:
         """Record the last event sent to the caller, after which a resume starts."""
         if event_id:
-            self._last_event_id = event_id
+            self._progress.last_event_id = event_id
 
     @property
     def _ticket_id(self) -> str:
@@ -723,7 +607,7 @@
     @property
     def last_event_id(self) -> str:
         """Id of the last complete event that was sent to the caller."""
-        return self._last_event_id
+        return self._progress.last_event_id
 
     def end_answer(self, reservation: Reservation, answer: ServerAnswer) -> None:
         """Release an answer's connection and its reservation; call it once."""
@@ -747,7 +631,7 @@
 
     def record_progress(self, now: float) -> None:
         """Record that the caller got an event."""
-        self._last_event_at = now
+        self._progress.last_event_at = now
         self._evidence.record_progress(now)
 
     def log_refusal(self, refusal: Refusal) -> RefusedAnswer:
@@ -759,20 +643,6 @@
         self, status: int, body_bytes: int, how: str, reason: str = "", **times: object
     ) -> None:
         """Log and count the result that the caller gets."""
-        request = self._request
-        took_s = monotonic() - request.received_at
-        self._context.metrics.record_answer(request.service, status, how, took_s)
-        log.info(
-            "finished",
-            id=request.id,
-            status=status,
-            how=how,
-            why=reason,
-            bytes=body_bytes,
-            took_s=round(took_s, 3),
-            ran=self._counts.possibly_run,
-            route=request.route.name,
-            organisation=request.organisation,
-            version=request.version,
-            **times,
+        self._log.finished(
+            status, body_bytes, how, reason, self._progress.counts, **times
         )
--- a/src/kingcupwheel/forwarding/hedging.py
+++ b/src/kingcupwheel/forwarding/hedging.py
@@ -15,7 +15,6 @@
 from typing import TYPE_CHECKING
 
 from kingcupwheel.forwarding.watchdog import AbortReason
-from kingcupwheel.telemetry.json_logs import lines_of
 
 
 if TYPE_CHECKING:
@@ -26,8 +25,6 @@
     from kingcupwheel.forwarding.forwarder import RequestForwarder
     from kingcupwheel.forwarding.watchdog import WatchedRequest
 
-log = lines_of("requests")
-
 # Pause after a hedge that found no server, so that a silence does not cause a send at
 # each check.
 _RETRY_INTERVAL_S = 0.25
@@ -77,13 +74,8 @@
     def log_end(self) -> None:
         """Log and count how it ended: ``used``, ``withdrawn`` or ``failed``."""
         result = "failed" if self._winner is None else self._winner.value
-        self.forwarder.count_hedge(result)
-        log.info(
-            "hedge-ended",
-            id=self.forwarder.request_id,
-            result=result,
-            why=self.reason.value,
-            took_s=round(monotonic() - self._began_at, 3),
+        self.forwarder.log_hedge_end(
+            result, self.reason.value, monotonic() - self._began_at
         )
 
     def claim(self) -> bool:
