--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -155,12 +155,18 @@
         instance: str,
         may_abort_silent: Callable[[], bool],
     ) -> None:
-        """Let another watched request abort the reads; the earlier one is detached."""
-        self._watched.detach()
-        self._watched = watched
-        sock = self._connection.sock
-        if sock is None or not watched.attach(
-            sock, silence_timeout_s, instance, may_abort_silent
+        """Let another watched request abort the reads; the earlier one is detached.
+
+        An answer that ends with its connection no longer has the connection's socket,
+        so the socket is taken over from the earlier one.
+        """
+        earlier, self._watched = self._watched, watched
+        is_aborted = earlier.abort_reason is not None
+        sock = earlier.detach()
+        if (
+            sock is None
+            or not watched.attach(sock, silence_timeout_s, instance, may_abort_silent)
+            or is_aborted
         ):
             watched.reset_server()
         watched.end_read()
--- a/src/kingcupwheel/forwarding/watchdog.py
+++ b/src/kingcupwheel/forwarding/watchdog.py
@@ -141,12 +141,16 @@
         """Record that the wait for data has ended."""
         self._awaits_data = False
 
-    def detach(self) -> None:
-        """Stop watching the socket, before it is closed or returned to the pool."""
+    def detach(self) -> socket.socket | None:
+        """Stop watching the socket, before it is closed or returned to the pool.
+
+        Returns the socket, None if there is none.
+        """
         with self._lock:
-            self._server = None
+            server, self._server = self._server, None
             self.instance = ""
             self._awaits_data = False
+        return server
 
     def reset_server(self) -> None:
         """Reset the socket, whose answer will not be read to its end, and detach it."""
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -16,6 +16,7 @@
 from kingcupwheel.forwarding.calls import OutgoingRequest
 from kingcupwheel.forwarding.calls import ServerClient
 from kingcupwheel.forwarding.connection_pool import ConnectionPool
+from kingcupwheel.forwarding.exceptions import AnswerLostError
 from kingcupwheel.forwarding.http_metadata import ServerNotice
 from kingcupwheel.forwarding.watchdog import AbortReason
 from kingcupwheel.forwarding.watchdog import WatchedRequest
@@ -200,3 +201,25 @@
     assert connection is not None
     assert connection.sock is not None
     assert (connection.sock.gettimeout() or 0.0) > 60.0
+
+
+def test_answer_without_framing_is_aborted_by_the_request_that_takes_it_over() -> None:
+    """Guards against reading on for a caller that left, from a server that is silent.
+
+    An answer that ends with its connection no longer has the connection's socket.
+    """
+    call = PendingCall()
+    call.server.sendall(
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Response-Signature: s\r\n\r\nfirst"
+    )
+    call.thread.join(WAIT_TIMEOUT_S)
+    result = call.results[0]
+    assert isinstance(result, Answered)
+    watched = WatchedRequest(None, monotonic() + WAIT_TIMEOUT_S)
+
+    result.answer.watch_with(watched, WAIT_TIMEOUT_S, "i-1", lambda: True)
+    watched.abort(AbortReason.CALLER_LEFT)
+
+    with pytest.raises(AnswerLostError, match=AbortReason.CALLER_LEFT.value):
+        result.answer.read_whole(100)
+    assert monotonic() < watched.deadline_at
