--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -176,7 +176,7 @@
             result = self._send_until_claimed()
         finally:
             if not isinstance(result, PlacedAnswer):
-                self._context.watchdog.unwatch(self._watched)
+                self.stop_watching()
         if isinstance(result, Refusal):
             self._evidence.end_trial()
             return None
@@ -537,7 +537,7 @@
         self._evidence.watch_with(self._watched)
         if isinstance(answer, PlacedAnswer):
             self._read_hedge(answer)
-            self._context.watchdog.unwatch(forwarder._watched)
+            forwarder.stop_watching()
         return answer
 
     def _read_hedge(self, placed: PlacedAnswer) -> None:
@@ -563,12 +563,26 @@
     def abandon_hedge(self) -> None:
         """End a hedge whose answer will not be read."""
         hedge = self._hedging.take()
-        if hedge is None or hedge.withdraw():
+        if hedge is not None:
+            self._end_hedge(hedge)
+
+    def _end_hedge(self, hedge: Hedge) -> None:
+        """End a hedge; release its server, also if its answer has been claimed."""
+        if hedge.withdraw():
             return
         answer = hedge.wait()
         if isinstance(answer, PlacedAnswer):
             hedge.forwarder.end_answer(answer.reservation, answer.answer)
-            self._context.watchdog.unwatch(hedge.forwarder._watched)
+            hedge.forwarder.stop_watching()
+
+    @property
+    def is_sending(self) -> bool:
+        """Whether a server has the request."""
+        return self._progress.is_sending
+
+    def stop_watching(self) -> None:
+        """Let the watchdog no longer check the request."""
+        self._context.watchdog.unwatch(self._watched)
 
     def log_hedge_end(self, result: str, reason: str, took_s: float) -> None:
         """Log how a hedge ended: ``used``, ``withdrawn`` or ``failed``."""
--- a/src/kingcupwheel/forwarding/hedging.py
+++ b/src/kingcupwheel/forwarding/hedging.py
@@ -102,9 +102,9 @@
         """Return whether data of the first server is used.
 
         A silent server that sends data has recovered. A slow one sends data all the
-        time, so its data waits for the hedge.
+        time, so its data waits for a hedge that a server has got.
         """
-        if self.reason is AbortReason.SERVER_SLOW:
+        if self.reason is AbortReason.SERVER_SLOW and self.forwarder.is_sending:
             self.wait(_MAX_HANDOVER_S)
         return self.withdraw()
 
@@ -144,7 +144,13 @@
             ):
                 return False
             self._hedge = hedge = create()
-        hedge.start(self._on_end)
+            try:
+                hedge.start(self._on_end)
+            except RuntimeError:
+                # The process has no thread left; the first server is kept.
+                self._drop(hedge)
+                hedge.forwarder.stop_watching()
+                return False
         return True
 
     def _on_end(self, hedge: Hedge) -> None:
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -5,12 +5,15 @@
 import json
 import time
 from contextlib import contextmanager
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
 from typing import Any
 
 import pytest
 
+from kingcupwheel.forwarding.hedging import Hedge
 from kingcupwheel.forwarding.server_registry import ServerRegistry
+from kingcupwheel.forwarding.watchdog import AbortReason
 from tests.forwarding.builders import route
 from tests.forwarding.builders import routes
 from tests.forwarding.callers import BackgroundRequest
@@ -403,3 +406,14 @@
         lambda: all(server.disconnected_callers == 1 for server in fleet.servers),
         seconds=0.5,
     )
+
+
+def test_events_of_a_slow_server_are_not_held_back_before_a_second_send() -> None:
+    """Guards against pauses in a stream that waits for a place at another server."""
+    second_send: Any = SimpleNamespace(is_sending=False, abort=lambda _: None)
+    hedge = Hedge(AbortReason.SERVER_SLOW, second_send, lambda: None)
+    began_at = time.monotonic()
+
+    assert hedge.yield_to_first()
+
+    assert time.monotonic() - began_at < 0.5
