--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -311,7 +311,7 @@
             AbortReason.SUPERSEDED,
         ):
             if hedge is not None:
-                hedge.withdraw()
+                self._end_hedge(hedge)
             return CALLER_LEFT
         if (
             outcome in (AttemptOutcome.LOST, AttemptOutcome.FAILED)
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -408,6 +408,30 @@
     )
 
 
+def test_server_is_released_if_the_caller_leaves_as_a_second_one_is_chosen(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a place that stays taken at a server whose answer is not read."""
+    claim = Hedge.claim
+
+    def claim_and_leave(hedge: Hedge) -> bool:
+        is_claimed = claim(hedge)
+        for watched in tuple(context.watchdog._requests):
+            if watched.instance == "i-silent":
+                watched.abort(AbortReason.CALLER_LEFT)
+        return is_claimed
+
+    monkeypatch.setattr(Hedge, "claim", claim_and_leave)
+    scenario = SilenceScenario(fleet, other_count=3)
+    context = scenario.entry._context
+    scenario.set_others(stream_behaviour())
+
+    scenario.fall_silent(FOR_GOOD_S)
+
+    wait_until(lambda: not context.watchdog._requests)
+    assert context.server_registry.in_flight_requests("app") == 0
+
+
 def test_events_of_a_slow_server_are_not_held_back_before_a_second_send() -> None:
     """Guards against pauses in a stream that waits for a place at another server."""
     second_send: Any = SimpleNamespace(is_sending=False, abort=lambda _: None)
