--- a/src/kingcupwheel/forwarding/forwarder.py
+++ b/src/kingcupwheel/forwarding/forwarder.py
@@ -557,6 +557,7 @@
         """Count the sends of a hedge whose answer is not used."""
         progress = hedge.forwarder._progress
         self._progress.join(progress, is_used=False)
+        self._server_error = self._server_error or hedge.forwarder._server_error
         # The retry is still available if no server got the hedge.
         self._late_servers.has_reserved_retry = progress.own_counts == AttemptCounts()
 
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -408,6 +408,23 @@
     )
 
 
+def test_error_of_the_second_server_is_sent_if_the_first_stays_silent(
+    fleet: Fleet,
+) -> None:
+    """Guards against 504 in place of the only answer that a server gave."""
+    silent = fleet.add_server("i-silent")
+    silent.behaviour = Behaviour(delay_s=FOR_GOOD_S)
+    fleet.add_entry()
+    caller = BackgroundRequest(fleet, "/plain/x")
+    wait_until(lambda: silent.run_count == 1)
+    fleet.add_server("i-failing").behaviour = Behaviour(status=500)
+
+    answer = caller.join()
+
+    assert answer.status == 500
+    assert answer.headers["x-response-signature"] == "signed-by-i-failing"
+
+
 def test_server_is_released_if_the_caller_leaves_as_a_second_one_is_chosen(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
