--- a/tests/soak/one.py
+++ b/tests/soak/one.py
@@ -19,13 +19,14 @@
 
 
 # A soak injects any faults, or planned work on entries and servers, which may also
-# name rate limits or be crashed by requests or parts of prompts.
+# name rate limits, be crashed by requests or parts of prompts, or fall silent.
 RUN_SEED_BY_KIND: dict[str, Callable[..., list[str]]] = {
     "faults": test_soak.run_seed,
     "planned": test_planned.run_seed,
     "limits": partial(test_planned.run_seed, includes_limits=True),
     "crashes": partial(test_planned.run_seed, includes_crashes=True),
     "parts": partial(test_planned.run_seed, includes_parts=True),
+    "silences": partial(test_planned.run_seed, includes_silences=True),
 }
 
 if __name__ == "__main__":
