--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -111,16 +111,23 @@
     ),
     "full-servers-are-not-silent": (
         Edit(
-            "forwarding/forwarder.py",
-            "not self._has_answer_begun and context.server_registry.is_reported_full(",
+            "forwarding/late_servers.py",
+            "not has_answer_begun and context.server_registry.is_reported_full(",
             "now < 0.0 and context.server_registry.is_reported_full(",
         ),
     ),
     "silent-servers-given-up": (
         Edit(
             "forwarding/forwarder.py",
-            'request.deadlines.silence_timeout_s if is_retry_allowed else float("inf")',
-            'float("inf")',
+            "        return self._request.deadlines.silence_timeout_s",
+            '        return float("inf")',
+        ),
+    ),
+    "silent-servers-kept": (
+        Edit(
+            "forwarding/forwarder.py",
+            "if self._own_hedge is not None:\n            return may_leave()",
+            "if self is not None:\n            return may_leave()",
         ),
     ),
     "admission-bounds": (
