--- a/src/kingcupwheel/forwarding/connection_pool.py
+++ b/src/kingcupwheel/forwarding/connection_pool.py
@@ -113,6 +113,11 @@
         for one in idle:
             one.connection.close()
 
+    def close(self) -> None:
+        """Close all idle connections."""
+        for incarnation in tuple(self._idle_by_incarnation):
+            self.close_server(incarnation)
+
 
 def _is_usable(idle: _IdleConnection, now: float) -> bool:
     return now < idle.expires_at and idle.connection.is_connected
--- a/src/kingcupwheel/forwarding/crash_prober.py
+++ b/src/kingcupwheel/forwarding/crash_prober.py
@@ -58,7 +58,8 @@
     ) -> None:
         self._on_refused = on_refused
         self._on_accepted = on_accepted
-        self._queue: Queue[_Probe] = Queue(maxsize=_MAX_PROBES)
+        # None wakes the thread, so that it stops.
+        self._queue: Queue[_Probe | None] = Queue(maxsize=_MAX_PROBES)
         self._stopping = Event()
         self._result_by_incarnation: dict[str, Event] = {}
         self._thread = Thread(target=self._run, name="crash-prober", daemon=True)
@@ -70,6 +71,8 @@
     def stop(self) -> None:
         """Stop the thread; does not wait for a probe in progress."""
         self._stopping.set()
+        with contextlib.suppress(Full):
+            self._queue.put_nowait(None)
 
     def probe(self, incarnation: str, address: str) -> None:
         """Probe a server that has closed a connection; does not block."""
@@ -97,7 +100,7 @@
         timeout_s = _POLL_INTERVAL_S if pending else None
         with contextlib.suppress(Empty):
             probe = self._queue.get(timeout=timeout_s)
-            while True:
+            while probe is not None:
                 if len(pending) < _MAX_PROBES:
                     pending.setdefault(probe.incarnation, probe)
                 probe = self._queue.get_nowait()
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -5,6 +5,7 @@
 import os
 from functools import partial
 from threading import Event
+from threading import Thread
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -269,6 +270,26 @@
         if self._shutdown is not None:
             self._shutdown.close()
 
+    def terminate(self) -> None:
+        """End all threads at once and abort the requests in progress.
+
+        For a process that goes on without this entry; the platform still lists it.
+        """
+        self._leaving.set()
+        self._context.watchdog.abort_all_at(monotonic())
+        for watcher in self._watchers:
+            watcher.stop()
+        self._crash_prober.stop()
+        stopping = [Thread(target=one.stop) for one in self._http_servers]
+        stopping.append(Thread(target=self._store_maintainer.stop))
+        for thread in stopping:
+            thread.start()
+        for thread in stopping:
+            thread.join()
+        self._hub.stop()
+        self._context.watchdog.stop()
+        self._context.connection_pool.close()
+
     def _configuration_snapshot(self) -> ConfigurationSnapshot:
         return ConfigurationSnapshot(
             self._configuration_cache.current,
