--- a/src/kingcupwheel/console/daemon_runner.py
+++ b/src/kingcupwheel/console/daemon_runner.py
@@ -23,6 +23,7 @@
 from kingcupwheel.settings.loader import load_settings
 from kingcupwheel.telemetry.json_logs import JsonLogOutput
 from kingcupwheel.telemetry.json_logs import lines_of
+from kingcupwheel.utils.allocator import unmap_large_blocks
 from kingcupwheel.utils.text_logs import configure_text_logs
 
 
@@ -131,6 +132,7 @@
     Exits with ``ExitCode.INVALID`` if the settings are invalid and with
     ``ExitCode.FAILED`` if the daemon can't start.
     """
+    unmap_large_blocks()
     settings = _load_settings_or_exit(path, role)
     json_log_output = _configure_logs(settings)
     daemon = _create_daemon_or_exit(create_daemon, settings)
