--- a/src/kingcupwheel/entry/application.py
+++ b/src/kingcupwheel/entry/application.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import logging
+from contextlib import ExitStack
 from threading import Lock
 from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
 
+from kingcupwheel.entry.body_memory import BodyMemory
 from kingcupwheel.entry.caller_connection import CallerSocket
-from kingcupwheel.entry.exceptions import BodyTruncatedError
-from kingcupwheel.entry.http_exchange import DISCARD_CHUNK_BYTES
 from kingcupwheel.entry.http_exchange import HttpExchange
-from kingcupwheel.entry.refusals import BODY_TOO_LARGE
-from kingcupwheel.entry.refusals import CALLER_LEFT
+from kingcupwheel.entry.http_exchange import close_after
 from kingcupwheel.entry.refusals import ENTRY_BUSY
 from kingcupwheel.entry.refusals import ENTRY_LEAVING
 from kingcupwheel.entry.refusals import NO_MANIFEST
@@ -23,14 +22,13 @@
 from kingcupwheel.entry.request_parser import parse_request
 from kingcupwheel.entry.request_runner import RequestRunner
 from kingcupwheel.trace.events import RequestReceived
-from kingcupwheel.utils.http_headers import is_body_truncated
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
-    from collections.abc import Iterator
 
+    from kingcupwheel.entry.body_memory import RequestBody
     from kingcupwheel.entry.caller_pages import CallerPages
     from kingcupwheel.entry.caller_requests import CallerRequest
     from kingcupwheel.entry.context import EntryContext
@@ -39,22 +37,25 @@
 logger = logging.getLogger("kingcupwheel.entry")
 
 PAGES_PREFIX = "/kingcupwheel/"
-# Limit for discarding the body of a refused request, in multiples of ``body_bytes``.
-_MAX_DISCARDED_BODIES = 2
 
 
 class Application:
-    """Answers callers; ``get_manifest`` returns the manifest for new requests."""
+    """Answers callers; ``get_manifest`` returns the manifest for new requests.
+
+    All requests share the memory ``bodies``, without a limit by default.
+    """
 
     def __init__(
         self,
         context: EntryContext,
         get_manifest: Callable[[], CompiledManifest | None],
         caller_pages: CallerPages,
+        bodies: BodyMemory | None = None,
     ) -> None:
         self._context = context
         self._get_manifest = get_manifest
         self._caller_pages = caller_pages
+        self._bodies = bodies or BodyMemory(float("inf"))
         self._in_progress = 0
         self._is_closed = False
         self._lock = Lock()
@@ -80,12 +81,12 @@
             # the next request. It is closed instead, because few threads are left.
             exchange.close_connection_after()
             return exchange.refuse(ENTRY_BUSY)
-        try:
-            body = self._answer(exchange)
-        except BaseException:
-            self._end_request()
-            raise
-        return self._yield_in_progress(body)
+        with ExitStack() as stack:
+            stack.callback(self._end_request)
+            body = self._bodies.open()
+            stack.callback(body.close)
+            answer = self._answer(exchange, body)
+            return close_after(answer, stack.pop_all())
 
     def _try_begin_request(self) -> bool:
         with self._lock:
@@ -98,18 +99,10 @@
         with self._lock:
             self._in_progress -= 1
 
-    def _yield_in_progress(self, body: Iterable[bytes]) -> Iterator[bytes]:
-        """Yield ``body``; the request is in progress until it is sent."""
-        try:
-            yield from body
-        finally:
-            self._end_request()
-
-    def _answer(self, exchange: HttpExchange) -> Iterable[bytes]:
+    def _answer(self, exchange: HttpExchange, held: RequestBody) -> Iterable[bytes]:
         settings = self._context.settings.entry
         manifest = self._get_manifest()
         if self._is_closed or manifest is None:
-            exchange.discard_body(settings.body_bytes)
             return exchange.refuse(ENTRY_LEAVING if self._is_closed else NO_MANIFEST)
         refusal = check_sizes(
             exchange.headers,
@@ -117,29 +110,20 @@
             body_bytes=settings.body_bytes,
         )
         if refusal is not None:
-            exchange.discard_body(_MAX_DISCARDED_BODIES * settings.body_bytes)
             return exchange.refuse(refusal)
         authenticated = authenticate_organisation(exchange.headers, manifest)
         if authenticated.is_error():
-            # One chunk only: unauthenticated callers must not hold a thread for long.
-            exchange.discard_body(DISCARD_CHUNK_BYTES)
             return exchange.refuse(authenticated.error)
         if exchange.path.startswith(PAGES_PREFIX):
             page = self._caller_pages.get_page(
                 exchange.method, exchange.path, authenticated.ok
             )
             return exchange.send_json(page.status, (), msgspec.json.encode(page.body))
-        try:
-            body = exchange.read_body(settings.body_bytes)
-        except BodyTruncatedError:
-            exchange.close_connection_after()
-            return exchange.refuse(CALLER_LEFT)
-        if body is None:
-            exchange.close_connection_after()
-            return exchange.refuse(BODY_TOO_LARGE)
-        if is_body_truncated(exchange.headers, body):
-            exchange.close_connection_after()
-            return exchange.refuse(CALLER_LEFT)
+        refusal = exchange.read_body(held, settings.body_bytes)
+        if refusal is not None:
+            return exchange.refuse(refusal)
+        body = bytes(held.data or b"")
+        held.set(b"")
         parsed = parse_request(
             exchange.build_http_request(body),
             authenticated.ok,
--- a/src/kingcupwheel/entry/daemon.py
+++ b/src/kingcupwheel/entry/daemon.py
@@ -11,12 +11,14 @@
 from kingcupwheel.entry.allowance_balancer import AllowanceBalancer
 from kingcupwheel.entry.application import Application
 from kingcupwheel.entry.attempt_inboxes import InboxRegistry
+from kingcupwheel.entry.body_memory import BodyMemory
 from kingcupwheel.entry.caller_pages import CallerPages
 from kingcupwheel.entry.context import EntryContext
 from kingcupwheel.entry.dispatcher_registry import DispatcherRegistry
 from kingcupwheel.entry.entry_telemetry import EntryTelemetry
 from kingcupwheel.entry.http_server import SPARE_THREADS
 from kingcupwheel.entry.http_server import HttpServer
+from kingcupwheel.entry.http_server import receive_buffer_bytes
 from kingcupwheel.entry.manifest_fetcher import ManifestFetcher
 from kingcupwheel.entry.membership import Membership
 from kingcupwheel.entry.message_handler import MessageHandler
@@ -33,6 +35,7 @@
 from kingcupwheel.metrics.statsd_client import MetricsClient
 from kingcupwheel.plugins.registries import load_builtin_plugins
 from kingcupwheel.plugins.registries import platform_clients
+from kingcupwheel.utils.machine_memory import limit_to_machine
 
 
 if TYPE_CHECKING:
@@ -125,6 +128,7 @@
             threads=settings.entry.threads + SPARE_THREADS,
             connections=settings.entry.connections,
             name=settings.name,
+            receive_buffer_bytes=receive_buffer_bytes(settings.entry),
         )
         self._operator_http_server = self._build_operator_server()
 
@@ -135,8 +139,13 @@
             self._membership,
             address_ttl_s=self._settings.timings.leave_s / 2,
         )
+        # A body is held twice while it is sent to an agent.
+        limit_bytes = limit_to_machine(self._settings.entry.requests_bytes) / 2
         return Application(
-            self._context, lambda: self._manifest_synchronizer.current, pages
+            self._context,
+            lambda: self._manifest_synchronizer.current,
+            pages,
+            BodyMemory(limit_bytes),
         )
 
     def _build_operator_server(self) -> HttpServer | None:
--- a/src/kingcupwheel/entry/http_exchange.py
+++ b/src/kingcupwheel/entry/http_exchange.py
@@ -4,7 +4,6 @@
 
 import logging
 import time
-from contextlib import suppress
 from http import HTTPStatus
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -15,8 +14,9 @@
 from kingcupwheel.entry.answers import BufferedAnswer
 from kingcupwheel.entry.answers import RefusedAnswer
 from kingcupwheel.entry.answers import StreamedAnswer
+from kingcupwheel.entry.body_refusals import read_or_refuse
+from kingcupwheel.entry.body_source import MAX_BODY_WAIT_S
 from kingcupwheel.entry.exceptions import AnswerTruncatedError
-from kingcupwheel.entry.exceptions import BodyTruncatedError
 from kingcupwheel.entry.http_server import CLOSE_ENVIRON_KEY
 from kingcupwheel.entry.http_server import SOCKET_ENVIRON_KEY
 from kingcupwheel.entry.refusals import build_refusal_body
@@ -30,8 +30,10 @@
     from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Iterator
+    from contextlib import ExitStack
 
     from kingcupwheel.entry.answers import Answer
+    from kingcupwheel.entry.body_memory import RequestBody
     from kingcupwheel.entry.context import EntryContext
     from kingcupwheel.entry.refusals import Refusal
 
@@ -39,8 +41,6 @@
 
 REQUEST_ID_HEADER = "Kingcupwheel-Request-Id"
 OUTCOME_HEADER = "Kingcupwheel-Outcome"
-# Bytes of a discarded body read at a time.
-DISCARD_CHUNK_BYTES = 65_536
 
 
 class HttpExchange:
@@ -81,30 +81,14 @@
         if close is not None:
             close()
 
-    def read_body(self, limit_bytes: int) -> bytes | None:
-        """Return the body, or None if it is longer than ``limit_bytes``.
-
-        Raises BodyTruncatedError if a chunked body is broken off.
-        """
-        body: bytes = self._environ["wsgi.input"].read(limit_bytes + 1)
-        return body if len(body) <= limit_bytes else None
-
-    def discard_body(self, limit_bytes: int) -> None:
-        """Read and discard up to ``limit_bytes``, then close after the response.
-
-        If the connection were closed while the caller still sends, it would get a reset
-        in place of the refusal. Beyond the limit this is accepted.
-        """
-        self.close_connection_after()
-        left_bytes = limit_bytes
-        with suppress(BodyTruncatedError):
-            while left_bytes > 0:
-                part = self._environ["wsgi.input"].read(
-                    min(left_bytes, DISCARD_CHUNK_BYTES)
-                )
-                if not part:
-                    break
-                left_bytes -= len(part)
+    def read_body(self, body: RequestBody, limit_bytes: int) -> Refusal | None:
+        """Read the body into ``body``; return the refusal if it can't be read."""
+        return read_or_refuse(
+            self._environ["wsgi.input"],
+            body,
+            limit_bytes=limit_bytes,
+            deadline_at=self.received_at + MAX_BODY_WAIT_S,
+        )
 
     def build_http_request(self, body: bytes) -> HttpRequest:
         """Return the request in the form that is parsed."""
@@ -167,6 +151,12 @@
         self._start_response(format_status_line(status), [*headers, request_id_header])
 
 
+def close_after(answer: Iterable[bytes], resources: ExitStack) -> Iterator[bytes]:
+    """Yield the body of an answer, then close the request's resources."""
+    with resources:
+        yield from answer
+
+
 def format_status_line(status: int) -> str:
     """Return the status code and its phrase in WSGI's format."""
     try:
--- a/src/kingcupwheel/entry/refusals.py
+++ b/src/kingcupwheel/entry/refusals.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from kingcupwheel.claims.exceptions import ClaimUnavailable
+    from kingcupwheel.entry.exceptions import BodyMemoryError
 
 
 class Refusal(NamedTuple):
@@ -58,6 +59,7 @@
 NO_ROUTE = Refusal(404, "no-route", "No route has this host and path.")
 BAD_METHOD = Refusal(405, "bad-method", "The route does not take this method.")
 BODY_TOO_LARGE = Refusal(413, "body-too-large", "The body is over the entry's limit.")
+BODY_TOO_SLOW = Refusal(408, "body-too-slow", "The body did not arrive in time.")
 HEADERS_TOO_LARGE = Refusal(
     431, "headers-too-large", "The headers are over the entry's limit."
 )
@@ -84,6 +86,12 @@
 )
 
 
+def build_body_memory_refusal(error: BodyMemoryError) -> Refusal:
+    """Return the refusal of a request whose body finds no memory."""
+    message = f"The entry has {error}."
+    return Refusal(503, "body-memory", message, error.retry_after_s)
+
+
 def build_earlier_send_refusal(outcome: Outcome, reason: str) -> Refusal:
     """Return the refusal of a resend whose earlier send has no answer to read."""
     message = f"An earlier send of this Idempotency-Key ended: {reason}."
--- a/src/kingcupwheel/forwarding/admission.py
+++ b/src/kingcupwheel/forwarding/admission.py
@@ -20,6 +20,7 @@
 from kingcupwheel.forwarding.requests import ForwardRequest
 from kingcupwheel.forwarding.requests import compute_part_keys
 from kingcupwheel.forwarding.requests import request_fingerprint
+from kingcupwheel.forwarding.retry_guards import with_jitter
 from kingcupwheel.platform.headers import read_request_headers
 from kingcupwheel.utils.http_headers import is_body_truncated
 
@@ -27,9 +28,11 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from kingcupwheel.entry.body_memory import RequestBody
     from kingcupwheel.forwarding.configuration import Configuration
     from kingcupwheel.forwarding.configuration import ForwardRoute
     from kingcupwheel.forwarding.configuration import KeyHolder
+    from kingcupwheel.forwarding.configuration import RequestLimits
 
 # Retry delay for callers of an entry whose configuration is missing or outdated. The
 # entry reads the store again within that time.
@@ -54,16 +57,16 @@
 class ReceivedRequest(NamedTuple):
     """A request as read from the caller; header names are in lower case.
 
-    ``is_complete`` is False if its chunked body was broken off.
+    ``body_refusal`` is why its body was not read, None if it was.
     """
 
     id: str
     method: str
     target: str
     headers: Mapping[str, str]
-    body: bytes
+    body: RequestBody
     received_at: float
-    is_complete: bool = True
+    body_refusal: Refusal | None = None
 
 
 def admit_request(
@@ -76,10 +79,10 @@
     limits = configuration.limits
     if _header_bytes(received) > limits.max_header_bytes:
         return HEADERS_TOO_LARGE
-    if len(received.body) > limits.max_body_bytes:
-        return BODY_TOO_LARGE
-    if not received.is_complete or is_body_truncated(received.headers, received.body):
-        return CALLER_LEFT
+    data = received.body.data or b""
+    body_refusal = _find_body_refusal(received, limits)
+    if body_refusal in (BODY_TOO_LARGE, CALLER_LEFT):
+        return body_refusal
     host = received.headers.get("host", "").rsplit(":", 1)[0].lower()
     path = received.target.partition("?")[0]
     route = configuration.find_route(host, path)
@@ -93,6 +96,8 @@
         key_holder = configuration.find_key_holder(head.api_key)
         if key_holder is None:
             return _denial_if_fresh(API_KEY_UNKNOWN, snapshot)
+    if body_refusal is not None:
+        return _with_jitter(body_refusal, received.id)
     organisation = "" if key_holder is None else key_holder.organisation
     priority = route.priority
     if key_holder is not None and key_holder.priority is not None:
@@ -110,7 +115,7 @@
         head=head,
         body=received.body,
         fingerprint=request_fingerprint(
-            organisation, host, received.method, received.target, received.body
+            organisation, host, received.method, received.target, data
         ),
         part_keys=compute_part_keys(service, head.model, head.prompt_parts),
         received_at=received.received_at,
@@ -120,6 +125,22 @@
     )
 
 
+def _find_body_refusal(
+    received: ReceivedRequest, limits: RequestLimits
+) -> Refusal | None:
+    data = received.body.data or b""
+    if received.body_refusal is not None:
+        return received.body_refusal
+    if len(data) > limits.max_body_bytes:
+        return BODY_TOO_LARGE
+    return CALLER_LEFT if is_body_truncated(received.headers, data) else None
+
+
+def _with_jitter(refusal: Refusal, request_id: str) -> Refusal:
+    retry_s = with_jitter(refusal.retry_after_s, request_id)
+    return refusal._replace(retry_after_s=retry_s)
+
+
 def _refusal_of_stale_key(snapshot: ConfigurationSnapshot) -> Refusal:
     """Return the refusal of a request whose key may have been revoked meanwhile.
 
--- a/src/kingcupwheel/forwarding/application.py
+++ b/src/kingcupwheel/forwarding/application.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from functools import partial
 from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
 from kingcupwheel.entry.answers import RefusedAnswer
+from kingcupwheel.entry.body_memory import BodyMemory
+from kingcupwheel.entry.http_exchange import close_after
 from kingcupwheel.entry.refusals import ENTRY_LEAVING
 from kingcupwheel.entry.refusals import Refusal
 from kingcupwheel.forwarding.active_requests import ActiveRequests
@@ -45,7 +48,8 @@
     """WSGI application that forwards requests to backend servers.
 
     ``configuration_snapshot`` returns the configuration for a new request and its age,
-    ``has_live_peers`` whether callers can be sent to another entry.
+    ``has_live_peers`` whether callers can be sent to another entry. All requests share
+    the memory ``bodies``, without a limit by default.
     """
 
     def __init__(
@@ -55,11 +59,13 @@
         *,
         name: str,
         has_live_peers: Callable[[], bool],
+        bodies: BodyMemory | None = None,
     ) -> None:
         self._context = context
         self._configuration_snapshot = configuration_snapshot
         self._name = name
         self._has_live_peers = has_live_peers
+        self._bodies = bodies or BodyMemory(float("inf"))
         self._shutdown_schedule: ShutdownSchedule | None = None
         self._refuses_new = False
         self._active_requests = ActiveRequests()
@@ -93,14 +99,16 @@
         exchange = HttpExchange(environ, start_response)
         if self._shutdown_schedule is not None:
             exchange.close_after_answer()
-        received = exchange.read_request(self._name, self._body_limit())
-        received = received._replace(id=self._active_requests.add(received))
-        try:
-            body = self._answer(exchange, received)
-        except BaseException:
-            self._active_requests.remove(received.id)
-            raise
-        return self._track_until_sent(body, received.id)
+        with ExitStack() as stack:
+            body = self._bodies.open()
+            stack.callback(body.close)
+            received = exchange.read_request(self._name, body, self._body_limit())
+            received = received._replace(id=self._active_requests.add(received))
+            stack.callback(self._active_requests.remove, received.id)
+            if received.body_refusal is not None:
+                body.close()
+            answer = self._answer(exchange, received)
+            return close_after(answer, stack.pop_all())
 
     def _body_limit(self) -> int:
         configuration = self._configuration_snapshot().configuration
@@ -139,14 +147,6 @@
             longest_recent_s=self._active_requests.longest_answer_s(request, now),
         )
 
-    def _track_until_sent(
-        self, body: Iterable[bytes], request_id: str
-    ) -> Iterator[bytes]:
-        try:
-            yield from body
-        finally:
-            self._active_requests.remove(request_id)
-
     def _answer(
         self, exchange: HttpExchange, received: ReceivedRequest
     ) -> Iterable[bytes]:
--- a/src/kingcupwheel/forwarding/calls.py
+++ b/src/kingcupwheel/forwarding/calls.py
@@ -39,7 +39,7 @@
     method: str
     target: str
     headers: Mapping[str, str]
-    body: bytes
+    body: bytes | bytearray
     attempt_id: str
 
 
--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -10,8 +10,10 @@
 from typing import TYPE_CHECKING
 
 from kingcupwheel.decisions.shutdown_schedule import ShutdownSchedule
+from kingcupwheel.entry.body_memory import BodyMemory
 from kingcupwheel.entry.dispatcher_registry import DispatcherRegistry
 from kingcupwheel.entry.http_server import HttpServer
+from kingcupwheel.entry.http_server import receive_buffer_bytes
 from kingcupwheel.entry.server_table import ServerTable
 from kingcupwheel.forwarding.admission import ConfigurationSnapshot
 from kingcupwheel.forwarding.answer_memory import AnswerMemory
@@ -51,6 +53,7 @@
 from kingcupwheel.telemetry.json_logs import lines_of
 from kingcupwheel.telemetry.metrics import EntryMetrics
 from kingcupwheel.telemetry.metrics import MetricsApp
+from kingcupwheel.utils.machine_memory import limit_to_machine
 
 
 if TYPE_CHECKING:
@@ -120,15 +123,15 @@
             self._crash_evidence.record_server_alive,
         )
         connections = ConnectionPool()
+        answers = AnswerMemory(limit_to_machine(settings.entry.answers_bytes))
+        self._bodies = BodyMemory(limit_to_machine(settings.entry.requests_bytes))
         self._context = ForwardContext(
             data_centre=settings.data_centre,
             configuration_cache=self._configuration_cache,
             dispatchers=dispatchers,
             server_registry=ServerRegistry(table, dispatchers),
             rate_limits=RateLimitExchange(table),
-            server_client=ServerClient(
-                connections, AnswerMemory(settings.entry.answers_bytes)
-            ),
+            server_client=ServerClient(connections, answers),
             connection_pool=connections,
             retry_guards=self._guards,
             crash_evidence=self._crash_evidence,
@@ -160,6 +163,7 @@
             self._configuration_snapshot,
             name=settings.name,
             has_live_peers=lambda: bool(self._membership.live_entries()),
+            bodies=self._bodies,
         )
         self._http_servers = self._make_http_servers()
         self._store_maintainer = StoreMaintainer(
@@ -207,6 +211,7 @@
                 threads=settings.entry.threads,
                 connections=settings.entry.connections,
                 name=settings.name,
+                receive_buffer_bytes=receive_buffer_bytes(settings.entry),
             ),
             *(
                 HttpServer(
@@ -316,6 +321,7 @@
         self._metrics.configuration_age_seconds.set(age_s)
         self._metrics.configuration_version.set(self._configuration_cache.version)
         self._metrics.live_entries.set(len(self._membership.live_entries()))
+        self._metrics.request_body_bytes.set(self._bodies.used_bytes)
         self._metrics.set_rate_limits(self._context.rate_limits.list_limits())
         self._metrics.set_quarantines(self._crash_evidence.list_quarantined())
 
--- a/src/kingcupwheel/forwarding/exchange.py
+++ b/src/kingcupwheel/forwarding/exchange.py
@@ -11,7 +11,8 @@
 from kingcupwheel.entry.answers import BufferedAnswer
 from kingcupwheel.entry.answers import RefusedAnswer
 from kingcupwheel.entry.answers import StreamedAnswer
-from kingcupwheel.entry.exceptions import BodyTruncatedError
+from kingcupwheel.entry.body_refusals import read_or_refuse
+from kingcupwheel.entry.body_source import MAX_BODY_WAIT_S
 from kingcupwheel.entry.http_exchange import extract_headers
 from kingcupwheel.entry.http_exchange import format_status_line
 from kingcupwheel.entry.http_server import CLOSE_ENVIRON_KEY
@@ -19,14 +20,17 @@
 from kingcupwheel.entry.refusals import build_refusal_body
 from kingcupwheel.forwarding.admission import ReceivedRequest
 from kingcupwheel.platform.headers import read_attempt_id
+from kingcupwheel.platform.headers import read_request_headers
 from kingcupwheel.utils.request_ids import generate_request_id
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from kingcupwheel.entry.answers import Answer
+    from kingcupwheel.entry.body_memory import RequestBody
     from kingcupwheel.entry.refusals import Refusal
 
 Environ = dict[str, Any]
@@ -38,7 +42,7 @@
     def __init__(self, environ: Environ, start_response: Callable[..., Any]) -> None:
         self._environ = environ
         self._start_response = start_response
-        self._received_at = monotonic()
+        self.received_at = monotonic()
 
     @property
     def socket(self) -> Any:
@@ -51,32 +55,41 @@
         if close is not None:
             close()
 
-    def read_request(self, entry: str, body_limit: int) -> ReceivedRequest:
-        """Read the request, at most one byte more than ``body_limit`` of its body.
+    def read_request(
+        self, entry: str, body: RequestBody, body_limit: int
+    ) -> ReceivedRequest:
+        """Read the request, and its body into ``body`` if there is room for it.
 
-        After a longer body the connection is closed, since the rest of the body would
-        be taken for the next request. The body of one that is broken off is empty.
+        A body that is not read is empty, and the connection is closed after the answer:
+        the rest of it would be taken for the next request.
         """
         headers = extract_headers(self._environ)
         target = self._environ.get("REQUEST_URI") or self._environ["PATH_INFO"]
         if isinstance(target, bytes):
             target = target.decode("latin-1")
-        body, is_complete = b"", True
-        try:
-            body = self._environ["wsgi.input"].read(body_limit + 1)
-        except BodyTruncatedError:
-            is_complete = False
-        if len(body) > body_limit or not is_complete:
-            self.close_after_answer()
-        own_id = str(generate_request_id(entry, now=self._received_at))
+        refusal = self._read_body(headers, body, body_limit)
+        own_id = str(generate_request_id(entry, now=self.received_at))
         return ReceivedRequest(
             id=read_attempt_id(headers) or own_id,
             method=str(self._environ["REQUEST_METHOD"]),
             target=target,
             headers=headers,
             body=body,
-            received_at=self._received_at,
-            is_complete=is_complete,
+            received_at=self.received_at,
+            body_refusal=refusal,
+        )
+
+    def _read_body(
+        self, headers: Mapping[str, str], body: RequestBody, body_limit: int
+    ) -> Refusal | None:
+        """Read the body; return why it was not read, None if it was."""
+        timeout_s = read_request_headers(headers).timeout_s
+        wait_s = min(MAX_BODY_WAIT_S, timeout_s or MAX_BODY_WAIT_S)
+        return read_or_refuse(
+            self._environ["wsgi.input"],
+            body,
+            limit_bytes=body_limit,
+            deadline_at=self.received_at + wait_s,
         )
 
     def send_answer(self, answer: Answer, request_id: str) -> Iterable[bytes]:
--- a/src/kingcupwheel/forwarding/request_sender.py
+++ b/src/kingcupwheel/forwarding/request_sender.py
@@ -9,6 +9,7 @@
 from kingcupwheel.entry.placement_tickets import Reservation
 from kingcupwheel.entry.refusals import ENTRY_LEAVING
 from kingcupwheel.entry.refusals import Refusal
+from kingcupwheel.forwarding.calls import NotSent
 from kingcupwheel.forwarding.calls import OutgoingRequest
 from kingcupwheel.forwarding.final_refusals import retry_after_s
 from kingcupwheel.forwarding.http_metadata import ServerRequestMetadata
@@ -84,6 +85,10 @@
     def send(self, reservation: Reservation) -> CallResult:
         """Send the request once and wait for the head of its answer."""
         request = self._state.request
+        body = request.body.data
+        if body is None:
+            # The request of a hedge that was just withdrawn.
+            return NotSent("the request was over before it was sent")
         now = monotonic()
         self._state.sent_at = now
         self._state.evidence.begin_send(now)
@@ -101,7 +106,7 @@
             request.method,
             request.target,
             build_server_headers(request.headers, metadata),
-            request.body,
+            body,
             request.head.attempt_id,
         )
         silence_timeout_s = self._hedges.prepare_watch(reservation)
--- a/src/kingcupwheel/forwarding/requests.py
+++ b/src/kingcupwheel/forwarding/requests.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from kingcupwheel.entry.body_memory import RequestBody
     from kingcupwheel.forwarding.configuration import ForwardRoute
     from kingcupwheel.forwarding.deadlines import Deadlines
     from kingcupwheel.forwarding.http_metadata import CallerMetadata
@@ -42,7 +43,7 @@
     target: str
     headers: Mapping[str, str]
     head: CallerMetadata
-    body: bytes
+    body: RequestBody
     fingerprint: str
     part_keys: tuple[str, ...]
     received_at: float
@@ -62,7 +63,7 @@
 
 
 def request_fingerprint(
-    organisation: str, host: str, method: str, target: str, body: bytes
+    organisation: str, host: str, method: str, target: str, body: bytes | bytearray
 ) -> str:
     """Return the fingerprint of a request, also of one without a body.
 
--- a/src/kingcupwheel/settings/schema.py
+++ b/src/kingcupwheel/settings/schema.py
@@ -52,9 +52,13 @@
     Requests over ``threads`` concurrent ones are refused; idle connections over
     ``connections`` are closed. ``answers_bytes`` limits the answers of backend servers
     that are read completely before they are sent, and incomplete events of streams.
+    ``requests_bytes`` limits the bodies of requests until they are answered, and what
+    connections have received and not yet read. Of either, a quarter of the machine's
+    memory is used at most.
     """
 
     answers_bytes: int = 64_000_000
+    requests_bytes: int = 64_000_000
     body_bytes: int = 4_000_000
     header_bytes: int = 16_384
     connections: int = 400
@@ -67,12 +71,14 @@
     """Resource limits of an agent.
 
     ``answers_bytes`` limits the buffered, unacknowledged answers; above it the server's
-    stream is read more slowly, and nothing is dropped.
+    stream is read more slowly, and nothing is dropped. ``requests_bytes`` limits the
+    bodies of attempts that run or wait; above it further ones are refused.
     """
 
     concurrency: int = 16
     queue: int = 32
     answers_bytes: int = 64_000_000
+    requests_bytes: int = 64_000_000
     traces: int = 20_000
 
 
--- a/src/kingcupwheel/telemetry/metrics.py
+++ b/src/kingcupwheel/telemetry/metrics.py
@@ -112,6 +112,11 @@
             "Version of the configuration in force, 0 before the first.",
             registry=registry,
         )
+        self.request_body_bytes = Gauge(
+            "kingcupwheel_request_body_bytes",
+            "Memory of the bodies of requests in progress.",
+            registry=registry,
+        )
         self.live_entries = Gauge(
             "kingcupwheel_live_entries",
             "Entries that callers are told of.",
--- a/src/kingcupwheel/utils/http_headers.py
+++ b/src/kingcupwheel/utils/http_headers.py
@@ -27,7 +27,7 @@
 PER_REQUEST_HEADERS = frozenset({"content-length", "expect", "host"})
 
 
-def is_body_truncated(headers: Mapping[str, str], body: bytes) -> bool:
+def is_body_truncated(headers: Mapping[str, str], body: bytes | bytearray) -> bool:
     """Return whether ``body`` is shorter than its headers declare.
 
     Failure: the caller's connection ends in the middle of a body, and the HTTP server
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -282,6 +282,7 @@
         self.behaviour = Behaviour()
         self.disconnected_callers = 0
         self.silent_until = 0.0
+        self.keeps_bodies = True
         self._received_requests: list[ReceivedRequest] = []
         self._lock = Lock()
 
@@ -297,6 +298,8 @@
             self.disconnected_callers += 1
 
     def record_request(self, request: ReceivedRequest) -> None:
+        if not self.keeps_bodies:
+            request = request._replace(body=b"")
         with self._lock:
             self._received_requests.append(request)
 
