--- a/src/kingcupwheel/agent/attempt_table.py
+++ b/src/kingcupwheel/agent/attempt_table.py
@@ -20,6 +20,8 @@
 from kingcupwheel.agent.attempts import get_attempt_key
 from kingcupwheel.agent.attempts import is_valid_http_request
 from kingcupwheel.agent.claim_fences import ClaimFences
+from kingcupwheel.decisions.memory_admission import count_body_bytes
+from kingcupwheel.decisions.memory_admission import may_hold_body
 from kingcupwheel.messages.attempts import DispatchRefusal
 from kingcupwheel.messages.attempts import TombstoneReply
 
@@ -39,13 +41,21 @@
     ``capacity`` bounds the running attempts and ``queue_limit`` the queued ones. The
     queue absorbs bursts and keeps the server busy between two dispatches. It is short,
     because a queued attempt can no longer be placed on an idle server; when it is full,
-    a refusal lets the entry choose another server.
+    a refusal lets the entry choose another server. ``requests_bytes`` limits the bodies
+    of all of them.
     """
 
     def __init__(
-        self, *, incarnation: str, capacity: int, queue_limit: int, token_s: float
+        self,
+        *,
+        incarnation: str,
+        capacity: int,
+        queue_limit: int,
+        token_s: float,
+        requests_bytes: float = float("inf"),
     ) -> None:
         self._incarnation = incarnation
+        self._requests_bytes = requests_bytes
         self._capacity = capacity
         self._token_s = token_s
         self._queue = AttemptQueue(limit=queue_limit)
@@ -261,8 +271,18 @@
             return DispatchRefusal.SUSPECT_BUSY
         if len(self._running) >= self._capacity and self._queue.is_full:
             return DispatchRefusal.FULL
+        if not may_hold_body(
+            len(dispatch.body),
+            used_bytes=self._count_body_bytes(),
+            limit_bytes=self._requests_bytes,
+        ):
+            return DispatchRefusal.FULL
         return None
 
+    def _count_body_bytes(self) -> int:
+        held = (*self.running_dispatches, *self.queued_dispatches)
+        return sum(count_body_bytes(len(one.body)) for one in held)
+
     def _has_suspect(self) -> bool:
         return any(
             other.suspect
--- a/src/kingcupwheel/agent/daemon.py
+++ b/src/kingcupwheel/agent/daemon.py
@@ -42,6 +42,7 @@
 from kingcupwheel.settings.schema import Role
 from kingcupwheel.trace.batch_shipper import BatchShipper
 from kingcupwheel.trace.recorder import TraceRecorder
+from kingcupwheel.utils.machine_memory import limit_to_machine
 
 
 if TYPE_CHECKING:
@@ -89,6 +90,7 @@
             capacity=settings.agent.concurrency,
             queue_limit=settings.agent.queue,
             token_s=timings.token_s,
+            requests_bytes=limit_to_machine(settings.agent.requests_bytes),
         )
         self._store = AnswerStore(
             limit_bytes=settings.agent.answers_bytes,
