--- a/src/kingcupwheel/forwarding/daemon.py
+++ b/src/kingcupwheel/forwarding/daemon.py
@@ -157,6 +157,7 @@
             self._crash_evidence,
             self._context.rate_limits,
         )
+        self._server_list = ServerListHandler(self._on_server_list)
         self._watchers = self._make_watchers()
         self._application = ForwardApplication(
             self._context,
@@ -173,7 +174,6 @@
     def _make_watchers(self) -> tuple[StoreWatcher, ...]:
         clock = self._configuration_cache.now
         configuration = ConfigurationHandler(self._configuration_cache)
-        server_list = ServerListHandler(self._on_server_list)
         return (
             StoreWatcher(
                 self._store,
@@ -183,7 +183,7 @@
             ),
             StoreWatcher(
                 self._store,
-                server_list,
+                self._server_list,
                 clock,
                 lambda: server_watch_timing(
                     self._membership.known_count, self._forwarding.steady_ms / _MS_PER_S
@@ -354,6 +354,7 @@
 
     def _on_tick(self, now: float) -> None:
         self._crash_evidence.settle_completions()
+        self._server_list.on_tick()
         self._membership.on_tick(now)
         self._log_stalls(now)
         self._context.server_registry.end_expired_backoffs()
--- a/src/kingcupwheel/forwarding/outage.py
+++ b/src/kingcupwheel/forwarding/outage.py
@@ -1,5 +1,9 @@
 """Tracks outages of the store. Pure: times are arguments.
 
+A call that stays silent shows an outage, or that its own connection has gone silent
+while the store serves all others. The next call is sent on a new connection and tells
+them apart: if it fails as well, there is an outage.
+
 A watch that the store accepted before an outage may wait through its beginning and end
 normally. Its answer shows only that the store accepted calls when the watch began, so a
 following outage may have begun right after that.
@@ -19,11 +23,13 @@
     def __init__(self) -> None:
         self._accepted_at: float | None = None
         self._began_at: float | None = None
+        self._is_certain = False
 
     def record_success(self, requested_at: float) -> None:
         """Record an answered call that began at ``requested_at``; it ends an outage."""
         self._accepted_at = requested_at
         self._began_at = None
+        self._is_certain = False
 
     def record_failure(
         self, requested_at: float, now: float, *, is_silent: bool
@@ -33,7 +39,9 @@
         ``is_silent`` means that nothing was received, however long the call lasted.
         """
         if self._began_at is not None:
+            self._is_certain = True
             return False
+        self._is_certain = not is_silent
         if now - requested_at > MAX_REFUSAL_S and not is_silent:
             self._began_at = now
         else:
@@ -47,6 +55,11 @@
         """Whether a call has failed since the last successful one."""
         return self._began_at is not None
 
+    @property
+    def is_certain(self) -> bool:
+        """Whether the store itself has failed, not only the connection to it."""
+        return self._is_certain
+
     def duration_s(self, now: float) -> float:
         """Return the longest possible duration of the outage; 0 if there is none."""
         return 0.0 if self._began_at is None else now - self._began_at
--- a/src/kingcupwheel/forwarding/store_watcher.py
+++ b/src/kingcupwheel/forwarding/store_watcher.py
@@ -55,9 +55,18 @@
     kind: str
 
     def on_list(
-        self, objects: tuple[StoredObject, ...], requested_at: float, *, outage_s: float
+        self,
+        objects: tuple[StoredObject, ...],
+        requested_at: float,
+        *,
+        outage_s: float,
+        is_outage_certain: bool,
     ) -> None:
-        """Handle a complete list that was requested at ``requested_at``."""
+        """Handle a complete list that was requested at ``requested_at``.
+
+        The store may have been unavailable for ``outage_s`` before. If that is not
+        certain, only the own connection was silent, or the outage was short.
+        """
 
     def on_changes(
         self, changes: tuple[ObjectChange, ...], requested_at: float
@@ -139,8 +148,9 @@
             )
             if error is None:
                 self._record_success(began)
-            else:
-                self._record_failure(error, began)
+                continue
+            self._record_failure(error, began)
+            if self._outage.is_certain:
                 self._stopping.wait(self._retry_delay_s)
                 self._retry_delay_s = min(2 * self._retry_delay_s, _MAX_RETRY_DELAY_S)
 
@@ -148,8 +158,12 @@
         result = self._store.list_objects(self._handler.kind)
         if result.is_error():
             return result.error
-        outage_s = self._outage.duration_s(monotonic())
-        self._handler.on_list(result.ok.objects, requested_at, outage_s=outage_s)
+        self._handler.on_list(
+            result.ok.objects,
+            requested_at,
+            outage_s=self._outage.duration_s(monotonic()),
+            is_outage_certain=self._outage.is_certain,
+        )
         self._revision = result.ok.revision
         return None
 
@@ -175,7 +189,12 @@
         self._retry_delay_s = _RETRY_DELAY_S
         if self._outage.is_active and self._revision:
             outage_s = round(self._outage.duration_s(monotonic()), 2)
-            log.info("store-regained", kind=self._handler.kind, away_s=outage_s)
+            log.info(
+                "store-regained",
+                kind=self._handler.kind,
+                away_s=outage_s,
+                cause="outage" if self._outage.is_certain else "silent-connection",
+            )
         self._outage.record_success(began)
 
     def _record_failure(self, error: PlatformError, began: float) -> None:
@@ -193,7 +212,12 @@
         self._cache = cache
 
     def on_list(
-        self, objects: tuple[StoredObject, ...], requested_at: float, *, outage_s: float
+        self,
+        objects: tuple[StoredObject, ...],
+        requested_at: float,
+        *,
+        outage_s: float,
+        is_outage_certain: bool,
     ) -> None:
         """Store the configuration if the list has it."""
         for found in objects:
--- a/src/kingcupwheel/platform/object_store.py
+++ b/src/kingcupwheel/platform/object_store.py
@@ -50,9 +50,11 @@
     "StoredObject",
 ]
 
-# Added to the waiting time of a watch. It is three hundred times the store's usual
-# response time.
+# Three hundred times the store's usual response time.
 DEFAULT_CALL_TIMEOUT_S = 1.2
+# Added to the waiting time of a watch on a kept connection, which may have gone silent:
+# the call after it is sent on a new one and tells.
+WATCH_ANSWER_TIMEOUT_S = 0.6
 # End a list whose last page never comes. A page has about 500 objects or 1 MB.
 _MAX_PAGES = 400
 _MAX_LIST_BYTES = 64_000_000
@@ -126,7 +128,8 @@
         """Return the changes after revision ``after`` as soon as there are any."""
         query = urlencode({"Watch": after, "WaitMs": int(wait_s * 1000)})
         path = f"{_kind_path(kind)}?{query}"
-        result = self._calls.call("GET", path, wait_s + self._call_timeout_s)
+        timeout_s = min(self._call_timeout_s, WATCH_ANSWER_TIMEOUT_S)
+        result = self._calls.call("GET", path, wait_s + timeout_s)
         if result.is_error():
             return Error(result.error)
         if result.ok.status == 410:
--- a/src/kingcupwheel/platform/store_client.py
+++ b/src/kingcupwheel/platform/store_client.py
@@ -82,6 +82,8 @@
             if limit is not None:
                 detail = f"over the limit {limit.value}: {detail}"
             timed_out = isinstance(error, urllib3.exceptions.TimeoutError)
+            if timed_out:
+                self._http.replace_idle()
             return Error(Unavailable(detail, is_write, timed_out))
         if response.status == 429:
             return Error(RateLimited(_RETRY_AFTER_S))
--- a/src/kingcupwheel/utils/http_client.py
+++ b/src/kingcupwheel/utils/http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -68,7 +69,20 @@
     ) -> None:
         self._max_body_bytes = max_body_bytes
         self._on_limit = on_limit
-        self._pool = open_connection_pool(url, transfer_s=transfer_s, **options)
+        self._open_pool = partial(
+            open_connection_pool, url, transfer_s=transfer_s, **options
+        )
+        self._pool = self._open_pool()
+
+    def replace_idle(self) -> None:
+        """Let the next calls use new connections.
+
+        Failure: a device between two machines loses track of their connections.
+        Symptom: all that are open stay silent for good, and after the time-out of one
+        the next call waits for an answer on another of them.
+        """
+        # The former pool closes its connections once no call uses it.
+        self._pool = self._open_pool()
 
     def call(
         self,
--- a/tests/forwarding/test_outage.py
+++ b/tests/forwarding/test_outage.py
@@ -35,6 +35,22 @@
     assert outage.duration_s(2.8) == 2.8
 
 
+def test_outage_is_certain_once_a_call_on_a_new_connection_fails() -> None:
+    """Guards against silence of the own connection that is taken for an outage."""
+    outage = OutageTracker()
+    outage.record_success(0.0)
+    outage.record_failure(1.5, 3.6, is_silent=True)
+    assert not outage.is_certain
+
+    outage.record_failure(3.6, 4.8, is_silent=True)
+    assert outage.is_certain
+
+    outage.record_success(5.0)
+    assert not outage.is_certain
+    outage.record_failure(6.0, 6.0, is_silent=False)
+    assert outage.is_certain
+
+
 def test_an_answer_ends_the_outage_and_the_next_one_counts_from_it() -> None:
     outage = OutageTracker()
     outage.record_success(0.0)
