--- a/src/kingcupwheel/forwarding/load_poller.py
+++ b/src/kingcupwheel/forwarding/load_poller.py
@@ -7,16 +7,19 @@
 
 from kingcupwheel.forwarding.load_aggregators import MAX_DIRECT_AGENTS
 from kingcupwheel.forwarding.load_aggregators import LoadAggregators
+from kingcupwheel.forwarding.silent_links import SilentLinks
 from kingcupwheel.link.links import OutgoingLink
 from kingcupwheel.messages.membership import AgentHeartbeat
 from kingcupwheel.messages.membership import Hello
 from kingcupwheel.messages.membership import LoadsReply
 from kingcupwheel.messages.membership import LoadsRequest
 from kingcupwheel.messages.membership import ReportedServerLoad
+from kingcupwheel.telemetry.json_logs import lines_of
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from kingcupwheel.forwarding.backends import Backend
@@ -27,6 +30,8 @@
     from kingcupwheel.link.links import Link
     from kingcupwheel.settings.schema import Settings
 
+log = lines_of("servers")
+
 # Agents report loads for some seconds after a poll. At this interval one lost poll has
 # no effect.
 _POLL_INTERVAL_S = 1.0
@@ -54,9 +59,12 @@
         self._is_leaving = is_leaving
         self._polled_at = 0.0
         self._aggregators = LoadAggregators(settings.data_centre)
+        self._silent_links = SilentLinks()
 
     def on_report(self, link: Link, message: AgentHeartbeat | LoadsReply) -> None:
         """Record an agent's report of its own server, or of those of a data centre."""
+        if isinstance(link, OutgoingLink):
+            self._silent_links.record_heard(link.address, monotonic())
         if isinstance(message, AgentHeartbeat):
             self._servers.apply_agent_reports((_report_from(message),))
             return
@@ -76,18 +84,26 @@
             # after the interval.
             return
         self._polled_at = now
-        if sum(map(len, agents.values())) > MAX_DIRECT_AGENTS:
-            for aggregator, members, interval_s in self._aggregators.queries(
-                agents, now
-            ):
+        addresses = [one for found in agents.values() for one in found]
+        self._silent_links.retain(addresses)
+        if len(addresses) > MAX_DIRECT_AGENTS:
+            queries = self._aggregators.queries(agents, now)
+            self._replace_silent([one.aggregator for one in queries], now)
+            for aggregator, members, interval_s in queries:
                 self._hub.send(
                     OutgoingLink(aggregator, 0), LoadsRequest(members, interval_s)
                 )
             return
         hello = self._hello(current)
-        for address in (one for found in agents.values() for one in found):
+        self._replace_silent(addresses, now)
+        for address in addresses:
             self._hub.send(OutgoingLink(address, 0), hello)
 
+    def _replace_silent(self, polled: Collection[str], now: float) -> None:
+        for address in self._silent_links.take_silent(polled, now):
+            log.info("link-replaced", agent=address)
+            self._hub.reconnect(address)
+
     def _hello(self, current: Configuration) -> Hello:
         settings = self._settings
         return Hello(
