--- a/tests/soak/planned/test_servers.py
+++ b/tests/soak/planned/test_servers.py
@@ -41,8 +41,8 @@
         "X-Expect-Instance": "i-1",
         WORK_DURATION_HEADER: f"{WORK_S * 1000:g}",
     }
-    Timer(WORK_S / 2, server.fall_silent, (SILENCE_S,)).start()
     sent_at = time.monotonic()
+    Timer(WORK_S / 2, server.fall_silent, (SILENCE_S,)).start()
 
     answer = send_request(server.address, path, "GET", headers, b"")
 
