--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -17,6 +17,16 @@
       | POST   | /v1/completions  | own   | {}           | Kingcupwheel-Deadline: soon | 400 | bad-request       |
       | POST   | /v1/reservations | own   | {}           |                     | 400    | idempotency-key-missing |
 
+  Scenario: A body for which the entry has no memory is refused before it is read
+    # Half of the memory of bodies is counted, since one is held twice on its way.
+    Given a fleet of 1 entries, 1 engines and 1 services
+    And entry-2 joins with 4 MB of memory for bodies
+    Then these requests to entry-2 are refused as not-run
+      | method | path             | key   | body         | header              | status | reason                  |
+      | POST   | /v1/completions  | own   | 3 MB         |                     | 503    | body-memory             |
+    When "small" streams 5 tokens from entry-2
+    Then "small" gets its 5 tokens
+
   Scenario: An organisation sees only its own requests
     # A request id of another organisation is answered like an id that does not exist.
     Given a fleet of 1 entries, 1 engines and 0 services
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -53,6 +53,14 @@
     world.fleet.wait_until_configured()
 
 
+@given("{entry} joins with {size_mb:d} MB of memory for bodies")
+def add_small_entry(context: Any, entry: str, size_mb: int) -> None:
+    """Start a further entry and wait until it serves."""
+    limits = {"requests_bytes": size_mb * 1_000_000}
+    context.world.fleet.add_entry(entry, limits=limits)
+    context.world.fleet.wait_until_configured()
+
+
 def _start_fleet(
     context: Any, entries: int, engines: int, services: int, *, relayed: bool
 ) -> None:
--- a/features/steps/refusals.py
+++ b/features/steps/refusals.py
@@ -19,7 +19,7 @@
 from tools.processes import wait_until
 
 
-BODY_BY_NAME = {"5 MB": b"x" * 5_000_000}
+BODY_BY_NAME = {f"{size} MB": b"x" * size * 1_000_000 for size in (3, 5)}
 HEADER_BY_NAME = {"20 KB": "x" * 20_000}
 API_KEY_BY_NAME = {"own": API_KEY, "wrong": "no such key"}
 ADOPTION_TIMEOUT_S = 7.0
