--- a/src/kingcupwheel/entry/body_source.py
+++ b/src/kingcupwheel/entry/body_source.py
@@ -5,6 +5,7 @@
 import socket
 from abc import ABC
 from abc import abstractmethod
+from contextlib import contextmanager
 from contextlib import suppress
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from typing import BinaryIO
 
     from kingcupwheel.entry.body_memory import RequestBody
@@ -26,6 +28,8 @@
 _MAX_RECEIVE_BUFFER_BYTES = 1_048_576
 # Longest time to receive a body, in seconds.
 MAX_BODY_WAIT_S = 30.0
+# A body whose deadline has passed may still lie in the receive buffer.
+_MIN_WAIT_S = 0.05
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -55,19 +59,30 @@
         *,
         awaits_continue: bool = False,
     ) -> None:
-        self.rfile = rfile
+        self._rfile = rfile
         self._socket = caller_socket
         self._usual_buffer_bytes = self._buffer_bytes = receive_buffer_bytes
         self._awaits_continue = awaits_continue
+        self._deadline_at: float | None = None
+        # None unless the socket has a shorter timeout now.
+        self._usual_timeout_s: float | None = None
 
     def receive(self, size: int) -> bytes:
         """Return up to ``size`` bytes as soon as there are any, none at the end."""
         self._send_continue()
         # The server's reader buffers what has arrived with the request's head.
-        if self.rfile.has_data():  # type: ignore[attr-defined]
-            return self.rfile.read1(size)  # type: ignore[attr-defined, no-any-return]
+        if self._rfile.has_data():  # type: ignore[attr-defined]
+            return self._rfile.read1(size)  # type: ignore[attr-defined, no-any-return]
+        self._limit_wait()
         return self._socket.recv(min(size, _PART_BYTES))
 
+    def read_line(self, limit_bytes: int) -> bytes:
+        """Return the next line, or as much of it as there is or is allowed."""
+        self._send_continue()
+        if not self._rfile.has_data():  # type: ignore[attr-defined]
+            self._limit_wait()
+        return self._rfile.readline(limit_bytes)
+
     def expect_bytes(self, size: int) -> None:
         """Set the receive buffer for a body of ``size``, 0 after it."""
         wanted = max(self._usual_buffer_bytes, min(size, _MAX_RECEIVE_BUFFER_BYTES))
@@ -75,6 +90,23 @@
             set_receive_buffer(self._socket, wanted)
             self._buffer_bytes = wanted
 
+    def begin_wait(self, deadline_at: float) -> None:
+        """Wait for bytes until ``deadline_at`` (monotonic) from now on."""
+        self._deadline_at = deadline_at
+
+    def end_wait(self) -> None:
+        """Wait for bytes as long as before ``begin_wait``."""
+        self._deadline_at = None
+        if self._usual_timeout_s is not None:
+            self._socket.settimeout(self._usual_timeout_s)
+            self._usual_timeout_s = None
+
+    def _limit_wait(self) -> None:
+        if self._deadline_at is not None and self._usual_timeout_s is None:
+            self._usual_timeout_s = self._socket.gettimeout() or MAX_BODY_WAIT_S
+            left_s = max(_MIN_WAIT_S, self._deadline_at - monotonic())
+            self._socket.settimeout(min(self._usual_timeout_s, left_s))
+
     def _send_continue(self) -> None:
         if self._awaits_continue:
             self._awaits_continue = False
@@ -94,6 +126,20 @@
     def __init__(self, connection: CallerConnection) -> None:
         self._connection = connection
 
+    @contextmanager
+    def wait_until(self, deadline_at: float) -> Iterator[None]:
+        """Wait for bytes of this body until ``deadline_at`` (monotonic).
+
+        Raises BodyTooSlowError for a caller that sends nothing until then.
+        """
+        self._connection.begin_wait(deadline_at)
+        try:
+            yield
+        except TimeoutError as error:
+            raise BodyTooSlowError("no further bytes of a body came in time") from error
+        finally:
+            self._connection.end_wait()
+
     @abstractmethod
     def read_some(self, size: int) -> bytes:
         """Return up to ``size`` bytes as soon as there are any, none at the end.
@@ -149,15 +195,16 @@
         body.reserve(length)
     data = bytearray(length or 0)
     size = 0
-    while part := source.read_some(_PART_BYTES):
-        end = size + len(part)
-        if length is None:
-            _check_length(end, limit_bytes)
-            body.reserve(end)
-        data[size:end] = part
-        size = end
-        if monotonic() > deadline_at and not source.is_complete:
-            raise BodyTooSlowError(f"{size} bytes of a body came in time")
+    with source.wait_until(deadline_at):
+        while part := source.read_some(_PART_BYTES):
+            end = size + len(part)
+            if length is None:
+                _check_length(end, limit_bytes)
+                body.reserve(end)
+            data[size:end] = part
+            size = end
+            if monotonic() > deadline_at and not source.is_complete:
+                raise BodyTooSlowError(f"{size} bytes of a body came in time")
     body.set(data)
 
 
--- a/src/kingcupwheel/entry/chunked_body.py
+++ b/src/kingcupwheel/entry/chunked_body.py
@@ -63,7 +63,7 @@
         return int(size, 16)
 
     def _read_line(self) -> bytes:
-        line = self._connection.rfile.readline(_MAX_LINE_BYTES + 1)
+        line = self._connection.read_line(_MAX_LINE_BYTES + 1)
         if len(line) > _MAX_LINE_BYTES:
             raise ValueError(
                 f"a line of a chunked body is over {_MAX_LINE_BYTES} bytes"
--- a/src/kingcupwheel/entry/lingering_close.py
+++ b/src/kingcupwheel/entry/lingering_close.py
@@ -50,17 +50,8 @@
         with self._lock:
             if self._is_stopping or len(self._deadline_by_socket) >= _MAX_CONNECTIONS:
                 return False
-            if self._wake_in is None:
-                self._wake_in, wake_out = socket.socketpair()
-                self._wake_in.setblocking(False)
-                wake_out.setblocking(False)
-                self._thread = Thread(
-                    target=self._run,
-                    args=(wake_out,),
-                    name=f"closer-{self._name}",
-                    daemon=True,
-                )
-                self._thread.start()
+            if self._thread is None and not self._start():
+                return False
             self._deadline_by_socket[connection] = monotonic() + _MAX_DISCARD_S
             self._new.append(connection)
         with suppress(OSError):
@@ -68,6 +59,23 @@
         self._wake()
         return True
 
+    def _start(self) -> bool:
+        """Start the thread; return False if the process can have none."""
+        wake_in, wake_out = socket.socketpair()
+        wake_in.setblocking(False)
+        wake_out.setblocking(False)
+        thread = Thread(
+            target=self._run, args=(wake_out,), name=f"closer-{self._name}", daemon=True
+        )
+        try:
+            thread.start()
+        except RuntimeError:
+            wake_in.close()
+            wake_out.close()
+            return False
+        self._wake_in, self._thread = wake_in, thread
+        return True
+
     def stop(self) -> None:
         """Close all connections and end the thread."""
         with self._lock:
--- a/tests/entry/test_body_limits.py
+++ b/tests/entry/test_body_limits.py
@@ -181,6 +181,20 @@
     assert (status, found["reason"]) == (408, "body-too-slow")
 
 
+def test_caller_that_stops_sending_is_refused_in_time(
+    port: int, reader: Reader
+) -> None:
+    """Guards against memory that a caller holds which lost power in its body."""
+    reader.wait_s = 0.3
+    with connect(port) as caller:
+        caller.sendall(head(MB) + b"first bytes")
+
+        status, found, _ = read_answer(caller)
+
+    assert (status, found["reason"]) == (408, "body-too-slow")
+    assert reader.memory.used_bytes == 0
+
+
 def test_connection_is_kept_after_a_body_of_each_size(port: int) -> None:
     """Guards against rests of a body that are taken for the next request."""
     with connect(port) as caller:
