--- a/tests/soak/many.py
+++ b/tests/soak/many.py
@@ -22,6 +22,7 @@
     "silences",
     "endless",
     "site",
+    "bodies",
 )
 DEFAULT_SEED_COUNT = 50
 DEFAULT_PARALLEL_RUNS = 4
--- a/tests/soak/one.py
+++ b/tests/soak/one.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from tests.soak import test_soak
+from tests.soak.planned import test_bodies
 from tests.soak.planned import test_planned
 from tests.soak.planned import test_site
 
@@ -21,7 +22,7 @@
 
 # A soak injects any faults, or planned work on entries and servers, which may also
 # name rate limits, be crashed by requests or parts of prompts, fall silent, or send
-# bytes without end; on a site the store is disturbed, too.
+# bytes without end; on a site the store is disturbed, too. Bodies are of every size.
 RUN_SEED_BY_KIND: dict[str, Callable[..., list[str]]] = {
     "faults": test_soak.run_seed,
     "planned": test_planned.run_seed,
@@ -31,6 +32,7 @@
     "silences": partial(test_planned.run_seed, includes_silences=True),
     "endless": partial(test_planned.run_seed, includes_endless=True),
     "site": test_site.run_seed,
+    "bodies": test_bodies.run_seed,
 }
 
 if __name__ == "__main__":
