--- a/tools/ablations.py
+++ b/tools/ablations.py
@@ -81,10 +81,34 @@
     "answer-memory": (
         Edit(
             "forwarding/daemon.py",
-            "AnswerMemory(settings.entry.answers_bytes)",
+            "AnswerMemory(limit_to_machine(settings.entry.answers_bytes))",
             'AnswerMemory(float("inf"))',
         ),
     ),
+    "body-memory": (
+        Edit(
+            "forwarding/daemon.py",
+            "BodyMemory(limit_to_machine(settings.entry.requests_bytes))",
+            'BodyMemory(float("inf"))',
+        ),
+    ),
+    "body-release": (
+        Edit(
+            "entry/body_memory.py",
+            "        self._data = None\n        if",
+            "        if",
+        ),
+    ),
+    "new-connection-after-silence": (
+        Edit("platform/store_client.py", "self._http.replace_idle()", "pass"),
+    ),
+    "silence-is-no-outage": (
+        Edit(
+            "forwarding/outage.py",
+            "self._is_certain = not is_silent",
+            "self._is_certain = True",
+        ),
+    ),
     "complete-lines": (
         Edit(
             "utils/http_responses.py",
