--- a/src/kingcupwheel/entry/http_server.py
+++ b/src/kingcupwheel/entry/http_server.py
@@ -100,6 +100,7 @@
         if self.has_unread_body and self.server.closer.add(self.socket):
             # The closer has the socket.
             self.linger = True
+            self.has_unread_body = False
         super().close()
 
 
--- a/src/kingcupwheel/entry/lingering_close.py
+++ b/src/kingcupwheel/entry/lingering_close.py
@@ -113,8 +113,13 @@
         with self._lock:
             added, self._new = self._new, []
         for one in added:
-            one.setblocking(False)
-            selector.register(one, selectors.EVENT_READ)
+            try:
+                one.setblocking(False)
+                selector.register(one, selectors.EVENT_READ)
+            except (OSError, ValueError):
+                # It is closed already.
+                with self._lock:
+                    del self._deadline_by_socket[one]
 
     def _discard(self, selector: selectors.BaseSelector, ready: object) -> None:
         assert isinstance(ready, socket.socket), "only sockets are registered"
--- a/src/kingcupwheel/forwarding/exchange.py
+++ b/src/kingcupwheel/forwarding/exchange.py
@@ -42,7 +42,7 @@
     def __init__(self, environ: Environ, start_response: Callable[..., Any]) -> None:
         self._environ = environ
         self._start_response = start_response
-        self.received_at = monotonic()
+        self._received_at = monotonic()
 
     @property
     def socket(self) -> Any:
@@ -68,14 +68,14 @@
         if isinstance(target, bytes):
             target = target.decode("latin-1")
         refusal = self._read_body(headers, body, body_limit)
-        own_id = str(generate_request_id(entry, now=self.received_at))
+        own_id = str(generate_request_id(entry, now=self._received_at))
         return ReceivedRequest(
             id=read_attempt_id(headers) or own_id,
             method=str(self._environ["REQUEST_METHOD"]),
             target=target,
             headers=headers,
             body=body,
-            received_at=self.received_at,
+            received_at=self._received_at,
             body_refusal=refusal,
         )
 
@@ -89,7 +89,7 @@
             self._environ["wsgi.input"],
             body,
             limit_bytes=body_limit,
-            deadline_at=self.received_at + wait_s,
+            deadline_at=self._received_at + wait_s,
         )
 
     def send_answer(self, answer: Answer, request_id: str) -> Iterable[bytes]:
--- a/src/kingcupwheel/forwarding/load_poller.py
+++ b/src/kingcupwheel/forwarding/load_poller.py
@@ -60,11 +60,14 @@
         self._polled_at = 0.0
         self._aggregators = LoadAggregators(settings.data_centre)
         self._silent_links = SilentLinks()
+        # Those whose links were replaced and that have not answered since.
+        self._silent_agents: set[str] = set()
 
     def on_report(self, link: Link, message: AgentHeartbeat | LoadsReply) -> None:
         """Record an agent's report of its own server, or of those of a data centre."""
         if isinstance(link, OutgoingLink):
             self._silent_links.record_heard(link.address, monotonic())
+            self._silent_agents.discard(link.address)
         if isinstance(message, AgentHeartbeat):
             self._servers.apply_agent_reports((_report_from(message),))
             return
@@ -86,6 +89,7 @@
         self._polled_at = now
         addresses = [one for found in agents.values() for one in found]
         self._silent_links.retain(addresses)
+        self._silent_agents.intersection_update(addresses)
         if len(addresses) > MAX_DIRECT_AGENTS:
             queries = self._aggregators.queries(agents, now)
             self._replace_silent([one.aggregator for one in queries], now)
@@ -101,7 +105,9 @@
 
     def _replace_silent(self, polled: Collection[str], now: float) -> None:
         for address in self._silent_links.take_silent(polled, now):
-            log.info("link-replaced", agent=address)
+            if address not in self._silent_agents:
+                self._silent_agents.add(address)
+                log.info("link-replaced", agent=address)
             self._hub.reconnect(address)
 
     def _hello(self, current: Configuration) -> Hello:
